--- /dev/null
+++ b/bergamotstream/core.py
@@ -0,0 +1,75 @@
+"""
+Core
+~~~~
+
+One host's decisions without input or output. Events go in with the time,
+actions come out. Messages that the host sends to itself and events that its
+components raise are handled before ``handle`` returns.
+"""
+
+import collections
+from collections.abc import Callable, Sequence
+from typing import Any
+
+from bergamotstream import actions, components, events, settings, state
+
+MAX_INTERNAL_STEPS = 10_000
+
+
+class HostCore:
+    """The core of one host."""
+
+    def __init__(
+        self,
+        config: settings.Settings,
+        incarnation: str,
+        kinds: Sequence[type[components.Component]],
+    ) -> None:
+        """Build one component of each kind around a shared state."""
+        self.state = state.HostState(config, incarnation)
+        self.components_by_name = {
+            kind.name: kind(self.state) for kind in kinds
+        }
+        self._handlers_by_kind = collections.defaultdict(list)
+        for component in self.components_by_name.values():
+            for kind, handler in component.handlers():
+                self._handlers_by_kind[kind].append(handler)
+
+    def handle(self, event: events.Event, now_ms: int) -> components.Actions:
+        """Handle one event at ``now_ms`` and return actions for the shell."""
+        self.state.now_ms = now_ms
+        outgoing: components.Actions = []
+        pending = collections.deque([event])
+        for _ in range(MAX_INTERNAL_STEPS):
+            if not pending:
+                break
+            for action in self._dispatch(pending.popleft()):
+                internal = self._internal_event(action)
+                if internal is None:
+                    outgoing.append(action)
+                else:
+                    pending.append(internal)
+        return outgoing
+
+    def _dispatch(self, event: events.Event) -> components.Actions:
+        if isinstance(event, events.MessageReceived):
+            kind: type = type(event.message)
+            arguments: tuple[Any, ...] = (event.message, event.sender)
+        else:
+            kind = type(event)
+            arguments = (event,)
+        produced: components.Actions = []
+        for handler in self._handlers(kind):
+            produced.extend(handler(*arguments))
+        return produced
+
+    def _handlers(self, kind: type) -> list[Callable[..., Any]]:
+        return self._handlers_by_kind.get(kind, [])
+
+    def _internal_event(self, action: actions.Action) -> events.Event | None:
+        if isinstance(action, actions.Raise):
+            return action.event
+        if isinstance(action, actions.SendMessage):
+            if action.host == self.state.host:
+                return events.MessageReceived(action.host, action.message)
+        return None
--- /dev/null
+++ b/bergamotstream/partitions.py
@@ -0,0 +1,59 @@
+"""
+Partitions
+~~~~~~~~~~
+
+Names of the units of ownership. A name depends only on the target, workspace
+or key that it stands for, so hosts with different views agree on it.
+"""
+
+import functools
+from collections.abc import Iterable
+
+import xxhash
+
+from bergamotstream import records
+
+
+@functools.lru_cache(maxsize=65_536)
+def hash_text(text: str) -> int:
+    """Return the 64-bit xxHash of a text (source: XXH64)."""
+    return xxhash.xxh64_intdigest(text.encode())
+
+
+def targets_partition(
+    target: records.TargetInfo, service: records.ServiceConfig
+) -> str:
+    """Return the partition that a target belongs to."""
+    index = hash_text(target.name) % service.partitions_per_zone
+    return f'targets:{target.service}:{target.availability_zone}:{index}'
+
+
+def accounts_partition(workspace: str, count: int) -> str:
+    """Return the partition that keeps a workspace's limits."""
+    return f'accounts:{hash_text(workspace) % count}'
+
+
+def claims_partition(workspace: str, key: str, count: int) -> str:
+    """Return the partition that keeps an idempotency key."""
+    return f'claims:{hash_text(f"{workspace}/{key}") % count}'
+
+
+def zone_of(partition: str) -> str:
+    """Return the availability zone of a targets partition, or ''."""
+    parts = partition.split(':')
+    return parts[2] if parts[0] == 'targets' else ''
+
+
+def succession(partition: str, members: Iterable[str]) -> tuple[str, ...]:
+    """Return members by rendezvous weight, highest first.
+
+    Source: Thaler and Ravishankar, "Using name-based mappings to increase
+    hit rates", 1998.
+    """
+    return tuple(
+        sorted(
+            members,
+            key=lambda member: hash_text(f'{partition}|{member}'),
+            reverse=True,
+        )
+    )
--- /dev/null
+++ b/bergamotstream/state.py
@@ -0,0 +1,59 @@
+"""
+State
+~~~~~
+
+What the components of one core share: the time of the present event, the
+bundle, the host list and the view of ownership. Each attribute is written by
+the one component named here and read by the others.
+"""
+
+import random
+
+from bergamotstream import records, settings
+
+
+class HostState:
+    """Shared view of one host's core."""
+
+    def __init__(self, config: settings.Settings, incarnation: str) -> None:
+        """``incarnation`` differs for each start of the same host name."""
+        self.settings = config
+        self.host = config.host
+        self.incarnation = incarnation
+        self.random = random.Random(f'{config.seed}/{config.host}')
+        # Written by the core.
+        self.now_ms = 0
+        # Written by bundles.
+        self.bundle: records.Bundle | None = None
+        # Written by membership.
+        self.hosts_by_name: dict[str, records.HostInfo] = {}
+        self.targets_by_name: dict[str, records.TargetInfo] = {}
+        self.record: records.CellRecord | None = None
+        self.live_peers: set[str] = set()
+        self.leaving_hosts: set[str] = set()
+        self.config_version_by_host: dict[str, int] = {}
+        self.loads_by_partition: dict[str, records.PartitionLoad] = {}
+        self.blame_by_fingerprint: dict[int, float] = {}
+        # Written by ownership.
+        self.owners_by_partition: dict[str, str] = {}
+        self.owned_partitions: set[str] = set()
+        # Written by granting.
+        self.own_loads_by_partition: dict[str, records.PartitionLoad] = {}
+        self.own_blame_by_fingerprint: dict[int, float] = {}
+        # Written by sessions.
+        self.leaving = False
+        self.open_requests = 0
+        self._next_number = 0
+
+    def new_id(self) -> str:
+        """Return an identifier that no other host or start uses."""
+        self._next_number += 1
+        return f'{self.host}.{self.incarnation}.{self._next_number}'
+
+    def owns(self, partition: str) -> bool:
+        """Tell whether this host is the owner at this moment."""
+        return partition in self.owned_partitions
+
+    def owner_of(self, partition: str) -> str:
+        """Return the believed owner's name, or '' when there is none."""
+        return self.owners_by_partition.get(partition, '')
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,37 @@
+"""
+Test configuration
+~~~~~~~~~~~~~~~~~~
+
+Skips the tests that KNOWN-RED.txt lists and prints them.
+"""
+
+import pathlib
+
+KNOWN_RED = pathlib.Path(__file__).parent.parent / 'KNOWN-RED.txt'
+TEST_FIELD = 'test: '
+
+
+def known_red_tests():
+    """Return the node ids that KNOWN-RED.txt lists, one per ``test:`` line."""
+    if not KNOWN_RED.exists():
+        return []
+    return [
+        line.removeprefix(TEST_FIELD).strip()
+        for line in KNOWN_RED.read_text().splitlines()
+        if line.startswith(TEST_FIELD)
+    ]
+
+
+def pytest_collection_modifyitems(config, items):
+    """Deselect exactly the listed tests."""
+    red = set(known_red_tests())
+    listed = [item for item in items if item.nodeid in red]
+    if listed:
+        config.hook.pytest_deselected(items=listed)
+        items[:] = [item for item in items if item.nodeid not in red]
+
+
+def pytest_terminal_summary(terminalreporter):
+    """Print the tests that were passed over."""
+    for nodeid in known_red_tests():
+        terminalreporter.write_line(f'KNOWN RED, not run: {nodeid}')
--- /dev/null
+++ b/tests/test_partitions.py
@@ -0,0 +1,23 @@
+"""Names of partitions and their succession order."""
+
+from bergamotstream import partitions, records
+
+
+def test_partition_depends_on_the_target_alone():
+    """Guards against two hosts placing one target in two partitions."""
+    service = records.ServiceConfig('asistente', 'model')
+    target = records.TargetInfo('t1', 'asistente', 'rosario', '127.0.0.1:1')
+    leaving = target._replace(leaving=True)
+    name = partitions.targets_partition(target, service)
+    assert name == 'targets:asistente:rosario:0'
+    assert partitions.targets_partition(leaving, service) == name
+
+
+def test_removal_of_one_member_moves_only_its_partitions():
+    """Guards against a global reshuffle on a change of membership."""
+    members = [f'h{number}' for number in range(7)]
+    for number in range(50):
+        before = partitions.succession(f'accounts:{number}', members)
+        after = partitions.succession(f'accounts:{number}', members[1:])
+        if before[0] != 'h0':
+            assert after[0] == before[0]
