--- /dev/null
+++ b/bergamotstream/accounts.py
@@ -0,0 +1,248 @@
+"""
+Accounts
+~~~~~~~~
+
+Workspace limits, kept by the owner of the workspace's account partition.
+Concurrency is counted exactly. The token rate is a bucket that may go into
+debt by one request, so that a prompt larger than the bucket can still run and
+the long-term rate holds.
+"""
+
+from typing import NamedTuple
+
+from bergamotstream import (
+    actions,
+    components,
+    events,
+    messages,
+    partitions,
+    records,
+)
+
+MS_PER_S = 1_000
+BURST_S = 10
+RECONCILE_MS = 5_000
+SETTLE_MS = 2_000
+CONCURRENCY_RETRY_MS = 500
+
+
+class Charge(NamedTuple):
+    """A request that counts against its workspace."""
+
+    holder: str
+    tokens: int
+    since_ms: int
+
+
+class Account:
+    """Concurrency and token rate of one workspace."""
+
+    def __init__(self, config: records.WorkspaceConfig, now_ms: int) -> None:
+        """Start with a bucket that is half full.
+
+        A new owner does not know what was used just before it took over.
+        """
+        self.charges_by_request: dict[str, Charge] = {}
+        self.level = config.tokens_per_s * BURST_S / 2
+        self._refilled_ms = now_ms
+
+    def refill(self, config: records.WorkspaceConfig, now_ms: int) -> None:
+        """Add the tokens earned since the last call."""
+        elapsed_ms = now_ms - self._refilled_ms
+        earned = config.tokens_per_s * elapsed_ms / MS_PER_S
+        full = config.tokens_per_s * BURST_S
+        self.level = min(self.level + earned, full)
+        self._refilled_ms = now_ms
+
+    def retry_after_ms(self, config: records.WorkspaceConfig) -> int:
+        """Return 0 if a request may run now, else when to come back."""
+        if len(self.charges_by_request) >= config.max_concurrent:
+            return CONCURRENCY_RETRY_MS
+        if self.level > 0:
+            return 0
+        rate = max(config.tokens_per_s, 1)
+        return int(-self.level * MS_PER_S / rate) + 1
+
+
+class Accounts(components.Component):
+    """The account partitions that this host owns."""
+
+    name = 'accounts'
+
+    def __init__(self, shared: components.state.HostState) -> None:
+        """Start without accounts."""
+        super().__init__(shared)
+        self._accounts_by_workspace: dict[str, Account] = {}
+        self._ready_ms_by_partition: dict[str, int] = {}
+        self._waiting: list[tuple[messages.ChargeRequest, str]] = []
+        self._reconcile_ms = 0
+
+    @components.handles(events.PartitionAcquired)
+    def acquire(self, event: events.PartitionAcquired) -> components.Actions:
+        """Ask all members for the charges that they hold."""
+        if not event.partition.startswith('accounts:'):
+            return []
+        wait_ms = self.state.settings.timing.holdings_wait_ms
+        self._ready_ms_by_partition[event.partition] = (
+            self.state.now_ms + wait_ms
+        )
+        return self._query_members(event.partition)
+
+    @components.handles(events.PartitionLost)
+    def lose(self, event: events.PartitionLost) -> components.Actions:
+        """Forget the accounts of a partition."""
+        self._ready_ms_by_partition.pop(event.partition, None)
+        for workspace in list(self._accounts_by_workspace):
+            if self._partition(workspace) == event.partition:
+                self._accounts_by_workspace.pop(workspace)
+        return []
+
+    @components.handles(messages.ChargeRequest)
+    def charge(
+        self, message: messages.ChargeRequest, sender: str
+    ) -> components.Actions:
+        """Accept or deny a charge; a repeated one gets the same answer."""
+        if not self.state.owns(message.partition):
+            return [self._reply(message, sender, code='no_owner')]
+        ready_ms = self._ready_ms_by_partition.get(message.partition, 0)
+        if self.state.now_ms < ready_ms:
+            self._waiting.append((message, sender))
+            return []
+        return [self._decide(message, sender)]
+
+    @components.handles(messages.ChargeRelease)
+    def release(
+        self, message: messages.ChargeRelease, sender: str
+    ) -> components.Actions:
+        """End a charge and correct the tokens by what was used."""
+        account = self._accounts_by_workspace.get(message.workspace)
+        if account is None:
+            return []
+        charge = account.charges_by_request.pop(message.request_id, None)
+        if charge is not None:
+            account.level += charge.tokens - message.tokens
+        return []
+
+    @components.handles(messages.HoldingsReply)
+    def adopt(
+        self, message: messages.HoldingsReply, sender: str
+    ) -> components.Actions:
+        """Take over or reconcile the charges that a host reports."""
+        if not self.state.owns(message.partition):
+            return []
+        reported = {charge.request_id for charge in message.charges}
+        for workspace, account in self._accounts_by_workspace.items():
+            if self._partition(workspace) == message.partition:
+                self._drop_unreported(account, sender, reported)
+        for charge in message.charges:
+            self._adopt_charge(charge, sender)
+        return []
+
+    @components.handles(events.Tick)
+    def tick(self, event: events.Tick) -> components.Actions:
+        """Answer charges that waited for adoption; reconcile from time to time."""
+        produced: components.Actions = []
+        waiting = self._waiting
+        self._waiting = []
+        for message, sender in waiting:
+            produced.extend(self.charge(message, sender))
+        if self.state.now_ms < self._reconcile_ms:
+            return produced
+        self._reconcile_ms = self.state.now_ms + RECONCILE_MS
+        self._drop_dead_holders()
+        for partition in self._busy_partitions():
+            produced.extend(self._query_members(partition))
+        return produced
+
+    def _decide(
+        self, message: messages.ChargeRequest, sender: str
+    ) -> actions.SendMessage:
+        config = self._config(message.workspace)
+        if config is None:
+            return self._reply(message, sender, code='unknown_workspace')
+        account = self._account(config)
+        if message.request_id in account.charges_by_request:
+            return self._reply(message, sender)
+        account.refill(config, self.state.now_ms)
+        retry_after_ms = account.retry_after_ms(config)
+        if retry_after_ms:
+            return self._reply(message, sender, 'limit_reached', retry_after_ms)
+        account.charges_by_request[message.request_id] = Charge(
+            sender, message.tokens, self.state.now_ms
+        )
+        account.level -= message.tokens
+        return self._reply(message, sender)
+
+    def _reply(
+        self,
+        message: messages.ChargeRequest,
+        sender: str,
+        code: str = '',
+        retry_after_ms: int = 0,
+    ) -> actions.SendMessage:
+        reply = messages.ChargeReply(
+            partition=message.partition,
+            request_id=message.request_id,
+            granted=not code,
+            code=code,
+            retry_after_ms=retry_after_ms,
+        )
+        return actions.SendMessage(sender, reply)
+
+    def _adopt_charge(
+        self, charge: messages.ChargeRequest, sender: str
+    ) -> None:
+        config = self._config(charge.workspace)
+        if config is None:
+            return
+        account = self._account(config)
+        account.charges_by_request.setdefault(
+            charge.request_id,
+            Charge(sender, charge.tokens, self.state.now_ms),
+        )
+
+    def _drop_unreported(
+        self, account: Account, holder: str, reported: set[str]
+    ) -> None:
+        # A charge made while the query was under way is not in the reply.
+        settled_ms = self.state.now_ms - SETTLE_MS
+        for request_id, charge in list(account.charges_by_request.items()):
+            if charge.holder != holder or charge.since_ms > settled_ms:
+                continue
+            if request_id not in reported:
+                account.charges_by_request.pop(request_id)
+
+    def _drop_dead_holders(self) -> None:
+        alive = self.state.live_peers | {self.state.host}
+        for account in self._accounts_by_workspace.values():
+            for request_id, charge in list(account.charges_by_request.items()):
+                if charge.holder not in alive:
+                    account.charges_by_request.pop(request_id)
+
+    def _busy_partitions(self) -> set[str]:
+        return {
+            self._partition(workspace)
+            for workspace, account in self._accounts_by_workspace.items()
+            if account.charges_by_request
+        }
+
+    def _query_members(self, partition: str) -> components.Actions:
+        query = messages.HoldingsQuery(partition)
+        hosts = self.state.live_peers | {self.state.host}
+        return [actions.SendMessage(host, query) for host in sorted(hosts)]
+
+    def _partition(self, workspace: str) -> str:
+        count = self.state.settings.limits.account_partitions
+        return partitions.accounts_partition(workspace, count)
+
+    def _config(self, workspace: str) -> records.WorkspaceConfig | None:
+        if self.state.bundle is None:
+            return None
+        return self.state.bundle.workspaces_by_name.get(workspace)
+
+    def _account(self, config: records.WorkspaceConfig) -> Account:
+        if config.name not in self._accounts_by_workspace:
+            self._accounts_by_workspace[config.name] = Account(
+                config, self.state.now_ms
+            )
+        return self._accounts_by_workspace[config.name]
--- a/bergamotstream/messages.py
+++ b/bergamotstream/messages.py
@@ -60,13 +60,18 @@
 
 
 class GrantRequest(NamedTuple):
-    """Asks the owner of ``partition`` for a target."""
+    """Asks the owner of ``partition`` for a target.
+
+    ``sent_ms`` is the asker's clock. The owner returns the latest one as
+    ``asked_ms``, so that the asker can tell how old a grant may be.
+    """
 
     partition: str
     request: records.RequestSpec
     remaining_ms: int
     priority: int
     excluded_targets: tuple[str, ...] = ()
+    sent_ms: int = 0
 
 
 class GrantReply(NamedTuple):
@@ -81,6 +86,7 @@
     fence: int = 0
     code: str = ''
     retry_after_ms: int = 0
+    asked_ms: int = 0
 
 
 class GrantCancel(NamedTuple):
