Add requests at the accepting host

A session charges its workspace and asks for a grant in parallel, claims where the request must not be repeated, dispatches, and resumes or retries within budgets. Not measured yet.

--- a/bergamotstream/actions.py
+++ b/bergamotstream/actions.py
@@ -48,6 +48,12 @@
     attempt_id: str
 
 
+class DropStream(NamedTuple):
+    """Stop reading an attempt without cancelling it at its targets."""
+
+    attempt_id: str
+
+
 class FinishRequest(NamedTuple):
     """End the caller's answer successfully.
 
@@ -176,6 +182,7 @@
     | Raise
     | Dispatch
     | CancelAttempt
+    | DropStream
     | FinishRequest
     | RefuseRequest
     | RestartAnswer
--- /dev/null
+++ b/bergamotstream/admission.py
@@ -0,0 +1,55 @@
+"""
+Admission
+~~~~~~~~~
+
+Checks that a request can be admitted at all, before anything is reserved.
+"""
+
+from bergamotstream import actions, components, records, state
+
+RETRY_LATER = frozenset(('overloaded', 'configuration_unknown', 'in_progress'))
+
+
+def refusal_code(
+    shared: state.HostState, request: records.RequestSpec, deadline_ms: int
+) -> str:
+    """Return the code of the first failed check, or '' to admit."""
+    bundle = shared.bundle
+    limits = shared.settings.limits
+    if bundle is None:
+        return 'configuration_unknown'
+    blame = shared.blame_by_fingerprint.get(request.fingerprint, 0)
+    if deadline_ms <= 0:
+        return 'deadline_passed'
+    if request.workspace not in bundle.workspaces_by_name:
+        return 'unknown_workspace'
+    if request.service not in bundle.services_by_name:
+        return 'unknown_service'
+    if request.prompt_tokens > records.MAX_PROMPT_TOKENS:
+        return 'prompt_too_long'
+    if blame >= limits.quarantine_after:
+        return 'request_quarantined'
+    return 'overloaded' if _full(shared) else ''
+
+
+def refuse(
+    shared: state.HostState, request: records.RequestSpec, code: str
+) -> components.Actions:
+    """Refuse a request that was not opened."""
+    retry_after_ms = 0
+    if code in RETRY_LATER:
+        retry_after_ms = shared.settings.timing.takeover_ms
+    # A second copy of an open request says nothing about the first one.
+    run_state: records.RunState = 'not_run'
+    if code == 'in_progress':
+        run_state = 'may_have_run'
+    return [
+        actions.Count('refusals', code),
+        actions.RefuseRequest(
+            request.request_id, code, run_state, retry_after_ms
+        ),
+    ]
+
+
+def _full(shared: state.HostState) -> bool:
+    return shared.open_requests >= shared.settings.limits.open_requests
--- /dev/null
+++ b/bergamotstream/charging.py
@@ -0,0 +1,119 @@
+"""
+Charging
+~~~~~~~~
+
+The accepting host's side of workspace limits: asks the account's owner, and
+falls back to a small fixed share while no owner answers.
+"""
+
+from collections.abc import Iterable
+
+from bergamotstream import (
+    actions,
+    components,
+    messages,
+    partitions,
+    sessionstate,
+    state,
+)
+
+OWNER_TIMEOUT_MS = 600
+# Each host may run this part of a workspace's limit without the owner.
+FALLBACK_PARTS_PER_HOST = 4
+
+
+class Charging:
+    """Charges of the requests that are open at this host."""
+
+    def __init__(self, shared: state.HostState) -> None:
+        """Start without charges."""
+        self._state = shared
+        self._local_by_workspace: dict[str, int] = {}
+
+    def ask(self, session: sessionstate.Session) -> components.Actions:
+        """Ask the owner of the workspace's account."""
+        count = self._state.settings.limits.account_partitions
+        session.charge_partition = partitions.accounts_partition(
+            session.request.workspace, count
+        )
+        session.charge_state = 'asked'
+        session.charge_asked_ms = self._state.now_ms
+        return self._send(session)
+
+    def ask_again(self, session: sessionstate.Session) -> components.Actions:
+        """Repeat the question; after a while use the local share."""
+        if session.charge_state != 'asked':
+            return []
+        waited_ms = self._state.now_ms - session.charge_asked_ms
+        if waited_ms >= OWNER_TIMEOUT_MS and self._within_share(session):
+            workspace = session.request.workspace
+            local = self._local_by_workspace.get(workspace, 0)
+            self._local_by_workspace[workspace] = local + 1
+            session.charge_state = 'local'
+            return []
+        return self._send(session)
+
+    def answered(
+        self, session: sessionstate.Session, message: messages.ChargeReply
+    ) -> bool:
+        """Note the owner's answer; False means that the limit is reached."""
+        if message.granted:
+            if session.charge_state == 'asked':
+                session.charge_state = 'granted'
+            return True
+        # Without an owner the question is repeated until the fallback.
+        return message.code == 'no_owner' or session.charge_state != 'asked'
+
+    def release(self, session: sessionstate.Session) -> components.Actions:
+        """End the charge of a closed request."""
+        charge_state = session.charge_state
+        session.charge_state = 'none'
+        if charge_state == 'local':
+            self._local_by_workspace[session.request.workspace] -= 1
+            return []
+        if charge_state == 'none':
+            return []
+        used = 0
+        if session.may_have_run:
+            used = session.request.prompt_tokens + session.offset
+        release = messages.ChargeRelease(
+            session.charge_partition,
+            session.request.request_id,
+            session.request.workspace,
+            used,
+        )
+        owner = self._state.owner_of(session.charge_partition)
+        return [actions.SendMessage(owner, release)] if owner else []
+
+    def held(
+        self, sessions: Iterable[sessionstate.Session], partition: str
+    ) -> tuple[messages.ChargeRequest, ...]:
+        """Return the charges that this host holds in a partition."""
+        return tuple(
+            self._request(session)
+            for session in sessions
+            if session.charge_partition == partition
+            and session.charge_state in {'granted', 'local'}
+        )
+
+    def _send(self, session: sessionstate.Session) -> components.Actions:
+        owner = self._state.owner_of(session.charge_partition)
+        if not owner:
+            return []
+        return [actions.SendMessage(owner, self._request(session))]
+
+    def _request(self, session: sessionstate.Session) -> messages.ChargeRequest:
+        return messages.ChargeRequest(
+            session.charge_partition,
+            session.request.request_id,
+            session.request.workspace,
+            session.tokens(),
+        )
+
+    def _within_share(self, session: sessionstate.Session) -> bool:
+        hosts = max(len(self._state.hosts_by_name), 1)
+        share = session.workspace.max_concurrent // (
+            FALLBACK_PARTS_PER_HOST * hosts
+        )
+        used = self._local_by_workspace.get(session.request.workspace, 0)
+        return used < max(share, 1)
--- a/bergamotstream/errors.py
+++ b/bergamotstream/errors.py
@@ -112,6 +112,9 @@
 RequestQuarantined = _declare(
     'request_quarantined', 422, 'do not send this request again'
 )
+CallerGone = _declare(
+    'caller_gone', 499, 'resume by request id or send a new request'
+)
 RetriesExhausted = _declare('retries_exhausted', 503, 'come back later')
 VersionConflict = _declare(
     'version_conflict', 409, 'review what changed and submit again'
--- /dev/null
+++ b/bergamotstream/sessionstate.py
@@ -0,0 +1,108 @@
+"""
+Session state
+~~~~~~~~~~~~~
+
+What the accepting host knows about one open request.
+"""
+
+from typing import Literal, NamedTuple
+
+from bergamotstream import records
+
+ChargeState = Literal['none', 'asked', 'granted', 'local']
+ClaimState = Literal['none', 'asked', 'claimed', 'closed']
+Stage = Literal['finding', 'asking', 'claiming', 'running']
+
+
+class Attempt(NamedTuple):
+    """A granted attempt."""
+
+    attempt_id: str
+    partition: str
+    targets: tuple[records.GrantedTarget, ...]
+    engine_priority: int
+    dispatched_ms: int = 0
+    started: bool = False
+    first_token_ms: int = 0
+    stalled_resumes: int = 0
+
+
+class Claim(NamedTuple):
+    """The claim of a request that must run at most once."""
+
+    claim_id: str
+    partition: str
+    sent_ms: int
+    state: ClaimState
+
+
+class Ask(NamedTuple):
+    """A grant request that waits for its answer."""
+
+    partition: str
+    owner: str
+    first_ms: int
+    last_ms: int
+    interval_ms: int
+
+
+class Session:
+    """One open request at the accepting host."""
+
+    def __init__(
+        self,
+        request: records.RequestSpec,
+        workspace: records.WorkspaceConfig,
+        service: records.ServiceConfig,
+        received_ms: int,
+        deadline_ms: int,
+    ) -> None:
+        """``deadline_ms`` is the time left when the request was received."""
+        self.request = request
+        self.workspace = workspace
+        self.service = service
+        self.received_ms = received_ms
+        self.deadline_at_ms = received_ms + deadline_ms
+        self.stage: Stage = 'asking'
+        self.offset = 0
+        self.attempt: Attempt | None = None
+        self.ask: Ask | None = None
+        self.claim: Claim | None = None
+        self.charge_state: ChargeState = 'none'
+        self.charge_partition = ''
+        self.charge_asked_ms = 0
+        self.excluded_targets: tuple[str, ...] = ()
+        self.denials_by_partition: dict[str, tuple[str, int]] = {}
+        self.pending_finds: set[str] = set()
+        self.may_have_run = False
+        self.caller_gone_ms = 0
+        self.ask_again_at_ms = 0
+
+    @property
+    def repeatable(self) -> bool:
+        """Tell whether the request may run more than once."""
+        return not self.request.idempotency_key
+
+    @property
+    def run_state(self) -> records.RunState:
+        """Return what an error may truthfully say about execution."""
+        return 'may_have_run' if self.may_have_run else 'not_run'
+
+    def remaining_ms(self, now_ms: int) -> int:
+        """Return the time left until the deadline."""
+        return self.deadline_at_ms - now_ms
+
+    def tokens(self) -> int:
+        """Return the tokens charged to the workspace."""
+        return self.request.prompt_tokens + self.request.max_output_tokens
+
+    @property
+    def resumable(self) -> bool:
+        """Tell whether a running attempt can be attached to again."""
+        return self.repeatable and self.service.kind == 'model'
+
+    def restart_asking(self) -> None:
+        """Return to asking for a grant."""
+        self.ask = None
+        self.stage = 'asking'
+        self.denials_by_partition.clear()
