--- a/bergamotstream/attempts.py
+++ b/bergamotstream/heldgrants.py
@@ -1,6 +1,6 @@
 """
-Attempts
-~~~~~~~~
+Held grants
+~~~~~~~~~~~
 
 Grants that the sessions of one host hold: dispatch, progress, renewal,
 release.
@@ -21,7 +21,7 @@
 AVOIDING_OUTCOMES = frozenset(('not_run', 'target_lost', 'failed'))
 
 
-class Attempts:
+class HeldGrants:
     """Attempts of the sessions of one host."""
 
     def __init__(self, shared: state.HostState) -> None:
--- a/bergamotstream/relay.py
+++ b/bergamotstream/relay.py
@@ -50,8 +50,11 @@
             self._keep_early(chunk)
             return ()
         ready = list(self._take(chunk))
-        while self.offset in self._early_by_offset:
-            ready.extend(self._take(self._early_by_offset.pop(self.offset)))
+        while self._early_by_offset:
+            first = min(self._early_by_offset)
+            if first > self.offset:
+                break
+            ready.extend(self._take(self._early_by_offset.pop(first)))
         return tuple(ready)
 
     def _current(self, chunk: Chunk) -> bool:
--- a/bergamotstream/sessions.py
+++ b/bergamotstream/sessions.py
@@ -11,7 +11,7 @@
     actions,
     admission,
     asking,
-    attempts,
+    heldgrants,
     charging,
     claiming,
     components,
@@ -41,7 +41,7 @@
         super().__init__(shared)
         self.sessions_by_request: dict[str, sessionstate.Session] = {}
         self._asking = asking.Asking(shared)
-        self._attempts = attempts.Attempts(shared)
+        self._grants = heldgrants.HeldGrants(shared)
         self._charging = charging.Charging(shared)
         self._claiming = claiming.Claiming(shared)
         self._budgets = retries.RetryBudgets(shared.settings.limits)
@@ -111,7 +111,7 @@
         """Use a grant, or ask elsewhere after a denial."""
         session = self.sessions_by_request.get(message.request_id)
         if session is None or not self._asking.usable(session, message):
-            return self._attempts.return_grant(message, sender)
+            return self._grants.return_grant(message, sender)
         if not message.granted:
             return self._denied(session, message)
         attempt = sessionstate.Attempt(
@@ -120,7 +120,7 @@
             targets=message.targets,
             engine_priority=message.engine_priority,
         )
-        self._attempts.hold(session, attempt)
+        self._grants.hold(session, attempt)
         return self._advance(session)
 
     @components.handles(messages.ClaimReply)
@@ -133,7 +133,7 @@
             return []
         verdict = self._claiming.answered(session, message)
         if verdict.dispatch:
-            return self._attempts.dispatch(session)
+            return self._grants.dispatch(session)
         if verdict.recorded is not None:
             return self._finish(session, verdict.recorded)
         return [
@@ -170,18 +170,18 @@
             started=True,
         )
         session.may_have_run = True
-        self._attempts.hold(session, attempt)
-        return self._attempts.dispatch(session, resume=True)
+        self._grants.hold(session, attempt)
+        return self._grants.dispatch(session, resume=True)
 
     @components.handles(messages.GrantExpired)
     def expired(
         self, message: messages.GrantExpired, sender: str
     ) -> components.Actions:
         """Leave an attempt whose grant the owner has ended or moved."""
-        session = self._attempts.sessions_by_attempt.get(message.attempt_id)
+        session = self._grants.sessions_by_attempt.get(message.attempt_id)
         if session is None:
             return []
-        produced = self._attempts.drop(session)
+        produced = self._grants.drop(session)
         if session.caller_gone_ms:
             return [*produced, *self._refuse(session, 'caller_gone')]
         if not session.repeatable and session.stage == 'running':
@@ -196,7 +196,7 @@
         """Report the grants and charges held in a partition."""
         reply = messages.HoldingsReply(
             partition=message.partition,
-            holdings=self._attempts.holdings(message.partition),
+            holdings=self._grants.holdings(message.partition),
             charges=self._charging.held(
                 self.sessions_by_request.values(), message.partition
             ),
@@ -206,7 +206,7 @@
     @components.handles(events.AttemptStarted)
     def started(self, event: events.AttemptStarted) -> components.Actions:
         """Note that the target accepted the attempt."""
-        session = self._attempts.sessions_by_attempt.get(event.attempt_id)
+        session = self._grants.sessions_by_attempt.get(event.attempt_id)
         if session is not None:
             session.may_have_run = True
         return []
@@ -214,22 +214,22 @@
     @components.handles(events.FirstToken)
     def first_token(self, event: events.FirstToken) -> components.Actions:
         """Tell the owner that the prefill is done."""
-        session = self._attempts.sessions_by_attempt.get(event.attempt_id)
+        session = self._grants.sessions_by_attempt.get(event.attempt_id)
         if session is None or session.attempt is None:
             return []
         session.may_have_run = True
-        return self._attempts.first_token(session, session.attempt)
+        return self._grants.first_token(session, session.attempt)
 
     @components.handles(events.AttemptFinished)
     def finished(self, event: events.AttemptFinished) -> components.Actions:
         """Finish the request."""
-        session = self._attempts.sessions_by_attempt.get(event.attempt_id)
+        session = self._grants.sessions_by_attempt.get(event.attempt_id)
         if session is None:
             return []
         session.offset = event.output_tokens
         session.may_have_run = True
         return [
-            *self._attempts.end(session, 'finished'),
+            *self._grants.end(session, 'finished'),
             *self._claiming.ran(session, event.answer),
             *self._finish(session, event.answer),
         ]
@@ -237,7 +237,7 @@
     @components.handles(events.AttemptFailed)
     def failed(self, event: events.AttemptFailed) -> components.Actions:
         """Resume, retry or give up after a failed attempt."""
-        session = self._attempts.sessions_by_attempt.get(event.attempt_id)
+        session = self._grants.sessions_by_attempt.get(event.attempt_id)
         if session is None or session.attempt is None:
             return []
         progressed = event.offset > session.offset
@@ -254,7 +254,7 @@
                 session.attempt = session.attempt._replace(
                     stalled_resumes=stalled
                 )
-                return self._attempts.dispatch(session, resume=True)
+                return self._grants.dispatch(session, resume=True)
         return self._retry(session, event.kind)
 
     @components.handles(events.Tick)
@@ -268,7 +268,7 @@
         if self.state.now_ms >= self._renew_at_ms:
             timing = self.state.settings.timing
             self._renew_at_ms = self.state.now_ms + timing.grant_renew_ms
-            produced.extend(self._attempts.renew())
+            produced.extend(self._grants.renew())
         return produced
 
     def _open(
@@ -347,7 +347,7 @@
         if session.stage != 'asking':
             return []
         if session.repeatable:
-            return self._attempts.dispatch(session)
+            return self._grants.dispatch(session)
         session.stage = 'claiming'
         self._wake(session, self.state.now_ms)
         return self._claiming.ask(session)
@@ -364,7 +364,7 @@
         self, session: sessionstate.Session, kind: str
     ) -> components.Actions:
         outcome = OUTCOMES_BY_FAILURE.get(kind, 'failed')
-        produced = self._attempts.end(session, outcome)
+        produced = self._grants.end(session, outcome)
         if not session.repeatable:
             return [*produced, *self._fail_claimed(session)]
         if not self._budgets.try_spend(session.request.workspace):
@@ -392,7 +392,7 @@
         self, session: sessionstate.Session
     ) -> components.Actions:
         return [
-            *self._attempts.end(session, 'finished'),
+            *self._grants.end(session, 'finished'),
             *self._claiming.ran(session, b''),
             *self._refuse(session, 'target_failed', run_state='ran'),
         ]
@@ -409,7 +409,7 @@
         return [
             *self._asking.withdraw(session),
             *self._claiming.given_up(session),
-            *self._attempts.end(session, outcome),
+            *self._grants.end(session, outcome),
             *self._close(session),
             actions.Count('refusals', code),
             actions.RefuseRequest(
@@ -424,7 +424,7 @@
         self, session: sessionstate.Session, answer: bytes
     ) -> components.Actions:
         return [
-            *self._attempts.end(session, 'not_run'),
+            *self._grants.end(session, 'not_run'),
             *self._close(session),
             actions.Count('answers', session.service.name),
             actions.FinishRequest(session.request.request_id, answer),
@@ -442,13 +442,13 @@
         if session.stage != 'running' or not session.resumable:
             return []
         session.offset = offset
-        return self._attempts.dispatch(session, resume=True)
+        return self._grants.dispatch(session, resume=True)
 
     def _find(self, session: sessionstate.Session) -> components.Actions:
         session.stage = 'finding'
         self._wake(session, self.state.now_ms + FIND_WAIT_MS)
         known = self._asking.choice.partitions_of(session.service.name)
-        asked = self._attempts.find(session, known)
+        asked = self._grants.find(session, known)
         return asked if asked else self._start_anew(session)
 
     def _start_anew(self, session: sessionstate.Session) -> components.Actions:
--- /dev/null
+++ b/tests/test_sessions.py
@@ -0,0 +1,261 @@
+"""Requests at the accepting host."""
+
+import corekit
+
+from bergamotstream import actions, events, messages, records
+
+TARGET = records.GrantedTarget('asistente-rosario', '127.0.0.1:9', 1_000)
+
+
+def start(host, **changes):
+    """Send a request and return the owner's questions."""
+    request = corekit.make_request(**changes)
+    produced = host.send(events.RequestReceived(request, 10_000))
+    charges = corekit.messages_of(produced, messages.ChargeRequest)
+    asks = corekit.messages_of(produced, messages.GrantRequest)
+    return charges, asks
+
+
+def grant(host, ask, attempt_id='a1', after_ms=5):
+    """Grant an ask."""
+    reply = messages.GrantReply(
+        ask.partition,
+        ask.request.request_id,
+        granted=True,
+        attempt_id=attempt_id,
+        targets=(TARGET,),
+        asked_ms=ask.sent_ms,
+    )
+    return host.receive(reply, after_ms)
+
+
+def charge(host, question, **changes):
+    """Accept a charge."""
+    reply = messages.ChargeReply(
+        question.partition, question.request_id, granted=True
+    )
+    return host.receive(reply._replace(**changes))
+
+
+def running(host, **changes):
+    """Start a request and return the actions of its dispatch."""
+    charges, asks = start(host, **changes)
+    charge(host, charges[0])
+    return grant(host, asks[0])
+
+
+def claim(host, **changes):
+    """Start a request that must run once and return its claim."""
+    produced = running(
+        host, service='mostrador', idempotency_key='1-k', **changes
+    )
+    return corekit.messages_of(produced, messages.ClaimRequest)[0]
+
+
+def refusals(produced):
+    """Return the refusals among actions."""
+    return corekit.actions_of(produced, actions.RefuseRequest)
+
+
+def test_dispatch_needs_grant_and_charge():
+    """Guards against a request that runs although its limit is reached."""
+    host = corekit.Host()
+    charges, asks = start(host)
+    assert not corekit.actions_of(grant(host, asks[0]), actions.Dispatch)
+    produced = charge(
+        host, charges[0], granted=False, code='limit_reached', retry_after_ms=9
+    )
+    assert refusals(produced)[0].run_state == 'not_run'
+    assert refusals(produced)[0].retry_after_ms == 9
+    released = corekit.messages_of(produced, messages.GrantRelease)
+    assert released[0].outcome == 'not_run'
+
+
+def test_old_grant_is_not_used():
+    """Guards against a paused host that uses a grant after its lease."""
+    host = corekit.Host()
+    charges, asks = start(host)
+    charge(host, charges[0])
+    produced = grant(host, asks[0], after_ms=3_000)
+    assert not corekit.actions_of(produced, actions.Dispatch)
+    released = corekit.messages_of(produced, messages.GrantRelease)
+    assert released[0].attempt_id == 'a1'
+
+
+def test_denied_partition_is_not_the_end():
+    """Guards against a refusal while another partition can still grant."""
+    host = corekit.Host()
+    _charges, asks = start(host)
+    denial = messages.GrantReply(
+        asks[0].partition, 'r1', granted=False, code='overloaded'
+    )
+    produced = host.receive(denial)
+    second = corekit.messages_of(produced, messages.GrantRequest)[0]
+    assert second.partition != asks[0].partition
+    produced = host.receive(denial._replace(partition=second.partition))
+    assert refusals(produced)[0].code == 'overloaded'
+
+
+def test_owner_change_repeats_the_question():
+    """Guards against waiting for the answer of a dead owner."""
+    host = corekit.Host()
+    _charges, asks = start(host)
+    host.core.state.owners_by_partition[asks[0].partition] = 'h3'
+    produced = host.send(events.Tick(), 200)
+    hosts = [
+        action.host
+        for action in corekit.actions_of(produced, actions.SendMessage)
+        if isinstance(action.message, messages.GrantRequest)
+    ]
+    assert hosts
+
+
+def test_deadline_ends_the_request_and_cancels_the_attempt():
+    """Guards against a request without an answer and a leaked attempt."""
+    host = corekit.Host()
+    running(host)
+    host.send(events.AttemptStarted('a1'))
+    produced = host.send(events.Tick(), 10_000)
+    assert refusals(produced)[0].code == 'deadline_passed'
+    assert refusals(produced)[0].run_state == 'may_have_run'
+    assert corekit.actions_of(produced, actions.CancelAttempt)
+
+
+def test_lost_stream_is_resumed_and_dead_target_replaced():
+    """Guards against a caller that gets only a part of its answer."""
+    host = corekit.Host()
+    running(host)
+    produced = host.send(events.AttemptFailed('a1', 'silent', 10))
+    resumed = corekit.actions_of(produced, actions.Dispatch)[0]
+    assert (resumed.resume, resumed.offset) == (True, 10)
+    produced = host.send(events.AttemptFailed('a1', 'target_died', 12))
+    ask = corekit.messages_of(produced, messages.GrantRequest)[0]
+    assert TARGET.name in ask.excluded_targets
+    again = corekit.actions_of(
+        grant(host, ask, attempt_id='a2'), actions.Dispatch
+    )[0]
+    assert (again.resume, again.offset) == (False, 12)
+
+
+def test_retry_budget_bounds_retries():
+    """Guards against a retry storm while targets fail."""
+    host = corekit.Host()
+    running(host)
+    attempts = 0
+    for number in range(20):
+        attempt_id = f'a{number + 1}'
+        produced = host.send(events.AttemptFailed(attempt_id, 'refused', 0))
+        if refusals(produced):
+            break
+        attempts += 1
+        ask = corekit.messages_of(produced, messages.GrantRequest)[0]
+        grant(host, ask, attempt_id=f'a{number + 2}')
+    assert attempts == 10
+    assert refusals(produced)[0].code == 'retries_exhausted'
+    assert refusals(produced)[0].run_state == 'not_run'
+
+
+def test_claim_comes_before_the_only_dispatch():
+    """Guards against a dispatch without a claim and a second dispatch."""
+    host = corekit.Host()
+    asked = claim(host)
+    reply = messages.ClaimReply('claims:0', asked.claim_id, 'claimed')
+    produced = host.receive(reply, 10)
+    assert len(corekit.actions_of(produced, actions.Dispatch)) == 1
+    assert not corekit.actions_of(host.receive(reply), actions.Dispatch)
+    host.send(events.AttemptStarted('a1'))
+    produced = host.send(events.AttemptFailed('a1', 'lost', 0))
+    assert refusals(produced)[0].code == 'outcome_unknown'
+    assert refusals(produced)[0].run_state == 'may_have_run'
+    assert not corekit.messages_of(produced, messages.OutcomeReport)
+
+
+def test_late_claim_is_abandoned():
+    """Guards against a dispatch by a host that froze after its claim."""
+    host = corekit.Host()
+    asked = claim(host)
+    reply = messages.ClaimReply('claims:0', asked.claim_id, 'claimed')
+    produced = host.receive(reply, 1_001)
+    assert not corekit.actions_of(produced, actions.Dispatch)
+    assert refusals(produced)[0].run_state == 'not_run'
+    report = corekit.messages_of(produced, messages.OutcomeReport)[0]
+    assert report.state == 'abandoned'
+
+
+def test_outcome_is_reported_until_it_is_kept():
+    """Guards against an outcome that is lost with a message."""
+    host = corekit.Host()
+    asked = claim(host)
+    reply = messages.ClaimReply('claims:0', asked.claim_id, 'claimed')
+    host.receive(reply)
+    produced = host.send(events.AttemptFinished('a1', 0, b'done'))
+    assert corekit.actions_of(produced, actions.FinishRequest)
+    again = host.send(events.Tick(), 600)
+    report = corekit.messages_of(again, messages.OutcomeReport)[0]
+    assert (report.state, report.answer) == ('ran', b'done')
+    host.receive(messages.OutcomeAck('claims:0', asked.claim_id))
+    later = host.send(events.Tick(), 600)
+    assert not corekit.messages_of(later, messages.OutcomeReport)
+
+
+def test_unreachable_owner_leaves_a_share_of_the_limit():
+    """Guards against refusing everybody while an account has no owner."""
+    host = corekit.Host()
+    _charges, asks = start(host)
+    grant(host, asks[0])
+    found = []
+    for _ in range(10):
+        produced = host.send(events.Tick(), 100)
+        found.extend(corekit.actions_of(produced, actions.Dispatch))
+    assert len(found) == 1
+
+
+def test_resume_at_another_host_attaches_to_the_running_attempt():
+    """Guards against a second run after the accepting host died."""
+    host = corekit.Host()
+    request = corekit.make_request()
+    produced = host.send(events.ResumeReceived(request, 10_000, 40))
+    asked = corekit.messages_of(produced, messages.FindRequest)
+    assert len(asked) == 2
+    host.receive(messages.FindReply(asked[0].partition, 'r1', found=False))
+    produced = host.receive(
+        messages.FindReply(
+            asked[1].partition, 'r1', True, 'a9', (TARGET,), 5_000
+        )
+    )
+    resumed = corekit.actions_of(produced, actions.Dispatch)[0]
+    assert (resumed.attempt_id, resumed.offset) == ('a9', 40)
+
+
+def test_resume_of_an_unknown_request_restarts_the_answer():
+    """Guards against an answer put together from two different runs."""
+    host = corekit.Host()
+    request = corekit.make_request()
+    host.send(events.ResumeReceived(request, 10_000, 40))
+    produced = host.send(events.Tick(), 400)
+    assert corekit.actions_of(produced, actions.RestartAnswer)
+    assert corekit.messages_of(produced, messages.GrantRequest)
+
+
+def test_moved_grant_is_left_alone():
+    """Guards against cancelling an attempt that moved to another host."""
+    host = corekit.Host()
+    running(host)
+    host.send(events.CallerGone('r1'))
+    produced = host.receive(messages.GrantExpired(corekit.PARTITION, 'a1'))
+    assert corekit.actions_of(produced, actions.DropStream)
+    assert not corekit.actions_of(produced, actions.CancelAttempt)
+
+
+def test_planned_stop_waits_for_open_requests():
+    """Guards against a stop that cuts off a request."""
+    host = corekit.Host()
+    running(host)
+    host.send(events.StopRequested())
+    produced = host.send(events.Tick(), 6_000)
+    assert not corekit.actions_of(produced, actions.StopProcess)
+    host.send(events.AttemptFinished('a1', 100))
+    produced = host.send(events.Tick(), 25)
+    assert corekit.actions_of(produced, actions.StopProcess)
+    answer = host.send(events.AddressAsked('q', 'small'))[0]
+    assert [entry.name for entry in answer.hosts] == [corekit.OWNER]
