Add membership and ownership of partitions

Two rules are stricter than the design: the next record change waits takeover_ms after a majority reports the present epoch, and a removed host that is not silent keeps its supports for takeover_ms. Without them an owner could rely for up to owner_valid_ms on reports of an epoch two changes back.

--- /dev/null
+++ b/bergamotstream/cellrecord.py
@@ -0,0 +1,248 @@
+"""
+Cell record
+~~~~~~~~~~~
+
+Learns and changes the agreed members of the cell (``cells/<cell>/record`` in
+KV, as JSON). Each change reads the record and then writes it by
+compare-and-swap, so a lost answer needs no special care: the next read shows
+whether the write took effect. At most one KV operation is in flight.
+"""
+
+import json
+
+import pydantic
+
+from bergamotstream import (
+    actions,
+    components,
+    events,
+    messages,
+    records,
+    state,
+)
+
+OPERATION_PREFIX = 'membership/'
+FIRST_DELAY_MS = 200
+MAX_DELAY_MS = 8_000
+# An answer that takes longer than this many KV timeouts counts as lost.
+LOST_AFTER_TIMEOUTS = 3
+
+_record_adapter = pydantic.TypeAdapter(records.CellRecord)
+
+
+def majority(record: records.CellRecord) -> int:
+    """Return how many members make a majority."""
+    return len(record.members) // 2 + 1
+
+
+class RecordKeeper:
+    """Keeps ``state.record`` and ``state.reported_epoch``."""
+
+    def __init__(self, shared: state.HostState) -> None:
+        """Start without a record."""
+        self.state = shared
+        self.listed_hosts: frozenset[str] = frozenset()
+        self._key = f'cells/{shared.settings.cell}/record'
+        self._operation_id = ''
+        self._asked_ms = 0
+        self._proposal: records.CellRecord | None = None
+        self._delay_ms = FIRST_DELAY_MS
+        self._next_ms = 0
+        self._settled_since_ms: int | None = None
+
+    def review(self) -> components.Actions:
+        """Start a KV operation if one is due."""
+        self._confirm_by_peers()
+        self._note_settled()
+        now_ms = self.state.now_ms
+        if self._operation_id:
+            limit_ms = self.state.settings.timing.kv_timeout_ms
+            if now_ms - self._asked_ms < limit_ms * LOST_AFTER_TIMEOUTS:
+                return []
+            self._postpone()
+        if now_ms < self._next_ms or not self._is_wanted():
+            return []
+        return [actions.KvRead(self._begin(), self._key)]
+
+    def learn(self, record: records.CellRecord) -> components.Actions:
+        """Adopt a record unless the known one is as new; tell the peers."""
+        known = self.state.record
+        if known and record.epoch <= known.epoch:
+            return []
+        self.state.record = record
+        self._settled_since_ms = None
+        if self.state.reported_epoch:
+            self.state.reported_epoch = record.epoch
+        return [
+            actions.LogEvent('cell_record', record._asdict()),
+            *self.notices(),
+        ]
+
+    def notices(self) -> components.Actions:
+        """Return notices of the record to all hosts of the cell."""
+        return [
+            actions.SendMessage(host, notice)
+            for notice in self.notice()
+            for host in self.state.hosts_by_name
+            if host != self.state.host
+        ]
+
+    def notice(self) -> tuple[messages.RecordNotice, ...]:
+        """Return the notice of the known record, if there is one."""
+        record = self.state.record
+        return (messages.RecordNotice(*record),) if record else ()
+
+    def answered(self, answer: events.KvAnswered) -> components.Actions:
+        """Handle the answer to the operation in flight."""
+        if answer.operation_id != self._operation_id:
+            return []
+        proposal = self._proposal
+        if answer.status != 'ok':
+            self._postpone()
+            return []
+        self._finish()
+        if proposal:
+            return self._confirm(proposal)
+        if not answer.items:
+            return self._create()
+        return self._read_done(answer.items[0])
+
+    def _read_done(self, stored: records.KvItem) -> components.Actions:
+        try:
+            record = _record_adapter.validate_json(stored.value)
+        except ValueError as fault:
+            self._postpone()
+            fields = {'key': self._key, 'fault': str(fault).splitlines()[0]}
+            return [actions.LogEvent('cell_record_invalid', fields)]
+        known = self.state.record
+        if known and record.epoch < known.epoch:
+            # KV was restored from an older copy.
+            return self._write(known, stored.revision)
+        produced = self._confirm(record)
+        members = self._changed_members(record)
+        if members:
+            changed = records.CellRecord(record.epoch + 1, members)
+            produced.extend(self._write(changed, stored.revision))
+        return produced
+
+    def _create(self) -> components.Actions:
+        """Create the record with all hosts heard within the first second."""
+        if self.state.record:
+            return self._write(self.state.record, 0)
+        gather_ms = self.state.settings.timing.owner_valid_ms
+        due_ms = self.state.peers.started_ms + gather_ms
+        if self.state.now_ms < due_ms:
+            self._next_ms = due_ms
+            return []
+        names = sorted({self.state.host, *self.state.live_peers})
+        members = tuple(names[: self.state.settings.limits.cell_hosts])
+        return self._write(records.CellRecord(1, members), 0)
+
+    def _write(
+        self, proposal: records.CellRecord, revision: int
+    ) -> components.Actions:
+        value = json.dumps(proposal._asdict()).encode()
+        operation_id = self._begin(proposal)
+        return [actions.KvWrite(operation_id, self._key, value, revision)]
+
+    def _confirm(self, record: records.CellRecord) -> components.Actions:
+        produced = self.learn(record)
+        if self.state.record:
+            self.state.reported_epoch = self.state.record.epoch
+        return produced
+
+    def _confirm_by_peers(self) -> None:
+        """Confirm a learned record when a majority reports its epoch.
+
+        A restarted host has forgotten its epoch. A single peer that missed
+        changes could lead it back to an old one; a majority cannot.
+        """
+        record = self.state.record
+        if record is None or self.state.reported_epoch:
+            return
+        if self._count_reports(record) >= majority(record):
+            self.state.reported_epoch = record.epoch
+
+    def _count_reports(self, record: records.CellRecord) -> int:
+        views = self.state.peers.views_by_host
+        live = self.state.live_peers.intersection(record.members)
+        epochs = [views[member].heartbeat.epoch for member in live]
+        if self.state.host in record.members:
+            epochs.append(self.state.reported_epoch)
+        return epochs.count(record.epoch)
+
+    def _note_settled(self) -> None:
+        record = self.state.record
+        if record is None or self._count_reports(record) < majority(record):
+            self._settled_since_ms = None
+        elif self._settled_since_ms is None:
+            self._settled_since_ms = self.state.now_ms
+
+    def _is_settled(self, record: records.CellRecord) -> bool:
+        """Tell whether nobody can still own by the epoch before this one.
+
+        A majority reports this epoch, and has done so for longer than an
+        owner may rely on what the same hosts reported before.
+        """
+        since_ms = self._settled_since_ms
+        if since_ms is None or record != self.state.record:
+            return False
+        settle_ms = self.state.settings.timing.takeover_ms
+        return self.state.now_ms - since_ms >= settle_ms
+
+    def _is_wanted(self) -> bool:
+        record = self.state.record
+        if record is None or not self.state.reported_epoch:
+            return True
+        return bool(self._changed_members(record))
+
+    def _changed_members(self, record: records.CellRecord) -> tuple[str, ...]:
+        """Return the members after the next change; empty if none is due."""
+        host = self.state.host
+        members = record.members
+        if not self._is_settled(record):
+            return ()
+        if host not in members:
+            is_full = len(members) >= self.state.settings.limits.cell_hosts
+            if is_full or host in self.state.leaving_hosts:
+                return ()
+            return (*members, host)
+        gone = self._first_gone(record)
+        return tuple(name for name in members if name != gone) if gone else ()
+
+    def _first_gone(self, record: records.CellRecord) -> str:
+        if not self.listed_hosts:
+            return ''
+        present = [
+            member
+            for member in record.members
+            if member == self.state.host or member in self.state.live_peers
+        ]
+        # Later members wait longer, so that usually one host writes.
+        timing = self.state.settings.timing
+        wait_ms = present.index(self.state.host) * timing.takeover_ms
+        wait_ms += timing.member_removal_ms
+        for member in record.members:
+            is_listed = member in self.listed_hosts
+            if not is_listed and self.state.peers.silence_ms(member) >= wait_ms:
+                return member
+        return ''
+
+    def _begin(self, proposal: records.CellRecord | None = None) -> str:
+        self._operation_id = f'{OPERATION_PREFIX}{self.state.new_id()}'
+        self._asked_ms = self.state.now_ms
+        self._proposal = proposal
+        return self._operation_id
+
+    def _finish(self) -> None:
+        self._operation_id = ''
+        self._proposal = None
+        self._delay_ms = FIRST_DELAY_MS
+
+    def _postpone(self) -> None:
+        """Try again after a delay that doubles each time."""
+        delay_ms = self._delay_ms
+        self._finish()
+        jitter_ms = int(delay_ms * self.state.random.random())
+        self._next_ms = self.state.now_ms + delay_ms + jitter_ms
+        self._delay_ms = min(2 * delay_ms, MAX_DELAY_MS)
--- a/bergamotstream/components.py
+++ b/bergamotstream/components.py
@@ -38,6 +38,14 @@
         """Keep the state that all components share."""
         self.state = shared
 
+    def before_event(self) -> Actions:
+        """Withdraw what time has ended, before any event is handled.
+
+        The core calls this first on each event, with the new time set, so
+        that a host that resumes after a pause acts on no expired right.
+        """
+        return []
+
     def handlers(self) -> Iterator[tuple[type, Callable[..., Any]]]:
         """Yield each handled kind with the bound method."""
         for attribute in dir(type(self)):
--- a/bergamotstream/core.py
+++ b/bergamotstream/core.py
@@ -15,6 +15,8 @@
 
 MAX_INTERNAL_STEPS = 10_000
 
+_Pending = collections.deque[events.Event]
+
 
 class HostCore:
     """The core of one host."""
@@ -37,20 +39,32 @@
 
     def handle(self, event: events.Event, now_ms: int) -> components.Actions:
         """Handle one event at ``now_ms`` and return actions for the shell."""
-        self.state.now_ms = now_ms
+        self.state.advance_to(now_ms)
         outgoing: components.Actions = []
-        pending = collections.deque([event])
+        pending: _Pending = collections.deque()
+        for component in self.components_by_name.values():
+            self._sort(component.before_event(), pending, outgoing)
+        pending.append(event)
         for _ in range(MAX_INTERNAL_STEPS):
             if not pending:
                 break
-            for action in self._dispatch(pending.popleft()):
-                internal = self._internal_event(action)
-                if internal is None:
-                    outgoing.append(action)
-                else:
-                    pending.append(internal)
+            produced = self._dispatch(pending.popleft())
+            self._sort(produced, pending, outgoing)
         return outgoing
 
+    def _sort(
+        self,
+        produced: components.Actions,
+        pending: _Pending,
+        outgoing: components.Actions,
+    ) -> None:
+        for action in produced:
+            internal = self._internal_event(action)
+            if internal is None:
+                outgoing.append(action)
+            else:
+                pending.append(internal)
+
     def _dispatch(self, event: events.Event) -> components.Actions:
         if isinstance(event, events.MessageReceived):
             kind: type = type(event.message)
--- /dev/null
+++ b/bergamotstream/ownership.py
@@ -0,0 +1,186 @@
+"""
+Ownership
+~~~~~~~~~
+
+Which host owns each partition. A host owns a partition while a majority of
+the record's members, all reporting the same epoch, supports it and each of
+them has echoed one of its heartbeats of the last ``owner_valid_ms``.
+"""
+
+import collections
+from collections.abc import Iterator
+
+from bergamotstream import (
+    actions,
+    cellrecord,
+    components,
+    events,
+    messages,
+    partitions,
+    peertable,
+    records,
+    state,
+    votes,
+)
+
+# A partition that vanished from the lists keeps its votes for this long, so
+# that a host list with gaps does not make a member forget its support.
+PARTITION_KEPT_MS = 10_000
+FOREVER_MS = 2**62
+
+
+class Ownership(components.Component):
+    """Computes owners; list it after membership, whose state it reads."""
+
+    name = 'ownership'
+
+    def __init__(self, shared: state.HostState) -> None:
+        """Start without partitions."""
+        super().__init__(shared)
+        self._voter = votes.Voter(shared)
+        self._listed_ms_by_partition: dict[str, int] = {}
+        self._expires_ms = FOREVER_MS
+
+    def before_event(self) -> components.Actions:
+        """Give up partitions whose echoes have become too old."""
+        if self.state.now_ms < self._expires_ms:
+            return []
+        return self._review_owned()
+
+    @components.handles(
+        events.Tick,
+        events.HostListRead,
+        events.BundleChanged,
+        events.StopRequested,
+        events.KvAnswered,
+    )
+    def on_event(self, event: events.Event) -> components.Actions:
+        """Review votes and owners."""
+        return self._review()
+
+    @components.handles(messages.Heartbeat, messages.RecordNotice)
+    def on_message(
+        self, message: messages.Message, sender: str
+    ) -> components.Actions:
+        """Review votes and owners."""
+        return self._review()
+
+    def _review(self) -> components.Actions:
+        self._refresh_partitions()
+        self._voter.review(self._listed_ms_by_partition)
+        produced = self._review_owned()
+        self._review_owners()
+        return produced
+
+    def _refresh_partitions(self) -> None:
+        now_ms = self.state.now_ms
+        limits = self.state.settings.limits
+        names = partitions.all_partitions(
+            self.state.bundle,
+            self.state.targets_by_name.values(),
+            limits.account_partitions,
+            limits.claim_partitions,
+        )
+        listed_ms = self._listed_ms_by_partition
+        listed_ms.update(dict.fromkeys(names, now_ms))
+        for name in listed_ms.keys() - names:
+            if now_ms - listed_ms[name] > PARTITION_KEPT_MS:
+                listed_ms.pop(name)
+
+    def _review_owned(self) -> components.Actions:
+        valid_until_ms = {
+            name: until_ms
+            for name, until_ms in self._rights()
+            if self.state.now_ms < until_ms
+        }
+        owned = set(valid_until_ms)
+        self._expires_ms = min(valid_until_ms.values(), default=FOREVER_MS)
+        lost = sorted(self.state.owned_partitions - owned)
+        acquired = sorted(owned - self.state.owned_partitions)
+        self.state.owned_partitions = owned
+        for name in lost:
+            self.state.owners_by_partition.pop(name, None)
+        for name in acquired:
+            self.state.owners_by_partition[name] = self.state.host
+        return [
+            *(actions.Raise(events.PartitionLost(name)) for name in lost),
+            *(
+                actions.Raise(events.PartitionAcquired(name))
+                for name in acquired
+            ),
+        ]
+
+    def _rights(self) -> Iterator[tuple[str, int]]:
+        for name in self._listed_ms_by_partition:
+            yield name, self._valid_until_ms(name)
+
+    def _valid_until_ms(self, name: str) -> int:
+        """Return when the support of a majority expires."""
+        record = self.state.record
+        if record is None or self.state.reported_epoch != record.epoch:
+            return peertable.NEVER_MS
+        if self.state.host not in record.members:
+            return peertable.NEVER_MS
+        if name in self.state.votes.released:
+            return peertable.NEVER_MS
+        confirmed_ms = sorted(self._confirmed_ms(name, record), reverse=True)
+        needed = cellrecord.majority(record)
+        if len(confirmed_ms) < needed:
+            return peertable.NEVER_MS
+        valid_ms = self.state.settings.timing.owner_valid_ms
+        return confirmed_ms[needed - 1] + valid_ms
+
+    def _confirmed_ms(self, name: str, record: records.CellRecord) -> list[int]:
+        """Return when each supporter last confirmed to hear this host.
+
+        A supporter that heard a release may have moved on since, so it
+        counts only once it confirms a heartbeat sent after the release.
+        """
+        host = self.state.host
+        released_ms = self._voter.released_ms_by_partition.get(
+            name, peertable.NEVER_MS
+        )
+        confirmed_ms = [
+            view.echoed_ms
+            for view in self._views_of_epoch(record)
+            if view.supports.get(name) == host and view.echoed_ms > released_ms
+        ]
+        if self.state.votes.supports.get(name) == host:
+            confirmed_ms.append(FOREVER_MS)
+        return confirmed_ms
+
+    def _views_of_epoch(
+        self, record: records.CellRecord
+    ) -> Iterator[peertable.PeerView]:
+        for member in record.members:
+            view = self.state.peers.views_by_host.get(member)
+            if view and view.heartbeat.epoch == record.epoch:
+                yield view
+
+    def _review_owners(self) -> None:
+        """Believe in the hosts that a majority of live members supports."""
+        record = self.state.record
+        if record is None:
+            return
+        counts = self._count_supports(record)
+        needed = cellrecord.majority(record)
+        owners = {
+            name: host
+            for (name, host), count in counts.items()
+            if count >= needed and host in self.state.live_peers
+        }
+        owners.update(
+            dict.fromkeys(self.state.owned_partitions, self.state.host)
+        )
+        self.state.owners_by_partition = owners
+
+    def _count_supports(
+        self, record: records.CellRecord
+    ) -> collections.Counter[tuple[str, str]]:
+        counts: collections.Counter[tuple[str, str]] = collections.Counter()
+        if self.state.host in record.members:
+            counts.update(self.state.votes.supports.items())
+        for member in self.state.live_peers.intersection(record.members):
+            view = self.state.peers.views_by_host[member]
+            counts.update(view.supports.items())
+        return counts
--- a/bergamotstream/partitions.py
+++ b/bergamotstream/partitions.py
@@ -38,6 +38,25 @@
     return f'claims:{hash_text(f"{workspace}/{key}") % count}'
 
 
+def all_partitions(
+    bundle: records.Bundle | None,
+    targets: Iterable[records.TargetInfo],
+    account_count: int,
+    claim_count: int,
+) -> frozenset[str]:
+    """Return the partitions of a cell with these services and targets."""
+    names = {f'accounts:{index}' for index in range(account_count)}
+    names.update(f'claims:{index}' for index in range(claim_count))
+    services_by_name = bundle.services_by_name if bundle else {}
+    zones = {(known.service, known.availability_zone) for known in targets}
+    for service_name, zone in zones:
+        service = services_by_name.get(service_name)
+        count = service.partitions_per_zone if service else 0
+        for index in range(count):
+            names.add(f'targets:{service_name}:{zone}:{index}')
+    return frozenset(names)
+
+
 def zone_of(partition: str) -> str:
     """Return the availability zone of a targets partition, or ''."""
     parts = partition.split(':')
--- a/bergamotstream/state.py
+++ b/bergamotstream/state.py
@@ -8,8 +8,17 @@
 """
 
 import random
+from collections.abc import Mapping
+from typing import NamedTuple
 
-from bergamotstream import records, settings
+from bergamotstream import peertable, records, settings
+
+
+class Votes(NamedTuple):
+    """The hosts that this host supports, and what it gives up."""
+
+    supports: Mapping[str, str]
+    released: frozenset[str]
 
 
 class HostState:
@@ -21,14 +30,17 @@
         self.host = config.host
         self.incarnation = incarnation
         self.random = random.Random(f'{config.seed}/{config.host}')
-        # Written by the core.
+        # Written by the core and, for heartbeats, by membership.
         self.now_ms = 0
+        self.peers = peertable.PeerTable(config.host, incarnation)
         # Written by bundles.
         self.bundle: records.Bundle | None = None
         # Written by membership.
         self.hosts_by_name: dict[str, records.HostInfo] = {}
         self.targets_by_name: dict[str, records.TargetInfo] = {}
         self.record: records.CellRecord | None = None
+        # 0 until KV or a majority confirmed the record after the start.
+        self.reported_epoch = 0
         self.live_peers: set[str] = set()
         self.leaving_hosts: set[str] = set()
         self.config_version_by_host: dict[str, int] = {}
@@ -37,6 +49,7 @@
         # Written by ownership.
         self.owners_by_partition: dict[str, str] = {}
         self.owned_partitions: set[str] = set()
+        self.votes = Votes({}, frozenset())
         # Written by granting.
         self.own_loads_by_partition: dict[str, records.PartitionLoad] = {}
         self.own_blame_by_fingerprint: dict[int, float] = {}
@@ -45,6 +58,11 @@
         self.open_requests = 0
         self._next_number = 0
 
+    def advance_to(self, now_ms: int) -> None:
+        """Set the time of the present event, in milliseconds."""
+        self.now_ms = now_ms
+        self.peers.advance_to(now_ms, 2 * self.settings.timing.heartbeat_ms)
+
     def new_id(self) -> str:
         """Return an identifier that no other host or start uses."""
         self._next_number += 1
--- /dev/null
+++ b/bergamotstream/votes.py
@@ -0,0 +1,206 @@
+"""
+Votes
+~~~~~
+
+The part of a member in ownership: which host it supports as owner of each
+partition, and which partitions it releases. Safety rests on one promise: a
+member moves its support only when the host it supported cannot own any more.
+"""
+
+from collections.abc import Iterable, Mapping
+
+from bergamotstream import cellrecord, partitions, records, state
+
+
+def rank(
+    partition: str,
+    members: Iterable[str],
+    zones_by_host: Mapping[str, str],
+    retreating: frozenset[str],
+) -> tuple[str, ...]:
+    """Return the succession order of a partition.
+
+    Hosts of the partition's zone come first, ``retreating`` ones last.
+    """
+    zone = partitions.zone_of(partition)
+    return tuple(
+        sorted(
+            partitions.succession(partition, members),
+            key=lambda member: (
+                member in retreating,
+                bool(zone) and zones_by_host.get(member) != zone,
+            ),
+        )
+    )
+
+
+class Voter:
+    """Keeps ``state.votes``."""
+
+    def __init__(self, shared: state.HostState) -> None:
+        """Start without supports."""
+        self.state = shared
+        self.released_ms_by_partition: dict[str, int] = {}
+        self._epoch = 0
+        self._adopted_ms = 0
+        self._unowned_since_ms: dict[str, int] = {}
+        self._ranks: dict[str, tuple[str, ...]] = {}
+        self._rank_basis: tuple[object, ...] = ()
+        self._retreating: frozenset[str] = frozenset()
+        self._eligible: set[str] = set()
+
+    def review(self, names: Iterable[str]) -> None:
+        """Update releases and supports of the named partitions."""
+        record = self.state.record
+        if record is None:
+            return
+        if record.epoch != self._epoch:
+            self._epoch = record.epoch
+            self._adopted_ms = self.state.now_ms
+        self._refresh_ranks(record)
+        self._refresh_eligible(record)
+        released = frozenset(name for name in names if self._releases(name))
+        for name in released | self.state.votes.released:
+            self.released_ms_by_partition[name] = self.state.now_ms
+        supports = self._review_supports(names, released)
+        if (supports, released) != self.state.votes:
+            self.state.votes = state.Votes(supports, released)
+
+    def _review_supports(
+        self, names: Iterable[str], released: frozenset[str]
+    ) -> dict[str, str]:
+        abstain_ms = self.state.settings.timing.takeover_ms
+        age_ms = self.state.now_ms - self.state.peers.started_ms
+        if age_ms < abstain_ms or not self.state.reported_epoch:
+            # Supports given before a restart are forgotten; their echoes
+            # must have expired before this host supports anyone else.
+            return {}
+        supports = {}
+        for name in names:
+            host = self._vote(name, released)
+            if host:
+                supports[name] = host
+        return supports
+
+    def _vote(self, name: str, released: frozenset[str]) -> str:
+        current = self.state.votes.supports.get(name, '')
+        if current and not self._may_leave(name, current, released):
+            return current
+        candidates = self._ranks[name]
+        if not current:
+            # Joins the majority that elected the owner before this host
+            # could vote; another choice would only split the votes.
+            candidates = (self.state.owner_of(name), *candidates)
+        for host in candidates:
+            if host in self._eligible:
+                if not self._has_released(name, host, released):
+                    return host
+        return ''
+
+    def _may_leave(
+        self, name: str, host: str, released: frozenset[str]
+    ) -> bool:
+        takeover_ms = self.state.settings.timing.takeover_ms
+        if self._has_released(name, host, released):
+            return True
+        if self.state.peers.silence_ms(host) >= takeover_ms:
+            return True
+        record = self.state.record
+        if record is None or host in record.members:
+            return False
+        # A host that was removed but is not silent may still rely on what
+        # this host reported before it learned the present epoch.
+        return self.state.now_ms - self._adopted_ms >= takeover_ms
+
+    def _has_released(
+        self, name: str, host: str, released: frozenset[str]
+    ) -> bool:
+        if host == self.state.host:
+            return name in released
+        view = self.state.peers.views_by_host.get(host)
+        return view is not None and name in view.released
+
+    def _releases(self, name: str) -> bool:
+        """Tell whether this host gives a partition up.
+
+        It does so when it is retreating and another host is not. It also
+        does so when it is supported but was unable to own for
+        ``takeover_ms`` and is not the first choice: votes are split, or it
+        cannot hear the others.
+        """
+        host = self.state.host
+        if not self._is_supported(name) or self.state.owns(name):
+            self._unowned_since_ms.pop(name, None)
+        if not self._is_supported(name):
+            return False
+        first = self._first_eligible(name)
+        if first == host:
+            return False
+        if host in self._retreating and first not in self._retreating:
+            return bool(first)
+        if self.state.owns(name):
+            return False
+        now_ms = self.state.now_ms
+        since_ms = self._unowned_since_ms.setdefault(name, now_ms)
+        return now_ms - since_ms >= self.state.settings.timing.takeover_ms
+
+    def _is_supported(self, name: str) -> bool:
+        host = self.state.host
+        if self.state.votes.supports.get(name) == host:
+            return True
+        views = self.state.peers.views_by_host.values()
+        return any(view.supports.get(name) == host for view in views)
+
+    def _first_eligible(self, name: str) -> str:
+        for host in self._ranks[name]:
+            if host in self._eligible:
+                return host
+        return ''
+
+    def _refresh_eligible(self, record: records.CellRecord) -> None:
+        """Find the members that are able to own, as far as is known here."""
+        live = self.state.live_peers.intersection(record.members)
+        views = self.state.peers.views_by_host
+        self._eligible = {host for host in live if views[host].heartbeat.epoch}
+        host = self.state.host
+        if host in record.members and self.state.reported_epoch:
+            if len(live) + 1 >= cellrecord.majority(record):
+                self._eligible.add(host)
+
+    def _refresh_ranks(self, record: records.CellRecord) -> None:
+        """Drop the computed orders when something they depend on changed."""
+        zones_out = self.state.bundle.zones_out if self.state.bundle else ()
+        zones_by_host = {
+            known.name: known.availability_zone
+            for known in self.state.hosts_by_name.values()
+        }
+        zones_by_host[self.state.host] = self.state.settings.availability_zone
+        self._retreating = frozenset(
+            member
+            for member in record.members
+            if member in self.state.leaving_hosts
+            or zones_by_host.get(member) in zones_out
+        )
+        basis = (record.members, zones_by_host, self._retreating)
+        if basis == self._rank_basis:
+            return
+        self._rank_basis = basis
+        self._ranks = _LazyRanks(*basis)
+
+
+class _LazyRanks(dict[str, tuple[str, ...]]):
+    """Orders by partition, each computed when it is first needed."""
+
+    def __init__(
+        self,
+        members: tuple[str, ...],
+        zones_by_host: Mapping[str, str],
+        retreating: frozenset[str],
+    ) -> None:
+        super().__init__()
+        self._basis = (members, zones_by_host, retreating)
+
+    def __missing__(self, partition: str) -> tuple[str, ...]:
+        order = rank(partition, *self._basis)
+        self[partition] = order
+        return order
