--- a/bergamotstream/admission.py
+++ b/bergamotstream/admission.py
@@ -18,7 +18,6 @@
     limits = shared.settings.limits
     if bundle is None:
         return 'configuration_unknown'
-    blame = shared.blame_by_fingerprint.get(request.fingerprint, 0)
     if deadline_ms <= 0:
         return 'deadline_passed'
     if request.workspace not in bundle.workspaces_by_name:
@@ -27,7 +26,7 @@
         return 'unknown_service'
     if request.prompt_tokens > records.MAX_PROMPT_TOKENS:
         return 'prompt_too_long'
-    if blame >= limits.quarantine_after:
+    if _blame(shared, request) >= limits.quarantine_after:
         return 'request_quarantined'
     return 'overloaded' if _full(shared) else ''
 
@@ -51,5 +50,13 @@
     ]
 
 
+def _blame(shared: state.HostState, request: records.RequestSpec) -> float:
+    """Return the highest blame that this host or a peer has recorded."""
+    return max(
+        shared.blame_by_fingerprint.get(request.fingerprint, 0),
+        shared.own_blame_by_fingerprint.get(request.fingerprint, 0),
+    )
+
+
 def _full(shared: state.HostState) -> bool:
     return shared.open_requests >= shared.settings.limits.open_requests
--- a/bergamotstream/operations.py
+++ b/bergamotstream/operations.py
@@ -28,11 +28,15 @@
             'hosts': self._hosts,
             'targets': self._targets,
             'partitions': self._partitions,
-            'drain': self._drain,
         }
         answer = answers.get(event.command)
         if answer is not None:
             return [actions.AnswerAdmin(event.query_id, '', answer())]
+        if event.command == 'drain':
+            return [
+                actions.AnswerAdmin(event.query_id, '', self._drain_state()),
+                actions.Raise(events.StopRequested()),
+            ]
         if event.command.split('.')[0] in COMMAND_GROUPS:
             return []
         return [actions.AnswerAdmin(event.query_id, 'unknown_command', {})]
@@ -40,8 +44,10 @@
     @components.handles(events.StopRequested)
     def stop(self, event: events.StopRequested) -> components.Actions:
         """Start a planned stop."""
-        self._drain()
-        return [actions.LogEvent('planned_stop', {'host': self.state.host})]
+        if not self.state.leaving:
+            self.state.leaving = True
+            self._stop_from_ms = self.state.now_ms
+        return [actions.LogEvent('planned_stop', self._drain_state())]
 
     @components.handles(events.Tick)
     def tick(self, event: events.Tick) -> components.Actions:
@@ -60,10 +66,7 @@
             return []
         return [actions.StopProcess()]
 
-    def _drain(self) -> dict[str, object]:
-        if not self.state.leaving:
-            self.state.leaving = True
-            self._stop_from_ms = self.state.now_ms
+    def _drain_state(self) -> dict[str, object]:
         return {
             'host': self.state.host,
             'open_requests': self.state.open_requests,
