--- a/bergamotstream/admission.py
+++ b/bergamotstream/requestchecks.py
@@ -1,6 +1,6 @@
 """
-Admission
-~~~~~~~~~
+Request checks
+~~~~~~~~~~~~~~
 
 Checks that a request can be admitted at all, before anything is reserved.
 """
--- a/bergamotstream/sessions.py
+++ b/bergamotstream/sessions.py
@@ -9,7 +9,7 @@
 
 from bergamotstream import (
     actions,
-    admission,
+    requestchecks,
     asking,
     heldgrants,
     charging,
@@ -59,10 +59,12 @@
         """Admit a request or refuse it at once."""
         request = event.request
         if request.request_id in self.sessions_by_request:
-            return admission.refuse(self.state, request, 'in_progress')
-        code = admission.refusal_code(self.state, request, event.deadline_ms)
+            return requestchecks.refuse(self.state, request, 'in_progress')
+        code = requestchecks.refusal_code(
+            self.state, request, event.deadline_ms
+        )
         if code:
-            return admission.refuse(self.state, request, code)
+            return requestchecks.refuse(self.state, request, code)
         session = self._open(request, event.deadline_ms)
         return [*self._charging.ask(session), *self._ask(session)]
 
@@ -73,9 +75,11 @@
         session = self.sessions_by_request.get(request.request_id)
         if session is not None:
             return self._reattach(session, event.offset)
-        code = admission.refusal_code(self.state, request, event.deadline_ms)
+        code = requestchecks.refusal_code(
+            self.state, request, event.deadline_ms
+        )
         if code:
-            return admission.refuse(self.state, request, code)
+            return requestchecks.refuse(self.state, request, code)
         session = self._open(request, event.deadline_ms)
         session.offset = event.offset
         produced = self._charging.ask(session)
