--- /dev/null
+++ b/bergamotstream/linktasks.py
@@ -0,0 +1,184 @@
+"""
+Link tasks
+~~~~~~~~~~
+
+The two ends of a connection between hosts. The sending end writes frames and
+expects an empty frame in answer to each; the receiving end reads them. An
+answer that is not empty is a refusal in plain text, which hosts of every
+protocol version understand.
+"""
+
+import asyncio
+import contextlib
+import time
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+from absl import logging
+
+from bergamotstream import (
+    errors,
+    events,
+    framing,
+    outbox,
+    records,
+    settings,
+    wire,
+)
+
+CONNECT_TIMEOUT_S = 0.5
+FIRST_DELAY_S = 0.1
+MAX_DELAY_S = 1.0
+# A link that nothing was sent on for this long is closed.
+IDLE_S = 30.0
+MAX_REFUSAL_BYTES = 512
+
+Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
+
+
+class PeerRefusedError(Exception):
+    """The peer does not accept what this host sends."""
+
+
+class SendingEnd:
+    """Keeps one connection to a peer open and writes its outbox to it."""
+
+    def __init__(
+        self,
+        config: settings.Settings,
+        host: records.HostInfo,
+        queue: outbox.Outbox,
+    ) -> None:
+        """``queue`` holds the frames for ``host``."""
+        self._timing = config.timing
+        self._host = host
+        self._outbox = queue
+        self._delay_s = FIRST_DELAY_S
+        self._last_fault = ''
+
+    async def run(self) -> None:
+        """Connect again whenever the connection fails or goes silent."""
+        while time.monotonic() - self._outbox.last_put_s < IDLE_S:
+            try:
+                await self._use_connection()
+            except* (OSError, EOFError, PeerRefusedError) as group:
+                self._note_fault(repr(_first_leaf(group)))
+            except* errors.InvalidMessage:
+                self._note_fault('the answer is not a frame')
+            await asyncio.sleep(self._delay_s)
+            self._delay_s = min(2 * self._delay_s, MAX_DELAY_S)
+
+    async def _use_connection(self) -> None:
+        async with _connect(self._host.peer_address) as (reader, writer):
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._read_answers(reader))
+                await self._write_frames(writer)
+
+    async def _write_frames(self, writer: asyncio.StreamWriter) -> None:
+        interval_s = self._timing.heartbeat_ms / framing.MS_PER_S
+        while True:
+            try:
+                async with asyncio.timeout(interval_s):
+                    content = await self._outbox.get()
+            except TimeoutError:
+                content = b''
+            writer.write(framing.frame(content))
+            await writer.drain()
+
+    async def _read_answers(self, reader: asyncio.StreamReader) -> None:
+        while True:
+            refusal = await framing.read_frame(
+                reader, MAX_REFUSAL_BYTES, self._timing.link_silent_ms
+            )
+            if refusal:
+                self._delay_s = MAX_DELAY_S
+                raise PeerRefusedError(refusal.decode(errors='replace'))
+            self._delay_s = FIRST_DELAY_S
+            self._last_fault = ''
+
+    def _note_fault(self, fault: str) -> None:
+        """Log a fault once until the link works again."""
+        if fault != self._last_fault:
+            self._last_fault = fault
+            logging.warning(
+                'event=link_failed peer=%s address=%s fault=%s',
+                self._host.name,
+                self._host.peer_address,
+                fault,
+            )
+
+
+class ReceivingEnd:
+    """Reads the frames of one connection that a peer opened."""
+
+    def __init__(
+        self,
+        config: settings.Settings,
+        deliver: Callable[[events.Event], Awaitable[None]],
+    ) -> None:
+        """``deliver`` may wait, which slows the peer down."""
+        self._config = config
+        self._deliver = deliver
+        self._silent_s = config.timing.link_silent_ms / framing.MS_PER_S
+
+    async def run(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Read until the peer closes, is silent or sends a faulty frame."""
+        try:
+            await self._read_frames(reader, writer)
+        except errors.ServiceError as fault:
+            logging.warning('event=link_refused fault=%s', fault)
+            refusal = f'{fault.code}: {fault}'.encode()[:MAX_REFUSAL_BYTES]
+            with contextlib.suppress(OSError):
+                await self._write(writer, framing.frame(refusal))
+            writer.close()
+        except (OSError, EOFError):
+            # The peer opens a new connection when it has more to send.
+            return
+        finally:
+            await self._end(writer)
+
+    async def _read_frames(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        limit_bytes = self._config.limits.message_bytes
+        silent_ms = self._config.timing.link_silent_ms
+        while True:
+            content = await framing.read_frame(reader, limit_bytes, silent_ms)
+            if content:
+                envelope = wire.decode(content, limit_bytes)
+                await self._deliver(events.MessageReceived(*envelope))
+            await self._write(writer, framing.EMPTY_FRAME)
+
+    async def _write(self, writer: asyncio.StreamWriter, frame: bytes) -> None:
+        writer.write(frame)
+        async with asyncio.timeout(self._silent_s):
+            await writer.drain()
+
+    async def _end(self, writer: asyncio.StreamWriter) -> None:
+        """Let a refusal leave, then drop the connection."""
+        if writer.is_closing():
+            with contextlib.suppress(OSError):
+                async with asyncio.timeout(self._silent_s):
+                    await writer.wait_closed()
+        writer.transport.abort()
+
+
+@contextlib.asynccontextmanager
+async def _connect(peer_address: str) -> AsyncIterator[Streams]:
+    """Open a connection; drop unsent bytes when it ends."""
+    address, port = framing.split_address(peer_address)
+    async with asyncio.timeout(CONNECT_TIMEOUT_S):
+        reader, writer = await asyncio.open_connection(
+            address, port, limit=framing.READ_BUFFER_BYTES
+        )
+    try:
+        yield reader, writer
+    finally:
+        writer.transport.abort()
+
+
+def _first_leaf(fault: BaseException) -> BaseException:
+    while isinstance(fault, BaseExceptionGroup):
+        fault = fault.exceptions[0]
+    return fault
--- a/bergamotstream/ownership.py
+++ b/bergamotstream/ownership.py
@@ -95,20 +95,18 @@
         }
         owned = set(valid_until_ms)
         self._expires_ms = min(valid_until_ms.values(), default=FOREVER_MS)
-        lost = sorted(self.state.owned_partitions - owned)
-        acquired = sorted(owned - self.state.owned_partitions)
+        lost = self.state.owned_partitions - owned
+        acquired = owned - self.state.owned_partitions
         self.state.owned_partitions = owned
-        for name in lost:
-            self.state.owners_by_partition.pop(name, None)
-        for name in acquired:
-            self.state.owners_by_partition[name] = self.state.host
-        return [
-            *(actions.Raise(events.PartitionLost(name)) for name in lost),
-            *(
-                actions.Raise(events.PartitionAcquired(name))
-                for name in acquired
-            ),
-        ]
+        for former in lost:
+            self.state.owners_by_partition.pop(former, None)
+        self.state.owners_by_partition.update(
+            dict.fromkeys(acquired, self.state.host)
+        )
+        changes: list[events.Event] = []
+        changes.extend(map(events.PartitionLost, sorted(lost)))
+        changes.extend(map(events.PartitionAcquired, sorted(acquired)))
+        return [actions.Raise(change) for change in changes]
 
     def _rights(self) -> Iterator[tuple[str, int]]:
         for name in self._listed_ms_by_partition:
--- /dev/null
+++ b/bergamotstream/wire.py
@@ -0,0 +1,165 @@
+"""
+Wire
+~~~~
+
+Codec of the messages between hosts: packed Cap'n Proto in an envelope with
+the protocol version and the sender. The conversion follows the fields of the
+NamedTuples; ``peer.capnp`` has a struct of the same name for each of them.
+"""
+
+import functools
+import pathlib
+from collections.abc import Callable, Mapping
+from typing import (
+    Any,
+    Literal,
+    NamedTuple,
+    get_args,
+    get_origin,
+    get_type_hints,
+)
+
+import capnp
+
+from bergamotstream import errors, messages
+
+PROTOCOL_VERSION = 1
+WORD_BYTES = 8
+# Packing shrinks runs of zeros, so a small frame could unpack to far more
+# than its own size. Genuine messages pack to more than a fourth.
+MAX_EXPANSION = 4
+
+_Converter = Callable[[Any], Any]
+
+_schema = capnp.load(str(pathlib.Path(__file__).with_name('peer.capnp')))
+
+
+class Envelope(NamedTuple):
+    """A decoded message and the host that sent it."""
+
+    sender: str
+    message: messages.Message
+
+
+def encode(sender: str, message: messages.Message, limit_bytes: int) -> bytes:
+    """Return the packed bytes of a message.
+
+    Raises :class:`errors.InvalidMessage` if the message does not fit the
+    schema or is longer than ``limit_bytes``.
+    """
+    kind: Any = type(message)
+    body = {_lower_first(kind.__name__): _to_wire(kind)(message)}
+    try:
+        frame = _schema.Envelope.new_message(
+            version=PROTOCOL_VERSION, sender=sender, body=body
+        ).to_bytes_packed()
+    except (capnp.KjException, OverflowError, TypeError) as fault:
+        raise _invalid(f'{kind.__name__} does not fit: {fault}') from fault
+    _check_size(len(frame), limit_bytes)
+    return frame
+
+
+def decode(frame: bytes, limit_bytes: int) -> Envelope:
+    """Return the message in packed bytes.
+
+    Raises :class:`errors.ProtocolMismatch` for another protocol version and
+    :class:`errors.InvalidMessage` for bytes that are truncated, malformed or
+    longer than ``limit_bytes``.
+    """
+    _check_size(len(frame), limit_bytes)
+    limit_words = limit_bytes * MAX_EXPANSION // WORD_BYTES
+    try:
+        return _read(
+            _schema.Envelope.from_bytes_packed(
+                frame, traversal_limit_in_words=limit_words
+            )
+        )
+    except (capnp.KjException, ValueError) as fault:
+        raise _invalid(f'malformed: {_first_line(fault)}') from fault
+
+
+def _read(envelope: Any) -> Envelope:
+    if envelope.version != PROTOCOL_VERSION:
+        raise errors.ProtocolMismatch(
+            f'peer {envelope.sender!r} speaks protocol version '
+            f'{envelope.version}, this host speaks {PROTOCOL_VERSION}'
+        )
+    field = envelope.body.which()
+    kind = _kinds_by_field()[str(field)]
+    body = getattr(envelope.body, str(field))
+    return Envelope(envelope.sender, _from_wire(kind)(body))
+
+
+@functools.cache
+def _kinds_by_field() -> Mapping[str, type]:
+    kinds = get_args(messages.Message)
+    return {_lower_first(kind.__name__): kind for kind in kinds}
+
+
+@functools.cache
+def _to_wire(kind: Any) -> _Converter:
+    """Return a function from a Python value to what pycapnp accepts."""
+    if get_origin(kind) is tuple:
+        convert_item = _to_wire(get_args(kind)[0])
+        return lambda items: [convert_item(entry) for entry in items]
+    if not hasattr(kind, '_fields'):
+        return lambda plain: plain
+    converters = [
+        (_camel_case(name), _to_wire(hint)) for name, hint in _hints(kind)
+    ]
+    return lambda record: {
+        name: convert(entry)
+        for (name, convert), entry in zip(converters, record, strict=True)
+    }
+
+
+@functools.cache
+def _from_wire(kind: Any) -> _Converter:
+    """Return a function from a pycapnp value to a Python value."""
+    origin = get_origin(kind)
+    if origin is tuple:
+        convert_item = _from_wire(get_args(kind)[0])
+        return lambda items: tuple([convert_item(entry) for entry in items])
+    if origin is Literal:
+        return functools.partial(_checked_choice, get_args(kind))
+    if not hasattr(kind, '_fields'):
+        return kind
+    converters = [
+        (_camel_case(name), _from_wire(hint)) for name, hint in _hints(kind)
+    ]
+    return lambda reader: kind._make(
+        [convert(getattr(reader, name)) for name, convert in converters]
+    )
+
+
+def _hints(kind: Any) -> list[tuple[str, Any]]:
+    hints = get_type_hints(kind)
+    return [(name, hints[name]) for name in kind._fields]
+
+
+def _checked_choice(choices: tuple[str, ...], text: str) -> str:
+    if text not in choices:
+        raise ValueError(f'{text!r} is not one of {choices}')
+    return text
+
+
+def _camel_case(name: str) -> str:
+    first, *rest = name.split('_')
+    return first + ''.join(part.title() for part in rest)
+
+
+def _lower_first(name: str) -> str:
+    return name[0].lower() + name[1:]
+
+
+def _check_size(size: int, limit_bytes: int) -> None:
+    if size > limit_bytes:
+        raise _invalid(f'{size} bytes exceed the limit of {limit_bytes}')
+
+
+def _first_line(fault: Exception) -> str:
+    return str(fault).partition('\n')[0]
+
+
+def _invalid(detail: str) -> errors.ServiceError:
+    return errors.InvalidMessage(f'message between hosts: {detail}')
--- /dev/null
+++ b/tests/cellfake.py
@@ -0,0 +1,173 @@
+"""
+Cell fake
+~~~~~~~~~
+
+Several host cores with membership and ownership in one process: a network
+with delays, cuts and loss, a KV with outages and lost answers, and hosts that
+freeze and restart. Each host has its own clock offset and drift.
+"""
+
+import heapq
+import itertools
+import random
+
+from bergamotstream import (
+    actions,
+    clock,
+    core,
+    events,
+    membership,
+    ownership,
+    records,
+    settings,
+)
+
+STEP_MS = 25
+ZONES = ('zone-a', 'zone-b', 'zone-c')
+LIMITS = settings.Limits(account_partitions=3, claim_partitions=1)
+DRIFTS = (0.995, 1.0, 1.005)
+
+
+class CellFake:
+    """A cell of hosts ``h0``, ``h1``, ... and what connects them."""
+
+    def __init__(self, count, seed=1):
+        self.clock = clock.ManualClock(1_000_000)
+        self.random = random.Random(seed)
+        self.cores, self.times, self.inboxes = {}, {}, {}
+        self.listed, self.frozen, self.dead, self.cuts = {}, set(), set(), set()
+        self.loss = 0.0
+        self.kv_status, self.kv_lossy, self.kv_item = 'ok', False, None
+        self.kv_writes = self.kv_reads = 0
+        self.bundle = records.Bundle(1, {}, {})
+        self.raised = []
+        self._queue, self._number = [], itertools.count()
+        for index in range(count):
+            self.start(f'h{index}')
+
+    def start(self, name):
+        """Start or restart a host with a new incarnation and clock."""
+        zone = ZONES[int(name[1:]) % len(ZONES)]
+        address = '127.0.0.1:1'
+        self.listed[name] = records.HostInfo(name, zone, address, address)
+        platform = settings.Platform('', '')
+        config = settings.Settings(
+            name, zone, 'cell-1', address, address, platform, limits=LIMITS
+        )
+        kinds = (membership.Membership, ownership.Ownership)
+        incarnation = str(next(self._number))
+        self.cores[name] = core.HostCore(config, incarnation, kinds)
+        self.cores[name].state.bundle = self.bundle
+        self.times[name] = (
+            self.random.randrange(10**6),
+            self.random.choice(DRIFTS),
+        )
+        self.inboxes[name] = []
+        self.dead.discard(name)
+        self.frozen.discard(name)
+        self.list_hosts()
+
+    def kill(self, name):
+        self.dead.add(name)
+
+    def thaw(self, name):
+        """Let a frozen host handle what has waited for it."""
+        self.frozen.discard(name)
+        waiting, self.inboxes[name] = self.inboxes[name], []
+        for event in waiting:
+            self.give(name, event)
+
+    def list_hosts(self):
+        event = events.HostListRead(tuple(self.listed.values()), ())
+        for name in self.cores:
+            self.post(name, event)
+
+    def post(self, name, event, delay_ms=1):
+        due_ms = self.clock.now_ms() + delay_ms
+        heapq.heappush(self._queue, (due_ms, next(self._number), name, event))
+
+    def give(self, name, event):
+        """Let a host handle an event now, or when it thaws."""
+        if name in self.dead:
+            return
+        if name in self.frozen:
+            self.inboxes[name].append(event)
+            return
+        offset, drift = self.times[name]
+        now_ms = offset + int(self.clock.now_ms() * drift)
+        for action in self.cores[name].handle(event, now_ms):
+            self._carry_out(name, action)
+
+    def run(self, duration_ms):
+        """Advance; check after each event that no partition has two owners.
+
+        All hosts tick first, so that each has seen the present time.
+        """
+        for _ in range(duration_ms // STEP_MS):
+            self.clock.advance(STEP_MS)
+            for name in self.cores:
+                if name not in self.frozen:
+                    self.give(name, events.Tick())
+            self.check()
+            while self._queue and self._queue[0][0] <= self.clock.now_ms():
+                _, _, name, event = heapq.heappop(self._queue)
+                self.give(name, event)
+                self.check()
+
+    def run_until(self, condition, limit_ms):
+        """Advance until the condition holds; return the duration."""
+        for duration_ms in range(0, limit_ms + STEP_MS, STEP_MS):
+            if condition():
+                return duration_ms
+            self.run(STEP_MS)
+        raise AssertionError(f'not reached within {limit_ms} ms')
+
+    def check(self):
+        owners = self.owners()
+        assert len(owners) == len(dict(owners)), sorted(owners)
+
+    def active(self):
+        return [n for n in self.cores if n not in self.dead | self.frozen]
+
+    def owners(self):
+        return [
+            (partition, name)
+            for name in self.active()
+            for partition in self.cores[name].state.owned_partitions
+        ]
+
+    def all_owned(self):
+        return len(self.owners()) == LIMITS.account_partitions + 1
+
+    def record(self, name):
+        return self.cores[name].state.record
+
+    def _carry_out(self, name, action):
+        if isinstance(action, actions.SendMessage):
+            link = frozenset((name, action.host))
+            is_lost = self.random.random() < self.loss
+            if link not in self.cuts and not is_lost:
+                event = events.MessageReceived(name, action.message)
+                self.post(action.host, event, self.random.randrange(1, 40))
+        elif isinstance(action, actions.KvRead | actions.KvWrite):
+            status, items = self._kv(action)
+            answer = events.KvAnswered(action.operation_id, status, items)
+            self.post(name, answer, self.random.randrange(1, 300))
+
+    def _kv(self, action):
+        if self.kv_status != 'ok':
+            return self.kv_status, ()
+        known = (self.kv_item,) if self.kv_item else ()
+        status = 'ok'
+        if isinstance(action, actions.KvRead):
+            self.kv_reads += 1
+        else:
+            self.kv_writes += 1
+            revision = self.kv_item.revision if self.kv_item else 0
+            if action.expected_revision != revision:
+                return 'conflict', known
+            self.kv_item = records.KvItem(
+                action.key, action.value, revision + 1
+            )
+        is_answer_lost = self.kv_lossy and self.random.random() < 0.3
+        return ('unknown', ()) if is_answer_lost else (status, known)
