Add the operators' configuration: bundles, audit trail and commands

Each part contains its change's nonce, so a replaced part is never referenced again and can be deleted at once.

A test of the age limit showed that a reader that only watched after an outage learned up to 30 s late that the service was back; it now reads first.

--- /dev/null
+++ b/bergamotstream/bundleformat.py
@@ -0,0 +1,209 @@
+"""
+Format of the configuration
+~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+A document maps each section to its entries by name; it is plain JSON. This
+module turns it into a :class:`records.Bundle` and names every fault at once.
+
+Sections: ``workspaces``, ``services``, ``zones`` (``"out"`` for each zone taken
+out of service) and ``targets`` (``"leaving"`` for each leaving target).
+"""
+
+import json
+import re
+import zlib
+from collections.abc import Iterator, Mapping
+from typing import Any
+
+import pydantic
+
+from bergamotstream import errors, records
+
+Document = dict[str, dict[str, Any]]
+
+SECTIONS = ('workspaces', 'services', 'zones', 'targets')
+MARKS_BY_SECTION = {'zones': 'out', 'targets': 'leaving'}
+NAME_PATTERN = re.compile('[A-Za-z0-9][A-Za-z0-9._-]{0,62}')
+MAX_CONTENT_BYTES = 16_000_000
+# Larger bundles are compressed to fit a peer message of 256 KB.
+COMPRESS_OVER_BYTES = 100_000
+JSON_START = ord('{')
+# Amounts beyond this would not fit the integers of the wire format.
+LARGEST = 1_000_000_000_000
+# Lowest allowed value of each number; weights and speeds must exceed it.
+LOWEST_BY_FIELD: Mapping[str, int] = {
+    'priority': 0,
+    'weight': 0,
+    'max_concurrent': 0,
+    'tokens_per_s': 0,
+    'memory_tokens': 1,
+    'slots': 1,
+    'partitions_per_zone': 1,
+    'cold_limit': 1,
+    'warm_after': 0,
+    'prefill_tokens_per_s': 1,
+    'decode_ms_per_token': 0,
+    'call_ms': 0,
+}
+POSITIVE_FIELDS = frozenset(('weight', 'decode_ms_per_token'))
+KINDS_BY_SECTION: Mapping[str, Any] = {
+    'workspaces': pydantic.TypeAdapter(records.WorkspaceConfig),
+    'services': pydantic.TypeAdapter(records.ServiceConfig),
+}
+
+
+def canonical(content: Any) -> bytes:
+    """Return JSON bytes that depend only on the content."""
+    return json.dumps(
+        content, sort_keys=True, separators=(',', ':'), allow_nan=False
+    ).encode()
+
+
+def empty_document() -> Document:
+    """Return the document of version 0."""
+    return {section: {} for section in SECTIONS}
+
+
+def build_bundle(version: int, document: Mapping[str, Any]) -> records.Bundle:
+    """Check a document; raises ``InvalidBundle`` that names every fault."""
+    faults = [
+        f'{section}: unknown section'
+        for section in document
+        if section not in SECTIONS
+    ]
+    built = {
+        section: _build_section(section, document.get(section, {}), faults)
+        for section in SECTIONS
+    }
+    if faults:
+        raise errors.InvalidBundle('\n'.join(faults))
+    return records.Bundle(
+        version=version,
+        workspaces_by_name=built['workspaces'],
+        services_by_name=built['services'],
+        zones_out=frozenset(built['zones']),
+        targets_leaving=frozenset(built['targets']),
+    )
+
+
+def document_of(bundle: records.Bundle) -> Document:
+    """Return the document of a bundle."""
+    return {
+        'workspaces': _plain(bundle.workspaces_by_name),
+        'services': _plain(bundle.services_by_name),
+        'zones': dict.fromkeys(bundle.zones_out, MARKS_BY_SECTION['zones']),
+        'targets': dict.fromkeys(
+            bundle.targets_leaving, MARKS_BY_SECTION['targets']
+        ),
+    }
+
+
+def encode_bundle(bundle: records.Bundle) -> bytes:
+    """Return the bytes that a peer message carries, compressed if large."""
+    content = canonical(
+        {'version': bundle.version, 'document': document_of(bundle)}
+    )
+    if len(content) > COMPRESS_OVER_BYTES:
+        return zlib.compress(content)
+    return content
+
+
+def decode_bundle(content: bytes) -> records.Bundle:
+    """Read what a peer sent; raises ``InvalidBundle``."""
+    try:
+        fields = json.loads(_decompress(content))
+    except (ValueError, zlib.error) as fault:
+        raise errors.InvalidBundle(f'content: {fault}') from fault
+    if not isinstance(fields, dict) or not _is_version(fields.get('version')):
+        raise errors.InvalidBundle('version: must be a positive integer')
+    if not isinstance(fields.get('document'), dict):
+        raise errors.InvalidBundle('document: must be an object')
+    return build_bundle(fields['version'], fields['document'])
+
+
+def _build_section(
+    section: str, entries: Any, faults: list[str]
+) -> dict[str, Any]:
+    if not isinstance(entries, dict):
+        faults.append(f'{section}: must be an object')
+        return {}
+    built = {}
+    for name, entry in entries.items():
+        path = f'{section}/{name}'
+        if NAME_PATTERN.fullmatch(name) is None:
+            faults.append(f'{path}: must be 1 to 63 of A-Z a-z 0-9 . _ -')
+        elif section in MARKS_BY_SECTION:
+            faults.extend(_mark_faults(section, path, entry))
+            built[name] = entry
+        else:
+            built[name] = _build_entry(section, name, entry, faults)
+    return built
+
+
+def _mark_faults(section: str, path: str, entry: Any) -> Iterator[str]:
+    mark = MARKS_BY_SECTION[section]
+    if entry != mark:
+        yield f'{path}: must be "{mark}" or null'
+
+
+def _build_entry(section: str, name: str, entry: Any, faults: list[str]) -> Any:
+    path = f'{section}/{name}'
+    if not isinstance(entry, dict):
+        faults.append(f'{path}: must be an object')
+        return None
+    if entry.get('name', name) != name:
+        faults.append(f'{path}/name: must be {name}')
+    faults.extend(_range_faults(path, entry))
+    try:
+        return KINDS_BY_SECTION[section].validate_json(
+            json.dumps({**entry, 'name': name}), strict=True
+        )
+    except pydantic.ValidationError as invalid:
+        faults.extend(_describe(path, invalid))
+    return None
+
+
+def _describe(path: str, invalid: pydantic.ValidationError) -> Iterator[str]:
+    for entry in invalid.errors():
+        field = '/'.join(str(part) for part in entry['loc'])
+        yield f'{path}/{field}: {entry["msg"]}'
+
+
+def _range_faults(path: str, fields: Mapping[str, Any]) -> Iterator[str]:
+    for field, lowest in LOWEST_BY_FIELD.items():
+        number = fields.get(field)
+        if isinstance(number, int | float):
+            limit = _limit_of(field, number, lowest)
+            if limit:
+                yield f'{path}/{field}: must be {limit}'
+
+
+def _limit_of(field: str, number: float, lowest: int) -> str:
+    if number < lowest:
+        return f'at least {lowest}'
+    if field in POSITIVE_FIELDS and number <= 0:
+        return 'above 0'
+    # A NaN compares as false, so it also ends here.
+    return '' if number <= LARGEST else f'at most {LARGEST}'
+
+
+def _plain(entries_by_name: Mapping[str, Any]) -> dict[str, Any]:
+    plain = {}
+    for name, entry in entries_by_name.items():
+        plain[name] = entry._asdict()
+        plain[name].pop('name')
+    return plain
+
+
+def _decompress(content: bytes) -> bytes:
+    if not content or content[0] == JSON_START:
+        return content
+    unpacker = zlib.decompressobj()
+    plain = unpacker.decompress(content, MAX_CONTENT_BYTES)
+    if unpacker.unconsumed_tail:
+        raise ValueError(f'over {MAX_CONTENT_BYTES} bytes')
+    return plain
+
+
+def _is_version(value: Any) -> bool:
+    return isinstance(value, int) and not isinstance(value, bool) and value > 0
--- /dev/null
+++ b/bergamotstream/bundleparts.py
@@ -0,0 +1,123 @@
+"""
+Parts of a bundle
+~~~~~~~~~~~~~~~~~
+
+A section is stored in one or more parts at ``config/parts/<xxh128>`` of at
+most 256 KB each. Entries are assigned to parts by the hash of their name, so
+that a change of one entry rewrites one part.
+
+A part contains the nonce of the change that wrote it. A part that has been
+replaced is therefore never referenced again and can be deleted at once, even
+if a later change restores the same content.
+"""
+
+import json
+from collections.abc import Mapping
+from typing import Any
+
+import xxhash
+
+from bergamotstream import bundleformat, errors, partitions
+
+PART_KEY = 'config/parts/'
+MAX_PART_BYTES = 262_144
+# Parts are filled to half, so that growth rarely splits all of a section.
+FILL_BYTES = MAX_PART_BYTES // 2
+
+Entries = dict[str, Any]
+
+
+class PartSet:
+    """The entries of the parts in force by part hash."""
+
+    def __init__(self) -> None:
+        """Start without parts."""
+        self.entries_by_hash: dict[str, Entries] = {}
+
+    def add(self, part: str, content: bytes) -> None:
+        """Keep a part that was read; raises ``ValueError`` if corrupt."""
+        if xxhash.xxh128_hexdigest(content) != part:
+            raise ValueError(f'{part}: the content has another hash')
+        self.entries_by_hash[part] = json.loads(content)['entries']
+
+    def missing(self, hashes: set[str]) -> list[str]:
+        """Return the hashes whose content is not here."""
+        return sorted(hashes - self.entries_by_hash.keys())
+
+    def keep_only(self, hashes: set[str]) -> None:
+        """Forget the parts that are not in force."""
+        for part in self.entries_by_hash.keys() - hashes:
+            self.entries_by_hash.pop(part)
+
+    def document(
+        self, parts_by_section: Mapping[str, list[str]]
+    ) -> bundleformat.Document:
+        """Join parts into a document; raises ``KeyError`` if one misses."""
+        document = bundleformat.empty_document()
+        for section, hashes in parts_by_section.items():
+            for part in hashes:
+                document[section].update(self.entries_by_hash[part])
+        return document
+
+    def split(
+        self,
+        document: bundleformat.Document,
+        parts_by_section: Mapping[str, list[str]],
+        nonce: str,
+    ) -> tuple[dict[str, list[str]], dict[str, bytes]]:
+        """Return the parts of a changed document and those to write.
+
+        Unchanged parts keep their hash.
+        """
+        changed: dict[str, list[str]] = {}
+        to_write: dict[str, bytes] = {}
+        for section, entries in document.items():
+            old = parts_by_section.get(section, [])
+            changed[section] = []
+            for number, bucket in enumerate(_buckets(entries, len(old))):
+                part = self._same_part(bucket, old, number)
+                if not part:
+                    content = _encode_part(nonce, section, number, bucket)
+                    part = xxhash.xxh128_hexdigest(content)
+                    to_write[part] = content
+                changed[section].append(part)
+        return changed, to_write
+
+    def _same_part(self, bucket: Entries, old: list[str], number: int) -> str:
+        if number < len(old):
+            if self.entries_by_hash.get(old[number]) == bucket:
+                return old[number]
+        return ''
+
+
+def all_hashes(parts_by_section: Mapping[str, list[str]]) -> set[str]:
+    """Return the hashes of all sections."""
+    return {part for hashes in parts_by_section.values() for part in hashes}
+
+
+def _buckets(entries: Entries, count: int) -> list[Entries]:
+    """Split entries into ``count`` buckets, or more if one is too large."""
+    count = max(count, 1)
+    while True:
+        buckets: list[Entries] = [{} for _ in range(count)]
+        for name, entry in entries.items():
+            buckets[partitions.hash_text(name) % count][name] = entry
+        largest = max(len(bundleformat.canonical(each)) for each in buckets)
+        if largest <= FILL_BYTES:
+            return buckets
+        if count > len(entries):
+            raise errors.InvalidBundle('an entry is larger than a part')
+        count *= 2
+
+
+def _encode_part(
+    nonce: str, section: str, number: int, entries: Entries
+) -> bytes:
+    return bundleformat.canonical(
+        {
+            'nonce': nonce,
+            'section': section,
+            'number': number,
+            'entries': entries,
+        }
+    )
--- /dev/null
+++ b/bergamotstream/bundles.py
@@ -0,0 +1,276 @@
+"""
+Bundles
+~~~~~~~
+
+Keeps this host on the newest version of the operators' configuration and
+answers operators' commands on it. Two readers per cell watch the head in the
+key-value service; other hosts learn of a newer version from heartbeats and
+fetch it from the peer that reported it. A lower version is never adopted.
+"""
+
+from collections.abc import Generator
+
+from bergamotstream import (
+    actions,
+    audit,
+    bundleformat,
+    bundlestore,
+    components,
+    configcommands,
+    errors,
+    events,
+    kvflows,
+    messages,
+    records,
+    state,
+)
+
+READERS_PER_CELL = 2
+# Reads again after a failure. The spread keeps the readers of 200 cells at
+# under 300 reads a second while the service is down.
+READ_AGAIN_MS = 1_000
+READ_AGAIN_SPREAD_MS = 1_000
+# Longest time between requests to peers; the first repeat is much earlier.
+MAX_ASK_AGAIN_MS = 2_400
+PREFIXES = ('config.', 'zone.', 'audit.')
+
+
+class Bundles(components.Component):
+    """The configuration of one host."""
+
+    name = 'bundles'
+
+    def __init__(self, shared: state.HostState) -> None:
+        """Start without a bundle."""
+        super().__init__(shared)
+        self._runner = kvflows.FlowRunner('config/')
+        self._store = bundlestore.BundleStore()
+        self._commands = configcommands.ConfigCommands(
+            self._store, shared.new_id, self._adopt_head
+        )
+        # The highest version seen; kept when a stale bundle is dropped.
+        self._kept: records.Bundle | None = None
+        self._adopted: components.Actions = []
+        self._encoded_version = 0
+        self._encoded_content = b''
+        self._reading = False
+        self._read_revision = -1
+        self._next_read_ms = 0
+        self._contact_ms: int | None = None
+        self._next_ask_ms = 0
+        self._ask_again_ms = shared.settings.timing.ask_again_ms
+
+    @property
+    def version(self) -> int:
+        """Return the highest version seen, 0 if none."""
+        return self._kept.version if self._kept else 0
+
+    @components.handles(events.Tick)
+    def on_tick(self, _event: events.Tick) -> components.Actions:
+        """Read the head, ask peers and drop a bundle that is too old."""
+        now_ms = self.state.now_ms
+        produced = self._runner.tick(now_ms)
+        if self._is_reader() and not self._reading:
+            if now_ms >= self._next_read_ms:
+                self._reading = True
+                produced += self._runner.start(self._follow(), now_ms)
+        return produced + self._check_age() + self._ask_peer()
+
+    @components.handles(events.KvAnswered)
+    def on_kv_answered(self, event: events.KvAnswered) -> components.Actions:
+        """Resume the flow that waits for this answer."""
+        return self._runner.answered(event, self.state.now_ms)
+
+    @components.handles(events.AdminAsked)
+    def on_admin_asked(self, event: events.AdminAsked) -> components.Actions:
+        """Run a command on the configuration."""
+        if not event.command.startswith(PREFIXES):
+            return []
+        if event.command == 'config.show':
+            return [self._show(event.query_id)]
+        return self._runner.start(self._answer(event), self.state.now_ms)
+
+    @components.handles(messages.BundleRequest)
+    def on_bundle_request(
+        self, message: messages.BundleRequest, sender: str
+    ) -> components.Actions:
+        """Send the bundle to a peer whose version is lower."""
+        bundle = self.state.bundle
+        if bundle is None or bundle.version <= message.version:
+            return []
+        reply = messages.BundleReply(bundle.version, self._encoded(bundle))
+        return [actions.SendMessage(sender, reply)]
+
+    @components.handles(messages.BundleReply)
+    def on_bundle_reply(
+        self, message: messages.BundleReply, sender: str
+    ) -> components.Actions:
+        """Adopt a peer's bundle if it is newer."""
+        if message.version < self.version:
+            return []
+        try:
+            bundle = bundleformat.decode_bundle(message.content)
+        except errors.InvalidBundle as fault:
+            fields = {'peer': sender, 'fault': fault.detail}
+            return [actions.LogEvent('bundle_rejected', fields)]
+        self._contact_ms = self.state.now_ms
+        return self._adopt(bundle)
+
+    def _answer(self, event: events.AdminAsked) -> kvflows.Flow:
+        try:
+            body = yield from self._commands.flow(
+                event.command, event.arguments
+            )
+        except errors.ServiceError as fault:
+            return [
+                *self._take_actions(),
+                actions.AnswerAdmin(
+                    event.query_id, fault.code, _fault_body(fault)
+                ),
+            ]
+        answer = actions.AnswerAdmin(event.query_id, '', body)
+        return [*self._take_actions(), answer]
+
+    def _show(self, query_id: str) -> actions.AnswerAdmin:
+        bundle = self.state.bundle
+        if bundle is None:
+            fault = errors.ConfigurationUnknown()
+            return actions.AnswerAdmin(query_id, fault.code, _fault_body(fault))
+        document = bundleformat.document_of(bundle)
+        body = {'version': bundle.version, **document}
+        return actions.AnswerAdmin(query_id, '', body)
+
+    def _is_reader(self) -> bool:
+        record = self.state.record
+        if record is None:
+            return True
+        live = self.state.live_peers | {self.state.host}
+        members = [member for member in record.members if member in live]
+        return self.state.host in members[:READERS_PER_CELL]
+
+    def _follow(self) -> kvflows.Flow:
+        """Read the head for the first time, or wait until it changes."""
+        delay_ms = self.state.random.randrange(READ_AGAIN_SPREAD_MS)
+        self._next_read_ms = self.state.now_ms + READ_AGAIN_MS + delay_ms
+        try:
+            yield from self._read_head()
+        except errors.ServiceError as fault:
+            self._reading = False
+            # A read after the outage tells at once that contact is back; a
+            # watch would tell only when the head changes.
+            self._read_revision = -1
+            fields = {'key': audit.HEAD_KEY, 'fault': str(fault)}
+            return [actions.LogEvent('bundle_read_failed', fields)]
+        self._reading = False
+        self._next_read_ms = self.state.now_ms
+        return self._take_actions()
+
+    def _read_head(
+        self,
+    ) -> Generator[kvflows.Step, kvflows.Answers, None]:
+        if self._read_revision < 0:
+            stored = yield from self._store.load()
+        else:
+            answers = yield (
+                actions.KvWatch('', audit.HEAD_KEY, self._read_revision),
+            )
+            if answers[0].status != 'ok':
+                raise errors.KvUnavailable(audit.HEAD_KEY)
+            found = yield from self._store.load_parts(answers[0].items)
+            stored = found or (yield from self._store.load())
+        self._contact_ms = self.state.now_ms
+        self._adopt_head(stored.head, stored.document)
+        self._read_revision = stored.revision
+
+    def _adopt_head(
+        self, head: audit.Head, document: bundleformat.Document
+    ) -> None:
+        """Adopt a version of the head; flows hand the actions on."""
+        if head.version >= max(self.version, 1):
+            self._store.keep(head)
+            bundle = bundleformat.build_bundle(head.version, document)
+            self._adopted += self._adopt(bundle)
+
+    def _take_actions(self) -> components.Actions:
+        taken = self._adopted + self._store.outbox
+        self._adopted = []
+        self._store.outbox.clear()
+        return taken
+
+    def _adopt(self, bundle: records.Bundle) -> components.Actions:
+        """Put a bundle in force unless a higher version was seen.
+
+        The same version comes into force again after the age limit.
+        """
+        in_force = self.state.bundle
+        if bundle.version < self.version:
+            return []
+        if in_force and in_force.version == bundle.version:
+            return []
+        self._kept = bundle
+        self.state.bundle = bundle
+        return [
+            actions.LogEvent('bundle_adopted', {'version': bundle.version}),
+            actions.Raise(events.BundleChanged(bundle.version)),
+        ]
+
+    def _check_age(self) -> components.Actions:
+        now_ms = self.state.now_ms
+        if self._contact_ms is None or self._other_hosts():
+            self._contact_ms = now_ms
+        limit_ms = self.state.settings.timing.config_stale_limit_ms
+        if self.state.bundle and now_ms - self._contact_ms > limit_ms:
+            self.state.bundle = None
+            fields = {'version': self.version, 'limit_ms': limit_ms}
+            return [actions.LogEvent('bundle_too_old', fields)]
+        return []
+
+    def _other_hosts(self) -> set[str]:
+        return self.state.live_peers - {self.state.host}
+
+    def _ask_peer(self) -> components.Actions:
+        """Ask a peer for a newer bundle, less often while none arrives."""
+        peers = self._peers_to_ask()
+        if not peers:
+            self._ask_again_ms = self.state.settings.timing.ask_again_ms
+            return []
+        if self.state.now_ms < self._next_ask_ms:
+            return []
+        self._next_ask_ms = self.state.now_ms + self._ask_again_ms
+        self._ask_again_ms = min(2 * self._ask_again_ms, MAX_ASK_AGAIN_MS)
+        request = messages.BundleRequest(self._version_in_force())
+        return [actions.SendMessage(self.state.random.choice(peers), request)]
+
+    def _peers_to_ask(self) -> list[str]:
+        own = self._version_in_force()
+        newer = [
+            host
+            for host, version in self.state.config_version_by_host.items()
+            if version > own and version >= self.version
+        ]
+        if newer or own:
+            return sorted(newer)
+        known = self.state.live_peers | self.state.hosts_by_name.keys()
+        return sorted(known - {self.state.host})
+
+    def _version_in_force(self) -> int:
+        return self.state.bundle.version if self.state.bundle else 0
+
+    def _encoded(self, bundle: records.Bundle) -> bytes:
+        """Return the bundle for a peer; encoded once per version."""
+        if self._encoded_version != bundle.version:
+            self._encoded_version = bundle.version
+            self._encoded_content = bundleformat.encode_bundle(bundle)
+        return self._encoded_content
+
+
+def _fault_body(fault: errors.ServiceError) -> configcommands.Body:
+    body: configcommands.Body = {
+        'detail': fault.detail,
+        'remedy': fault.remedy,
+        'run_state': fault.run_state,
+        'retry_after_ms': fault.retry_after_ms,
+    }
+    if fault.changed:
+        body['changed'] = list(fault.changed)
+    return body
--- a/bergamotstream/errors.py
+++ b/bergamotstream/errors.py
@@ -6,7 +6,8 @@
 and a message that names the remedy. Error kinds register themselves by code.
 """
 
-from typing import ClassVar
+from collections.abc import Mapping, Sequence
+from typing import Any, ClassVar
 
 from bergamotstream import records
 
@@ -26,12 +27,17 @@
         *,
         run_state: records.RunState = 'not_run',
         retry_after_ms: int = 0,
+        changed: Sequence[Mapping[str, Any]] = (),
     ) -> None:
-        """Keep ``detail`` and the time in ms after which to come back."""
+        """Keep ``detail`` and the time in ms after which to come back.
+
+        ``changed`` lists the changes that a version conflict met.
+        """
         super().__init__(f'{detail or self.code}; {self.remedy}')
         self.detail = detail
         self.run_state = run_state
         self.retry_after_ms = retry_after_ms
+        self.changed = changed
 
 
 def register(kind: type[ServiceError]) -> type[ServiceError]:
--- a/standins/kvstore.py
+++ b/standins/kvstore.py
@@ -149,7 +149,7 @@
     """Performs the core's key-value actions on a store without I/O.
 
     ``down`` refuses everything. ``lose_answers`` performs writes and answers
-    ``unknown``. Pending watches are answered by :meth:`due_watches`.
+    ``unknown``, for keys with ``lose_prefix``. Pending watches are answered by :meth:`due_watches`.
     """
 
     def __init__(self, store: KvStore | None = None) -> None:
@@ -157,16 +157,13 @@
         self.store = store or KvStore()
         self.down = False
         self.lose_answers = False
+        self.lose_prefix = ''
         self.watches_by_operation: dict[str, actions.KvWatch] = {}
 
     def perform(self, action: actions.Action) -> events.KvAnswered | None:
         """Perform one action; None while a watch is pending."""
         if isinstance(action, actions.KvWatch):
-            self.store.counts['watches'] += 1
-            if self.store.revision_of(action.key) <= action.after_revision:
-                self.watches_by_operation[action.operation_id] = action
-                return None
-            return self._read(action.operation_id, action.key)
+            return self._watch(action)
         if isinstance(action, actions.KvRead):
             return self._read(
                 action.operation_id, action.key, prefix=action.prefix
@@ -175,19 +172,27 @@
             return self._change(action)
         raise TypeError(action)
 
-    def due_watches(
-        self, *, everything: bool = False
-    ) -> list[events.KvAnswered]:
-        """Answer the watches whose key has changed, or all of them."""
-        due = {
-            watch.operation_id: watch.key
+    def due_watches(self) -> list[events.KvAnswered]:
+        """Answer the watches whose key has changed."""
+        due = [
+            watch.operation_id
             for watch in self.watches_by_operation.values()
-            if everything
-            or self.store.revision_of(watch.key) > watch.after_revision
-        }
-        for operation_id in due:
-            self.watches_by_operation.pop(operation_id)
-        return [self._read(*entry) for entry in due.items()]
+            if self.store.revision_of(watch.key) > watch.after_revision
+        ]
+        return [self.end_watch(operation_id) for operation_id in due]
+
+    def end_watch(self, operation_id: str) -> events.KvAnswered:
+        """Answer a pending watch with the present item."""
+        watch = self.watches_by_operation.pop(operation_id)
+        return self._read(operation_id, watch.key)
+
+    def _watch(self, watch: actions.KvWatch) -> events.KvAnswered | None:
+        self.store.counts['watches'] += 1
+        changed = self.store.revision_of(watch.key) > watch.after_revision
+        if changed or self.down:
+            return self._read(watch.operation_id, watch.key)
+        self.watches_by_operation[watch.operation_id] = watch
+        return None
 
     def _read(
         self, operation_id: str, key: str, *, prefix: bool = False
@@ -206,7 +211,7 @@
             return events.KvAnswered(action.operation_id, 'unavailable')
         self.store.counts['writes'] += 1
         answered = self._apply(action)
-        if self.lose_answers:
+        if self.lose_answers and action.key.startswith(self.lose_prefix):
             return events.KvAnswered(action.operation_id, 'unknown')
         return answered
 
