--- /dev/null
+++ b/bergamotstream/answers.py
@@ -0,0 +1,218 @@
+"""
+Answers
+~~~~~~~
+
+Answers of the requests that are open at this host. An answer keeps the tokens
+that were produced, so that another target can continue after them; tokens
+that the caller has not read are bounded, and then the target waits.
+"""
+
+import asyncio
+from typing import NamedTuple
+
+from bergamotstream import actions, errors, records, relay, requestbody
+
+# Prompts that are held at once; a host with more would run out of memory.
+MAX_PROMPT_BYTES = 268_435_456
+# Time after which a caller whose request does not fit should come back.
+FULL_RETRY_MS = 500
+TOKEN_OVERHEAD_BYTES = 64
+
+
+class Part(NamedTuple):
+    """What the caller is sent next: tokens from ``offset`` on."""
+
+    restart: bool
+    offset: int
+    tokens: tuple[str, ...]
+
+
+class OpenAnswer:
+    """The answer of one open request; a sink of its attempts."""
+
+    def __init__(
+        self, parsed: requestbody.ParsedRequest, offset: int, limit_bytes: int
+    ) -> None:
+        """Start after ``offset`` tokens that the caller already has."""
+        self.request = parsed.request
+        self.prompt = parsed.prompt
+        self.error: errors.ServiceError | None = None
+        self.ended = False
+        self.reader = 0
+        self._first = offset
+        self._tokens: list[str] = []
+        self._sent = 0
+        self._restart = False
+        self._unread_bytes = 0
+        self._limit_bytes = limit_bytes
+        self._assembler = relay.StreamAssembler(
+            parsed.request.request_id, offset
+        )
+        self._changed = asyncio.Event()
+
+    @property
+    def offset(self) -> int:
+        """Count of tokens produced so far, also at other hosts."""
+        return self._assembler.offset
+
+    @property
+    def total(self) -> int:
+        """Count of tokens in the answer, also those sent by other hosts."""
+        return self._first + len(self._tokens)
+
+    @property
+    def text(self) -> str:
+        """Text of the tokens that were produced through this host."""
+        return ''.join(self._tokens)
+
+    @property
+    def unread_bytes(self) -> int:
+        """Bytes that wait for the caller."""
+        return self._unread_bytes
+
+    def switch(self, dispatch: actions.Dispatch) -> None:
+        """Accept tokens of this attempt only from now on.
+
+        A new attempt needs the whole text before its offset. After a resume
+        from another host that text is missing, so the answer restarts.
+        """
+        if self._first and not dispatch.resume:
+            self.restart()
+        self._assembler.switch(dispatch.attempt_id)
+
+    def restart(self) -> None:
+        """Discard the tokens and tell the caller to do so."""
+        self._restart = self._restart or self._first + self._sent > 0
+        self._assembler.restart()
+        self._tokens.clear()
+        self._first = 0
+        self._sent = 0
+        self._unread_bytes = 0
+        self._notify()
+
+    async def deliver(
+        self, attempt_id: str, offset: int, tokens: tuple[str, ...]
+    ) -> None:
+        """Take tokens of an attempt once the caller has read enough."""
+        while self._unread_bytes >= self._limit_bytes and not self.ended:
+            await self._wait()
+        if self.ended:
+            return
+        chunk = relay.Chunk(self.request.request_id, attempt_id, offset, tokens)
+        ready = self._assembler.accept(chunk)
+        self._tokens.extend(ready)
+        self._unread_bytes += _size(ready)
+        self._notify()
+
+    def finish(self, recorded: bytes) -> None:
+        """End the answer; ``recorded`` is the text of an earlier run."""
+        if recorded and not self._tokens:
+            self._tokens.append(recorded.decode())
+        self._end()
+
+    def refuse(self, error: errors.ServiceError) -> None:
+        """End the answer with an error."""
+        self.error = error
+        self._end()
+
+    def attach(self, offset: int) -> int:
+        """Let a new reader continue after ``offset``; returns its number.
+
+        Raises ``invalid_request`` if this host does not have those tokens.
+        """
+        position = offset - self._first
+        if not 0 <= position <= len(self._tokens):
+            raise errors.InvalidRequest(
+                f'offset {offset} is not within the answer so far'
+            )
+        self.reader += 1
+        self._sent = position
+        self._unread_bytes = _size(tuple(self._tokens[position:]))
+        self._notify()
+        return self.reader
+
+    async def next_part(self, reader: int) -> Part | None:
+        """Wait for unread tokens; None at the end of the answer.
+
+        Raises ``ConnectionAbortedError`` when another reader took over.
+        """
+        while self.reader == reader:
+            if self._restart or self._sent < len(self._tokens):
+                return self._take()
+            if self.ended:
+                return None
+            await self._wait()
+        raise ConnectionAbortedError('the caller resumed on a new connection')
+
+    def _take(self) -> Part:
+        offset = self._first + self._sent
+        tokens = tuple(self._tokens[self._sent :])
+        part = Part(self._restart, offset, tokens)
+        self._restart = False
+        self._sent = len(self._tokens)
+        self._unread_bytes = 0
+        self._notify()
+        return part
+
+    def _end(self) -> None:
+        self.ended = True
+        self._notify()
+
+    def _notify(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _wait(self) -> None:
+        await self._changed.wait()
+
+
+class OpenAnswers:
+    """The open answers of this host by request id."""
+
+    def __init__(self, max_open: int, limit_bytes: int) -> None:
+        """Allow ``max_open`` requests and ``limit_bytes`` unread each."""
+        self._max_open = max_open
+        self._limit_bytes = limit_bytes
+        self._prompt_bytes = 0
+        self.by_request: dict[str, OpenAnswer] = {}
+
+    def open(
+        self, parsed: requestbody.ParsedRequest, offset: int
+    ) -> OpenAnswer:
+        """Open an answer; raises ``in_progress`` or ``overloaded``."""
+        request_id = parsed.request.request_id
+        if request_id in self.by_request:
+            raise errors.InProgress(
+                f'request {request_id} is open', run_state='may_have_run'
+            )
+        size = self._prompt_bytes + len(parsed.prompt)
+        if len(self.by_request) >= self._max_open or size > MAX_PROMPT_BYTES:
+            raise errors.Overloaded(
+                'too many requests are open', retry_after_ms=FULL_RETRY_MS
+            )
+        answer = OpenAnswer(parsed, offset, self._limit_bytes)
+        self.by_request[request_id] = answer
+        self._prompt_bytes = size
+        return answer
+
+    def close(self, request_id: str) -> None:
+        """Forget an answer; tokens that still arrive are discarded."""
+        answer = self.by_request.pop(request_id, None)
+        if answer is not None:
+            self._prompt_bytes -= len(answer.prompt)
+            answer.finish(b'')
+
+
+def refusal(action: actions.RefuseRequest) -> errors.ServiceError:
+    """Return the typed error of an action."""
+    kind = errors.get_error_by_code(action.code)
+    run_state: records.RunState = action.run_state
+    return kind(
+        action.detail,
+        run_state=run_state,
+        retry_after_ms=action.retry_after_ms,
+    )
+
+
+def _size(tokens: tuple[str, ...]) -> int:
+    return sum(len(token) + TOKEN_OVERHEAD_BYTES for token in tokens)
--- /dev/null
+++ b/bergamotstream/attempts.py
@@ -0,0 +1,62 @@
+"""
+Attempts
+~~~~~~~~
+
+The attempts that run from this host, one task each.
+"""
+
+import asyncio
+
+import aiohttp
+
+from bergamotstream import actions, answers, engines, settings
+
+
+def new_session(config: settings.Settings) -> aiohttp.ClientSession:
+    """Return a session with a new connection for each attempt."""
+    connect_s = config.timing.silent_ms / engines.MS_PER_S
+    return aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=0, force_close=True),
+        timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect_s),
+    )
+
+
+class Attempts:
+    """Starts and drops attempts."""
+
+    def __init__(self) -> None:
+        """Start without attempts."""
+        self._tasks_by_attempt: dict[str, asyncio.Task[None]] = {}
+
+    def start(
+        self,
+        client: engines.EngineClient,
+        dispatch: actions.Dispatch,
+        answer: answers.OpenAnswer,
+    ) -> None:
+        """Run an attempt of an open request."""
+        self.drop(dispatch.attempt_id)
+        answer.switch(dispatch)
+        attempt = engines.Attempt(
+            dispatch, answer.request, answer.prompt, answer.text, answer
+        )
+        task = asyncio.create_task(client.run(attempt))
+        self._tasks_by_attempt[dispatch.attempt_id] = task
+        task.add_done_callback(lambda _: self._forget(dispatch, task))
+
+    def drop(self, attempt_id: str) -> None:
+        """Close the stream of an attempt without an event."""
+        task = self._tasks_by_attempt.pop(attempt_id, None)
+        if task is not None:
+            task.cancel()
+
+    def close(self) -> None:
+        """Drop all attempts."""
+        for attempt_id in tuple(self._tasks_by_attempt):
+            self.drop(attempt_id)
+
+    def _forget(
+        self, dispatch: actions.Dispatch, task: asyncio.Task[None]
+    ) -> None:
+        if self._tasks_by_attempt.get(dispatch.attempt_id) is task:
+            self._tasks_by_attempt.pop(dispatch.attempt_id)
--- /dev/null
+++ b/bergamotstream/callers.py
@@ -0,0 +1,311 @@
+"""
+Callers
+~~~~~~~
+
+HTTP server for callers and operators: requests, resumption, addresses, admin
+commands, metrics and health. Handlers turn requests into events of the core
+and wait for what the core decides.
+"""
+
+import asyncio
+import uuid
+from collections.abc import Awaitable, Callable, Mapping
+from typing import Any
+
+from absl import logging
+from aiohttp import web
+
+from bergamotstream import (
+    actions,
+    answers,
+    clock,
+    delivery,
+    errors,
+    events,
+    exporters,
+    logs,
+    metrics,
+    requestbody,
+    settings,
+)
+
+UPLOAD_LIMIT_S = 10
+ADMIN_LIMIT_S = 30
+ADDRESS_LIMIT_S = 2
+DEFAULT_FORMAT = 'prometheus'
+HTTP_OK = 200
+
+HttpHandler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+class CallerServer:
+    """Routes of one host."""
+
+    def __init__(
+        self,
+        config: settings.Settings,
+        incoming: asyncio.Queue[events.Event],
+        meters: metrics.Metrics,
+        time: clock.Clock,
+    ) -> None:
+        """Put events into ``incoming``."""
+        limits = config.limits
+        self.open_answers = answers.OpenAnswers(
+            limits.open_requests, limits.stream_buffer_bytes
+        )
+        self._config = config
+        self._incoming = incoming
+        self._meters = meters
+        self._time = time
+        self._queries: dict[str, asyncio.Future[Any]] = {}
+        self._runner = web.AppRunner(
+            self._application(),
+            access_log=None,
+            handler_cancellation=True,
+            shutdown_timeout=1,
+        )
+
+    async def start(self) -> None:
+        """Listen at the caller address."""
+        await self._runner.setup()
+        host, _, port = self._config.caller_address.rpartition(':')
+        await web.TCPSite(self._runner, host, int(port)).start()
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._runner.cleanup()
+
+    def answer_query(
+        self, action: actions.AnswerAddress | actions.AnswerAdmin
+    ) -> None:
+        """Hand the core's answer to the handler that waits for it."""
+        waiting = self._queries.pop(action.query_id, None)
+        if waiting is not None and not waiting.done():
+            waiting.set_result(action)
+
+    def _application(self) -> web.Application:
+        app = web.Application(
+            client_max_size=self._config.limits.body_bytes,
+            middlewares=[typed_errors],
+        )
+        app.add_routes(
+            [
+                web.post('/v1/requests', self._submit),
+                web.post('/v1/requests/{id}/resume', self._resume),
+                web.get('/v1/address', self._address),
+                web.post('/admin', self._admin),
+                web.get('/metrics', self._metrics),
+                web.get('/healthz', self._health),
+            ]
+        )
+        return app
+
+    async def _submit(self, request: web.Request) -> web.StreamResponse:
+        parsed = await self._parse(request)
+        answer = self.open_answers.open(parsed, 0)
+        event = events.RequestReceived(parsed.request, parsed.deadline_ms)
+        self._incoming.put_nowait(event)
+        return await self._deliver(request, parsed, answer, 0)
+
+    async def _resume(self, request: web.Request) -> web.StreamResponse:
+        offset = _offset(request.query.get('offset', ''))
+        parsed = await self._parse(request, request.match_info['id'])
+        answer = self._running(parsed)
+        if answer is None:
+            answer = self.open_answers.open(parsed, offset)
+            event = events.ResumeReceived(
+                parsed.request, parsed.deadline_ms, offset
+            )
+            self._incoming.put_nowait(event)
+        return await self._deliver(request, parsed, answer, offset)
+
+    def _running(
+        self, parsed: requestbody.ParsedRequest
+    ) -> answers.OpenAnswer | None:
+        """Return the answer if the request runs from this host."""
+        answer = self.open_answers.by_request.get(parsed.request.request_id)
+        if answer is None:
+            return None
+        if answer.request.body_digest != parsed.request.body_digest:
+            raise errors.KeyConflict(
+                'the request id belongs to another body',
+                run_state='may_have_run',
+            )
+        return answer
+
+    async def _parse(
+        self, request: web.Request, request_id: str = ''
+    ) -> requestbody.ParsedRequest:
+        began_ms = self._time.now_ms()
+        received = await _read_body(request)
+        parsed = requestbody.parse_request(
+            received, self._time.wall_ms(), request_id
+        )
+        left_ms = parsed.deadline_ms - (self._time.now_ms() - began_ms)
+        if left_ms <= 0:
+            raise errors.DeadlinePassed('passed while the body was sent')
+        return parsed._replace(deadline_ms=left_ms)
+
+    async def _deliver(
+        self,
+        request: web.Request,
+        parsed: requestbody.ParsedRequest,
+        answer: answers.OpenAnswer,
+        offset: int,
+    ) -> web.StreamResponse:
+        reader = answer.attach(offset)
+        writer = delivery.Delivery(request, answer, reader)
+        try:
+            if parsed.stream:
+                return await writer.as_stream()
+            return await writer.as_object()
+        except ConnectionError as fault:
+            self._drop_connection(request, fault)
+            raise
+        finally:
+            self._leave(answer, reader)
+
+    def _leave(self, answer: answers.OpenAnswer, reader: int) -> None:
+        """Close the answer unless a newer connection reads it."""
+        if answer.reader != reader:
+            return
+        request_id = answer.request.request_id
+        if not answer.ended:
+            self._incoming.put_nowait(events.CallerGone(request_id))
+        self.open_answers.close(request_id)
+
+    def _drop_connection(
+        self, request: web.Request, fault: ConnectionError
+    ) -> None:
+        if isinstance(fault, delivery.CallerStalled):
+            self._meters.count('callers_stalled')
+        if request.transport is not None:
+            request.transport.abort()
+
+    async def _address(self, request: web.Request) -> web.Response:
+        workspace = request.query.get('workspace', '')
+        if not workspace:
+            raise errors.InvalidRequest('workspace: is missing')
+        answer: actions.AnswerAddress = await self._ask(
+            lambda query_id: events.AddressAsked(query_id, workspace),
+            ADDRESS_LIMIT_S,
+        )
+        hosts = [
+            {
+                'name': host.name,
+                'availability_zone': host.availability_zone,
+                'address': host.caller_address,
+            }
+            for host in answer.hosts
+        ]
+        return web.json_response({'hosts': hosts, 'keep_ms': answer.keep_ms})
+
+    async def _admin(self, request: web.Request) -> web.Response:
+        body = delivery.parse_object(await _read_body(request))
+        command, arguments = _command(body)
+        arguments['wall_ms'] = self._time.wall_ms()
+        answer: actions.AnswerAdmin = await self._ask(
+            lambda query_id: events.AdminAsked(query_id, command, arguments),
+            ADMIN_LIMIT_S,
+        )
+        return web.json_response(
+            {
+                'code': answer.code,
+                'body': dict(answer.body),
+                'retry_after_ms': answer.body.get('retry_after_ms', 0),
+            },
+            status=_status(answer.code),
+        )
+
+    async def _ask(
+        self, make_event: Callable[[str], events.Event], limit_s: float
+    ) -> Any:
+        query_id = uuid.uuid4().hex
+        waiting = asyncio.get_running_loop().create_future()
+        self._queries[query_id] = waiting
+        self._incoming.put_nowait(make_event(query_id))
+        try:
+            return await asyncio.wait_for(waiting, limit_s)
+        except TimeoutError:
+            raise errors.KvUnavailable(
+                'the host did not answer in time', run_state='may_have_run'
+            ) from None
+        finally:
+            self._queries.pop(query_id, None)
+
+    async def _metrics(self, request: web.Request) -> web.Response:
+        name = request.query.get('format', DEFAULT_FORMAT)
+        try:
+            exporter = exporters.get_exporter_by_name(name)()
+        except KeyError:
+            raise errors.InvalidRequest(f'format: unknown {name!r}') from None
+        return web.Response(
+            text=exporter.render(self._meters.snapshot()),
+            content_type=exporter.content_type,
+        )
+
+    async def _health(self, request: web.Request) -> web.Response:
+        return web.json_response(
+            {
+                'host': self._config.host,
+                'open_requests': len(self.open_answers.by_request),
+            }
+        )
+
+
+@web.middleware
+async def typed_errors(
+    request: web.Request, handler: HttpHandler
+) -> web.StreamResponse:
+    """Turn every fault of a handler into a typed error."""
+    try:
+        return await handler(request)
+    except ConnectionError:
+        raise
+    except Exception as fault:
+        return _fault_response(fault)
+
+
+def _fault_response(fault: Exception) -> web.Response:
+    if isinstance(fault, errors.ServiceError):
+        return delivery.error_response(fault)
+    if isinstance(fault, web.HTTPRequestEntityTooLarge):
+        return delivery.error_response(errors.BodyTooLarge())
+    if isinstance(fault, web.HTTPException):
+        invalid = errors.InvalidRequest(f'{fault.status} {fault.reason}')
+        response = delivery.error_response(invalid)
+        response.set_status(fault.status)
+        return response
+    logging.exception('%s', logs.line('handler_failed', {'fault': fault}))
+    unknown = errors.ServiceError(run_state='may_have_run')
+    return delivery.error_response(unknown)
+
+
+async def _read_body(request: web.Request) -> bytes:
+    try:
+        async with asyncio.timeout(UPLOAD_LIMIT_S):
+            return await request.read()
+    except TimeoutError:
+        raise errors.InvalidRequest('body: not received within 10 s') from None
+
+
+def _offset(text: str) -> int:
+    if not text.isdecimal() or int(text) > requestbody.MAX_OUTPUT_TOKENS:
+        raise errors.InvalidRequest('offset: must be a count of tokens')
+    return int(text)
+
+
+def _command(body: Mapping[str, Any]) -> tuple[str, dict[str, Any]]:
+    command = body.get('command')
+    arguments = body.get('arguments', {})
+    if not isinstance(command, str) or not command:
+        raise errors.InvalidRequest('command: must be a string')
+    if not isinstance(arguments, dict):
+        raise errors.InvalidRequest('arguments: must be an object')
+    if not isinstance(arguments.get('author', ''), str):
+        raise errors.InvalidRequest('arguments.author: must be a string')
+    return command, dict(arguments)
+
+
+def _status(code: str) -> int:
+    return errors.get_error_by_code(code).status if code else HTTP_OK
--- a/bergamotstream/clock.py
+++ b/bergamotstream/clock.py
@@ -8,6 +8,7 @@
 
 import time
 
+NANOSECONDS_PER_US = 1_000
 NANOSECONDS_PER_MS = 1_000_000
 
 
@@ -18,6 +19,10 @@
         """Return the monotonic time in milliseconds."""
         return time.monotonic_ns() // NANOSECONDS_PER_MS
 
+    def now_us(self) -> int:
+        """Return the monotonic time in microseconds."""
+        return time.monotonic_ns() // NANOSECONDS_PER_US
+
     def wall_ms(self) -> int:
         """Return milliseconds since the Unix epoch, for the audit trail."""
         return time.time_ns() // NANOSECONDS_PER_MS
--- /dev/null
+++ b/bergamotstream/daemon.py
@@ -0,0 +1,122 @@
+"""
+Daemon
+~~~~~~
+
+``bergamotstreamd``: the entry host. It reads its settings, builds the core
+and serves until SIGTERM has let all open requests finish.
+"""
+
+import asyncio
+import contextlib
+import secrets
+import signal
+import sys
+
+import defopt
+from absl import logging
+
+from bergamotstream import (
+    assembly,
+    errors,
+    events,
+    hostprocess,
+    keyvalues,
+    peerlinks,
+    plugins,
+    policies,
+    settings,
+)
+
+EXIT_INVALID_SETTINGS = 2
+INCARNATION_BYTES = 4
+
+
+def build(config: settings.Settings) -> hostprocess.HostProcess:
+    """Build the process of one host; needs a running event loop."""
+    incoming: asyncio.Queue[events.Event] = asyncio.Queue()
+    client_type = keyvalues.get_client_by_name(config.platform.kv_client)
+    return hostprocess.HostProcess(
+        config,
+        assembly.build_core(config, secrets.token_hex(INCARNATION_BYTES)),
+        client_type(config.platform.kv, config.timing.kv_timeout_ms),
+        incoming,
+        peerlinks.PeerLinks(config, incoming),
+    )
+
+
+async def serve(config: settings.Settings) -> None:
+    """Serve until stopped by SIGTERM or SIGINT."""
+    process = build(config)
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, process.request_stop)
+    await process.run()
+
+
+def load_checked(path: str) -> settings.Settings:
+    """Read settings and check that their plug-ins and addresses exist.
+
+    Raises :class:`errors.InvalidSettings` that names every fault.
+    """
+    config = settings.load_settings(path)
+    faults = [
+        *_plugin_faults(config),
+        *_address_faults('caller_address', config.caller_address),
+        *_address_faults('peer_address', config.peer_address),
+    ]
+    if faults:
+        lines = '\n'.join(f'{path}: {fault}' for fault in faults)
+        raise errors.InvalidSettings(lines)
+    return config
+
+
+def main(*, config: str, check: bool = False) -> None:
+    """Run an entry host.
+
+    :param config: TOML settings file
+    :param check: only check the settings; the exit status is 2 if wrong
+    """
+    logging.set_verbosity(logging.INFO)
+    logging.use_absl_handler()
+    try:
+        loaded = load_checked(config)
+    except errors.InvalidSettings as fault:
+        sys.stderr.write(f'{fault}\n')
+        sys.exit(EXIT_INVALID_SETTINGS)
+    if check:
+        sys.stdout.write(f'{config}: valid\n')
+        return
+    with contextlib.suppress(KeyboardInterrupt):
+        asyncio.run(serve(loaded))
+
+
+def run() -> None:
+    """Run with the arguments of the command line."""
+    defopt.run(main)
+
+
+def _plugin_faults(config: settings.Settings) -> list[str]:
+    plugins.import_plugins('bergamotstream.keyvalues')
+    faults = []
+    try:
+        keyvalues.get_client_by_name(config.platform.kv_client)
+    except KeyError:
+        faults.append(
+            f'platform.kv_client: unknown {config.platform.kv_client}'
+        )
+    try:
+        policies.get_policy_by_name(config.policy)
+    except KeyError:
+        faults.append(f'policy: unknown {config.policy}')
+    return faults
+
+
+def _address_faults(field: str, address: str) -> list[str]:
+    host, _, port = address.rpartition(':')
+    if host and port.isdecimal():
+        return []
+    return [f'{field}: must be <IP>:<port>']
+
+
+if __name__ == '__main__':
+    run()
--- /dev/null
+++ b/bergamotstream/delivery.py
@@ -0,0 +1,193 @@
+"""
+Delivery
+~~~~~~~~
+
+Writes an open answer to its caller: as server-sent events, or as one JSON
+object. A caller that makes no progress for 10 s loses its connection.
+"""
+
+import asyncio
+import contextlib
+import json
+from typing import Any
+
+from aiohttp import web
+
+from bergamotstream import answers, errors, eventstream
+
+# A request that is refused at once gets its HTTP status; after this time the
+# stream begins, so that the caller sees that the host is alive.
+STREAM_BEGIN_S = 1.0
+HEARTBEAT_S = 1.0
+STALL_LIMIT_S = 10.0
+
+
+class CallerStalled(ConnectionError):
+    """The caller read nothing within the limit."""
+
+
+def error_body(error: errors.ServiceError, request_id: str) -> dict[str, Any]:
+    """Return the JSON object of an error."""
+    return {
+        'code': error.code,
+        'run_state': error.run_state,
+        'message': str(error),
+        'remedy': error.remedy,
+        'request_id': request_id,
+        'retry_after_ms': error.retry_after_ms,
+    }
+
+
+def error_response(
+    error: errors.ServiceError, request_id: str = ''
+) -> web.Response:
+    """Return the HTTP response of an error."""
+    headers = {}
+    if error.retry_after_ms:
+        seconds = -(-error.retry_after_ms // 1_000)
+        headers['Retry-After'] = str(seconds)
+    return web.json_response(
+        error_body(error, request_id), status=error.status, headers=headers
+    )
+
+
+class Delivery:
+    """Delivery of one answer on one connection."""
+
+    def __init__(
+        self, request: web.Request, answer: answers.OpenAnswer, reader: int
+    ) -> None:
+        """Read ``answer`` as its reader number ``reader``."""
+        self._request = request
+        self._answer = answer
+        self._reader = reader
+        self._request_id = answer.request.request_id
+        self._response = web.StreamResponse()
+        self._next: asyncio.Future[answers.Part | None] | None = None
+
+    async def as_object(self) -> web.Response:
+        """Wait for the whole answer and return it as JSON."""
+        texts: list[str] = []
+        part = await self._answer.next_part(self._reader)
+        while part is not None:
+            if part.restart:
+                texts.clear()
+            texts.extend(part.tokens)
+            part = await self._answer.next_part(self._reader)
+        if self._answer.error is not None:
+            return error_response(self._answer.error, self._request_id)
+        body = {
+            'request_id': self._request_id,
+            'output_tokens': self._answer.total,
+            'text': ''.join(texts),
+        }
+        return web.json_response(body)
+
+    async def as_stream(self) -> web.StreamResponse:
+        """Write events while the answer grows."""
+        async with contextlib.AsyncExitStack() as cleanup:
+            cleanup.callback(self._cancel_next)
+            return await self._stream()
+
+    async def _stream(self) -> web.StreamResponse:
+        if await self._ready(STREAM_BEGIN_S) and self._refused_at_once():
+            return self._refusal()
+        self._response.content_type = eventstream.CONTENT_TYPE
+        await self._response.prepare(self._request)
+        while True:
+            if not await self._ready(HEARTBEAT_S):
+                await self._write(eventstream.HEARTBEAT)
+                continue
+            part = await self._take()
+            if part is None:
+                break
+            await self._write(self._encode(part))
+        await self._write(self._last_event())
+        return self._response
+
+    def _cancel_next(self) -> None:
+        if self._next is not None:
+            self._next.cancel()
+
+    def _refused_at_once(self) -> bool:
+        """Tell whether the answer is an error and nothing else."""
+        done = self._next is not None and self._next.result() is None
+        return done and self._answer.error is not None
+
+    def _refusal(self) -> web.Response:
+        assert self._answer.error is not None  # noqa: S101 by the caller
+        return error_response(self._answer.error, self._request_id)
+
+    async def _ready(self, wait_s: float) -> bool:
+        """Wait for the next part without consuming it."""
+        if self._next is None:
+            self._next = asyncio.ensure_future(
+                self._answer.next_part(self._reader)
+            )
+        done, _ = await asyncio.wait({self._next}, timeout=wait_s)
+        return bool(done)
+
+    async def _take(self) -> answers.Part | None:
+        assert self._next is not None  # noqa: S101 after _ready
+        part = await self._next
+        self._next = None
+        return part
+
+    def _encode(self, part: answers.Part) -> bytes:
+        encoded = b''
+        if part.restart:
+            body = {'request_id': self._request_id}
+            encoded = eventstream.encode_event('restart', body)
+        if part.tokens:
+            chunk = {
+                'request_id': self._request_id,
+                'offset': part.offset,
+                'tokens': len(part.tokens),
+                'text': ''.join(part.tokens),
+            }
+            encoded += eventstream.encode_event('chunk', chunk)
+        return encoded
+
+    def _last_event(self) -> bytes:
+        if self._answer.error is not None:
+            body = error_body(self._answer.error, self._request_id)
+            return eventstream.encode_event('error', body)
+        done = {
+            'request_id': self._request_id,
+            'output_tokens': self._answer.total,
+        }
+        return eventstream.encode_event('done', done)
+
+    async def _write(self, encoded: bytes) -> None:
+        """Write; raises :class:`CallerStalled` without progress."""
+        writing = asyncio.ensure_future(self._response.write(encoded))
+        with contextlib.ExitStack() as cleanup:
+            cleanup.callback(writing.cancel)
+            await self._await_progress(writing)
+
+    async def _await_progress(self, writing: asyncio.Future[None]) -> None:
+        unsent = self._unsent_bytes()
+        while True:
+            done, _ = await asyncio.wait({writing}, timeout=STALL_LIMIT_S)
+            if done:
+                return writing.result()
+            if self._unsent_bytes() >= unsent:
+                raise CallerStalled('the caller reads nothing')
+            unsent = self._unsent_bytes()
+
+    def _unsent_bytes(self) -> int:
+        transport = self._request.transport
+        if transport is None:
+            raise ConnectionResetError('the caller is gone')
+        return transport.get_write_buffer_size()
+
+
+def parse_object(received: bytes) -> dict[str, Any]:
+    """Return a JSON object; raises ``invalid_request`` for anything else."""
+    try:
+        body = json.loads(received)
+    except ValueError as fault:
+        raise errors.InvalidRequest(f'body: not JSON: {fault}') from None
+    if not isinstance(body, dict):
+        raise errors.InvalidRequest('body: not a JSON object')
+    return body
--- a/bergamotstream/engines/__init__.py
+++ b/bergamotstream/engines/__init__.py
@@ -0,0 +1,167 @@
+"""
+Engine clients
+~~~~~~~~~~~~~~
+
+Plug-ins for the protocols of targets, one for each kind of service. A client
+runs attempts, reads load reports and cache events and sends orders. How an
+attempt ended is reported as an event of the core; its tokens go to a sink.
+"""
+
+import abc
+from collections.abc import Callable, Mapping
+from typing import Any, ClassVar, NamedTuple, Protocol
+
+import aiohttp
+
+from bergamotstream import actions, events, plugins, records, settings
+
+Emit = Callable[[events.Event], None]
+
+MS_PER_S = 1_000
+PROBE_TIMEOUT_S = 0.5
+
+_clients_by_name: dict[str, type['EngineClient']] = {}
+
+
+class AttemptFault(Exception):
+    """An attempt ended early; ``kind`` is one of the core's kinds."""
+
+    def __init__(self, kind: events.FailureKind) -> None:
+        """Keep how the attempt failed."""
+        super().__init__(kind)
+        self.kind = kind
+
+
+class Sink(Protocol):
+    """Where the tokens of an attempt go."""
+
+    @property
+    def offset(self) -> int:
+        """Count of tokens that were taken so far."""
+
+    async def deliver(
+        self, attempt_id: str, offset: int, tokens: tuple[str, ...]
+    ) -> None:
+        """Take tokens; waits while the caller reads too slowly."""
+
+
+class Attempt(NamedTuple):
+    """One dispatch with the text that the core does not see.
+
+    ``prefix`` is the text of the tokens that were already produced.
+    """
+
+    dispatch: actions.Dispatch
+    request: records.RequestSpec
+    prompt: str
+    prefix: str
+    sink: Sink
+
+
+class EngineClient(abc.ABC):
+    """Base class of clients; ``aliases`` are further names for look-up."""
+
+    name: ClassVar[str] = ''
+    aliases: ClassVar[tuple[str, ...]] = ()
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        config: settings.Settings,
+        emit: Emit,
+    ) -> None:
+        """``session`` must not reuse connections for attempts.
+
+        A reused connection can break before the target reads the request,
+        and then it is unknown whether the attempt has run.
+        """
+        self.session = session
+        self.silent_s = config.timing.silent_ms / MS_PER_S
+        self.emit = emit
+
+    async def run(self, attempt: Attempt) -> None:
+        """Run an attempt to its end and report how it ended."""
+        dispatch = attempt.dispatch
+        try:
+            finished = await self.perform(attempt)
+        except Exception as fault:
+            kind = await self._classify(fault, dispatch)
+            finished = events.AttemptFailed(
+                dispatch.attempt_id, kind, attempt.sink.offset
+            )
+        self.emit(finished)
+
+    @abc.abstractmethod
+    async def perform(self, attempt: Attempt) -> events.Event:
+        """Run an attempt and return its event of success.
+
+        Raises :class:`AttemptFault` or an error of the connection.
+        """
+
+    @abc.abstractmethod
+    async def cancel(self, address: str, attempt_id: str) -> None:
+        """Cancel an attempt at a target; faults are ignored."""
+
+    @abc.abstractmethod
+    async def load(self, target: records.TargetInfo) -> records.LoadReport:
+        """Read a load report.
+
+        Raises an error of the connection or :class:`ValueError`.
+        """
+
+    async def prefixes(
+        self, target: records.TargetInfo, after: int
+    ) -> list[events.PrefixesReported]:
+        """Read the cache events after a sequence number."""
+        return []
+
+    async def order(
+        self, address: str, fence: int, order: Mapping[str, Any]
+    ) -> Mapping[str, Any]:
+        """Send an order and return ``status`` and ``state``."""
+        return {'status': 'unsupported', 'state': {}}
+
+    async def _classify(
+        self, fault: Exception, dispatch: actions.Dispatch
+    ) -> events.FailureKind:
+        if isinstance(fault, AttemptFault):
+            return fault.kind
+        if isinstance(fault, _NOT_CONNECTED):
+            return 'target_died' if dispatch.resume else 'refused'
+        if isinstance(fault, TimeoutError):
+            return 'silent'
+        if await self._refuses(dispatch.targets[-1].address):
+            return 'target_died'
+        return 'lost'
+
+    async def _refuses(self, address: str) -> bool:
+        """Tell whether a target refuses new connections."""
+        limit = aiohttp.ClientTimeout(total=PROBE_TIMEOUT_S)
+        url = f'http://{address}/v1/load'
+        try:
+            async with self.session.get(url, timeout=limit):
+                return False
+        except aiohttp.ClientConnectorError:
+            return True
+        except (aiohttp.ClientError, TimeoutError):
+            return False
+
+
+# Nothing was sent when the connection was not established.
+_NOT_CONNECTED = (
+    aiohttp.ClientConnectorError,
+    aiohttp.ConnectionTimeoutError,
+)
+
+
+def register(client: type[EngineClient]) -> type[EngineClient]:
+    """Register a client class under its name and aliases."""
+    for name in (client.name, *client.aliases):
+        _clients_by_name[name] = client
+    return client
+
+
+def get_engine_by_kind(kind: str) -> type[EngineClient]:
+    """Return the client class; raises ``KeyError`` for an unknown kind."""
+    plugins.import_plugins('bergamotstream.engines')
+    return _clients_by_name[kind]
--- /dev/null
+++ b/bergamotstream/engines/model.py
@@ -0,0 +1,240 @@
+"""
+Model engine client
+~~~~~~~~~~~~~~~~~~~
+
+Client of engines that stream tokens as server-sent events. The segments of a
+group grant are held on all targets but the last one, in order; the last
+target imports them and generates.
+"""
+
+import asyncio
+import json
+from collections.abc import AsyncIterator, Iterator, Mapping
+from typing import Any
+
+import aiohttp
+import pydantic
+
+from bergamotstream import engines, events, eventstream, records
+
+BLOCK_TOKENS = 512
+CALL_TIMEOUT = aiohttp.ClientTimeout(total=2)
+READ_BYTES = 65_536
+HTTP_OK = 200
+
+_reports = pydantic.TypeAdapter(records.LoadReport)
+
+
+@engines.register
+class ModelClient(engines.EngineClient):
+    """Client of model engines.
+
+    Options: ``timing.silent_ms`` is the time without a byte after which a
+    stream is given up; engines send a heartbeat every 250 ms.
+    """
+
+    name = 'model'
+    aliases = ('engine',)
+
+    async def perform(self, attempt: engines.Attempt) -> events.Event:
+        """Hold the segments of a group, then generate on the last target."""
+        dispatch = attempt.dispatch
+        if not dispatch.resume:
+            await self._hold_segments(attempt)
+        try:
+            finished = await self._generate(attempt)
+        except engines.AttemptFault as fault:
+            await self._release(attempt, fault.kind)
+            raise
+        await self._release(attempt, 'finished')
+        return finished
+
+    async def cancel(self, address: str, attempt_id: str) -> None:
+        """Cancel an attempt at one target; faults are ignored."""
+        try:
+            await self._call(
+                f'http://{address}/v1/cancel', {'attempt_id': attempt_id}
+            )
+        except (aiohttp.ClientError, OSError, ValueError):
+            # The owner cancels attempts that no live grant covers.
+            return
+
+    async def load(self, target: records.TargetInfo) -> records.LoadReport:
+        """Read the lagging load report."""
+        body = await self._read(f'http://{target.address}/v1/load')
+        return _reports.validate_python(body)
+
+    async def prefixes(
+        self, target: records.TargetInfo, after: int
+    ) -> list[events.PrefixesReported]:
+        """Read the cache events after a sequence number."""
+        url = f'http://{target.address}/v1/events?after={after}'
+        body = await self._read(url)
+        return [
+            events.PrefixesReported(
+                target.name,
+                int(entry['sequence']),
+                tuple(entry['added']),
+                tuple(entry['removed']),
+            )
+            for entry in body['events']
+        ]
+
+    async def order(
+        self, address: str, fence: int, order: Mapping[str, Any]
+    ) -> Mapping[str, Any]:
+        """Send an order and return ``status`` and ``state``."""
+        body = {'fence': fence, 'order': dict(order)}
+        return await self._call(f'http://{address}/v1/orders', body)
+
+    async def _hold_segments(self, attempt: engines.Attempt) -> None:
+        done = 0
+        for target in attempt.dispatch.targets[:-1]:
+            body = _segment(attempt, done, target.tokens)
+            url = f'http://{target.address}/v1/hold'
+            async for _ in self._events(url, body):
+                """Reads until the engine has exported the segment."""
+            done += target.tokens
+
+    async def _generate(self, attempt: engines.Attempt) -> events.Event:
+        dispatch = attempt.dispatch
+        offset = attempt.sink.offset
+        url = f'http://{dispatch.targets[-1].address}/v1/generate'
+        body = _generation(attempt, offset)
+        if dispatch.resume:
+            url = f'{url}?resume={dispatch.attempt_id}&offset={offset}'
+            body = {}
+        first = not (dispatch.resume and offset)
+        async for event in self._events(url, body, dispatch.attempt_id):
+            if event.event == 'done':
+                return _finished(attempt, event.body)
+            if first:
+                self.emit(events.FirstToken(dispatch.attempt_id))
+                first = False
+            await attempt.sink.deliver(
+                dispatch.attempt_id,
+                int(event.body['offset']),
+                (str(event.body['text']),),
+            )
+        raise aiohttp.ClientPayloadError('stream ended without its end event')
+
+    async def _events(
+        self, url: str, body: Mapping[str, Any], started: str = ''
+    ) -> AsyncIterator[eventstream.ServerEvent]:
+        """Yield the events of a stream up to ``done``."""
+        decoder = eventstream.EventDecoder()
+        response = await self._open(url, body)
+        async with response:
+            await _check_accepted(response)
+            if started:
+                self.emit(events.AttemptStarted(started))
+            while received := await self._receive(response):
+                for event in _checked(decoder.feed(received)):
+                    yield event
+
+    async def _open(
+        self, url: str, body: Mapping[str, Any]
+    ) -> aiohttp.ClientResponse:
+        async with asyncio.timeout(self.silent_s):
+            return await self.session.post(url, json=body)
+
+    async def _receive(self, response: aiohttp.ClientResponse) -> bytes:
+        async with asyncio.timeout(self.silent_s):
+            return await response.content.read(READ_BYTES)
+
+    async def _release(self, attempt: engines.Attempt, reason: str) -> None:
+        """Free held segments unless the attempt may be resumed."""
+        if reason in {'lost', 'silent'}:
+            return
+        attempt_id = attempt.dispatch.attempt_id
+        await asyncio.gather(
+            *(
+                self.cancel(target.address, attempt_id)
+                for target in attempt.dispatch.targets[:-1]
+            )
+        )
+
+    async def _call(self, url: str, body: Mapping[str, Any]) -> dict[str, Any]:
+        async with self.session.post(
+            url, json=body, timeout=CALL_TIMEOUT
+        ) as response:
+            response.raise_for_status()
+            return _object(await response.read())
+
+    async def _read(self, url: str) -> dict[str, Any]:
+        async with self.session.get(url, timeout=CALL_TIMEOUT) as response:
+            response.raise_for_status()
+            return _object(await response.read())
+
+
+def _object(received: bytes) -> dict[str, Any]:
+    decoded = json.loads(received)
+    if not isinstance(decoded, dict):
+        raise ValueError('not a JSON object')
+    return decoded
+
+
+async def _check_accepted(response: aiohttp.ClientResponse) -> None:
+    """Raise unless the engine accepted the attempt."""
+    if response.status == HTTP_OK:
+        return
+    body = _object(await response.read())
+    if body.get('not_run') is True:
+        raise engines.AttemptFault('refused')
+    if body.get('code') == 'unknown_attempt':
+        # The engine has restarted since the attempt was dispatched.
+        raise engines.AttemptFault('target_died')
+    raise engines.AttemptFault('rejected')
+
+
+def _checked(
+    received: list[eventstream.ServerEvent],
+) -> Iterator[eventstream.ServerEvent]:
+    """Yield events up to one by which the engine reports an error."""
+    for event in received:
+        if event.event == 'error':
+            raise engines.AttemptFault('rejected')
+        yield event
+
+
+def _finished(
+    attempt: engines.Attempt, body: Mapping[str, Any]
+) -> events.AttemptFinished:
+    tokens = int(body['output_tokens'])
+    return events.AttemptFinished(attempt.dispatch.attempt_id, tokens)
+
+
+def _segment(
+    attempt: engines.Attempt, start: int, tokens: int
+) -> dict[str, Any]:
+    return {
+        'attempt_id': attempt.dispatch.attempt_id,
+        'prompt': attempt.prompt,
+        'segment_start': start,
+        'prompt_tokens': tokens,
+        'prefix_hashes': _hashes(attempt, start, tokens),
+        'priority': attempt.dispatch.engine_priority,
+        'remaining_ms': attempt.dispatch.remaining_ms,
+    }
+
+
+def _generation(attempt: engines.Attempt, offset: int) -> dict[str, Any]:
+    targets = attempt.dispatch.targets
+    held = sum(target.tokens for target in targets[:-1])
+    tokens = attempt.request.prompt_tokens - held
+    return {
+        **_segment(attempt, held, tokens),
+        'max_output_tokens': attempt.request.max_output_tokens,
+        'fingerprint': attempt.request.fingerprint,
+        'imports': [target.address for target in targets[:-1]],
+        'offset': offset,
+        'prefix': attempt.prefix,
+    }
+
+
+def _hashes(
+    attempt: engines.Attempt, start: int, tokens: int
+) -> tuple[int, ...]:
+    first = start // BLOCK_TOKENS
+    last = (start + tokens) // BLOCK_TOKENS
+    return attempt.request.prefix_hashes[first:last]
--- /dev/null
+++ b/bergamotstream/exporters/prometheus.py
@@ -0,0 +1,56 @@
+"""
+Prometheus exporter
+~~~~~~~~~~~~~~~~~~~
+
+Text exposition format, version 0.0.4.
+"""
+
+from collections.abc import Iterator
+
+from bergamotstream import exporters, metrics
+
+PREFIX = 'bergamotstream_'
+
+
+@exporters.register
+class PrometheusExporter(exporters.Exporter):
+    """Counters and summaries as text; no options."""
+
+    name = 'prometheus'
+    aliases = ('prom', 'text')
+
+    def render(self, snapshot: metrics.Snapshot) -> str:
+        """Return one line for each value."""
+        lines = [*_counter_lines(snapshot), *_summary_lines(snapshot)]
+        return '\n'.join([*lines, ''])
+
+
+def _counter_lines(snapshot: metrics.Snapshot) -> Iterator[str]:
+    declared = ''
+    for series, count in sorted(snapshot.counters.items()):
+        name = f'{PREFIX}{series.metric}_total'
+        if name != declared:
+            yield f'# TYPE {name} counter'
+        declared = name
+        yield f'{name}{_labels(series)} {count}'
+
+
+def _summary_lines(snapshot: metrics.Snapshot) -> Iterator[str]:
+    declared = ''
+    for series, summary in sorted(snapshot.summaries.items()):
+        name = f'{PREFIX}{series.metric}_ms'
+        if name != declared:
+            yield f'# TYPE {name} summary'
+        declared = name
+        for quantile, duration_ms in summary.values_by_quantile.items():
+            labels = _labels(series, f'quantile="{quantile}"')
+            yield f'{name}{labels} {duration_ms}'
+        yield f'{name}_count{_labels(series)} {summary.observed}'
+
+
+def _labels(series: metrics.Series, *further: str) -> str:
+    pairs = list(further)
+    if series.label:
+        escaped = series.label.replace('\\', r'\\').replace('"', r'\"')
+        pairs.insert(0, 'label="{0}"'.format(escaped.replace('\n', r'\n')))
+    return '{{{0}}}'.format(','.join(pairs)) if pairs else ''
--- /dev/null
+++ b/bergamotstream/hostprocess.py
@@ -0,0 +1,137 @@
+"""
+Host process
+~~~~~~~~~~~~
+
+The tasks around one core. One task owns the core and reads a queue of events;
+all others only put events into the queue.
+"""
+
+import asyncio
+import contextlib
+
+from absl import logging
+
+from bergamotstream import (
+    attempts,
+    callers,
+    clock,
+    core,
+    engines,
+    events,
+    hostlinks,
+    hostlists,
+    keyvalues,
+    logs,
+    metrics,
+    runner,
+    settings,
+)
+
+
+class HostProcess:
+    """One host: a core, its sockets and its tasks."""
+
+    def __init__(
+        self,
+        config: settings.Settings,
+        host_core: core.HostCore,
+        kv: keyvalues.KeyValueClient,
+        incoming: asyncio.Queue[events.Event],
+        links: hostlinks.Links,
+    ) -> None:
+        """``links`` put received messages into ``incoming``."""
+        self.meters = metrics.Metrics()
+        self._config = config
+        self._core = host_core
+        self._kv = kv
+        self._incoming = incoming
+        self._links = links
+        self._time = clock.Clock()
+        self._tick_waits = False
+        self._tasks: list[asyncio.Task[None]] = []
+        self._server = callers.CallerServer(
+            config, incoming, self.meters, self._time
+        )
+
+    def request_stop(self) -> None:
+        """Begin a graceful stop."""
+        logs.write('stop_requested', {'host': self._config.host})
+        self._incoming.put_nowait(events.StopRequested())
+
+    async def run(self) -> None:
+        """Serve until the core has stopped; closes everything."""
+        async with contextlib.AsyncExitStack() as stack:
+            session = await stack.enter_async_context(
+                attempts.new_session(self._config)
+            )
+            stack.push_async_callback(self._kv.close)
+            performer = self._performer(session)
+            stack.callback(performer.close)
+            await self._links.start()
+            stack.push_async_callback(self._links.close)
+            await self._server.start()
+            stack.push_async_callback(self._server.close)
+            stack.callback(self._cancel_tasks)
+            self._start_tasks(session)
+            logs.write('host_started', {'host': self._config.host})
+            await self._own_core(performer)
+        logs.write('host_stopped', {'host': self._config.host})
+
+    def _performer(
+        self, session: attempts.aiohttp.ClientSession
+    ) -> runner.ActionRunner:
+        return runner.ActionRunner(
+            runner.Surroundings(
+                config=self._config,
+                shared=self._core.state,
+                emit=self._incoming.put_nowait,
+                session=session,
+                links=self._links,
+                kv=self._kv,
+                server=self._server,
+                meters=self.meters,
+            )
+        )
+
+    def _start_tasks(self, session: attempts.aiohttp.ClientSession) -> None:
+        emit = self._incoming.put_nowait
+        reader = hostlists.read_repeatedly(self._config, session, emit)
+        self._tasks.append(asyncio.create_task(reader))
+        self._tasks.append(asyncio.create_task(self._tick()))
+
+    def _cancel_tasks(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+
+    async def _tick(self) -> None:
+        """Put a tick into the queue unless one is still waiting there."""
+        while True:
+            if not self._tick_waits:
+                self._tick_waits = True
+                self._incoming.put_nowait(events.Tick())
+            await asyncio.sleep(self._config.timing.tick_ms / engines.MS_PER_S)
+
+    async def _own_core(self, performer: runner.ActionRunner) -> None:
+        while not performer.stopped:
+            event = await self._incoming.get()
+            if isinstance(event, events.Tick):
+                self._tick_waits = False
+            self._handle(event, performer)
+
+    def _handle(
+        self, event: events.Event, performer: runner.ActionRunner
+    ) -> None:
+        began = self._time.now_us()
+        kind = type(event).__name__
+        try:
+            produced = self._core.handle(event, self._time.now_ms())
+        except Exception:
+            # One faulty event must not end the requests of all callers.
+            self.meters.count('core_faults', kind)
+            logging.exception('%s', logs.line('core_fault', {'kind': kind}))
+            return
+        self.meters.count('core_events', kind)
+        spent_us = self._time.now_us() - began
+        self.meters.count('core_us', kind, spent_us)
+        for action in produced:
+            performer.perform(action)
--- /dev/null
+++ b/bergamotstream/runner.py
@@ -0,0 +1,224 @@
+"""
+Action runner
+~~~~~~~~~~~~~
+
+Performs the actions of the core: each kind of action has one method. Nothing
+here waits; what takes time runs as a task and reports by an event.
+"""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any, NamedTuple, TypeVar
+
+import aiohttp
+
+from bergamotstream import (
+    actions,
+    answers,
+    attempts,
+    callers,
+    engines,
+    events,
+    hostlinks,
+    keyvalues,
+    logs,
+    metrics,
+    records,
+    settings,
+    state,
+    watching,
+)
+
+Method = TypeVar('Method', bound=Callable[..., None])
+
+_performers_by_kind: dict[type, str] = {}
+
+
+class Surroundings(NamedTuple):
+    """What actions are performed with."""
+
+    config: settings.Settings
+    shared: state.HostState
+    emit: engines.Emit
+    session: aiohttp.ClientSession
+    links: hostlinks.Links
+    kv: keyvalues.KeyValueClient
+    server: callers.CallerServer
+    meters: metrics.Metrics
+
+
+def performs(*kinds: type) -> Callable[[Method], Method]:
+    """Register a method for kinds of actions."""
+
+    def decorator(method: Method) -> Method:
+        for kind in kinds:
+            _performers_by_kind[kind] = method.__name__
+        return method
+
+    return decorator
+
+
+class ActionRunner:
+    """Performs actions."""
+
+    def __init__(self, around: Surroundings) -> None:
+        """Use the sockets in ``around``."""
+        self.stopped = False
+        self._around = around
+        self._answers: answers.OpenAnswers = around.server.open_answers
+        self._attempts = attempts.Attempts()
+        self._watches = watching.Watches(around.config, around.emit)
+        self._clients_by_kind: dict[str, engines.EngineClient] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def perform(self, action: actions.Action) -> None:
+        """Perform one action."""
+        method = _performers_by_kind[type(action)]
+        getattr(self, method)(action)
+
+    def close(self) -> None:
+        """Drop all attempts, watches and calls."""
+        self._attempts.close()
+        self._watches.close()
+        for task in self._tasks:
+            task.cancel()
+
+    @performs(actions.SendMessage)
+    def send_message(self, action: actions.SendMessage) -> None:
+        """Send a message to a peer whose address is known."""
+        host = self._around.shared.hosts_by_name.get(action.host)
+        if host is not None:
+            self._around.links.send(host, action.message)
+
+    @performs(actions.Dispatch)
+    def dispatch(self, action: actions.Dispatch) -> None:
+        """Start an attempt unless its caller is gone."""
+        answer = self._answers.by_request.get(action.request_id)
+        if answer is None:
+            failed = events.AttemptFailed(
+                action.attempt_id, 'refused', action.offset
+            )
+            self._around.emit(failed)
+            return
+        client = self._client(answer.request.service)
+        self._attempts.start(client, action, answer)
+
+    @performs(actions.CancelAttempt)
+    def cancel_attempt(self, action: actions.CancelAttempt) -> None:
+        """Drop the stream and cancel the attempt at the target."""
+        self._attempts.drop(action.attempt_id)
+        target = self._around.shared.targets_by_name.get(action.target)
+        if target is None:
+            return
+        client = self._client(target.service)
+        self._begin(client.cancel(target.address, action.attempt_id))
+
+    @performs(actions.FinishRequest)
+    def finish_request(self, action: actions.FinishRequest) -> None:
+        """End an answer successfully."""
+        answer = self._answers.by_request.get(action.request_id)
+        if answer is not None:
+            answer.finish(action.answer)
+
+    @performs(actions.RefuseRequest)
+    def refuse_request(self, action: actions.RefuseRequest) -> None:
+        """End an answer with an error."""
+        answer = self._answers.by_request.get(action.request_id)
+        if answer is not None:
+            answer.refuse(answers.refusal(action))
+
+    @performs(actions.RestartAnswer)
+    def restart_answer(self, action: actions.RestartAnswer) -> None:
+        """Tell the caller to discard what it has."""
+        answer = self._answers.by_request.get(action.request_id)
+        if answer is not None:
+            answer.restart()
+
+    @performs(actions.AnswerAddress, actions.AnswerAdmin)
+    def answer_query(
+        self, action: actions.AnswerAddress | actions.AnswerAdmin
+    ) -> None:
+        """Answer an address query or an operator's command."""
+        self._around.server.answer_query(action)
+
+    @performs(actions.WatchTarget)
+    def watch_target(self, action: actions.WatchTarget) -> None:
+        """Start to poll a target."""
+        client = self._client(action.target.service)
+        self._watches.watch(action.target, client)
+
+    @performs(actions.UnwatchTarget)
+    def unwatch_target(self, action: actions.UnwatchTarget) -> None:
+        """Stop polling a target."""
+        self._watches.unwatch(action.target)
+
+    @performs(actions.SendOrder)
+    def send_order(self, action: actions.SendOrder) -> None:
+        """Send an order to a target."""
+        self._begin(self._order(action))
+
+    @performs(
+        actions.KvRead, actions.KvWrite, actions.KvDelete, actions.KvWatch
+    )
+    def perform_kv(self, action: keyvalues.KvAction) -> None:
+        """Perform a key-value operation."""
+        self._begin(self._kv(action))
+
+    @performs(actions.LogEvent)
+    def log_event(self, action: actions.LogEvent) -> None:
+        """Write a log line."""
+        logs.write(action.event, action.fields)
+
+    @performs(actions.Count)
+    def count(self, action: actions.Count) -> None:
+        """Add to a counter."""
+        self._around.meters.count(action.metric, action.label, action.amount)
+
+    @performs(actions.Observe)
+    def observe(self, action: actions.Observe) -> None:
+        """Record a duration."""
+        self._around.meters.observe(
+            action.metric, action.label, action.duration_ms
+        )
+
+    @performs(actions.StopProcess)
+    def stop_process(self, action: actions.StopProcess) -> None:
+        """Let the process end."""
+        self.stopped = True
+
+    async def _order(self, action: actions.SendOrder) -> None:
+        target = self._around.shared.targets_by_name.get(action.target)
+        client = self._client(target.service if target else '')
+        try:
+            answer = await client.order(
+                action.address, action.fence, action.order
+            )
+        except (aiohttp.ClientError, OSError, ValueError):
+            # A lost answer leaves open whether the order was obeyed.
+            answer = {'status': 'unknown', 'state': {}}
+        self._around.emit(
+            events.OrderAnswered(
+                action.order_id, answer['status'], answer['state']
+            )
+        )
+
+    async def _kv(self, action: keyvalues.KvAction) -> None:
+        self._around.emit(await self._around.kv.perform(action))
+
+    def _client(self, service: str) -> engines.EngineClient:
+        """Return the client for the kind of a service; model by default."""
+        bundle = self._around.shared.bundle
+        kind: records.ServiceKind = 'model'
+        if bundle is not None and service in bundle.services_by_name:
+            kind = bundle.services_by_name[service].kind
+        if kind not in self._clients_by_kind:
+            client_type = engines.get_engine_by_kind(kind)
+            self._clients_by_kind[kind] = client_type(
+                self._around.session, self._around.config, self._around.emit
+            )
+        return self._clients_by_kind[kind]
+
+    def _begin(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- /dev/null
+++ b/bergamotstream/watching.py
@@ -0,0 +1,71 @@
+"""
+Watching targets
+~~~~~~~~~~~~~~~~
+
+One task for each watched target reads its load and its cache events. A target
+that does not answer is simply not reported; its owner sees the age of the
+last report grow.
+"""
+
+import asyncio
+
+import aiohttp
+
+from bergamotstream import engines, events, records, settings
+
+READ_FAULTS = (aiohttp.ClientError, OSError, ValueError, KeyError)
+
+
+class Watches:
+    """The watched targets of this host."""
+
+    def __init__(self, config: settings.Settings, emit: engines.Emit) -> None:
+        """Report to ``emit`` at the interval ``load_poll_ms``."""
+        self._interval_s = config.timing.load_poll_ms / engines.MS_PER_S
+        self._emit = emit
+        self._tasks_by_target: dict[str, asyncio.Task[None]] = {}
+
+    def watch(
+        self, target: records.TargetInfo, client: engines.EngineClient
+    ) -> None:
+        """Poll a target until it is unwatched."""
+        self.unwatch(target.name)
+        self._tasks_by_target[target.name] = asyncio.create_task(
+            self._poll(target, client)
+        )
+
+    def unwatch(self, name: str) -> None:
+        """Stop polling a target."""
+        task = self._tasks_by_target.pop(name, None)
+        if task is not None:
+            task.cancel()
+
+    def close(self) -> None:
+        """Stop polling all targets."""
+        for name in tuple(self._tasks_by_target):
+            self.unwatch(name)
+
+    async def _poll(
+        self, target: records.TargetInfo, client: engines.EngineClient
+    ) -> None:
+        sequence = 0
+        while True:
+            try:
+                sequence = await self._read(target, client, sequence)
+            except READ_FAULTS:
+                # Sequence numbers start again when the target restarts.
+                sequence = 0
+            await asyncio.sleep(self._interval_s)
+
+    async def _read(
+        self,
+        target: records.TargetInfo,
+        client: engines.EngineClient,
+        sequence: int,
+    ) -> int:
+        report = await client.load(target)
+        self._emit(events.LoadReported(report))
+        for change in await client.prefixes(target, sequence):
+            self._emit(change)
+            sequence = change.sequence
+        return sequence
