--- a/bergamotstream/answers.py
+++ b/bergamotstream/answers.py
@@ -16,6 +16,8 @@
 MAX_PROMPT_BYTES = 268_435_456
 # Time after which a caller whose request does not fit should come back.
 FULL_RETRY_MS = 500
+# An ended answer without a reader is kept this long for a resume.
+KEEP_S = 3.0
 TOKEN_OVERHEAD_BYTES = 64
 
 
@@ -39,6 +41,7 @@
         self.error: errors.ServiceError | None = None
         self.ended = False
         self.reader = 0
+        self.attended = False
         self._first = offset
         self._tokens: list[str] = []
         self._sent = 0
@@ -126,6 +129,7 @@
                 f'offset {offset} is not within the answer so far'
             )
         self.reader += 1
+        self.attended = True
         self._sent = position
         self._unread_bytes = _size(tuple(self._tokens[position:]))
         self._notify()
@@ -195,6 +199,29 @@
         self._prompt_bytes = size
         return answer
 
+    def end(
+        self,
+        request_id: str,
+        recorded: bytes = b'',
+        error: errors.ServiceError | None = None,
+    ) -> None:
+        """End an answer; without a reader it is kept for a resume."""
+        answer = self.by_request.get(request_id)
+        if answer is None:
+            return
+        if error is None:
+            answer.finish(recorded)
+        else:
+            answer.refuse(error)
+        if not answer.attended:
+            self._keep(answer)
+
+    def leave(self, answer: OpenAnswer) -> None:
+        """Note that the caller's connection broke."""
+        answer.attended = False
+        if answer.ended:
+            self._keep(answer)
+
     def close(self, request_id: str) -> None:
         """Forget an answer; tokens that still arrive are discarded."""
         answer = self.by_request.pop(request_id, None)
@@ -202,6 +229,15 @@
             self._prompt_bytes -= len(answer.prompt)
             answer.finish(b'')
 
+    def _keep(self, answer: OpenAnswer) -> None:
+        loop = asyncio.get_running_loop()
+        loop.call_later(KEEP_S, self._expire, answer)
+
+    def _expire(self, answer: OpenAnswer) -> None:
+        request_id = answer.request.request_id
+        if self.by_request.get(request_id) is answer and not answer.attended:
+            self.close(request_id)
+
 
 def refusal(action: actions.RefuseRequest) -> errors.ServiceError:
     """Return the typed error of an action."""
--- a/bergamotstream/callers.py
+++ b/bergamotstream/callers.py
@@ -113,6 +113,7 @@
         answer = self._running(parsed)
         if answer is None:
             answer = self.open_answers.open(parsed, offset)
+        if not answer.ended:
             event = events.ResumeReceived(
                 parsed.request, parsed.deadline_ms, offset
             )
@@ -156,26 +157,26 @@
         reader = answer.attach(offset)
         writer = delivery.Delivery(request, answer, reader)
         try:
-            if parsed.stream:
-                return await writer.as_stream()
-            return await writer.as_object()
-        except ConnectionError as fault:
+            response = await writer.deliver(parsed.stream)
+        except (ConnectionError, asyncio.CancelledError) as fault:
+            self._leave(answer, reader)
             self._drop_connection(request, fault)
             raise
-        finally:
-            self._leave(answer, reader)
+        if answer.reader == reader:
+            self.open_answers.close(answer.request.request_id)
+        return response
 
     def _leave(self, answer: answers.OpenAnswer, reader: int) -> None:
-        """Close the answer unless a newer connection reads it."""
+        """Tell the core unless a newer connection reads the answer."""
         if answer.reader != reader:
             return
-        request_id = answer.request.request_id
         if not answer.ended:
-            self._incoming.put_nowait(events.CallerGone(request_id))
-        self.open_answers.close(request_id)
+            gone = events.CallerGone(answer.request.request_id)
+            self._incoming.put_nowait(gone)
+        self.open_answers.leave(answer)
 
     def _drop_connection(
-        self, request: web.Request, fault: ConnectionError
+        self, request: web.Request, fault: BaseException
     ) -> None:
         if isinstance(fault, delivery.CallerStalled):
             self._meters.count('callers_stalled')
--- a/bergamotstream/delivery.py
+++ b/bergamotstream/delivery.py
@@ -65,6 +65,13 @@
         self._response = web.StreamResponse()
         self._next: asyncio.Future[answers.Part | None] | None = None
 
+    async def deliver(self, stream: bool) -> web.StreamResponse:
+        """Deliver as a stream or as one object.
+
+        Raises ``ConnectionError`` when the connection is of no more use.
+        """
+        return await (self.as_stream() if stream else self.as_object())
+
     async def as_object(self) -> web.Response:
         """Wait for the whole answer and return it as JSON."""
         texts: list[str] = []
--- a/bergamotstream/engines/__init__.py
+++ b/bergamotstream/engines/__init__.py
@@ -13,7 +13,14 @@
 
 import aiohttp
 
-from bergamotstream import actions, events, plugins, records, settings
+from bergamotstream import (
+    actions,
+    events,
+    logs,
+    plugins,
+    records,
+    settings,
+)
 
 Emit = Callable[[events.Event], None]
 
@@ -86,10 +93,24 @@
             finished = await self.perform(attempt)
         except Exception as fault:
             kind = await self._classify(fault, dispatch)
+            logs.write(
+                'attempt_failed',
+                {
+                    'attempt': dispatch.attempt_id,
+                    'request': dispatch.request_id,
+                    'target': dispatch.targets[-1].name,
+                    'kind': kind,
+                    'fault': repr(fault),
+                },
+            )
             finished = events.AttemptFailed(
                 dispatch.attempt_id, kind, attempt.sink.offset
             )
         self.emit(finished)
+        await self.clean_up(attempt, finished)
+
+    async def clean_up(self, attempt: Attempt, finished: events.Event) -> None:
+        """Free what an ended attempt leaves at its targets."""
 
     @abc.abstractmethod
     async def perform(self, attempt: Attempt) -> events.Event:
--- a/bergamotstream/engines/model.py
+++ b/bergamotstream/engines/model.py
@@ -21,6 +21,8 @@
 CALL_TIMEOUT = aiohttp.ClientTimeout(total=2)
 READ_BYTES = 65_536
 HTTP_OK = 200
+# The core attaches to these attempts again.
+RESUMABLE = frozenset(('lost', 'silent'))
 
 _reports = pydantic.TypeAdapter(records.LoadReport)
 
@@ -41,13 +43,21 @@
         dispatch = attempt.dispatch
         if not dispatch.resume:
             await self._hold_segments(attempt)
-        try:
-            finished = await self._generate(attempt)
-        except engines.AttemptFault as fault:
-            await self._release(attempt, fault.kind)
-            raise
-        await self._release(attempt, 'finished')
-        return finished
+        return await self._generate(attempt)
+
+    async def clean_up(
+        self, attempt: engines.Attempt, finished: events.Event
+    ) -> None:
+        """Free held segments unless the attempt may be resumed."""
+        if getattr(finished, 'kind', '') in RESUMABLE:
+            return
+        attempt_id = attempt.dispatch.attempt_id
+        await asyncio.gather(
+            *(
+                self.cancel(target.address, attempt_id)
+                for target in attempt.dispatch.targets[:-1]
+            )
+        )
 
     async def cancel(self, address: str, attempt_id: str) -> None:
         """Cancel an attempt at one target; faults are ignored."""
@@ -142,18 +152,6 @@
         async with asyncio.timeout(self.silent_s):
             return await response.content.read(READ_BYTES)
 
-    async def _release(self, attempt: engines.Attempt, reason: str) -> None:
-        """Free held segments unless the attempt may be resumed."""
-        if reason in {'lost', 'silent'}:
-            return
-        attempt_id = attempt.dispatch.attempt_id
-        await asyncio.gather(
-            *(
-                self.cancel(target.address, attempt_id)
-                for target in attempt.dispatch.targets[:-1]
-            )
-        )
-
     async def _call(self, url: str, body: Mapping[str, Any]) -> dict[str, Any]:
         async with self.session.post(
             url, json=body, timeout=CALL_TIMEOUT
--- a/bergamotstream/hostprocess.py
+++ b/bergamotstream/hostprocess.py
@@ -9,6 +9,7 @@
 import asyncio
 import contextlib
 
+import aiohttp
 from absl import logging
 
 from bergamotstream import (
@@ -77,9 +78,7 @@
             await self._own_core(performer)
         logs.write('host_stopped', {'host': self._config.host})
 
-    def _performer(
-        self, session: attempts.aiohttp.ClientSession
-    ) -> runner.ActionRunner:
+    def _performer(self, session: aiohttp.ClientSession) -> runner.ActionRunner:
         return runner.ActionRunner(
             runner.Surroundings(
                 config=self._config,
@@ -93,7 +92,7 @@
             )
         )
 
-    def _start_tasks(self, session: attempts.aiohttp.ClientSession) -> None:
+    def _start_tasks(self, session: aiohttp.ClientSession) -> None:
         emit = self._incoming.put_nowait
         reader = hostlists.read_repeatedly(self._config, session, emit)
         self._tasks.append(asyncio.create_task(reader))
--- a/bergamotstream/runner.py
+++ b/bergamotstream/runner.py
@@ -113,19 +113,21 @@
         client = self._client(target.service)
         self._begin(client.cancel(target.address, action.attempt_id))
 
+    @performs(actions.DropStream)
+    def drop_stream(self, action: actions.DropStream) -> None:
+        """Drop the stream and leave the attempt running at the target."""
+        self._attempts.drop(action.attempt_id)
+
     @performs(actions.FinishRequest)
     def finish_request(self, action: actions.FinishRequest) -> None:
         """End an answer successfully."""
-        answer = self._answers.by_request.get(action.request_id)
-        if answer is not None:
-            answer.finish(action.answer)
+        self._answers.end(action.request_id, recorded=action.answer)
 
     @performs(actions.RefuseRequest)
     def refuse_request(self, action: actions.RefuseRequest) -> None:
         """End an answer with an error."""
-        answer = self._answers.by_request.get(action.request_id)
-        if answer is not None:
-            answer.refuse(answers.refusal(action))
+        error = answers.refusal(action)
+        self._answers.end(action.request_id, error=error)
 
     @performs(actions.RestartAnswer)
     def restart_answer(self, action: actions.RestartAnswer) -> None:
