--- a/bench/naive.py
+++ b/bench/naive.py
@@ -209,15 +209,15 @@
         bundle = self.state.bundle
         if bundle is None:
             return b''
-        table = {
-            'version': bundle.version + 1,
-            'zones_out': set(bundle.zones_out),
-            'targets_leaving': set(bundle.targets_leaving),
+        names_by_part = {
+            'zones_out': bundle.zones_out,
+            'targets_leaving': bundle.targets_leaving,
         }
-        names = table[change.arguments['part']]
-        name = change.arguments['name']
+        part = change.arguments['part']
+        name = frozenset((change.arguments['name'],))
         if change.arguments['present']:
-            names.add(name)
+            names_by_part[part] |= name
         else:
-            names.discard(name)
+            names_by_part[part] -= name
+        table = {'version': bundle.version + 1, **names_by_part}
         return json.dumps(table, default=sorted).encode()
--- a/bench/operators.py
+++ b/bench/operators.py
@@ -50,7 +50,7 @@
             events.AdminAsked(query_id, 'change', arguments),
         )
 
-    def answered(self, host: Any, action: actions.AnswerAdmin) -> None:
+    def answered(self, action: actions.AnswerAdmin) -> None:
         """Watch an accepted change."""
         change = self._changes_by_query.pop(action.query_id, None)
         if change is None:
--- a/bench/shapes.py
+++ b/bench/shapes.py
@@ -52,8 +52,10 @@
 
 def targets() -> tuple[records.TargetInfo, ...]:
     """Return engines t1..t16 and plain instances p1..p3 over the zones."""
-    counts = (('t', MODEL_SERVICE, MODEL_TARGETS),)
-    counts += (('p', PLAIN_SERVICE, PLAIN_TARGETS),)
+    counts = (
+        ('t', MODEL_SERVICE, MODEL_TARGETS),
+        ('p', PLAIN_SERVICE, PLAIN_TARGETS),
+    )
     return tuple(
         records.TargetInfo(
             name=f'{letter}{number + 1}',
--- a/bench/targets.py
+++ b/bench/targets.py
@@ -87,7 +87,8 @@
             self.world.links.send(
                 self.name,
                 stream.host.name,
-                getattr(stream.host, method),
+                stream.host.stream,
+                method,
                 stream,
                 *arguments,
             )
@@ -114,7 +115,7 @@
             fresh = offset - stream.sent
             first = fresh > 0 and stream.sent == 0
             if ended or first or fresh >= STREAM_BATCH_TOKENS:
-                self.tell(stream, 'stream', stream.sent, offset, ended)
+                self.tell(stream, 'tokens', stream.sent, offset, ended)
                 stream.sent = offset
         if ended:
             self.streams_by_attempt.pop(attempt_id, None)
