--- /dev/null
+++ b/bergamotstream/assembly.py
@@ -0,0 +1,35 @@
+"""
+Assembly
+~~~~~~~~
+
+Builds the core of a host from its components. The order matters where one
+component reads what another one has written for the same event.
+"""
+
+from bergamotstream import (
+    accounts,
+    bundles,
+    components,
+    core,
+    membership,
+    operations,
+    ownership,
+    placement,
+    sessions,
+    settings,
+)
+
+COMPONENTS: tuple[type[components.Component], ...] = (
+    membership.Membership,
+    ownership.Ownership,
+    bundles.Bundles,
+    accounts.Accounts,
+    operations.Operations,
+    placement.Placement,
+    sessions.Sessions,
+)
+
+
+def build_core(config: settings.Settings, incarnation: str) -> core.HostCore:
+    """Build a core; ``incarnation`` differs for each start of the host."""
+    return core.HostCore(config, incarnation, COMPONENTS)
