--- /dev/null
+++ b/bergamotstream/granting.py
@@ -0,0 +1,250 @@
+"""
+Granting
+~~~~~~~~
+
+The component that decides for the target partitions which its host owns. It
+hands events and messages to the partition they concern.
+"""
+
+from bergamotstream import (
+    actions,
+    components,
+    events,
+    grants,
+    messages,
+    partitionowner,
+    partitions,
+    quarantine,
+    records,
+    state,
+)
+
+KIND = 'targets'
+NO_OWNER_RETRY_MS = 250
+FORGET_INTERVAL_MS = 10_000
+
+
+class Granting(components.Component):
+    """Grants, queues and memory of the owned target partitions."""
+
+    name = 'granting'
+
+    def __init__(self, shared: state.HostState) -> None:
+        """Start without partitions."""
+        super().__init__(shared)
+        self.owners_by_partition: dict[str, partitionowner.PartitionOwner] = {}
+        self.quarantine = quarantine.Quarantine(
+            shared.settings.limits.quarantine_after,
+            shared.own_blame_by_fingerprint,
+        )
+        self._partition_by_target: dict[str, str] = {}
+        self._forgot_ms = 0
+
+    @components.handles(events.PartitionAcquired)
+    def acquire(self, event: events.PartitionAcquired) -> components.Actions:
+        """Watch the targets and ask the members for their grants."""
+        if not event.partition.startswith(f'{KIND}:'):
+            return []
+        produced = self._drop(event.partition)
+        owner = partitionowner.PartitionOwner(
+            event.partition,
+            self._service_of(event.partition),
+            self.state,
+            self.quarantine,
+        )
+        self.owners_by_partition[event.partition] = owner
+        self._update_targets()
+        produced.extend(owner.adoption.ask())
+        return produced + owner.take_actions()
+
+    @components.handles(events.PartitionLost)
+    def lose(self, event: events.PartitionLost) -> components.Actions:
+        """Forget everything about a partition."""
+        return self._drop(event.partition)
+
+    @components.handles(events.HostListRead, events.BundleChanged)
+    def follow_lists(
+        self, event: events.HostListRead | events.BundleChanged
+    ) -> components.Actions:
+        """Follow the targets and what operators say about them."""
+        self._update_targets()
+        return self._take_all()
+
+    @components.handles(messages.GrantRequest)
+    def request(
+        self, message: messages.GrantRequest, sender: str
+    ) -> components.Actions:
+        """Grant, queue or deny a request."""
+        owner = self._owner(message.partition)
+        if owner is None:
+            return [
+                grants.denial(
+                    message.partition,
+                    sender,
+                    message.request.request_id,
+                    'no_owner',
+                    NO_OWNER_RETRY_MS,
+                )
+            ]
+        owner.request(message, sender)
+        return owner.take_actions()
+
+    @components.handles(messages.GrantCancel)
+    def cancel(
+        self, message: messages.GrantCancel, sender: str
+    ) -> components.Actions:
+        """Remove a waiting request."""
+        owner = self._owner(message.partition)
+        if owner is None:
+            return []
+        waiting = owner.admission.waiting_by_request.get(message.request_id)
+        if waiting is not None and waiting.asker == sender:
+            owner.admission.withdraw(message.request_id)
+        return owner.take_actions()
+
+    @components.handles(messages.GrantRenew)
+    def renew(
+        self, message: messages.GrantRenew, sender: str
+    ) -> components.Actions:
+        """Extend leases."""
+        owner = self._owner(message.partition)
+        if owner is None:
+            return []
+        for attempt_id in message.attempt_ids:
+            owner.renew(attempt_id, sender)
+        return owner.take_actions()
+
+    @components.handles(messages.GrantProgress)
+    def progress(
+        self, message: messages.GrantProgress, sender: str
+    ) -> components.Actions:
+        """Learn from a first token."""
+        owner = self._owner(message.partition)
+        if owner is None:
+            return []
+        owner.progress(message)
+        return owner.take_actions()
+
+    @components.handles(messages.GrantRelease)
+    def release(
+        self, message: messages.GrantRelease, sender: str
+    ) -> components.Actions:
+        """End a grant."""
+        owner = self._owner(message.partition)
+        if owner is None:
+            return []
+        owner.release(message, sender)
+        return owner.take_actions()
+
+    @components.handles(messages.FindRequest)
+    def find(
+        self, message: messages.FindRequest, sender: str
+    ) -> components.Actions:
+        """Look for a request that another host wants to resume."""
+        owner = self._owner(message.partition)
+        if owner is None:
+            reply = messages.FindReply(
+                message.partition, message.request_id, found=False
+            )
+            return [actions.SendMessage(sender, reply)]
+        owner.find(message.request_id, sender)
+        return owner.take_actions()
+
+    @components.handles(messages.HoldingsReply)
+    def adopt(
+        self, message: messages.HoldingsReply, sender: str
+    ) -> components.Actions:
+        """Adopt the grants that a member holds."""
+        owner = self._owner(message.partition)
+        if owner is None:
+            return []
+        owner.adopt(message.holdings, sender)
+        return owner.take_actions()
+
+    @components.handles(events.LoadReported)
+    def report(self, event: events.LoadReported) -> components.Actions:
+        """Reconcile a target's bookkeeping with its report."""
+        owner = self._owner_of_target(event.report.target)
+        if owner is None:
+            return []
+        owner.report(event.report)
+        return owner.take_actions()
+
+    @components.handles(events.PrefixesReported)
+    def prefixes(self, event: events.PrefixesReported) -> components.Actions:
+        """Update a digest of cached prefixes."""
+        owner = self._owner_of_target(event.target)
+        if owner is not None:
+            owner.prefixes(event)
+        return []
+
+    @components.handles(events.Tick)
+    def tick(self, event: events.Tick) -> components.Actions:
+        """Expire leases and re-check the queues."""
+        if self.state.now_ms - self._forgot_ms >= FORGET_INTERVAL_MS:
+            self._forgot_ms = self.state.now_ms
+            self.quarantine.forget_old(self.state.now_ms)
+        for owner in self.owners_by_partition.values():
+            owner.tick()
+        return self._take_all()
+
+    def _owner(self, partition: str) -> partitionowner.PartitionOwner | None:
+        return self.owners_by_partition.get(partition)
+
+    def _owner_of_target(
+        self, target: str
+    ) -> partitionowner.PartitionOwner | None:
+        return self._owner(self._partition_by_target.get(target, ''))
+
+    def _take_all(self) -> components.Actions:
+        produced: components.Actions = []
+        for owner in self.owners_by_partition.values():
+            produced.extend(owner.take_actions())
+        return produced
+
+    def _drop(self, partition: str) -> components.Actions:
+        owner = self.owners_by_partition.pop(partition, None)
+        if owner is None:
+            return []
+        self.state.own_loads_by_partition.pop(partition, None)
+        owner.drop()
+        return owner.take_actions()
+
+    def _service_of(self, partition: str) -> records.ServiceConfig:
+        name = partitions.service_of(partition)
+        bundle = self.state.bundle
+        if bundle is None or name not in bundle.services_by_name:
+            return records.ServiceConfig(name, 'model')
+        return bundle.services_by_name[name]
+
+    def _update_targets(self) -> None:
+        listed: dict[str, dict[str, records.TargetInfo]] = {
+            partition: {} for partition in self.owners_by_partition
+        }
+        self._partition_by_target.clear()
+        services: dict[str, records.ServiceConfig] = {}
+        for info in self.state.targets_by_name.values():
+            service = services.get(info.service)
+            if service is None:
+                service = self._service_of(f'{KIND}:{info.service}')
+                services[info.service] = service
+            partition = partitions.targets_partition(info, service)
+            members = listed.get(partition)
+            if members is not None:
+                members[info.name] = info
+                self._partition_by_target[info.name] = partition
+        for partition, owner in self.owners_by_partition.items():
+            owner.update_targets(
+                listed[partition], self._leaving(listed[partition])
+            )
+
+    def _leaving(self, listed: dict[str, records.TargetInfo]) -> frozenset[str]:
+        """Return the targets that must not be given new work."""
+        bundle = self.state.bundle
+        out = frozenset() if bundle is None else bundle.zones_out
+        leaving = frozenset() if bundle is None else bundle.targets_leaving
+        return frozenset(
+            name
+            for name, info in listed.items()
+            if info.leaving or name in leaving or info.availability_zone in out
+        )
--- /dev/null
+++ b/bergamotstream/partitionowner.py
@@ -0,0 +1,375 @@
+"""
+Partition owner
+~~~~~~~~~~~~~~~
+
+The grants of one target partition: their leases, their end, and the targets
+they occupy. Nothing here reads a clock or sends anything by itself.
+"""
+
+import heapq
+
+from bergamotstream import (
+    actions,
+    admission,
+    adoption,
+    events,
+    grants,
+    messages,
+    placing,
+    quarantine,
+    records,
+    state,
+    targetstate,
+)
+
+# Outcomes after which the target certainly holds no memory of the attempt.
+CERTAIN_OUTCOMES = frozenset(('finished', 'not_run'))
+LOAD_INTERVAL_MS = 250
+
+
+class PartitionOwner:
+    """All decisions about the targets of one partition."""
+
+    def __init__(
+        self,
+        partition: str,
+        service: records.ServiceConfig,
+        shared: state.HostState,
+        blame: quarantine.Quarantine,
+    ) -> None:
+        """Start without targets and grants."""
+        self.partition = partition
+        self.service = service
+        self.targets_by_name: dict[str, targetstate.TargetState] = {}
+        self.grants_by_attempt: dict[str, grants.Grant] = {}
+        self.adoption = adoption.Adoption(partition, shared)
+        self.admission = admission.Admission(
+            partition, shared, service, self.targets_by_name, blame
+        )
+        self._state = shared
+        self._blame = blame
+        self._attempt_by_request: dict[str, str] = {}
+        self._leases: list[tuple[int, str]] = []
+        self._load_ms = shared.now_ms - LOAD_INTERVAL_MS
+        self._out: list[actions.Action] = []
+
+    def take_actions(self) -> list[actions.Action]:
+        """Grant what is possible and return all actions so far."""
+        if self.adoption.complete:
+            self.admission.pump(self._grant)
+        self._out.extend(self.admission.take_denials())
+        taken = self._out
+        self._out = []
+        return taken
+
+    def update_targets(
+        self, listed: dict[str, records.TargetInfo], leaving: frozenset[str]
+    ) -> None:
+        """Follow the host list and the bundle."""
+        for name in list(self.targets_by_name):
+            if name not in listed:
+                self._forget_target(name)
+        for info in listed.values():
+            target = self.targets_by_name.get(info.name)
+            if target is None:
+                target = targetstate.TargetState(
+                    info, self.service, self._state.now_ms
+                )
+                self.targets_by_name[info.name] = target
+                self._out.append(actions.WatchTarget(info))
+            target.info = info
+            target.leaving_by_operator = info.name in leaving
+        self._deny_without_targets()
+
+    def drop(self) -> None:
+        """Stop watching; the next owner learns the rest from the holders."""
+        for name in self.targets_by_name:
+            self._out.append(actions.UnwatchTarget(name))
+        self.admission.deny_all('no_owner')
+
+    def request(self, message: messages.GrantRequest, asker: str) -> None:
+        """Queue a request, or repeat the answer that it has had."""
+        request_id = message.request.request_id
+        grant = self._grant_of(request_id)
+        if grant is not None:
+            names = {target.name for target in grant.targets}
+            if names.isdisjoint(message.excluded_targets):
+                grant.holder = asker
+                self._out.append(grants.grant_reply(self.partition, grant))
+                return
+            self._end_grant(grant, 'failed')
+        queued = self.admission.waiting_by_request.get(request_id)
+        if queued is not None:
+            queued.asker = asker
+            return
+        waiting = grants.Waiting(message, asker, self._state.now_ms)
+        self.admission.submit(waiting)
+
+    def renew(self, attempt_id: str, sender: str) -> None:
+        """Extend a lease, or tell the sender that there is none."""
+        grant = self.grants_by_attempt.get(attempt_id)
+        if grant is not None:
+            if grant.holder == sender:
+                grant.expires_ms = self._lease_end_ms()
+            return
+        if sender in self.adoption.answered or self.adoption.certain:
+            expired = messages.GrantExpired(self.partition, attempt_id)
+            self._out.append(actions.SendMessage(sender, expired))
+        else:
+            query = messages.HoldingsQuery(self.partition)
+            self._out.append(actions.SendMessage(sender, query))
+
+    def progress(self, message: messages.GrantProgress) -> None:
+        """Learn from the first token of an attempt."""
+        grant = self.grants_by_attempt.get(message.attempt_id)
+        if grant is None or grant.ttft_ms is not None:
+            return
+        grant.ttft_ms = message.ttft_ms
+        for target in self._targets_of(grant):
+            target.first_token(
+                grant.attempt_id,
+                message.ttft_ms,
+                grant.predicted_ttft_ms,
+                self._state.now_ms,
+            )
+
+    def release(self, message: messages.GrantRelease, sender: str) -> None:
+        """End a grant as its holder reports."""
+        grant = self.grants_by_attempt.get(message.attempt_id)
+        if grant is None or grant.holder != sender:
+            return
+        now_ms = self._state.now_ms
+        for target in self._targets_of(grant):
+            if message.outcome == 'finished':
+                target.learn_end(grant, message, now_ms)
+            elif message.outcome == 'not_run':
+                target.back_off(now_ms)
+            elif message.outcome == 'target_lost':
+                self._target_lost(target, grant)
+        if message.outcome == 'finished' and grant.suspect:
+            self._blame.clear(grant.request.fingerprint, now_ms)
+        self._end_grant(grant, message.outcome)
+
+    def find(self, request_id: str, asker: str) -> None:
+        """Hand a running grant over to the host that asks for it."""
+        grant = self._grant_of(request_id)
+        if grant is None:
+            reply = messages.FindReply(self.partition, request_id, found=False)
+        else:
+            grant.holder = asker
+            grant.expires_ms = self._lease_end_ms()
+            reply = messages.FindReply(
+                self.partition,
+                request_id,
+                found=True,
+                attempt_id=grant.attempt_id,
+                targets=grant.targets,
+                remaining_ms=grant.deadline_ms - self._state.now_ms,
+            )
+        self._out.append(actions.SendMessage(asker, reply))
+
+    def adopt(self, holdings: tuple[records.Holding, ...], sender: str) -> None:
+        """Take over grants that the previous owner gave."""
+        self.adoption.answered.add(sender)
+        for holding in holdings:
+            if holding.attempt_id not in self.grants_by_attempt:
+                self._adopt(holding, sender)
+
+    def report(self, report: records.LoadReport) -> None:
+        """Reconcile the bookkeeping with a load report."""
+        target = self.targets_by_name.get(report.target)
+        if target is None:
+            return
+        target.reported_leaving = report.leaving
+        findings = target.reconcile(report, self._state.now_ms)
+        if findings is None:
+            return
+        if findings.restarted:
+            self._restarted(target, findings.dead)
+        cancels = list(findings.cancel)
+        if self.adoption.complete and self.adoption.certain:
+            cancels.extend(sorted(target.orphans))
+        for attempt_id in cancels:
+            self._out.append(actions.CancelAttempt(target.name, attempt_id))
+        self._deny_without_targets()
+
+    def prefixes(self, event: events.PrefixesReported) -> None:
+        """Update the digest of cached prefixes."""
+        target = self.targets_by_name.get(event.target)
+        if target is not None:
+            target.prefixes.apply(event.sequence, event.added, event.removed)
+
+    def tick(self) -> None:
+        """Expire leases, deny late requests and refresh the summary."""
+        self._out.extend(self.adoption.ask_again())
+        self._expire_leases()
+        self.admission.check_deadlines()
+        if self._state.now_ms - self._load_ms >= LOAD_INTERVAL_MS:
+            self._load_ms = self._state.now_ms
+            load = self.admission.load()
+            self._state.own_loads_by_partition[self.partition] = load
+
+    def _grant(
+        self, waiting: grants.Waiting, placement: placing.Placement
+    ) -> None:
+        now_ms = self._state.now_ms
+        granted = tuple(
+            records.GrantedTarget(
+                entry.target.name,
+                entry.target.info.address,
+                entry.need.prompt_tokens,
+            )
+            for entry in placement.assignments
+        )
+        attempt_id = self._state.new_id()
+        grant = grants.Grant(attempt_id, waiting, granted, now_ms)
+        grant.predicted_ttft_ms = placement.predicted_ttft_ms
+        for entry in placement.assignments:
+            entry.target.occupy(attempt_id, entry.need, now_ms)
+            entry.target.start_prefill(attempt_id, entry.need, now_ms)
+        self._add_grant(grant)
+        self._out.append(grants.grant_reply(self.partition, grant))
+
+    def _add_grant(self, grant: grants.Grant) -> None:
+        grant.expires_ms = self._lease_end_ms()
+        self.grants_by_attempt[grant.attempt_id] = grant
+        self._attempt_by_request[grant.request.request_id] = grant.attempt_id
+        heapq.heappush(self._leases, (grant.expires_ms, grant.attempt_id))
+
+    def _adopt(self, holding: records.Holding, sender: str) -> None:
+        request = holding.request
+        message = messages.GrantRequest(
+            self.partition,
+            request,
+            holding.remaining_ms,
+            self._priority_of(request.workspace),
+        )
+        waiting = grants.Waiting(message, sender, self._state.now_ms)
+        grant = grants.Grant(
+            holding.attempt_id, waiting, holding.targets, self._state.now_ms
+        )
+        output = request.max_output_tokens
+        tokens_by_target = {
+            entry.name: entry.tokens for entry in holding.targets
+        }
+        for target in self._targets_of(grant):
+            segment = tokens_by_target[target.name]
+            need = targetstate.Need(
+                waiting.length_class,
+                waiting.engine_priority,
+                segment,
+                segment + output,
+                request.prefix_hashes,
+            )
+            output = 0
+            target.occupy(grant.attempt_id, need, self._state.now_ms)
+            if not holding.first_token_seen:
+                target.start_prefill(grant.attempt_id, need, self._state.now_ms)
+        self._add_grant(grant)
+
+    def _priority_of(self, workspace: str) -> int:
+        bundle = self._state.bundle
+        if bundle is None or workspace not in bundle.workspaces_by_name:
+            return 0
+        return bundle.workspaces_by_name[workspace].priority
+
+    def _targets_of(self, grant: grants.Grant) -> list[targetstate.TargetState]:
+        return [
+            self.targets_by_name[entry.name]
+            for entry in grant.targets
+            if entry.name in self.targets_by_name
+        ]
+
+    def _grant_of(self, request_id: str) -> grants.Grant | None:
+        attempt_id = self._attempt_by_request.get(request_id, '')
+        return self.grants_by_attempt.get(attempt_id)
+
+    def _lease_end_ms(self) -> int:
+        return self._state.now_ms + self._state.settings.timing.grant_lease_ms
+
+    def _expire_leases(self) -> None:
+        now_ms = self._state.now_ms
+        while self._leases and self._leases[0][0] <= now_ms:
+            _, attempt_id = heapq.heappop(self._leases)
+            grant = self.grants_by_attempt.get(attempt_id)
+            if grant is None:
+                continue
+            if grant.expires_ms > now_ms:
+                heapq.heappush(self._leases, (grant.expires_ms, attempt_id))
+            else:
+                self._end_grant(grant, 'expired')
+
+    def _end_grant(self, grant: grants.Grant, outcome: str) -> None:
+        """Free a grant's memory, now or when a report shows it gone."""
+        self.grants_by_attempt.pop(grant.attempt_id, None)
+        self._attempt_by_request.pop(grant.request.request_id, None)
+        self.admission.placer.release_reservations(grant.request.request_id)
+        now_ms = self._state.now_ms
+        # Targets of a group keep their segment until it is cancelled.
+        kept = len(grant.targets) > 1 and outcome != 'not_run'
+        for target in self._targets_of(grant):
+            if outcome in CERTAIN_OUTCOMES and not kept:
+                target.free(grant.attempt_id, now_ms)
+                continue
+            target.end(grant.attempt_id, now_ms)
+            self._out.append(
+                actions.CancelAttempt(target.name, grant.attempt_id)
+            )
+
+    def _target_lost(
+        self, target: targetstate.TargetState, grant: grants.Grant
+    ) -> None:
+        """Handle the first news of a crash; others are of the same one."""
+        now_ms = self._state.now_ms
+        target.back_off(now_ms)
+        if grant.granted_ms <= target.lost_ms:
+            return
+        self._blame_running(target, tuple(target.occupants))
+        target.lost_ms = now_ms
+        target.turn_cold(now_ms, told_by_report=False)
+
+    def _restarted(
+        self, target: targetstate.TargetState, dead: tuple[str, ...]
+    ) -> None:
+        """End the attempts that a restart has killed."""
+        self._blame_running(target, dead)
+        for attempt_id in dead:
+            grant = self.grants_by_attempt.get(attempt_id)
+            if grant is not None:
+                self._end_grant(grant, 'target_lost')
+            target.free(attempt_id, self._state.now_ms)
+
+    def _blame_running(
+        self, target: targetstate.TargetState, attempts: tuple[str, ...]
+    ) -> None:
+        """Blame the attempts that started since the last known crash."""
+        running = [
+            self.grants_by_attempt[attempt_id]
+            for attempt_id in attempts
+            if attempt_id in self.grants_by_attempt
+        ]
+        fingerprints = [
+            grant.request.fingerprint
+            for grant in running
+            if grant.granted_ms > target.lost_ms
+        ]
+        if fingerprints:
+            self._blame.blame_crash(
+                target.name,
+                fingerprints,
+                self._state.blame_by_fingerprint,
+                self._state.now_ms,
+            )
+
+    def _forget_target(self, name: str) -> None:
+        self.targets_by_name.pop(name)
+        self._out.append(actions.UnwatchTarget(name))
+
+    def _deny_without_targets(self) -> None:
+        staying = [
+            target
+            for target in self.targets_by_name.values()
+            if not target.leaving
+        ]
+        if not staying:
+            self.admission.deny_all('no_target')
--- a/bergamotstream/partitions.py
+++ b/bergamotstream/partitions.py
@@ -44,6 +44,12 @@
     return parts[2] if parts[0] == 'targets' else ''
 
 
+def service_of(partition: str) -> str:
+    """Return the service of a targets partition, or ''."""
+    parts = partition.split(':')
+    return parts[1] if parts[0] == 'targets' else ''
+
+
 def succession(partition: str, members: Iterable[str]) -> tuple[str, ...]:
     """Return members by rendezvous weight, highest first.
 
--- /dev/null
+++ b/bergamotstream/policies/predictive.py
@@ -0,0 +1,53 @@
+"""
+Predictive
+~~~~~~~~~~
+
+The default policy: the lowest predicted time to first token.
+"""
+
+from typing import Any
+
+from bergamotstream import records, targetstate
+from bergamotstream.policies import base
+
+# A target takes a further prompt of a class while fewer tokens than this run
+# before it. The rest waits at the owner, where the queue is fair.
+WINDOW_TOKENS: dict[records.LengthClass, int] = {
+    'short': 4_096,
+    'medium': 4_096,
+    'long': 32_000,
+}
+
+
+@base.register
+class Predictive(base.Policy):
+    """Takes the target with the lowest predicted time to first token.
+
+    Options: ``window_tokens``, a mapping from length class to the prompt
+    tokens that may run before a request that is granted.
+    """
+
+    name = 'predictive'
+    aliases = ('ttft',)
+    separates_lengths = True
+
+    def __init__(self, **options: Any) -> None:
+        """Read the options."""
+        super().__init__(**options)
+        self._window = options.get('window_tokens', WINDOW_TOKENS)
+
+    def choose(
+        self, candidates: base.Candidates, need: targetstate.Need, now_ms: int
+    ) -> targetstate.TargetState | None:
+        """Return the candidate whose first token is expected first."""
+        best: tuple[float, int, str] | None = None
+        chosen = None
+        window = self._window[need.length_class]
+        for target in candidates:
+            if target.prefills.tokens_ahead(need.priority) > window:
+                continue
+            predicted_ms = target.predicted_ttft_ms(need)
+            rating = (predicted_ms, target.running, target.name)
+            if best is None or rating < best:
+                best, chosen = rating, target
+        return chosen
--- /dev/null
+++ b/bergamotstream/prediction.py
@@ -0,0 +1,172 @@
+"""
+Prediction
+~~~~~~~~~~
+
+Learned speeds of a target and the time to first token and finish that follow
+from them. Speeds are exponentially weighted moving averages.
+"""
+
+import bisect
+
+from bergamotstream import grants, records
+
+MS_PER_S = 1_000
+# Weight of a new sample in a moving average.
+SAMPLE_WEIGHT = 0.1
+# Samples outside these factors of the configured speed are faults.
+SLOWEST_FACTOR = 0.05
+FASTEST_FACTOR = 4.0
+# Prompt tokens that engines process in one uninterruptible step. Source:
+# chunked prefill, Agrawal et al., "Sarathi-Serve", 2024.
+CHUNK_TOKENS = 2_048
+# Tokens covered by one prefix hash.
+BLOCK_TOKENS = 512
+# A prefill that should have ended is counted with this rest.
+OVERDUE_TOKENS = 512
+# How much slower an engine is while it warms up.
+COLD_FACTOR = 4.0
+# A priority after all others.
+NO_PRIORITY = 1_000_000
+# Shorter prompts say little about the prefill speed.
+MIN_SAMPLE_TOKENS = 1_000
+
+
+class Speeds:
+    """Learned speeds of one target."""
+
+    def __init__(self, service: records.ServiceConfig) -> None:
+        """Start with the speeds that the operators state."""
+        self._stated = service
+        self.prefill_tokens_per_s = float(service.prefill_tokens_per_s)
+        self.decode_ms_per_token = float(service.decode_ms_per_token)
+        self.call_ms = float(service.call_ms)
+
+    def learn_prefill(self, tokens: int, ttft_ms: int) -> None:
+        """Learn from the TTFT of an attempt that waited for no other."""
+        if tokens < MIN_SAMPLE_TOKENS or ttft_ms <= 0:
+            return
+        self.prefill_tokens_per_s = _average(
+            self.prefill_tokens_per_s,
+            tokens * MS_PER_S / ttft_ms,
+            self._stated.prefill_tokens_per_s,
+        )
+
+    def learn_decode(self, tokens: int, duration_ms: int) -> None:
+        """Learn from the time between the first and the last token."""
+        if tokens > 1 and duration_ms > 0:
+            self.decode_ms_per_token = _average(
+                self.decode_ms_per_token,
+                duration_ms / (tokens - 1),
+                self._stated.decode_ms_per_token,
+            )
+
+    def learn_call(self, duration_ms: int) -> None:
+        """Learn from the duration of a call to a plain service."""
+        if duration_ms > 0:
+            self.call_ms = _average(
+                self.call_ms, float(duration_ms), self._stated.call_ms
+            )
+
+    def prefill_ms(self, tokens: float) -> float:
+        """Return the time to process prompt tokens."""
+        return tokens * MS_PER_S / self.prefill_tokens_per_s
+
+
+class Prefill:
+    """A granted attempt whose first token has not been seen."""
+
+    def __init__(self, attempt_id: str, priority: int, tokens: int) -> None:
+        """Start with all ``tokens`` left."""
+        self.attempt_id = attempt_id
+        self.priority = priority
+        self.tokens = tokens
+        self.tokens_left = float(tokens)
+        # No other was being processed at the start.
+        self.alone = True
+        # None has overtaken it since.
+        self.undisturbed = True
+
+
+class PrefillQueue:
+    """Estimate of an engine's prefill work, in the order it is run.
+
+    The engine runs the lowest priority number first and ties in order of
+    arrival. Between messages the estimate drains at the learned speed.
+    """
+
+    def __init__(self, now_ms: int) -> None:
+        """Start idle."""
+        self._entries: list[Prefill] = []
+        self._updated_ms = now_ms
+
+    def __len__(self) -> int:
+        """Return the number of unfinished prefills."""
+        return len(self._entries)
+
+    def add(self, entry: Prefill) -> None:
+        """Insert a prefill behind those of the same priority."""
+        place = bisect.bisect_right(
+            self._entries, entry.priority, key=_priority
+        )
+        entry.alone = not self._entries
+        for later in self._entries[place:]:
+            later.undisturbed = False
+        self._entries.insert(place, entry)
+
+    def remove(self, attempt_id: str) -> Prefill | None:
+        """Remove a prefill that has ended and return it."""
+        for place, entry in enumerate(self._entries):
+            if entry.attempt_id == attempt_id:
+                return self._entries.pop(place)
+        return None
+
+    def clear(self) -> None:
+        """Forget everything because the engine restarted."""
+        self._entries.clear()
+
+    def drain(self, now_ms: int, tokens_per_s: float) -> None:
+        """Account for the work done since the last call."""
+        budget = (now_ms - self._updated_ms) * tokens_per_s / MS_PER_S
+        self._updated_ms = now_ms
+        for entry in self._entries:
+            done = min(max(entry.tokens_left - OVERDUE_TOKENS, 0), budget)
+            entry.tokens_left -= done
+            budget -= done
+
+    def last_priority(self) -> int:
+        """Return the priority of the least urgent prefill, or -1."""
+        return self._entries[-1].priority if self._entries else -1
+
+    def tokens_by_length(self) -> tuple[float, float]:
+        """Return the tokens left of long prompts and of all prompts."""
+        long_tokens = float(0)
+        all_tokens = float(0)
+        for entry in self._entries:
+            all_tokens += entry.tokens_left
+            if entry.priority >= grants.FIRST_LONG_PRIORITY:
+                long_tokens += entry.tokens_left
+        return long_tokens, all_tokens
+
+    def tokens_ahead(self, priority: int) -> float:
+        """Return tokens that run before a new prefill of ``priority``."""
+        return sum(
+            entry.tokens_left
+            for entry in self._entries
+            if entry.priority <= priority
+        )
+
+    def tokens_in_step(self, priority: int) -> float:
+        """Return tokens of a running step that ``priority`` must await."""
+        if not self._entries or self._entries[0].priority <= priority:
+            return 0
+        return min(self._entries[0].tokens_left, CHUNK_TOKENS)
+
+
+def _priority(entry: Prefill) -> int:
+    return entry.priority
+
+
+def _average(present: float, sample: float, stated: float) -> float:
+    low, high = stated * SLOWEST_FACTOR, stated * FASTEST_FACTOR
+    bounded = min(max(sample, low), high)
+    return present + SAMPLE_WEIGHT * (bounded - present)
--- /dev/null
+++ b/bergamotstream/quarantine.py
@@ -0,0 +1,130 @@
+"""
+Quarantine
+~~~~~~~~~~
+
+Blame of requests that were running when a target died. A request with blame
+is a suspect and runs alone next, so that others are not blamed twice.
+"""
+
+from collections.abc import Iterable, Mapping
+from typing import NamedTuple
+
+QUARANTINE_MS = 600_000
+# A suspect that crashes a target while it runs alone has no other
+# explanation, so it is blamed twice and quarantined after two crashes.
+ALONE_WEIGHT = 2.0
+# Targets that die together point to their zone and not to a request.
+COMMON_CAUSE_MS = 2_000
+COMMON_CAUSE_TARGETS = 3
+
+
+class Crash(NamedTuple):
+    """Attempts that were running when a target died."""
+
+    target: str
+    at_ms: int
+    shares: tuple[tuple[int, float], ...]
+
+
+class Quarantine:
+    """Blame by request fingerprint."""
+
+    def __init__(
+        self, quarantine_after: float, blame: dict[int, float]
+    ) -> None:
+        """Keep the scores in ``blame``, which heartbeats distribute."""
+        self._quarantine_after = quarantine_after
+        self._blame = blame
+        self._blamed_ms: dict[int, int] = {}
+        self._cleared_ms: dict[int, int] = {}
+        self._crashes: list[Crash] = []
+
+    def score(self, fingerprint: int, shared: Mapping[int, float]) -> float:
+        """Return the blame known here or distributed by other owners."""
+        own = self._blame.get(fingerprint, float(0))
+        if fingerprint in self._cleared_ms:
+            return own
+        return max(own, shared.get(fingerprint, float(0)))
+
+    def is_quarantined(
+        self, fingerprint: int, shared: Mapping[int, float]
+    ) -> bool:
+        """Tell whether the request must be rejected."""
+        return self.score(fingerprint, shared) >= self._quarantine_after
+
+    def blame_crash(
+        self,
+        target: str,
+        fingerprints: Iterable[int],
+        shared: Mapping[int, float],
+        now_ms: int,
+    ) -> None:
+        """Blame each request that ran on a target that died.
+
+        A crash that shares its cause with others nearby blames nobody.
+        """
+        running = tuple(fingerprints)
+        shares = tuple(
+            (fingerprint, self._share(fingerprint, len(running), shared))
+            for fingerprint in running
+        )
+        for fingerprint, share in shares:
+            score = self.score(fingerprint, shared)
+            self._blame[fingerprint] = score + share
+            self._blamed_ms[fingerprint] = now_ms
+            self._cleared_ms.pop(fingerprint, None)
+        self._crashes.append(Crash(target, now_ms, shares))
+        self._forgive_common_cause(now_ms)
+
+    def clear(self, fingerprint: int, now_ms: int) -> None:
+        """Clear a suspect that has finished."""
+        self._blame.pop(fingerprint, None)
+        self._blamed_ms.pop(fingerprint, None)
+        self._cleared_ms[fingerprint] = now_ms
+
+    def forget_old(self, now_ms: int) -> None:
+        """Drop blame and clearances after the quarantine time."""
+        limit = now_ms - QUARANTINE_MS
+        for fingerprint, blamed_ms in list(self._blamed_ms.items()):
+            if blamed_ms < limit:
+                self._blamed_ms.pop(fingerprint)
+                self._blame.pop(fingerprint, None)
+        for fingerprint, cleared_ms in list(self._cleared_ms.items()):
+            if cleared_ms < limit:
+                self._cleared_ms.pop(fingerprint)
+
+    def _share(
+        self, fingerprint: int, count: int, shared: Mapping[int, float]
+    ) -> float:
+        suspect = self.score(fingerprint, shared) > 0
+        if count == 1 and suspect:
+            return ALONE_WEIGHT
+        return 1 / count
+
+    def _forgive_common_cause(self, now_ms: int) -> None:
+        self._crashes = [
+            crash
+            for crash in self._crashes
+            if crash.at_ms > now_ms - COMMON_CAUSE_MS
+        ]
+        targets = {crash.target for crash in self._crashes}
+        if len(targets) < COMMON_CAUSE_TARGETS:
+            return
+        seen: dict[int, set[str]] = {}
+        for recent in self._crashes:
+            for fingerprint, _ in recent.shares:
+                seen.setdefault(fingerprint, set()).add(recent.target)
+        self._crashes = [self._forgive(crash, seen) for crash in self._crashes]
+
+    def _forgive(self, crash: Crash, seen: Mapping[int, set[str]]) -> Crash:
+        kept = []
+        for fingerprint, share in crash.shares:
+            if len(seen[fingerprint]) > 1:
+                kept.append((fingerprint, share))
+                continue
+            rest = self._blame.get(fingerprint, float(0)) - share
+            if rest > 0:
+                self._blame[fingerprint] = rest
+            else:
+                self._blame.pop(fingerprint, None)
+        return crash._replace(shares=tuple(kept))
