Fix the emulated engine: a step's work is fixed when it begins

The duration of the running step was computed anew from the attempts present at the time of asking, so an urgent prompt that arrived during a chunk of a long prompt replaced that chunk from its beginning.

--- a/standins/enginemodel.py
+++ b/standins/enginemodel.py
@@ -71,6 +71,15 @@
         self.memory = submission.prompt_tokens + submission.output_tokens
 
 
+class Step(NamedTuple):
+    """Work of one batch, fixed when it begins: it cannot be interrupted."""
+
+    prefill: Sequence | None
+    prefill_tokens: int
+    decoding: tuple[Sequence, ...]
+    end_ms: float
+
+
 class EngineModel:
     """One engine; call :meth:`advance` before any other method."""
 
@@ -102,6 +111,7 @@
         self.sequences_by_attempt.clear()
         self._cached.clear()
         self._step_end_ms = float(now_ms)
+        self._running_step: Step | None = None
         return lost
 
     def turn_cold(self) -> None:
@@ -134,13 +144,14 @@
         memory = submission.prompt_tokens + submission.output_tokens
         if self.memory_used + memory > self.settings.memory_tokens:
             return 'out_of_memory'
-        if not self._busy():
-            self._step_end_ms = max(self._step_end_ms, float(now_ms))
         cached = self._cached_tokens(submission.prefix_hashes)
         left = max(submission.prompt_tokens - cached, 1)
         self.sequences_by_attempt[submission.attempt_id] = Sequence(
             submission, left
         )
+        if self._running_step is None:
+            self._step_end_ms = max(self._step_end_ms, float(now_ms))
+            self._running_step = self._begin_step()
         return 'accepted'
 
     def cancel(self, attempt_id: str) -> bool:
@@ -155,23 +166,22 @@
     def advance(self, now_ms: int) -> list[Notice]:
         """Run all steps that end by ``now_ms``."""
         notices: list[Notice] = []
-        while self._busy():
-            if self.overloaded():
-                notices.extend(self.restart(now_ms))
+        if self.overloaded():
+            notices.extend(self.restart(now_ms))
+        while self._running_step is not None:
+            if self._running_step.end_ms > now_ms:
                 break
-            end_ms = self._step_end_ms + self._step_duration_ms()
-            if end_ms > now_ms:
-                break
-            self._step_end_ms = end_ms
-            notices.extend(self._step(int(end_ms)))
+            self._step_end_ms = self._running_step.end_ms
+            notices.extend(self._end_step(self._running_step))
+            self._running_step = self._begin_step()
         self._record_report(now_ms)
         return notices
 
     def next_step_ms(self) -> int | None:
         """Return when the present step ends, or None when idle."""
-        if not self._busy():
+        if self._running_step is None:
             return None
-        return int(self._step_end_ms + self._step_duration_ms()) + 1
+        return int(self._running_step.end_ms) + 1
 
     def report(self, now_ms: int) -> records.LoadReport:
         """Return the newest report that is at least the lag old."""
@@ -232,25 +242,32 @@
             if not sequence.prefill_left and not sequence.submission.hold
         ]
 
-    def _step_duration_ms(self) -> float:
-        engine = self.settings
-        duration = engine.step_ms
-        duration += engine.step_ms_per_sequence * len(self._decoding())
+    def _begin_step(self) -> Step | None:
+        if not self._busy():
+            return None
         prefill = self._next_prefill()
+        chunk = 0
         if prefill is not None:
-            chunk = min(prefill.prefill_left, engine.chunk_tokens)
-            duration += chunk * MS_PER_S / engine.prefill_tokens_per_s
-        if self.cold:
-            duration *= engine.cold_factor
-        return duration
-
-    def _step(self, end_ms: int) -> list[Notice]:
-        decoding = self._decoding()
-        prefill = self._next_prefill()
+            chunk = min(prefill.prefill_left, self.settings.chunk_tokens)
+        decoding = tuple(self._decoding())
+        duration_ms = self._step_duration_ms(chunk, len(decoding))
+        return Step(prefill, chunk, decoding, self._step_end_ms + duration_ms)
+
+    def _step_duration_ms(self, chunk: int, decoding: int) -> float:
+        engine = self.settings
+        duration = engine.step_ms + engine.step_ms_per_sequence * decoding
+        duration += chunk * MS_PER_S / engine.prefill_tokens_per_s
+        return duration * engine.cold_factor if self.cold else duration
+
+    def _end_step(self, step: Step) -> list[Notice]:
+        end_ms = int(step.end_ms)
+        # Attempts that were cancelled during the step are gone.
+        present = set(self.sequences_by_attempt.values())
+        decoding = [entry for entry in step.decoding if entry in present]
         notices: list[Notice] = []
-        if prefill is not None:
-            done = min(prefill.prefill_left, self.settings.chunk_tokens)
-            prefill.prefill_left -= done
+        prefill = step.prefill
+        if prefill in present and prefill is not None:
+            prefill.prefill_left -= step.prefill_tokens
             if not prefill.prefill_left:
                 self._remember(prefill.submission.prefix_hashes)
                 notices.extend(self._end_prefill(prefill, decoding, end_ms))
