--- a/bergamotstream/groups.py
+++ b/bergamotstream/groups.py
@@ -26,7 +26,7 @@
 ) -> tuple[Segment, ...]:
     """Split a prompt over as few targets as possible.
 
-    Each target has room for the output as well, because the first target of
+    Each target has room for the output as well, because the last target of
     the group produces it. Returns () if ``target_count`` are too few.
     """
     room = target_memory - request.max_output_tokens
@@ -37,8 +37,8 @@
         return ()
     share = -(-request.prompt_tokens // count)
     rest = request.prompt_tokens - share * (count - 1)
-    first = Segment(rest, rest + request.max_output_tokens)
-    return (first, *itertools.repeat(Segment(share, share), count - 1))
+    last = Segment(rest, rest + request.max_output_tokens)
+    return (*itertools.repeat(Segment(share, share), count - 1), last)
 
 
 def choose_group(
--- a/bergamotstream/partitionowner.py
+++ b/bergamotstream/partitionowner.py
@@ -95,12 +95,15 @@
             names = {target.name for target in grant.targets}
             if names.isdisjoint(message.excluded_targets):
                 grant.holder = asker
+                grant.asked_ms = message.sent_ms
+                grant.expires_ms = self._lease_end_ms()
                 self._out.append(grants.grant_reply(self.partition, grant))
                 return
             self._end_grant(grant, 'failed')
         queued = self.admission.waiting_by_request.get(request_id)
         if queued is not None:
             queued.asker = asker
+            queued.asked_ms = message.sent_ms
             return
         waiting = grants.Waiting(message, asker, self._state.now_ms)
         self.admission.submit(waiting)
@@ -248,12 +251,15 @@
         grant = grants.Grant(
             holding.attempt_id, waiting, holding.targets, self._state.now_ms
         )
-        output = request.max_output_tokens
+        producer = holding.targets[-1].name
         tokens_by_target = {
             entry.name: entry.tokens for entry in holding.targets
         }
         for target in self._targets_of(grant):
             segment = tokens_by_target[target.name]
+            output = 0
+            if target.name == producer:
+                output = request.max_output_tokens
             need = targetstate.Need(
                 waiting.length_class,
                 waiting.engine_priority,
@@ -261,7 +267,6 @@
                 segment + output,
                 request.prefix_hashes,
             )
-            output = 0
             target.occupy(grant.attempt_id, need, self._state.now_ms)
             if not holding.first_token_seen:
                 target.start_prefill(grant.attempt_id, need, self._state.now_ms)
--- a/bergamotstream/placing.py
+++ b/bergamotstream/placing.py
@@ -23,7 +23,7 @@
 
 
 class Placement(NamedTuple):
-    """Targets of one attempt; the first produces the output."""
+    """Targets of one attempt; the last produces the output."""
 
     assignments: tuple[Assignment, ...]
     predicted_ttft_ms: float
@@ -123,7 +123,8 @@
         now_ms: int,
     ) -> Placement | None:
         needs = [_need(waiting, segment) for segment in segments]
-        candidates = self._candidates(waiting, needs[0], now_ms)
+        largest = max(needs, key=lambda need: need.memory_tokens)
+        candidates = self._candidates(waiting, largest, now_ms)
         if not self._policy.separates_lengths and len(needs) == 1:
             chosen = self._policy.choose(candidates, needs[0], now_ms)
             return None if chosen is None else _placement([chosen], needs)
