--- a/bergamotstream/admission.py
+++ b/bergamotstream/admission.py
@@ -34,6 +34,8 @@
     'long': 200_000,
 }
 NO_TARGET_WAIT_MS = 60_000
+# Suspects that are considered in one pass; one may have to wait for another.
+SUSPECTS_AT_ONCE = 16
 
 Granter = Callable[[grants.Waiting, placing.Placement], None]
 
@@ -97,7 +99,9 @@
             return
         now_ms = self._state.now_ms
         self.placer.update_long_limit(self._long_share(), now_ms)
-        for name in QUEUES:
+        for waiting in list(self._queues['suspect'])[:SUSPECTS_AT_ONCE]:
+            self._try_grant(waiting, granter)
+        for name in QUEUES[1:]:
             self._pump_queue(self._queues[name], granter)
         for waiting in self._fresh:
             self._deny_if_late(waiting)
@@ -175,35 +179,38 @@
         return self._expected_ms(need, max(queued - own, 0))
 
     def _pump_queue(self, queue: fairness.FairQueue, granter: Granter) -> None:
-        now_ms = self._state.now_ms
         waiting = queue.head()
         while waiting is not None:
-            if self._newly_blamed(waiting):
-                waiting = queue.head()
-                continue
-            placement = self.placer.place(waiting, now_ms)
-            if placement is None:
+            if not self._try_grant(waiting, granter):
                 return
-            queue.pop()
-            finish_ms = placement.predicted_ttft_ms + self._decode_ms(waiting)
-            if now_ms + finish_ms > waiting.deadline_ms:
-                self.deny(
-                    waiting,
-                    'deadline_unreachable',
-                    int(placement.predicted_ttft_ms),
-                )
-            else:
-                self.waiting_by_request.pop(waiting.request.request_id)
-                granter(waiting, placement)
             waiting = queue.head()
 
-    def _newly_blamed(self, waiting: grants.Waiting) -> bool:
-        """Move a request that was blamed while it waited."""
-        if waiting.suspect:
+    def _try_grant(self, waiting: grants.Waiting, granter: Granter) -> bool:
+        """Grant, deny or move a request; return False if it must wait."""
+        if self._newly_blamed(waiting):
+            return True
+        placement = self.placer.place(waiting, self._state.now_ms)
+        if placement is None:
             return False
+        ttft_ms = placement.predicted_ttft_ms
+        finish_ms = self._state.now_ms + ttft_ms + self._decode_ms(waiting)
+        if finish_ms > waiting.deadline_ms:
+            self.deny(waiting, 'deadline_unreachable', int(ttft_ms))
+            return True
+        self.waiting_by_request.pop(waiting.request.request_id)
+        self._queue_of(waiting).take(waiting)
+        granter(waiting, placement)
+        return True
+
+    def _newly_blamed(self, waiting: grants.Waiting) -> bool:
+        """Deny or move a request that was blamed while it waited."""
         fingerprint = waiting.request.fingerprint
         shared = self._state.blame_by_fingerprint
-        if self._blame.score(fingerprint, shared) <= 0:
+        score = self._blame.score(fingerprint, shared)
+        if self._blame.is_quarantined(fingerprint, shared):
+            self.deny(waiting, 'request_quarantined')
+            return True
+        if waiting.suspect or score <= 0:
             return False
         self.withdraw(waiting.request.request_id)
         self.submit(waiting)
--- a/bergamotstream/coldstart.py
+++ b/bergamotstream/coldstart.py
@@ -29,6 +29,11 @@
         self._told_by_report = True
         self._reported = False
 
+    @property
+    def slow(self) -> bool:
+        """Tell whether the target is known to be cold."""
+        return self.cold and self._reported
+
     @property
     def cap(self) -> int:
         """Return how many attempts may run at once."""
--- a/bergamotstream/fairness.py
+++ b/bergamotstream/fairness.py
@@ -54,13 +54,11 @@
             heapq.heappop(self._heap)
         return self._heap[0][2] if self._heap else None
 
-    def pop(self) -> None:
-        """Remove the head because it has been granted or denied."""
-        waiting = self.head()
-        if waiting is None:
-            return
-        self._virtual_time = max(self._virtual_time, self._heap[0][0])
-        heapq.heappop(self._heap)
+    def take(self, waiting: grants.Waiting) -> None:
+        """Remove a request because it has been granted."""
+        if waiting is self.head():
+            start, _, _ = heapq.heappop(self._heap)
+            self._virtual_time = max(self._virtual_time, start)
         self.remove(waiting)
 
     def remove(self, waiting: grants.Waiting) -> None:
--- a/bergamotstream/groups.py
+++ b/bergamotstream/groups.py
@@ -13,6 +13,9 @@
 
 from bergamotstream import prediction, records, targetstate
 
+# Other requests leave within about this time once no new ones are granted.
+SOON_MS = 5_000
+
 
 class Segment(NamedTuple):
     """Part of a prompt on one target of a group."""
@@ -54,14 +57,18 @@
     return tuple(sorted(candidates, key=_expected_load)[:count])
 
 
-def choose_reserved(
+def choose_kept_clear(
     targets: Sequence[targetstate.TargetState], count: int
 ) -> frozenset[str]:
     """Return names of the targets to be kept clear for a waiting group.
 
-    Without this, smaller requests would take freed memory for ever.
+    Without this, smaller requests would take freed memory for ever. Nothing
+    is kept clear while other long prompts would delay the group anyway.
     """
-    ordered = sorted(targets, key=_time_until_clear)
+    soon = [target for target in targets if _long_ms(target) <= SOON_MS]
+    if len(soon) < count:
+        return frozenset()
+    ordered = sorted(soon, key=_time_until_clear)
     return frozenset(target.name for target in ordered[:count])
 
 
@@ -70,6 +77,11 @@
     return ahead, target.running, target.name
 
 
+def _long_ms(target: targetstate.TargetState) -> float:
+    long_tokens, _ = target.prefills.tokens_by_length()
+    return target.speeds.prefill_ms(long_tokens)
+
+
 def _time_until_clear(
     target: targetstate.TargetState,
 ) -> tuple[bool, int, float, str]:
--- a/bergamotstream/partitionowner.py
+++ b/bergamotstream/partitionowner.py
@@ -236,6 +236,10 @@
         self._attempt_by_request[grant.request.request_id] = grant.attempt_id
         heapq.heappush(self._leases, (grant.expires_ms, grant.attempt_id))
         self.admission.placer.count_running(grant.request.workspace, 1)
+        if grant.suspect:
+            self.admission.placer.running_suspects.add(
+                grant.request.fingerprint
+            )
 
     def _adopt(self, holding: records.Holding, sender: str) -> None:
         request = holding.request
@@ -305,6 +309,10 @@
         self.grants_by_attempt.pop(grant.attempt_id, None)
         self._attempt_by_request.pop(grant.request.request_id, None)
         self.admission.placer.count_running(grant.request.workspace, -1)
+        if grant.suspect:
+            self.admission.placer.running_suspects.discard(
+                grant.request.fingerprint
+            )
         self.admission.placer.release_reservations(grant.request.request_id)
         now_ms = self._state.now_ms
         # Targets of a group keep their segment until it is cancelled.
--- a/bergamotstream/placing.py
+++ b/bergamotstream/placing.py
@@ -45,6 +45,9 @@
         self.running_by_workspace: dict[str, int] = {}
         self._policy = policy
         self._kept_clear: frozenset[str] = frozenset()
+        self._kept_tokens = 0
+        # A blamed prompt is tried on one target at a time.
+        self.running_suspects: set[int] = set()
 
     def usable(self, now_ms: int) -> list[targetstate.TargetState]:
         """Return the targets that may be given new work at all."""
@@ -122,7 +125,10 @@
         if need.length_class == 'long' or not self._kept_clear:
             return found
         others = [
-            entry for entry in found if entry.name not in self._kept_clear
+            entry
+            for entry in found
+            if entry.name not in self._kept_clear
+            or entry.fits_beside(need, self._kept_tokens)
         ]
         if need.length_class == 'short':
             return others or found
@@ -153,7 +159,7 @@
             return None if chosen is None else _placement([chosen], needs)
         free = [target for target in candidates if not target.has_long_prefill]
         if self._warm_count(now_ms) >= len(needs):
-            free = [target for target in free if not target.cold_start.cold]
+            free = [target for target in free if not target.cold_start.slow]
         limit = max(self.long_limit, len(needs))
         group: tuple[targetstate.TargetState, ...] = ()
         if self._busy_with_long() + len(needs) <= limit:
@@ -162,13 +168,14 @@
             self._kept_clear = frozenset()
             return _placement(group, needs)
         if len(needs) > 1:
-            self._kept_clear = groups.choose_reserved(
+            self._kept_clear = groups.choose_kept_clear(
                 self.usable(now_ms), len(needs)
             )
+            self._kept_tokens = needs[0].memory_tokens
         return None
 
     def _warm_count(self, now_ms: int) -> int:
-        return sum(not target.cold_start.cold for target in self.usable(now_ms))
+        return sum(not target.cold_start.slow for target in self.usable(now_ms))
 
     def _busy_with_long(self) -> int:
         return sum(
@@ -183,6 +190,8 @@
     ) -> Placement | None:
         """Place a suspect on targets that run nothing else."""
         request_id = waiting.request.request_id
+        if waiting.request.fingerprint in self.running_suspects:
+            return None
         mine, others = [], 0
         for target in self.usable(now_ms):
             if target.reserved_for == request_id:
--- a/bergamotstream/policies/predictive.py
+++ b/bergamotstream/policies/predictive.py
@@ -17,6 +17,8 @@
     'medium': 2_048,
     'long': 32_000,
 }
+# One prompt that is processed and one that waits keep an engine busy.
+MAX_AHEAD = 1
 
 
 @base.register
@@ -42,12 +44,20 @@
         """Return the candidate whose first token is expected first."""
         best: tuple[float, int, str] | None = None
         chosen = None
-        window = self._window[need.length_class]
         for target in candidates:
-            if target.prefills.tokens_ahead(need.priority) > window:
+            if not self._accepts(target, need):
                 continue
             predicted_ms = target.predicted_ttft_ms(need)
             rating = (predicted_ms, target.running, target.name)
             if best is None or rating < best:
                 best, chosen = rating, target
         return chosen
+
+    def _accepts(
+        self, target: targetstate.TargetState, need: targetstate.Need
+    ) -> bool:
+        ahead = target.prefills
+        if ahead.count_ahead(need.priority) > MAX_AHEAD:
+            return False
+        window = self._window[need.length_class]
+        return ahead.tokens_ahead(need.priority) <= window
--- a/bergamotstream/prediction.py
+++ b/bergamotstream/prediction.py
@@ -16,6 +16,8 @@
 # Samples outside these factors of the configured speed are faults.
 SLOWEST_FACTOR = 0.05
 FASTEST_FACTOR = 4.0
+# A target that is slower by this factor may have turned cold.
+DOUBTFUL_FACTOR = 2.0
 # Prompt tokens that engines process in one uninterruptible step. Source:
 # chunked prefill, Agrawal et al., "Sarathi-Serve", 2024.
 CHUNK_TOKENS = 2_048
@@ -37,18 +39,26 @@
     def __init__(self, service: records.ServiceConfig) -> None:
         """Start with the speeds that the operators state."""
         self._stated = service
+        self._prefill_samples = 0
         self.prefill_tokens_per_s = float(service.prefill_tokens_per_s)
         self.decode_ms_per_token = float(service.decode_ms_per_token)
         self.call_ms = float(service.call_ms)
 
-    def learn_prefill(self, tokens: int, ttft_ms: int) -> None:
-        """Learn from the TTFT of an attempt that waited for no other."""
-        if tokens < MIN_SAMPLE_TOKENS or ttft_ms <= 0:
+    def learn_prefill(self, tokens: int, duration_ms: int) -> None:
+        """Learn from the time for which a prompt was processed alone."""
+        if tokens < MIN_SAMPLE_TOKENS or duration_ms <= 0:
             return
+        sample = tokens * MS_PER_S / duration_ms
+        weight = SAMPLE_WEIGHT
+        if sample * DOUBTFUL_FACTOR > self.prefill_tokens_per_s:
+            self._prefill_samples += 1
+            # The stated speed counts as one sample.
+            weight = max(weight, 1 / (self._prefill_samples + 1))
         self.prefill_tokens_per_s = _average(
             self.prefill_tokens_per_s,
-            tokens * MS_PER_S / ttft_ms,
+            sample,
             self._stated.prefill_tokens_per_s,
+            weight,
         )
 
     def learn_decode(self, tokens: int, duration_ms: int) -> None:
@@ -81,8 +91,8 @@
         self.priority = priority
         self.tokens = tokens
         self.tokens_left = float(tokens)
-        # No other was being processed at the start.
-        self.alone = True
+        # When it became the one that is processed, if known.
+        self.head_ms: int | None = None
         # None has overtaken it since.
         self.undisturbed = True
 
@@ -108,7 +118,8 @@
         place = bisect.bisect_right(
             self._entries, entry.priority, key=_priority
         )
-        entry.alone = not self._entries
+        if not self._entries:
+            entry.head_ms = self._updated_ms
         for later in self._entries[place:]:
             later.undisturbed = False
         self._entries.insert(place, entry)
@@ -117,9 +128,15 @@
         """Remove a prefill that has ended and return it."""
         for place, entry in enumerate(self._entries):
             if entry.attempt_id == attempt_id:
-                return self._entries.pop(place)
+                self._entries.pop(place)
+                self._start_head()
+                return entry
         return None
 
+    def _start_head(self) -> None:
+        if self._entries and self._entries[0].head_ms is None:
+            self._entries[0].head_ms = self._updated_ms
+
     def clear(self) -> None:
         """Forget everything because the engine restarted."""
         self._entries.clear()
@@ -155,6 +172,10 @@
             if entry.priority <= priority
         )
 
+    def count_ahead(self, priority: int) -> int:
+        """Return how many prefills run before one of ``priority``."""
+        return sum(entry.priority <= priority for entry in self._entries)
+
     def tokens_in_step(self, priority: int) -> float:
         """Return tokens of a running step that ``priority`` must await."""
         if not self._entries or self._entries[0].priority <= priority:
@@ -166,7 +187,12 @@
     return entry.priority
 
 
-def _average(present: float, sample: float, stated: float) -> float:
+def _average(
+    present: float,
+    sample: float,
+    stated: float,
+    weight: float = SAMPLE_WEIGHT,
+) -> float:
     low, high = stated * SLOWEST_FACTOR, stated * FASTEST_FACTOR
     bounded = min(max(sample, low), high)
-    return present + SAMPLE_WEIGHT * (bounded - present)
+    return present + weight * (bounded - present)
--- a/bergamotstream/targetstate.py
+++ b/bergamotstream/targetstate.py
@@ -134,6 +134,12 @@
         others += len(self.orphans)
         return others < _kept_share(self._slots_for(need))
 
+    def fits_beside(self, need: Need, kept_tokens: int) -> bool:
+        """Tell whether ``need`` leaves memory for a long prompt's part."""
+        used = self._memory_beyond_short + self._orphan_memory
+        wanted = need.memory_tokens + kept_tokens
+        return used + wanted <= self.memory_beyond_short
+
     @property
     def memory_beyond_short(self) -> int:
         """Return the memory that medium and long requests may use."""
@@ -177,7 +183,7 @@
         own = max(need.prompt_tokens - self.cached_tokens(need), 1)
         ahead = self.prefills.tokens_ahead(need.priority)
         ahead += self.prefills.tokens_in_step(need.priority)
-        factor = prediction.COLD_FACTOR if self.cold_start.cold else 1
+        factor = prediction.COLD_FACTOR if self.cold_start.slow else 1
         return self.speeds.prefill_ms(ahead + own) * factor
 
     @property
@@ -225,8 +231,23 @@
             return
         if self.cold_start.observe_ttft(ttft_ms, predicted_ms, now_ms):
             self.prefixes.clear()
-        elif prefill.alone and prefill.tokens == occupant.need.prompt_tokens:
-            self.speeds.learn_prefill(prefill.tokens, ttft_ms)
+        elif prefill.tokens == occupant.need.prompt_tokens:
+            self._learn_prefill(prefill, occupant, ttft_ms, now_ms)
+
+    def _learn_prefill(
+        self,
+        prefill: prediction.Prefill,
+        occupant: Occupant,
+        ttft_ms: int,
+        now_ms: int,
+    ) -> None:
+        if prefill.head_ms is None:
+            return
+        duration_ms = now_ms - prefill.head_ms
+        if prefill.head_ms == occupant.granted_ms:
+            # The way from the owner to the target does not count.
+            duration_ms = ttft_ms
+        self.speeds.learn_prefill(prefill.tokens, duration_ms)
 
     def learn_end(
         self, grant: grants.Grant, message: messages.GrantRelease, now_ms: int
--- a/standins/enginemodel.py
+++ b/standins/enginemodel.py
@@ -90,6 +90,7 @@
         self.settings = settings
         self.name = name
         self.starts = 0
+        self._advanced_ms = now_ms
         self.leaving = False
         self.sequences_by_attempt: dict[str, Sequence] = {}
         self._cached: collections.OrderedDict[int, None] = (
@@ -152,11 +153,14 @@
         if self._running_step is None:
             self._step_end_ms = max(self._step_end_ms, float(now_ms))
             self._running_step = self._begin_step()
+        self._record_report(now_ms)
         return 'accepted'
 
     def cancel(self, attempt_id: str) -> bool:
         """Drop an attempt and free its memory."""
-        return self.sequences_by_attempt.pop(attempt_id, None) is not None
+        found = self.sequences_by_attempt.pop(attempt_id, None) is not None
+        self._record_report(self._advanced_ms)
+        return found
 
     def overloaded(self) -> bool:
         """Tell whether a cold engine has more work than it can bear."""
@@ -166,6 +170,7 @@
     def advance(self, now_ms: int) -> list[Notice]:
         """Run all steps that end by ``now_ms``."""
         notices: list[Notice] = []
+        self._advanced_ms = now_ms
         if self.overloaded():
             notices.extend(self.restart(now_ms))
         while self._running_step is not None:
@@ -190,7 +195,9 @@
                 break
             self._reports.popleft()
         taken_ms, report = self._reports[0]
-        return report._replace(age_ms=now_ms - taken_ms)
+        # Nothing changed from then until the lag before now.
+        age_ms = min(now_ms - taken_ms, self.settings.report_lag_ms)
+        return report._replace(age_ms=age_ms)
 
     def cached_hashes(self) -> tuple[int, ...]:
         """Return the hashes of the cached prompt blocks."""
