Keep targets clear of long prompts by demand, and let singles overtake groups

Cause: the limit of targets with long prompts followed their share of the queued tokens, which is nearly 1 because they are so long; a short prompt then often found no target without a chunk of a long prompt in progress. The limit now leaves as many targets as the demand of other prompts needs. A prompt that needs several targets blocked the smaller long prompts behind it; they may now pass it with at most as many tokens as it has.

--- a/bergamotstream/admission.py
+++ b/bergamotstream/admission.py
@@ -7,10 +7,11 @@
 """
 
 import heapq
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Mapping
 
 from bergamotstream import (
     actions,
+    demand,
     fairness,
     grants,
     placing,
@@ -36,6 +37,8 @@
 NO_TARGET_WAIT_MS = 60_000
 # Suspects that are considered in one pass; one may have to wait for another.
 SUSPECTS_AT_ONCE = 16
+OVERTAKING_AT_ONCE = 8
+LONG_INTERVAL_MS = 100
 
 Granter = Callable[[grants.Waiting, placing.Placement], None]
 
@@ -65,6 +68,8 @@
         self._queues = {name: fairness.FairQueue() for name in QUEUES}
         self._latest_starts: list[tuple[float, int, grants.Waiting]] = []
         self._arrivals = 0
+        self._long_ms = shared.now_ms
+        self._demand = demand.Demand(shared.now_ms)
         self._denials: list[actions.Action] = []
         self._fresh: list[grants.Waiting] = []
 
@@ -82,6 +87,13 @@
         self.waiting_by_request[waiting.request.request_id] = waiting
         self._queue_of(waiting).push(waiting, self._weight(waiting))
         self._fresh.append(waiting)
+        if len(self._queues['long']) == 1:
+            self._long_ms = self._state.now_ms
+        self._demand.add(
+            waiting.length_class,
+            waiting.request.prompt_tokens,
+            self._state.now_ms,
+        )
         self._arrivals += 1
         latest = waiting.deadline_ms - self._fastest_ms(waiting)
         heapq.heappush(self._latest_starts, (latest, self._arrivals, waiting))
@@ -97,12 +109,11 @@
         """Grant waiting requests while there is room for them."""
         if not self.waiting_by_request:
             return
-        now_ms = self._state.now_ms
-        self.placer.update_long_limit(self._long_share(), now_ms)
         for waiting in list(self._queues['suspect'])[:SUSPECTS_AT_ONCE]:
             self._try_grant(waiting, granter)
-        for name in QUEUES[1:]:
-            self._pump_queue(self._queues[name], granter)
+        self._pump_queue(self._queues['short'], granter)
+        self._pump_queue(self._queues['medium'], granter)
+        self._pump_long(granter)
         for waiting in self._fresh:
             self._deny_if_late(waiting)
         self._fresh.clear()
@@ -153,6 +164,7 @@
 
     def load(self) -> records.PartitionLoad:
         """Return the expected waits for other hosts."""
+        self.placer.update_best()
         waits: dict[records.LengthClass, int] = {
             length_class: self._typical_ms(length_class)
             for length_class in TYPICAL_TOKENS
@@ -185,6 +197,42 @@
                 return
             waiting = queue.head()
 
+    def _pump_long(self, granter: Granter) -> None:
+        """Grant long prompts; seldom, because they wait for seconds."""
+        now_ms = self._state.now_ms
+        queue = self._queues['long']
+        if not queue or now_ms < self._long_ms:
+            return
+        self._long_ms = now_ms + LONG_INTERVAL_MS
+        self.placer.update_long_limit(
+            self._demand.others_tokens_per_s(now_ms), queue.tokens, now_ms
+        )
+        self._pump_queue(queue, granter)
+        blocked = queue.head()
+        if blocked is not None:
+            self._overtake(queue, blocked, granter)
+
+    def _overtake(
+        self,
+        queue: fairness.FairQueue,
+        blocked: grants.Waiting,
+        granter: Granter,
+    ) -> None:
+        """Let smaller prompts pass one that waits for several targets.
+
+        They pass with at most as many tokens as the prompt itself has, so
+        its wait stays bounded.
+        """
+        if len(self.placer.segments(blocked)) < 2:
+            return
+        for waiting in queue.first(OVERTAKING_AT_ONCE):
+            tokens = waiting.request.prompt_tokens
+            passed = blocked.overtaken_tokens + tokens
+            if passed > blocked.request.prompt_tokens:
+                continue
+            if waiting is not blocked and self._try_grant(waiting, granter):
+                blocked.overtaken_tokens = passed
+
     def _try_grant(self, waiting: grants.Waiting, granter: Granter) -> bool:
         """Grant, deny or move a request; return False if it must wait."""
         if self._newly_blamed(waiting):
@@ -225,7 +273,7 @@
             request.fingerprint, self._state.blame_by_fingerprint
         ):
             return 'request_quarantined'
-        if not self.placer.usable(self._state.now_ms):
+        if not self.placer.any_usable(self._state.now_ms):
             return 'no_target'
         if not self.placer.segments(waiting):
             return 'no_target'
@@ -267,17 +315,6 @@
         config = workspaces.get(waiting.request.workspace)
         return 1 if config is None else config.weight
 
-    def _long_share(self) -> float:
-        """Return the share of long prompts in the queued and given work."""
-        long_tokens = float(self._queues['long'].tokens)
-        all_tokens = float(sum(queue.tokens for queue in self._queues.values()))
-        for target in self._targets_by_name.values():
-            target.drain(self._state.now_ms)
-            long_left, left = target.prefills.tokens_by_length()
-            long_tokens += long_left
-            all_tokens += left
-        return long_tokens / all_tokens if all_tokens else 0
-
     def _queued_before(self, length_class: records.LengthClass) -> float:
         names = QUEUES[: QUEUES.index(length_class) + 1]
         return sum(self._queues[name].tokens for name in names)
@@ -302,29 +339,20 @@
         need = targetstate.Need(length_class, priority, tokens, tokens)
         return int(self._expected_ms(need, self._queued_before(length_class)))
 
-    def _usable_targets(self) -> Iterator[targetstate.TargetState]:
-        yield from self.placer.usable(self._state.now_ms)
-
     def _fastest_ms(self, waiting: grants.Waiting) -> float:
         """Return the shortest possible time to the last token."""
-        speeds = [target.speeds for target in self._usable_targets()]
-        if not speeds:
-            return 0
         if self.placer.service.kind == 'plain':
-            return min(entry.call_ms for entry in speeds)
-        fastest = max(speeds, key=lambda entry: entry.prefill_tokens_per_s)
+            return self.placer.best.call_ms
+        request = waiting.request
         segments = self.placer.segments(waiting)
         longest = max((entry.prompt_tokens for entry in segments), default=0)
         # Cached blocks may be skipped.
-        cached = len(waiting.request.prefix_hashes) * prediction.BLOCK_TOKENS
-        uncached = max(longest - cached, 0)
-        return fastest.prefill_ms(uncached) + self._decode_ms(waiting)
+        cached = len(request.prefix_hashes) * prediction.BLOCK_TOKENS
+        prefill_ms = self.placer.best.prefill_ms(max(longest - cached, 0))
+        return prefill_ms + self._decode_ms(waiting)
 
     def _decode_ms(self, waiting: grants.Waiting) -> float:
         if self.placer.service.kind == 'plain':
             return 0
-        paces = [
-            target.speeds.decode_ms_per_token
-            for target in self._usable_targets()
-        ]
-        return waiting.request.max_output_tokens * min(paces, default=0)
+        pace_ms = self.placer.best.decode_ms_per_token
+        return waiting.request.max_output_tokens * pace_ms
--- /dev/null
+++ b/bergamotstream/demand.py
@@ -0,0 +1,69 @@
+"""
+Demand
+~~~~~~
+
+Recent prompt tokens by length class, and how many targets long prompts may
+use at once so that the others stay clear of them.
+"""
+
+import math
+
+from bergamotstream import records
+
+# Time over which the demand is averaged.
+WINDOW_MS = 20_000
+# Targets kept clear of long prompts are loaded by the other prompts to the
+# first value while few long prompts wait, and to the second with a backlog,
+# when the others must share some targets with long prompts. Lower values make
+# short prompts hardly faster and long prompts wait much longer.
+CLEAR_LOAD = 0.8
+BACKLOG_LOAD = 1.2
+# Waiting tokens of long prompts for each target at which the limit is widest.
+BACKLOG_TOKENS = 200_000
+MS_PER_S = 1_000
+
+
+class Demand:
+    """Decaying sums of the prompt tokens that were asked for."""
+
+    def __init__(self, now_ms: int) -> None:
+        """Start without demand."""
+        self._tokens: dict[records.LengthClass, float] = {}
+        self._updated_ms = now_ms
+
+    def add(
+        self, length_class: records.LengthClass, tokens: int, now_ms: int
+    ) -> None:
+        """Count a request."""
+        self._decay(now_ms)
+        present = self._tokens.get(length_class, float(0))
+        self._tokens[length_class] = present + tokens
+
+    def others_tokens_per_s(self, now_ms: int) -> float:
+        """Return the demand of short and medium prompts."""
+        self._decay(now_ms)
+        tokens = self._tokens.get('short', float(0))
+        tokens += self._tokens.get('medium', float(0))
+        return tokens * MS_PER_S / WINDOW_MS
+
+    def _decay(self, now_ms: int) -> None:
+        factor = math.exp((self._updated_ms - now_ms) / WINDOW_MS)
+        self._updated_ms = now_ms
+        for length_class in self._tokens:
+            self._tokens[length_class] *= factor
+
+
+def long_limit(
+    targets: int, others_targets: float, waiting_long_tokens: float
+) -> int:
+    """Return how many of ``targets`` long prompts may use at once.
+
+    ``others_targets`` is the demand of the other prompts in targets. The
+    result is at least 1, and at most all but one of several targets.
+    """
+    narrow = targets - math.ceil(others_targets / CLEAR_LOAD)
+    wide = targets - math.ceil(others_targets / BACKLOG_LOAD)
+    narrow = max(narrow, targets // 4)
+    backlog = waiting_long_tokens / (BACKLOG_TOKENS * max(targets, 1))
+    limit = narrow + round(max(wide - narrow, 0) * min(backlog, 1))
+    return max(min(limit, targets - 1), 1)
--- a/bergamotstream/fairness.py
+++ b/bergamotstream/fairness.py
@@ -54,6 +54,11 @@
             heapq.heappop(self._heap)
         return self._heap[0][2] if self._heap else None
 
+    def first(self, count: int) -> list[grants.Waiting]:
+        """Return up to ``count`` requests in the order of their turn."""
+        entries = heapq.nsmallest(count, self._heap, key=_start_tag)
+        return [waiting for _, _, waiting in entries if waiting.queued]
+
     def take(self, waiting: grants.Waiting) -> None:
         """Remove a request because it has been granted."""
         if waiting is self.head():
--- a/bergamotstream/grants.py
+++ b/bergamotstream/grants.py
@@ -33,6 +33,7 @@
         self.deadline_ms = now_ms + message.remaining_ms
         self.length_class = records.length_class(message.request.prompt_tokens)
         self.queued = False
+        self.overtaken_tokens = 0
         self.suspect = False
 
     @property
--- a/bergamotstream/placing.py
+++ b/bergamotstream/placing.py
@@ -5,11 +5,18 @@
 Finds room for one request on the targets of a partition.
 """
 
-import math
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from bergamotstream import grants, groups, policies, records, targetstate
+from bergamotstream import (
+    demand,
+    grants,
+    groups,
+    policies,
+    prediction,
+    records,
+    targetstate,
+)
 
 # Part of the targets that suspects of a crash may have to themselves.
 SUSPECT_SHARE = 0.25
@@ -29,6 +36,14 @@
     predicted_ttft_ms: float
 
 
+class Kept(NamedTuple):
+    """Targets that are kept clear for a waiting group of targets."""
+
+    waiting: grants.Waiting
+    names: frozenset[str]
+    memory_tokens: int
+
+
 class Placer:
     """Room on a partition's targets, found by the selected policy."""
 
@@ -44,8 +59,9 @@
         self.long_limit = 1
         self.running_by_workspace: dict[str, int] = {}
         self._policy = policy
-        self._kept_clear: frozenset[str] = frozenset()
-        self._kept_tokens = 0
+        # The best speeds among the targets, refreshed now and then.
+        self.best = prediction.Speeds(service)
+        self._kept: Kept | None = None
         # A blamed prompt is tried on one target at a time.
         self.running_suspects: set[int] = set()
 
@@ -57,6 +73,24 @@
             if target.usable(now_ms)
         ]
 
+    def any_usable(self, now_ms: int) -> bool:
+        """Tell whether any target may be given new work."""
+        return any(
+            target.usable(now_ms) for target in self.targets_by_name.values()
+        )
+
+    def update_best(self) -> None:
+        """Refresh the best speeds among the targets."""
+        speeds = [entry.speeds for entry in self.targets_by_name.values()]
+        if speeds:
+            self.best.prefill_tokens_per_s = max(
+                entry.prefill_tokens_per_s for entry in speeds
+            )
+            self.best.decode_ms_per_token = min(
+                entry.decode_ms_per_token for entry in speeds
+            )
+            self.best.call_ms = min(entry.call_ms for entry in speeds)
+
     def segments(self, waiting: grants.Waiting) -> tuple[groups.Segment, ...]:
         """Return the parts of the prompt; () if it can never fit."""
         request = waiting.request
@@ -70,11 +104,17 @@
         )
         return groups.split_prompt(request, memory, staying)
 
-    def update_long_limit(self, long_share: float, now_ms: int) -> None:
-        """Follow the share of long prompts in the work at hand."""
-        usable = len(self.usable(now_ms))
-        wanted = math.ceil(long_share * usable)
-        self.long_limit = max(min(wanted, usable - 1), 1)
+    def update_long_limit(
+        self, others_tokens_per_s: float, waiting_long: float, now_ms: int
+    ) -> None:
+        """Follow the demand of other prompts and the waiting long ones."""
+        usable = self.usable(now_ms)
+        speed = sum(entry.speeds.prefill_tokens_per_s for entry in usable)
+        if speed:
+            others = others_tokens_per_s * len(usable) / speed
+            self.long_limit = demand.long_limit(
+                len(usable), others, waiting_long
+            )
 
     def place(self, waiting: grants.Waiting, now_ms: int) -> Placement | None:
         """Return targets with room for the request, or None for now."""
@@ -91,10 +131,6 @@
         )
         return None if chosen is None else _placement([chosen], [need])
 
-    def stop_keeping_clear(self) -> None:
-        """Give up targets that were kept clear for a waiting group."""
-        self._kept_clear = frozenset()
-
     def count_running(self, workspace: str, change: int) -> None:
         """Follow the number of grants of a workspace."""
         count = self.running_by_workspace.get(workspace, 0) + change
@@ -122,13 +158,14 @@
             if target.fits(need):
                 target.drain(now_ms)
                 found.append(target)
-        if need.length_class == 'long' or not self._kept_clear:
+        kept = self._kept
+        if kept is None or not self._kept_for_other(waiting):
             return found
         others = [
             entry
             for entry in found
-            if entry.name not in self._kept_clear
-            or entry.fits_beside(need, self._kept_tokens)
+            if entry.name not in kept.names
+            or entry.fits_beside(need, kept.memory_tokens)
         ]
         if need.length_class == 'short':
             return others or found
@@ -165,15 +202,19 @@
         if self._busy_with_long() + len(needs) <= limit:
             group = groups.choose_group(free, len(needs))
         if group:
-            self._kept_clear = frozenset()
             return _placement(group, needs)
-        if len(needs) > 1:
-            self._kept_clear = groups.choose_kept_clear(
-                self.usable(now_ms), len(needs)
-            )
-            self._kept_tokens = needs[0].memory_tokens
+        if len(needs) > 1 and not self._kept_for_other(waiting):
+            names = groups.choose_kept_clear(self.usable(now_ms), len(needs))
+            self._kept = Kept(waiting, names, needs[0].memory_tokens)
         return None
 
+    def _kept_for_other(self, waiting: grants.Waiting) -> bool:
+        """Tell whether another group waits for the targets kept clear."""
+        kept = self._kept
+        if kept is None or not kept.waiting.queued:
+            return False
+        return kept.waiting is not waiting
+
     def _warm_count(self, now_ms: int) -> int:
         return sum(not target.cold_start.slow for target in self.usable(now_ms))
 
