--- a/bergamotstream/placing.py
+++ b/bergamotstream/placing.py
@@ -5,11 +5,18 @@
 Finds room for one request on the targets of a partition.
 """
 
-import math
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from bergamotstream import grants, groups, policies, records, targetstate
+from bergamotstream import (
+    demand,
+    grants,
+    groups,
+    policies,
+    prediction,
+    records,
+    targetstate,
+)
 
 # Part of the targets that suspects of a crash may have to themselves.
 SUSPECT_SHARE = 0.25
@@ -29,6 +36,14 @@
     predicted_ttft_ms: float
 
 
+class Kept(NamedTuple):
+    """Targets that are kept clear for a waiting group of targets."""
+
+    waiting: grants.Waiting
+    names: frozenset[str]
+    memory_tokens: int
+
+
 class Placer:
     """Room on a partition's targets, found by the selected policy."""
 
@@ -42,8 +57,13 @@
         self.service = service
         self.targets_by_name = targets_by_name
         self.long_limit = 1
+        self.running_by_workspace: dict[str, int] = {}
         self._policy = policy
-        self._kept_clear: frozenset[str] = frozenset()
+        # The best speeds among the targets, refreshed now and then.
+        self.best = prediction.Speeds(service)
+        self._kept: Kept | None = None
+        # A blamed prompt is tried on one target at a time.
+        self.running_suspects: set[int] = set()
 
     def usable(self, now_ms: int) -> list[targetstate.TargetState]:
         """Return the targets that may be given new work at all."""
@@ -53,6 +73,24 @@
             if target.usable(now_ms)
         ]
 
+    def any_usable(self, now_ms: int) -> bool:
+        """Tell whether any target may be given new work."""
+        return any(
+            target.usable(now_ms) for target in self.targets_by_name.values()
+        )
+
+    def update_best(self) -> None:
+        """Refresh the best speeds among the targets."""
+        speeds = [entry.speeds for entry in self.targets_by_name.values()]
+        if speeds:
+            self.best.prefill_tokens_per_s = max(
+                entry.prefill_tokens_per_s for entry in speeds
+            )
+            self.best.decode_ms_per_token = min(
+                entry.decode_ms_per_token for entry in speeds
+            )
+            self.best.call_ms = min(entry.call_ms for entry in speeds)
+
     def segments(self, waiting: grants.Waiting) -> tuple[groups.Segment, ...]:
         """Return the parts of the prompt; () if it can never fit."""
         request = waiting.request
@@ -66,11 +104,17 @@
         )
         return groups.split_prompt(request, memory, staying)
 
-    def update_long_limit(self, long_share: float, now_ms: int) -> None:
-        """Follow the share of long prompts in the work at hand."""
-        usable = len(self.usable(now_ms))
-        wanted = math.ceil(long_share * usable)
-        self.long_limit = max(min(wanted, usable - 1), 1)
+    def update_long_limit(
+        self, others_tokens_per_s: float, waiting_long: float, now_ms: int
+    ) -> None:
+        """Follow the demand of other prompts and the waiting long ones."""
+        usable = self.usable(now_ms)
+        speed = sum(entry.speeds.prefill_tokens_per_s for entry in usable)
+        if speed:
+            others = others_tokens_per_s * len(usable) / speed
+            self.long_limit = demand.long_limit(
+                len(usable), others, waiting_long
+            )
 
     def place(self, waiting: grants.Waiting, now_ms: int) -> Placement | None:
         """Return targets with room for the request, or None for now."""
@@ -87,9 +131,13 @@
         )
         return None if chosen is None else _placement([chosen], [need])
 
-    def stop_keeping_clear(self) -> None:
-        """Give up targets that were kept clear for a waiting group."""
-        self._kept_clear = frozenset()
+    def count_running(self, workspace: str, change: int) -> None:
+        """Follow the number of grants of a workspace."""
+        count = self.running_by_workspace.get(workspace, 0) + change
+        if count:
+            self.running_by_workspace[workspace] = count
+        else:
+            self.running_by_workspace.pop(workspace, None)
 
     def release_reservations(self, request_id: str) -> None:
         """Let others use the targets that a suspect had to itself."""
@@ -101,21 +149,40 @@
         self, waiting: grants.Waiting, need: targetstate.Need, now_ms: int
     ) -> list[targetstate.TargetState]:
         found = []
-        for target in self.usable(now_ms):
+        usable = self.usable(now_ms)
+        if self._over_share(waiting.request.workspace, usable):
+            need = need._replace(over_share=True)
+        for target in usable:
             if target.reserved_for or target.name in waiting.excluded:
                 continue
             if target.fits(need):
                 target.drain(now_ms)
                 found.append(target)
-        if need.length_class == 'long' or not self._kept_clear:
+        kept = self._kept
+        if kept is None or not self._kept_for_other(waiting):
             return found
         others = [
-            entry for entry in found if entry.name not in self._kept_clear
+            entry
+            for entry in found
+            if entry.name not in kept.names
+            or entry.fits_beside(need, kept.memory_tokens)
         ]
         if need.length_class == 'short':
             return others or found
         return others
 
+    def _over_share(
+        self, workspace: str, usable: list[targetstate.TargetState]
+    ) -> bool:
+        """Tell whether others must be able to get the last slots.
+
+        Without this a flood that arrives first fills all slots, and fair
+        queueing alone cannot serve another workspace until one is free.
+        """
+        running = self.running_by_workspace.get(workspace, 0)
+        slots = sum(target.cold_start.cap for target in usable)
+        return running * (len(self.running_by_workspace) + 1) > slots
+
     def _place_long(
         self,
         waiting: grants.Waiting,
@@ -130,22 +197,27 @@
             return None if chosen is None else _placement([chosen], needs)
         free = [target for target in candidates if not target.has_long_prefill]
         if self._warm_count(now_ms) >= len(needs):
-            free = [target for target in free if not target.cold_start.cold]
+            free = [target for target in free if not target.cold_start.slow]
         limit = max(self.long_limit, len(needs))
         group: tuple[targetstate.TargetState, ...] = ()
         if self._busy_with_long() + len(needs) <= limit:
             group = groups.choose_group(free, len(needs))
         if group:
-            self._kept_clear = frozenset()
             return _placement(group, needs)
-        if len(needs) > 1:
-            self._kept_clear = groups.choose_reserved(
-                self.usable(now_ms), len(needs)
-            )
+        if len(needs) > 1 and not self._kept_for_other(waiting):
+            names = groups.choose_kept_clear(self.usable(now_ms), len(needs))
+            self._kept = Kept(waiting, names, needs[0].memory_tokens)
         return None
 
+    def _kept_for_other(self, waiting: grants.Waiting) -> bool:
+        """Tell whether another group waits for the targets kept clear."""
+        kept = self._kept
+        if kept is None or not kept.waiting.queued:
+            return False
+        return kept.waiting is not waiting
+
     def _warm_count(self, now_ms: int) -> int:
-        return sum(not target.cold_start.cold for target in self.usable(now_ms))
+        return sum(not target.cold_start.slow for target in self.usable(now_ms))
 
     def _busy_with_long(self) -> int:
         return sum(
@@ -160,6 +232,8 @@
     ) -> Placement | None:
         """Place a suspect on targets that run nothing else."""
         request_id = waiting.request.request_id
+        if waiting.request.fingerprint in self.running_suspects:
+            return None
         mine, others = [], 0
         for target in self.usable(now_ms):
             if target.reserved_for == request_id:
--- a/bergamotstream/targetstate.py
+++ b/bergamotstream/targetstate.py
@@ -33,6 +33,8 @@
     prompt_tokens: int
     memory_tokens: int
     prefix_hashes: tuple[int, ...] = ()
+    # The workspace has more than its share of the partition's slots.
+    over_share: bool = False
 
 
 class Occupant:
@@ -116,8 +118,7 @@
 
     def fits(self, need: Need) -> bool:
         """Tell whether the caps and the memory leave room for ``need``."""
-        cap = self.cold_start.cap
-        if self.running >= cap:
+        if self.running >= self._slots_for(need):
             return False
         if self.service.kind == 'plain':
             return True
@@ -129,10 +130,15 @@
         used = self._memory_beyond_short + self._orphan_memory
         if used + memory > self.memory_beyond_short:
             return False
-        if self.cold_start.cold:
-            return True
         others = sum(not entry.short for entry in self.occupants.values())
-        return others + len(self.orphans) < int(cap * (1 - SHORT_SHARE))
+        others += len(self.orphans)
+        return others < _kept_share(self._slots_for(need))
+
+    def fits_beside(self, need: Need, kept_tokens: int) -> bool:
+        """Tell whether ``need`` leaves memory for a long prompt's part."""
+        used = self._memory_beyond_short + self._orphan_memory
+        wanted = need.memory_tokens + kept_tokens
+        return used + wanted <= self.memory_beyond_short
 
     @property
     def memory_beyond_short(self) -> int:
@@ -177,7 +183,7 @@
         own = max(need.prompt_tokens - self.cached_tokens(need), 1)
         ahead = self.prefills.tokens_ahead(need.priority)
         ahead += self.prefills.tokens_in_step(need.priority)
-        factor = prediction.COLD_FACTOR if self.cold_start.cold else 1
+        factor = prediction.COLD_FACTOR if self.cold_start.slow else 1
         return self.speeds.prefill_ms(ahead + own) * factor
 
     @property
@@ -225,8 +231,23 @@
             return
         if self.cold_start.observe_ttft(ttft_ms, predicted_ms, now_ms):
             self.prefixes.clear()
-        elif prefill.alone and prefill.tokens == occupant.need.prompt_tokens:
-            self.speeds.learn_prefill(prefill.tokens, ttft_ms)
+        elif prefill.tokens == occupant.need.prompt_tokens:
+            self._learn_prefill(prefill, occupant, ttft_ms, now_ms)
+
+    def _learn_prefill(
+        self,
+        prefill: prediction.Prefill,
+        occupant: Occupant,
+        ttft_ms: int,
+        now_ms: int,
+    ) -> None:
+        if prefill.head_ms is None:
+            return
+        duration_ms = now_ms - prefill.head_ms
+        if prefill.head_ms == occupant.granted_ms:
+            # The way from the owner to the target does not count.
+            duration_ms = ttft_ms
+        self.speeds.learn_prefill(prefill.tokens, duration_ms)
 
     def learn_end(
         self, grant: grants.Grant, message: messages.GrantRelease, now_ms: int
@@ -287,6 +308,10 @@
         )
         return Findings(still_shown, dead, restarted)
 
+    def _slots_for(self, need: Need) -> int:
+        cap = self.cold_start.cap
+        return _kept_share(cap) if need.over_share else cap
+
     def _has_ended(self, attempt_id: str) -> bool:
         occupant = self.occupants.get(attempt_id)
         return occupant is not None and occupant.ended_ms is not None
@@ -344,3 +369,8 @@
         self.memory_reserved += sign * need.memory_tokens
         if not occupant.short:
             self._memory_beyond_short += sign * need.memory_tokens
+
+
+def _kept_share(slots: int) -> int:
+    """Return the slots without the share that is kept for others."""
+    return max(int(slots * (1 - SHORT_SHARE)), min(slots, 1))
