Add at-most-once claims with a segmented log

A lost create is sent again until it is certain; a conflict with the same content, which includes the writer's nonce, is an own lost write.

Deleting a folded run of segments one key at a time would double the writes, so KvDelete takes an optional end of a range.

--- a/bergamotstream/actions.py
+++ b/bergamotstream/actions.py
@@ -130,10 +130,11 @@
 
 
 class KvDelete(NamedTuple):
-    """Delete a key."""
+    """Delete a key, or all keys from ``key`` up to and without ``end_key``."""
 
     operation_id: str
     key: str
+    end_key: str = ''
 
 
 class KvWatch(NamedTuple):
--- /dev/null
+++ b/bergamotstream/claims.py
@@ -0,0 +1,292 @@
+"""
+Claims
+~~~~~~
+
+At-most-once execution: the owner of a claims partition answers whether an
+idempotency key may be dispatched. ``claimed`` is answered only when the claim
+is certainly in the log; see :mod:`claimlog` for its format.
+"""
+
+from bergamotstream import (
+    actions,
+    claimlog,
+    claimrules,
+    claimwriter,
+    components,
+    events,
+    kvflows,
+    messages,
+    state,
+)
+
+PREFIX = 'claims:'
+EXPIRE_EVERY_MS = 1_000
+DOWN_RETRY_MS = 1_000
+MOVED_RETRY_MS = 250
+TAKEN_DELAY_MS = 1_000
+MAX_WAITING = 2_000
+MAX_ABANDONED = 1_000
+
+Writer = claimwriter.LogWriter
+Written = claimwriter.Written
+ClaimOrOutcome = messages.ClaimRequest | messages.OutcomeReport
+
+
+class Claims(components.Component):
+    """The claim logs of the partitions that this host owns."""
+
+    name = 'claims'
+
+    def __init__(self, shared: state.HostState) -> None:
+        """Start without partitions."""
+        super().__init__(shared)
+        self._runner = kvflows.FlowRunner('claims/')
+        self._writers_by_partition: dict[str, Writer] = {}
+        # Claims that their host gave up before they arrived here.
+        self._abandoned: dict[str, None] = {}
+        self._down_until_ms = 0
+        self._next_expire_ms = 0
+
+    @components.handles(events.PartitionAcquired)
+    def on_acquired(
+        self, event: events.PartitionAcquired
+    ) -> components.Actions:
+        """Read the log back and seal it."""
+        if not event.partition.startswith(PREFIX):
+            return []
+        produced = self._drop(event.partition)
+        writer = Writer(
+            event.partition,
+            self.state.settings,
+            lambda: self.state.now_ms,
+            self._batch_ended,
+        )
+        self._writers_by_partition[event.partition] = writer
+        return produced + self._load(writer)
+
+    @components.handles(events.PartitionLost)
+    def on_lost(self, event: events.PartitionLost) -> components.Actions:
+        """Answer what was not written; the segment in flight still ends."""
+        return self._drop(event.partition)
+
+    @components.handles(messages.ClaimRequest)
+    def on_claim(
+        self, message: messages.ClaimRequest, sender: str
+    ) -> components.Actions:
+        """Answer from the index, or write the claim first."""
+        writer = self._writers_by_partition.get(message.partition)
+        if writer is None:
+            return [
+                claimrules.reply(sender, message, 'unavailable', MOVED_RETRY_MS)
+            ]
+        if self._known_down(writer):
+            return [
+                claimrules.reply(sender, message, 'unavailable', DOWN_RETRY_MS)
+            ]
+        if not writer.serving:
+            return self._hold(writer, message, sender)
+        return self._decide(writer, message, sender)
+
+    @components.handles(messages.OutcomeReport)
+    def on_outcome(
+        self, message: messages.OutcomeReport, sender: str
+    ) -> components.Actions:
+        """Write how a claimed request ended; its host repeats the report."""
+        writer = self._writers_by_partition.get(message.partition)
+        if writer is None:
+            return []
+        if not writer.serving:
+            return self._hold(writer, message, sender)
+        key = (message.workspace, message.key)
+        pending = writer.find_pending(key)
+        if pending is not None and pending.message == message:
+            return []
+        known = (
+            pending.entry if pending else writer.index.entries_by_key.get(key)
+        )
+        if known is None or known.claim_id != message.claim_id:
+            self._remember_abandoned(message)
+            return [claimrules.acknowledge(sender, message)]
+        if known.state != 'claimed':
+            return [] if pending else [claimrules.acknowledge(sender, message)]
+        entry = known._replace(
+            state=message.state, answer=self._kept_answer(writer, message)
+        )
+        return self._enqueue(writer, entry, message, sender)
+
+    @components.handles(events.KvAnswered)
+    def on_kv_answered(self, event: events.KvAnswered) -> components.Actions:
+        """Resume the flow that waits for this answer."""
+        produced = self._runner.answered(event, self.state.now_ms)
+        return produced + self._run_due()
+
+    @components.handles(events.Tick)
+    def on_tick(self, _event: events.Tick) -> components.Actions:
+        """Write due batches, give up on old waiting claims and expire."""
+        now_ms = self.state.now_ms
+        produced = self._runner.tick(now_ms)
+        for writer in self._writers_by_partition.values():
+            produced.extend(self._give_up_old(writer))
+        produced.extend(self._run_due())
+        if now_ms >= self._next_expire_ms:
+            self._next_expire_ms = now_ms + EXPIRE_EVERY_MS
+            for serving in self._writers_by_partition.values():
+                flow = serving.expire()
+                produced.extend(self._runner.start(flow, now_ms))
+        return produced
+
+    def _decide(
+        self, writer: Writer, message: messages.ClaimRequest, sender: str
+    ) -> components.Actions:
+        limit_ms = self.state.settings.timing.claim_key_age_ms
+        if not claimrules.age_allowed(message, limit_ms):
+            return [claimrules.reply(sender, message, 'expired')]
+        if message.claim_id in self._abandoned:
+            return [claimrules.reply(sender, message, 'unavailable')]
+        key = (message.workspace, message.key)
+        known = writer.index.entries_by_key.get(key)
+        pending = writer.find_pending(key)
+        if pending is not None and pending.entry.state == 'claimed':
+            known = pending.entry
+            if known.claim_id == message.claim_id:
+                # A repeated request is answered with the first one.
+                return []
+        if known is None or claimrules.may_claim(known, message):
+            entry = self._new_entry(message, sender)
+            return self._enqueue(writer, entry, message, sender)
+        live = self.state.live_peers | {self.state.host}
+        return [claimrules.answer_known(known, message, sender, live)]
+
+    def _new_entry(
+        self, message: messages.ClaimRequest, sender: str
+    ) -> claimlog.Entry:
+        return claimlog.Entry(
+            workspace=message.workspace,
+            key=message.key,
+            claim_id=message.claim_id,
+            host=sender,
+            body_digest=message.body_digest,
+            state='claimed',
+            born_ms=self.state.now_ms,
+        )
+
+    def _kept_answer(
+        self, writer: Writer, message: messages.OutcomeReport
+    ) -> bytes | None:
+        limit = self.state.settings.limits.recorded_answer_bytes
+        fits = len(message.answer) <= limit
+        if writer.index.answer_bytes > claimlog.MAX_ANSWER_BYTES:
+            fits = False
+        return message.answer if message.state == 'ran' and fits else None
+
+    def _enqueue(
+        self,
+        writer: Writer,
+        entry: claimlog.Entry,
+        message: ClaimOrOutcome,
+        sender: str,
+    ) -> components.Actions:
+        waiting = claimwriter.Waiting(entry, sender, message, self.state.now_ms)
+        if len(writer.waiting) >= MAX_WAITING:
+            return claimrules.refuse(waiting, DOWN_RETRY_MS)
+        writer.waiting.append(waiting)
+        return self._run_due()
+
+    def _hold(
+        self, writer: Writer, message: ClaimOrOutcome, sender: str
+    ) -> components.Actions:
+        held = claimwriter.Held(sender, message, self.state.now_ms)
+        if len(writer.held) >= MAX_WAITING:
+            return claimrules.refuse(held, DOWN_RETRY_MS)
+        if all(each.message != message for each in writer.held):
+            writer.held.append(held)
+        return []
+
+    def _run_due(self) -> components.Actions:
+        produced: components.Actions = []
+        for writer in list(self._writers_by_partition.values()):
+            if self.state.now_ms >= self._down_until_ms:
+                flow = writer.due_flow(self.state.new_id())
+                if flow is not None:
+                    produced += self._runner.start(flow, self.state.now_ms)
+        return produced
+
+    def _load(self, writer: Writer, delay_ms: int = 0) -> components.Actions:
+        writer.hold_waiting()
+        flow = writer.load(self.state.new_id(), delay_ms)
+        return self._runner.start(flow, self.state.now_ms)
+
+    def _batch_ended(
+        self,
+        writer: Writer,
+        batch: list[claimwriter.Waiting],
+        written: Written,
+    ) -> components.Actions:
+        """Answer a batch and act on what its write says about the log."""
+        produced: components.Actions = []
+        for pending in batch:
+            waited_ms = self.state.now_ms - pending.since_ms
+            produced.append(actions.Observe('claim_commit_ms', '', waited_ms))
+            produced.extend(
+                claimrules.answer_written(pending, written, DOWN_RETRY_MS)
+            )
+        if writer.owned:
+            produced.extend(self._continue(writer, batch, written))
+        return produced
+
+    def _continue(
+        self,
+        writer: Writer,
+        batch: list[claimwriter.Waiting],
+        written: Written,
+    ) -> components.Actions:
+        if written is Written.NOT:
+            self._down_until_ms = self.state.now_ms + DOWN_RETRY_MS
+            writer.put_back_outcomes(batch)
+            return []
+        if written is Written.YES:
+            return self._take_held(writer) if writer.serving else []
+        # Another host has sealed the log, or this one does not know. If the
+        # partition has moved, PartitionLost arrives during the delay.
+        refused = self._refuse_claims(writer, self.state.now_ms)
+        return refused + self._load(writer, TAKEN_DELAY_MS)
+
+    def _take_held(self, writer: Writer) -> components.Actions:
+        held = writer.held
+        writer.held = []
+        return [
+            actions.Raise(events.MessageReceived(each.sender, each.message))
+            for each in held
+        ]
+
+    def _give_up_old(self, writer: Writer) -> components.Actions:
+        """Refuse claims whose host will not dispatch any more."""
+        if self._known_down(writer):
+            return self._refuse_claims(writer, self.state.now_ms)
+        window_ms = self.state.settings.timing.dispatch_window_ms
+        return self._refuse_claims(writer, self.state.now_ms - window_ms)
+
+    def _refuse_claims(
+        self, writer: Writer, limit_ms: int
+    ) -> components.Actions:
+        """Refuse claims, not yet sent to the service, of ``limit_ms``."""
+        refused: components.Actions = []
+        for pending in writer.take_old_claims(limit_ms):
+            refused.extend(claimrules.refuse(pending, DOWN_RETRY_MS))
+        return refused
+
+    def _drop(self, partition: str) -> components.Actions:
+        writer = self._writers_by_partition.pop(partition, None)
+        if writer is None:
+            return []
+        writer.owned = False
+        return self._refuse_claims(writer, self.state.now_ms)
+
+    def _known_down(self, writer: Writer) -> bool:
+        return writer.troubled or self.state.now_ms < self._down_until_ms
+
+    def _remember_abandoned(self, message: messages.OutcomeReport) -> None:
+        if message.state == 'abandoned':
+            self._abandoned[message.claim_id] = None
+        if len(self._abandoned) > MAX_ABANDONED:
+            self._abandoned.pop(next(iter(self._abandoned)))
--- /dev/null
+++ b/bergamotstream/claimwriter.py
@@ -0,0 +1,299 @@
+"""
+Writer of one claim log
+~~~~~~~~~~~~~~~~~~~~~~~
+
+Group commit for one owned claims partition: waiting entries, the one segment
+in flight, and the flows that read back, seal, write and fold.
+"""
+
+import enum
+from collections.abc import Callable, Generator
+from typing import NamedTuple
+
+from bergamotstream import (
+    actions,
+    claimlog,
+    components,
+    events,
+    kvflows,
+    messages,
+    records,
+    settings,
+)
+
+RETRY_MS = 200
+RELOAD_MS = 1_000
+DELETE_TRIES = 5
+
+
+class Written(enum.Enum):
+    """What is known after writing a segment.
+
+    ``TAKEN``: another owner has sealed the log. ``UNCERTAIN``: this host
+    stopped trying while a lost write may still take effect.
+    """
+
+    YES = 'yes'
+    NOT = 'not'
+    TAKEN = 'taken'
+    UNCERTAIN = 'uncertain'
+
+
+class Waiting(NamedTuple):
+    """An entry to write and the message to answer then."""
+
+    entry: claimlog.Entry
+    sender: str
+    message: messages.ClaimRequest | messages.OutcomeReport
+    since_ms: int
+
+
+class Held(NamedTuple):
+    """A message to decide on when the log has been read back."""
+
+    sender: str
+    message: messages.ClaimRequest | messages.OutcomeReport
+    since_ms: int
+
+
+Report = Callable[['LogWriter', list[Waiting], Written], components.Actions]
+SegmentFlow = Generator[kvflows.Step, kvflows.Answers, Written]
+
+
+class LogWriter:
+    """The log of one partition at its owner.
+
+    ``clock`` returns the present time and ``report`` is told how each batch
+    ended. After ``owned`` is unset, only the segment in flight is finished.
+    """
+
+    def __init__(
+        self,
+        partition: str,
+        config: settings.Settings,
+        clock: Callable[[], int],
+        report: Report,
+    ) -> None:
+        """Start unloaded; run :meth:`load` first."""
+        self.partition = partition
+        self.index = self._empty_index(config)
+        self.owned = True
+        self.serving = False
+        self.troubled = False
+        self.busy = False
+        self.held: list[Held] = []
+        self.waiting: list[Waiting] = []
+        self.in_flight: list[Waiting] = []
+        self._settings = config
+        self._clock = clock
+        self._report = report
+        self._last_start_ms = -config.timing.claim_batch_ms
+        self._confirmed_ms = 0
+        self._nonces = 0
+
+    def load(self, incarnation: str, delay_ms: int = 0) -> kvflows.Flow:
+        """Read the segments back, seal the next sequence, then serve."""
+        self.serving = False
+        self.busy = True
+        if delay_ms:
+            yield kvflows.Pause(delay_ms)
+        while self.owned and not self.serving:
+            answers = yield (self._read_all(),)
+            if answers[0].status == 'ok':
+                yield from self._seal(answers[0].items, incarnation)
+            else:
+                self.troubled = True
+            if not self.serving:
+                yield kvflows.Pause(RELOAD_MS)
+        self.busy = False
+        return self._report(self, [], Written.YES)
+
+    def due_flow(self, incarnation: str) -> kvflows.Flow | None:
+        """Return what to run now, if anything, and take the entries."""
+        now_ms = self._clock()
+        if self.busy or not self.serving:
+            return None
+        fold = self.index.plan_fold()
+        if fold is not None:
+            self.busy = True
+            return self._fold(fold, incarnation)
+        batch_ms = self._settings.timing.claim_batch_ms
+        if not self.waiting or now_ms - self._last_start_ms < batch_ms:
+            return None
+        if now_ms - self._confirmed_ms > self._patience_ms():
+            self.hold_waiting()
+            return self.load(incarnation)
+        self.busy = True
+        self._last_start_ms = now_ms
+        self._take_batch()
+        return self._commit(incarnation)
+
+    def expire(self) -> kvflows.Flow:
+        """Drop old entries and delete the segments that held them."""
+        if not self.serving:
+            return []
+        doomed = self.index.expire(self._clock())
+        yield from self._delete(doomed)
+        return []
+
+    def hold_waiting(self) -> None:
+        """Decide on waiting entries again after the log is read back."""
+        self.held.extend(
+            Held(pending.sender, pending.message, pending.since_ms)
+            for pending in self.waiting
+        )
+        self.waiting = []
+
+    def put_back_outcomes(self, batch: list[Waiting]) -> None:
+        """Write the outcomes of a failed batch again with the next one."""
+        outcomes = [
+            pending
+            for pending in batch
+            if isinstance(pending.message, messages.OutcomeReport)
+        ]
+        self.waiting = outcomes + self.waiting
+
+    def take_old_claims(self, limit_ms: int) -> list[Waiting | Held]:
+        """Remove and return claims that wait since ``limit_ms`` or before."""
+        everything: list[Waiting | Held] = []
+        everything.extend(self.waiting)
+        everything.extend(self.held)
+        old = [each for each in everything if _is_old_claim(each, limit_ms)]
+        if old:
+            self.waiting = [each for each in self.waiting if each not in old]
+            self.held = [each for each in self.held if each not in old]
+        return old
+
+    def find_pending(self, key: claimlog.Key) -> Waiting | None:
+        """Return the newest unconfirmed entry of a key."""
+        for pending in reversed(self.in_flight + self.waiting):
+            if claimlog.key_of(pending.entry) == key:
+                return pending
+        return None
+
+    def _empty_index(self, config: settings.Settings) -> claimlog.ClaimIndex:
+        return claimlog.ClaimIndex(
+            config.limits.claim_segment_bytes, config.timing.claim_retention_ms
+        )
+
+    def _read_all(self) -> actions.KvRead:
+        prefix = claimlog.segment_prefix(self.partition)
+        return actions.KvRead('', prefix, prefix=True)
+
+    def _seal(
+        self, items: tuple[records.KvItem, ...], incarnation: str
+    ) -> Generator[kvflows.Step, kvflows.Answers, None]:
+        self.index = self._empty_index(self._settings)
+        self.index.read_back(items, self._clock())
+        if self.owned:
+            written = yield from self._append('seal', (), incarnation)
+            self.serving = written is Written.YES
+
+    def _take_batch(self) -> None:
+        room = self._settings.limits.claim_segment_bytes
+        room -= claimlog.HEADER_BYTES
+        count = 0
+        for pending in self.waiting:
+            room -= claimlog.entry_size(pending.entry)
+            if room < 0:
+                break
+            count += 1
+        self.in_flight = self.waiting[:count]
+        self.waiting = self.waiting[count:]
+
+    def _commit(self, incarnation: str) -> kvflows.Flow:
+        entries = tuple(pending.entry for pending in self.in_flight)
+        written = yield from self._append('batch', entries, incarnation)
+        batch = self.in_flight
+        self.in_flight = []
+        self.busy = False
+        return self._report(self, batch, written)
+
+    def _fold(self, fold: claimlog.Fold, incarnation: str) -> kvflows.Flow:
+        written = yield from self._append('fold', fold.entries, incarnation)
+        self.busy = False
+        produced = self._report(self, [], written)
+        if written is Written.YES:
+            yield from self._delete(self.index.forget(fold.sources))
+        return produced
+
+    def _append(
+        self,
+        kind: claimlog.Kind,
+        entries: tuple[claimlog.Entry, ...],
+        incarnation: str,
+    ) -> SegmentFlow:
+        """Create the next segment; the same create is sent until certain.
+
+        A conflict with the same content, which includes the nonce, means
+        that a lost write took effect.
+        """
+        sequence = self.index.next_sequence
+        self._nonces += 1
+        segment = claimlog.Segment(
+            kind, f'{incarnation}.{self._nonces}', entries
+        )
+        content = claimlog.encode_segment(segment, self._clock())
+        key = claimlog.segment_key(self.partition, sequence)
+        written = yield from self._create(key, content)
+        if written is Written.YES:
+            self._confirmed_ms = self._clock()
+            self.index.add(sequence, segment, len(content), self._clock())
+        return written
+
+    def _create(self, key: str, content: bytes) -> SegmentFlow:
+        sent_ms = self._clock()
+        uncertain = False
+        while True:
+            answers = yield (actions.KvWrite('', key, content, 0),)
+            written = self._known(answers[0], content)
+            self.troubled = written is None
+            if written is not None:
+                return written
+            uncertain = uncertain or answers[0].status != 'unavailable'
+            if not uncertain:
+                self.troubled = False
+                return Written.NOT
+            if not self.owned or self._clock() - sent_ms > self._patience_ms():
+                return Written.UNCERTAIN
+            yield kvflows.Pause(RETRY_MS)
+
+    def _known(
+        self, answered: events.KvAnswered, content: bytes
+    ) -> Written | None:
+        if answered.status == 'ok':
+            return Written.YES
+        if answered.status == 'conflict' and answered.items:
+            same = answered.items[0].value == content
+            return Written.YES if same else Written.TAKEN
+        return None
+
+    def _patience_ms(self) -> int:
+        """Return how long a seal of a later owner is certainly kept, halved.
+
+        An owner that has confirmed nothing for that long reads back first.
+        """
+        return self._settings.timing.claim_retention_ms // 2
+
+    def _delete(
+        self, sequences: list[int]
+    ) -> Generator[kvflows.Step, kvflows.Answers, None]:
+        present = self.index.segments_by_sequence
+        for first, last in list(claimlog.runs_of(sequences, present)):
+            action = actions.KvDelete(
+                '',
+                claimlog.segment_key(self.partition, first),
+                claimlog.segment_key(self.partition, last + 1),
+            )
+            # What stays undeleted is read back by the next owner and folded
+            # again, which is harmless.
+            for _ in range(DELETE_TRIES):
+                answers = yield (action,)
+                if answers[0].status == 'ok':
+                    break
+                yield kvflows.Pause(RELOAD_MS)
+
+
+def _is_old_claim(pending: Waiting | Held, limit_ms: int) -> bool:
+    is_claim = isinstance(pending.message, messages.ClaimRequest)
+    return is_claim and pending.since_ms <= limit_ms
--- a/bergamotstream/keyvalues/etcd.py
+++ b/bergamotstream/keyvalues/etcd.py
@@ -80,7 +80,10 @@
         if isinstance(action, actions.KvWrite):
             return await self._write(action)
         if isinstance(action, actions.KvDelete):
-            await self._post('/v3/kv/deleterange', {'key': _encode(action.key)})
+            body = {'key': _encode(action.key)}
+            if action.end_key:
+                body['range_end'] = _encode(action.end_key)
+            await self._post('/v3/kv/deleterange', body)
             return events.KvAnswered(action.operation_id, 'ok')
         found = await self._watch(action.key, action.after_revision)
         return events.KvAnswered(action.operation_id, 'ok', found)
--- a/standins/kvstore.py
+++ b/standins/kvstore.py
@@ -220,7 +220,9 @@
     ) -> events.KvAnswered:
         operation_id = action.operation_id
         if isinstance(action, actions.KvDelete):
-            self.store.delete([action.key])
+            end = action.end_key or f'{action.key}\0'
+            doomed = self.store.between(action.key, end)
+            self.store.delete([item.key for item in doomed])
             return events.KvAnswered(operation_id, 'ok')
         present = self.store.get(action.key)
         if self.store.revision_of(action.key) != action.expected_revision:
--- a/tests/test_etcd.py
+++ b/tests/test_etcd.py
@@ -56,8 +56,11 @@
         ('a/1', b'y'),
         ('a/2', b''),
     ]
-    await client.perform(actions.KvDelete('6', 'a/1'))
-    assert (await client.perform(actions.KvRead('7', 'a/1'))).items == ()
+    await client.perform(actions.KvWrite('6', 'a/3', b'', 0))
+    await client.perform(actions.KvDelete('7', 'a/1'))
+    await client.perform(actions.KvDelete('8', 'a/1', 'a/3'))
+    left = await client.perform(actions.KvRead('9', 'a/', prefix=True))
+    assert [entry.key for entry in left.items] == ['a/3']
 
 
 async def test_lost_answer_is_unknown_and_took_effect(client, service):
