--- /dev/null
+++ b/bergamotstream/adminclient.py
@@ -0,0 +1,119 @@
+"""
+Client of the admin endpoint
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Sends operators' commands to a host over HTTP and turns its answers into text.
+"""
+
+import json
+from collections.abc import Iterator, Mapping
+from typing import Any
+
+import aiohttp
+
+from bergamotstream import errors
+
+Body = dict[str, Any]
+# Commands wait for several calls of a slow key-value service.
+TIMEOUT_S = 30
+
+
+class CommandFailed(Exception):
+    """A command was not carried out; the text names code and remedy."""
+
+
+async def send_command(
+    address: str, command: str, arguments: Mapping[str, Any]
+) -> Body:
+    """Run a command at a host and return the body of its answer.
+
+    Raises :class:`CommandFailed`.
+    """
+    content = {'command': command, 'arguments': arguments}
+    timeout = aiohttp.ClientTimeout(total=TIMEOUT_S)
+    try:
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            answer = await _post(session, f'http://{address}/admin', content)
+    except TimeoutError as fault:
+        raise CommandFailed(
+            f'no answer from {address} in {TIMEOUT_S} s, the command may have'
+            + ' run; look at the audit trail before repeating it'
+        ) from fault
+    except (aiohttp.ClientError, ValueError) as fault:
+        raise CommandFailed(
+            f'{address}: {fault}; give the address of a live host'
+        ) from fault
+    if answer.get('code'):
+        raise CommandFailed(_describe(answer))
+    return answer.get('body', {})
+
+
+async def _post(
+    session: aiohttp.ClientSession, url: str, content: Body
+) -> Body:
+    async with session.post(url, json=content) as response:
+        answer = json.loads(await response.text())
+    if not isinstance(answer, dict):
+        raise ValueError('the answer is not an object')
+    return answer
+
+
+def _describe(answer: Body) -> str:
+    code = answer['code']
+    body = answer.get('body') or {}
+    remedy = body.get('remedy') or errors.get_error_by_code(code).remedy
+    lines = [f'{code}: {body.get("detail") or code}', f'remedy: {remedy}']
+    if body.get('run_state') == 'may_have_run':
+        lines.append('state: the change may be in force, see the audit trail')
+    retry_after_ms = answer.get('retry_after_ms') or body.get('retry_after_ms')
+    if retry_after_ms:
+        lines.append(f'retry after: {retry_after_ms} ms')
+    for entry in body.get('changed', ()):
+        lines.append(f'changed: {_entry_line(entry)}')
+    return '\n'.join(lines)
+
+
+def as_json(body: Body) -> str:
+    """Return a body as indented JSON."""
+    return json.dumps(body, indent=2, sort_keys=True)
+
+
+def as_text(body: Body) -> str:
+    """Return a body as lines; lists of objects have one line each."""
+    return '\n'.join(_lines(body))
+
+
+def _lines(body: Body) -> Iterator[str]:
+    for name, value in body.items():
+        if name == 'entries':
+            yield from map(_entry_line, value)
+        elif isinstance(value, list):
+            yield from (f'{name}: {_plain(each)}' for each in value)
+        elif isinstance(value, dict):
+            for key, entry in sorted(value.items()):
+                yield f'{name}/{key}: {_plain(entry)}'
+        else:
+            yield f'{name}: {value}'
+
+
+def _plain(value: Any) -> str:
+    if isinstance(value, dict):
+        return ' '.join(f'{name}={each}' for name, each in value.items())
+    return str(value)
+
+
+def _entry_line(entry: Body) -> str:
+    signed = f'signed by {entry["signed_by"]}'
+    if entry['urgent']:
+        signed = 'urgent, one signature'
+    changes = entry['changes']
+    paths = (
+        changes['paths']
+        if isinstance(changes, dict)
+        else [change['path'] for change in changes]
+    )
+    return (
+        f'version {entry["version"]} at {entry["wall_ms"]}:'
+        + f' {entry["command"]} by {entry["author"]} ({signed}):'
+        + f' {", ".join(paths)}'
+    )
--- a/bergamotstream/bundlestore.py
+++ b/bergamotstream/bundlestore.py
@@ -114,12 +114,12 @@
         answered = yield from kvflows.write_item(
             audit.HEAD_KEY, audit.encode_head(head), stored.revision
         )
-        if answered.status == 'ok':
-            before = bundleparts.all_hashes(stored.head.parts_by_section)
-            self._delete_unused(before, head)
-            return head
-        present = read_head(answered.items)
+        present = head
+        if answered.status != 'ok':
+            present = read_head(answered.items)
         if audit.find_nonce(present, entry.nonce):
+            before = bundleparts.all_hashes(stored.head.parts_by_section)
+            self._delete_unused(before, present)
             return present
         if not _reaches_back(present, stored.head.version):
             raise errors.KvUnavailable(
--- a/tests/test_bundles.py
+++ b/tests/test_bundles.py
@@ -169,6 +169,40 @@
     assert unsure.body['run_state'] == ('may_have_run' if head else 'not_run')
 
 
+def lose_the_first_head(cluster):
+    """Roll a draft at h1 so that the head is written and its answer lost."""
+    draft = draft_and_sign(cluster, 'h1', FIRST, 0)
+    cluster.kv.lose_answers = True
+    cluster.kv.lose_prefix = audit.HEAD_KEY
+    query = cluster.submit('h1', 'config.roll', draft=draft, operator='eva')
+    cluster.run(50)
+    assert cluster.kv.store.get(audit.HEAD_KEY)
+    cluster.kv.lose_answers = False
+    return query
+
+
+def test_lost_answer_is_recognised_below_later_versions():
+    """Guards against a conflict reported for a change that is in force."""
+    cluster = start()
+    query = lose_the_first_head(cluster)
+    later = cluster.ask('h2', 'zone.out', 50, zone='rosario', operator='leo')
+    assert later.body['version'] == 2
+    assert query not in cluster.answers_by_query
+    cluster.run(1_000)
+    assert cluster.answers_by_query[query].body['version'] == 1
+    assert cluster.state('h1').bundle.workspaces_by_name['ana'].weight == 1.5
+
+
+def test_lost_answer_before_an_outage_may_have_run():
+    """Guards against a false 'not run' (design 2.1, item 6)."""
+    cluster = start()
+    query = lose_the_first_head(cluster)
+    cluster.kv.down = True
+    cluster.run(5_000)
+    answer = cluster.answers_by_query[query]
+    assert answer.body['run_state'] == 'may_have_run'
+
+
 def test_starting_host_learns_the_bundle_from_a_peer():
     """Guards against a host that needs the key-value service to start."""
     cluster = start()
