--- a/standins/kv.py
+++ b/standins/kv.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import base64
+import contextlib
 import functools
 import json
 from collections.abc import Awaitable, Callable
@@ -24,6 +25,7 @@
 Body = dict[str, Any]
 MAX_BODY_BYTES = 2_000_000
 LEASE_CHECK_S = 0.1
+CLIENT_CHECK_S = 1.0
 GRPC_INVALID_ARGUMENT = 3
 GRPC_UNAVAILABLE = 14
 MS_PER_S = 1_000
@@ -166,23 +168,31 @@
                 response, canceled=True, compact_revision=compacted
             )
             return response
-        await self._follow(response, key, start)
+        while not self.faults['down'] and request.transport is not None:
+            start = await self._follow(response, key, start)
         return response
 
     async def _follow(
         self, response: web.StreamResponse, key: str, start: int
-    ) -> None:
-        while not self.faults['down']:
-            changes = self.store.changes_since(start, key)
-            if changes:
-                await asyncio.sleep(self.faults['slow_ms'] / MS_PER_S)
-                await self._send(
-                    response, events=[_event(change) for change in changes]
-                )
-                start = changes[-1].item.revision + 1
-                continue
-            async with self._changed:
-                await self._changed.wait()
+    ) -> int:
+        """Send changes from ``start`` on; return where to go on."""
+        changes = self.store.changes_since(start, key)
+        if not changes:
+            await self._wait_for_change()
+            return start
+        await asyncio.sleep(self.faults['slow_ms'] / MS_PER_S)
+        sent = [_event(change) for change in changes]
+        # A client that has left is noticed by the caller.
+        with contextlib.suppress(ConnectionError):
+            await self._send(response, events=sent)
+        return changes[-1].item.revision + 1
+
+    async def _wait_for_change(self) -> None:
+        """Wait for any change; return early to notice clients that left."""
+        async with self._changed:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(CLIENT_CHECK_S):
+                    await self._changed.wait()
 
     async def _send(self, response: web.StreamResponse, **fields: Any) -> None:
         line = json.dumps({'result': self._answer(**fields)})
