--- a/bergamotstream/cmdline.py
+++ b/bergamotstream/cmdline.py
@@ -12,6 +12,7 @@
 import json as jsonlib
 import pathlib
 import sys
+from collections.abc import Sequence
 from typing import Any, Literal
 
 import defopt
@@ -72,15 +73,7 @@
     :param base_version: Version that the change starts from.
     :param address: Address of any live host.
     """
-    entry: dict[str, Any] = {'kind': kind}
-    for field in fields:
-        field_name, _, text = field.partition('=')
-        try:
-            entry[field_name] = jsonlib.loads(text)
-        except ValueError as fault:
-            raise adminclient.CommandFailed(
-                f'{field}: {fault}; write name=value with a number or true'
-            ) from fault
+    entry = {'kind': kind, **_parse_fields(fields)}
     change = {'path': f'services/{name}', 'value': entry}
     _draft([change], author, base_version, address)
 
@@ -197,6 +190,24 @@
     _print(_run(address, 'audit.show', {'limit': limit}), json)
 
 
+def order(
+    target: str,
+    kind: Literal['load', 'adapter', 'version', 'role'],
+    *fields: str,
+    address: str = DEFAULT_ADDRESS,
+) -> None:
+    """Send an order to a target.
+
+    :param target: Target.
+    :param kind: Kind of the order.
+    :param fields: What it asks as name=value, for example model='"m2"'.
+    :param address: Address of the owner of the target's partition.
+    """
+    wanted = {'kind': kind, **_parse_fields(fields)}
+    arguments = {'target': target, 'order': wanted}
+    _print(_run(address, 'target.order', arguments))
+
+
 def drain(*, address: str = DEFAULT_ADDRESS) -> None:
     """Stop a host gracefully; it finishes its requests first.
 
@@ -217,10 +228,24 @@
     hosts,
     targets,
     audit,
+    order,
     drain,
 )
 
 
+def _parse_fields(fields: Sequence[str]) -> dict[str, Any]:
+    parsed = {}
+    for field in fields:
+        name, _, text = field.partition('=')
+        try:
+            parsed[name] = jsonlib.loads(text)
+        except ValueError as fault:
+            raise adminclient.CommandFailed(
+                f'{field}: {fault}; write name=value with a JSON value'
+            ) from fault
+    return parsed
+
+
 def _draft(changes: Any, author: str, base_version: int, address: str) -> None:
     if base_version == PRESENT_VERSION:
         base_version = _present_version(address)
--- a/bergamotstream/kvflows.py
+++ b/bergamotstream/kvflows.py
@@ -2,9 +2,9 @@
 Sequences of key-value operations
 ~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
-A flow is a generator that yields a batch of key-value actions (or a pause) and
-is resumed with their answers, in the same order. It returns the actions for
-the shell. :class:`FlowRunner` keeps the flows of one component.
+A flow is a generator that yields a batch of key-value actions, an order to a
+target or a pause, and is resumed with the answers in the same order. It returns
+the actions for the shell. :class:`FlowRunner` keeps the flows of one component.
 """
 
 import itertools
@@ -15,6 +15,7 @@
 
 KvAction = actions.KvRead | actions.KvWrite | actions.KvDelete | actions.KvWatch
 Answers = list[events.KvAnswered]
+Answer = events.KvAnswered | events.OrderAnswered
 
 
 class Pause(NamedTuple):
@@ -23,7 +24,13 @@
     duration_ms: int
 
 
-Step = Sequence[KvAction] | Pause
+class Order(NamedTuple):
+    """Send an order; the flow is resumed with a list of its one answer."""
+
+    action: actions.SendOrder
+
+
+Step = Sequence[KvAction] | Pause | Order
 Flow = Generator[Step, Answers, components.Actions]
 
 WRITE_TRIES = 5
@@ -36,12 +43,12 @@
 
     def __init__(self, flow: Flow) -> None:
         self.flow = flow
-        self.answers_by_operation: dict[str, events.KvAnswered | None] = {}
+        self.answers_by_operation: dict[str, Answer | None] = {}
 
     def complete(self) -> bool:
         return None not in self.answers_by_operation.values()
 
-    def take_answers(self) -> Answers:
+    def take_answers(self) -> list[Answer]:
         answers = self.answers_by_operation.values()
         self.answers_by_operation = {}
         return [answered for answered in answers if answered]
@@ -65,10 +72,21 @@
         self, answered: events.KvAnswered, now_ms: int
     ) -> components.Actions:
         """Resume the flow that waits for an answer, if there is one."""
-        running = self._running_by_operation.pop(answered.operation_id, None)
+        return self._answer(answered.operation_id, answered, now_ms)
+
+    def order_answered(
+        self, answered: events.OrderAnswered, now_ms: int
+    ) -> components.Actions:
+        """Resume the flow that waits for an order, if there is one."""
+        return self._answer(answered.order_id, answered, now_ms)
+
+    def _answer(
+        self, operation_id: str, answered: Answer, now_ms: int
+    ) -> components.Actions:
+        running = self._running_by_operation.pop(operation_id, None)
         if running is None:
             return []
-        running.answers_by_operation[answered.operation_id] = answered
+        running.answers_by_operation[operation_id] = answered
         if not running.complete():
             return []
         return self._resume(running, running.take_answers(), now_ms)
@@ -83,7 +101,10 @@
         return produced
 
     def _resume(
-        self, running: _Running, answers: Answers | None, now_ms: int
+        self,
+        running: _Running,
+        answers: Sequence[Answer] | None,
+        now_ms: int,
     ) -> components.Actions:
         try:
             # The first call of a generator's send() takes None.
@@ -93,13 +114,19 @@
         if isinstance(step, Pause):
             self._paused.append((running, now_ms + step.duration_ms))
             return []
-        return [self._register(running, action) for action in step]
-
-    def _register(self, running: _Running, action: KvAction) -> KvAction:
+        if isinstance(step, Order):
+            return [step.action._replace(order_id=self._expect(running))]
+        return [
+            action._replace(operation_id=self._expect(running))
+            for action in step
+        ]
+
+    def _expect(self, running: _Running) -> str:
+        """Return a new identifier whose answer the flow waits for."""
         operation_id = f'{self._prefix}{next(self._numbers)}'
         running.answers_by_operation[operation_id] = None
         self._running_by_operation[operation_id] = running
-        return action._replace(operation_id=operation_id)
+        return operation_id
 
 
 def read_items(
