Read claim logs back in pages and reject changes of a reverted service

Reading 10 min of claims at 200 claims/s in one call could exceed the call timeout and block the event loop while it is decoded. KvRead takes a page limit and the key to go on after.

A service restored from a copy has a lower version than the hosts, which ignore it; commands now say so instead of rolling a version nobody adopts.

--- a/bergamotstream/actions.py
+++ b/bergamotstream/actions.py
@@ -113,11 +113,17 @@
 
 
 class KvRead(NamedTuple):
-    """Read one key, or all keys with a prefix."""
+    """Read one key, or all keys with a prefix.
+
+    ``after_key`` and ``limit`` read the keys with a prefix in pages, in the
+    order of keys.
+    """
 
     operation_id: str
     key: str
     prefix: bool = False
+    after_key: str = ''
+    limit: int = 0
 
 
 class KvWrite(NamedTuple):
--- a/bergamotstream/bundles.py
+++ b/bergamotstream/bundles.py
@@ -46,7 +46,7 @@
         self._runner = kvflows.FlowRunner('config/')
         self._store = bundlestore.BundleStore()
         self._commands = configcommands.ConfigCommands(
-            self._store, shared.new_id, self._adopt_head
+            self._store, shared.new_id, self._known_version, self._adopt_head
         )
         # The highest version seen; kept when a stale bundle is dropped.
         self._kept: records.Bundle | None = None
@@ -140,6 +140,9 @@
         body = {'version': bundle.version, **document}
         return actions.AnswerAdmin(query_id, '', body)
 
+    def _known_version(self) -> int:
+        return self.version
+
     def _is_reader(self) -> bool:
         record = self.state.record
         if record is None:
--- /dev/null
+++ b/bergamotstream/claimbatch.py
@@ -0,0 +1,48 @@
+"""
+Batches of claims
+~~~~~~~~~~~~~~~~~
+
+What waits for a claim log: entries to write, messages to decide on, and how
+the write of a batch can end.
+"""
+
+import enum
+from typing import NamedTuple
+
+from bergamotstream import claimlog, messages
+
+
+class Written(enum.Enum):
+    """What is known after writing a segment.
+
+    ``TAKEN``: another owner has sealed the log. ``UNCERTAIN``: this host
+    stopped trying while a lost write may still take effect.
+    """
+
+    YES = 'yes'
+    NOT = 'not'
+    TAKEN = 'taken'
+    UNCERTAIN = 'uncertain'
+
+
+class Waiting(NamedTuple):
+    """An entry to write and the message to answer then."""
+
+    entry: claimlog.Entry
+    sender: str
+    message: messages.ClaimRequest | messages.OutcomeReport
+    since_ms: int
+
+
+class Held(NamedTuple):
+    """A message to decide on when the log has been read back."""
+
+    sender: str
+    message: messages.ClaimRequest | messages.OutcomeReport
+    since_ms: int
+
+
+def is_old_claim(pending: Waiting | Held, limit_ms: int) -> bool:
+    """Tell whether a claim has waited since ``limit_ms`` or before."""
+    is_claim = isinstance(pending.message, messages.ClaimRequest)
+    return is_claim and pending.since_ms <= limit_ms
--- a/bergamotstream/claimrules.py
+++ b/bergamotstream/claimrules.py
@@ -6,13 +6,13 @@
 the messages that carry the answer.
 """
 
-from bergamotstream import actions, claimlog, claimwriter, messages
+from bergamotstream import actions, claimbatch, claimlog, messages
 
 # A key from the future would outlive its entry. With this, two hosts' wall
 # clocks may each differ by 45 s: 480 + 30 + 2 * 45 s = the retention of 600 s.
 MAX_FUTURE_KEY_MS = 30_000
 
-Pending = claimwriter.Waiting | claimwriter.Held
+Pending = claimbatch.Waiting | claimbatch.Held
 
 
 def age_allowed(message: messages.ClaimRequest, limit_ms: int) -> bool:
@@ -82,15 +82,15 @@
 
 
 def answer_written(
-    pending: claimwriter.Waiting, written: claimwriter.Written, retry_ms: int
+    pending: claimbatch.Waiting, written: claimbatch.Written, retry_ms: int
 ) -> list[actions.Action]:
     """Answer a claim or outcome whose segment has ended."""
     message = pending.message
-    if written is claimwriter.Written.YES:
+    if written is claimbatch.Written.YES:
         if isinstance(message, messages.OutcomeReport):
             return [acknowledge(pending.sender, message)]
         return [reply(pending.sender, message, 'claimed')]
-    if written is claimwriter.Written.UNCERTAIN:
+    if written is claimbatch.Written.UNCERTAIN:
         if isinstance(message, messages.ClaimRequest):
             return [reply(pending.sender, message, 'may_have_run')]
     return refuse(pending, retry_ms)
--- a/bergamotstream/claims.py
+++ b/bergamotstream/claims.py
@@ -9,6 +9,7 @@
 
 from bergamotstream import (
     actions,
+    claimbatch,
     claimlog,
     claimrules,
     claimwriter,
@@ -28,7 +29,7 @@
 MAX_ABANDONED = 1_000
 
 Writer = claimwriter.LogWriter
-Written = claimwriter.Written
+Written = claimbatch.Written
 ClaimOrOutcome = messages.ClaimRequest | messages.OutcomeReport
 
 
@@ -186,7 +187,7 @@
         message: ClaimOrOutcome,
         sender: str,
     ) -> components.Actions:
-        waiting = claimwriter.Waiting(entry, sender, message, self.state.now_ms)
+        waiting = claimbatch.Waiting(entry, sender, message, self.state.now_ms)
         if len(writer.waiting) >= MAX_WAITING:
             return claimrules.refuse(waiting, DOWN_RETRY_MS)
         writer.waiting.append(waiting)
@@ -195,7 +196,7 @@
     def _hold(
         self, writer: Writer, message: ClaimOrOutcome, sender: str
     ) -> components.Actions:
-        held = claimwriter.Held(sender, message, self.state.now_ms)
+        held = claimbatch.Held(sender, message, self.state.now_ms)
         if len(writer.held) >= MAX_WAITING:
             return claimrules.refuse(held, DOWN_RETRY_MS)
         if all(each.message != message for each in writer.held):
@@ -219,7 +220,7 @@
     def _batch_ended(
         self,
         writer: Writer,
-        batch: list[claimwriter.Waiting],
+        batch: list[claimbatch.Waiting],
         written: Written,
     ) -> components.Actions:
         """Answer a batch and act on what its write says about the log."""
@@ -237,7 +238,7 @@
     def _continue(
         self,
         writer: Writer,
-        batch: list[claimwriter.Waiting],
+        batch: list[claimbatch.Waiting],
         written: Written,
     ) -> components.Actions:
         if written is Written.NOT:
--- a/bergamotstream/claimwriter.py
+++ b/bergamotstream/claimwriter.py
@@ -6,58 +6,31 @@
 in flight, and the flows that read back, seal, write and fold.
 """
 
-import enum
 from collections.abc import Callable, Generator
-from typing import NamedTuple
 
 from bergamotstream import (
     actions,
+    claimbatch,
     claimlog,
     components,
     events,
     kvflows,
     messages,
-    records,
     settings,
 )
 
 RETRY_MS = 200
 RELOAD_MS = 1_000
 DELETE_TRIES = 5
+# At most 1 MB in one read, which is decoded in a few milliseconds.
+PAGE_SEGMENTS = 16
 
 
-class Written(enum.Enum):
-    """What is known after writing a segment.
-
-    ``TAKEN``: another owner has sealed the log. ``UNCERTAIN``: this host
-    stopped trying while a lost write may still take effect.
-    """
-
-    YES = 'yes'
-    NOT = 'not'
-    TAKEN = 'taken'
-    UNCERTAIN = 'uncertain'
-
-
-class Waiting(NamedTuple):
-    """An entry to write and the message to answer then."""
-
-    entry: claimlog.Entry
-    sender: str
-    message: messages.ClaimRequest | messages.OutcomeReport
-    since_ms: int
-
-
-class Held(NamedTuple):
-    """A message to decide on when the log has been read back."""
-
-    sender: str
-    message: messages.ClaimRequest | messages.OutcomeReport
-    since_ms: int
-
-
-Report = Callable[['LogWriter', list[Waiting], Written], components.Actions]
-SegmentFlow = Generator[kvflows.Step, kvflows.Answers, Written]
+Report = Callable[
+    ['LogWriter', list[claimbatch.Waiting], claimbatch.Written],
+    components.Actions,
+]
+SegmentFlow = Generator[kvflows.Step, kvflows.Answers, claimbatch.Written]
 
 
 class LogWriter:
@@ -81,9 +54,9 @@
         self.serving = False
         self.troubled = False
         self.busy = False
-        self.held: list[Held] = []
-        self.waiting: list[Waiting] = []
-        self.in_flight: list[Waiting] = []
+        self.held: list[claimbatch.Held] = []
+        self.waiting: list[claimbatch.Waiting] = []
+        self.in_flight: list[claimbatch.Waiting] = []
         self._settings = config
         self._clock = clock
         self._report = report
@@ -98,15 +71,15 @@
         if delay_ms:
             yield kvflows.Pause(delay_ms)
         while self.owned and not self.serving:
-            answers = yield (self._read_all(),)
-            if answers[0].status == 'ok':
-                yield from self._seal(answers[0].items, incarnation)
-            else:
-                self.troubled = True
+            complete = yield from self._read_back()
+            self.troubled = not complete
+            if complete and self.owned:
+                written = yield from self._append('seal', (), incarnation)
+                self.serving = written is claimbatch.Written.YES
             if not self.serving:
                 yield kvflows.Pause(RELOAD_MS)
         self.busy = False
-        return self._report(self, [], Written.YES)
+        return self._report(self, [], claimbatch.Written.YES)
 
     def due_flow(self, incarnation: str) -> kvflows.Flow | None:
         """Return what to run now, if anything, and take the entries."""
@@ -139,12 +112,12 @@
     def hold_waiting(self) -> None:
         """Decide on waiting entries again after the log is read back."""
         self.held.extend(
-            Held(pending.sender, pending.message, pending.since_ms)
+            claimbatch.Held(pending.sender, pending.message, pending.since_ms)
             for pending in self.waiting
         )
         self.waiting = []
 
-    def put_back_outcomes(self, batch: list[Waiting]) -> None:
+    def put_back_outcomes(self, batch: list[claimbatch.Waiting]) -> None:
         """Write the outcomes of a failed batch again with the next one."""
         outcomes = [
             pending
@@ -153,18 +126,24 @@
         ]
         self.waiting = outcomes + self.waiting
 
-    def take_old_claims(self, limit_ms: int) -> list[Waiting | Held]:
+    def take_old_claims(
+        self, limit_ms: int
+    ) -> list[claimbatch.Waiting | claimbatch.Held]:
         """Remove and return claims that wait since ``limit_ms`` or before."""
-        everything: list[Waiting | Held] = []
+        everything: list[claimbatch.Waiting | claimbatch.Held] = []
         everything.extend(self.waiting)
         everything.extend(self.held)
-        old = [each for each in everything if _is_old_claim(each, limit_ms)]
+        old = [
+            each
+            for each in everything
+            if claimbatch.is_old_claim(each, limit_ms)
+        ]
         if old:
             self.waiting = [each for each in self.waiting if each not in old]
             self.held = [each for each in self.held if each not in old]
         return old
 
-    def find_pending(self, key: claimlog.Key) -> Waiting | None:
+    def find_pending(self, key: claimlog.Key) -> claimbatch.Waiting | None:
         """Return the newest unconfirmed entry of a key."""
         for pending in reversed(self.in_flight + self.waiting):
             if claimlog.key_of(pending.entry) == key:
@@ -176,18 +155,27 @@
             config.limits.claim_segment_bytes, config.timing.claim_retention_ms
         )
 
-    def _read_all(self) -> actions.KvRead:
-        prefix = claimlog.segment_prefix(self.partition)
-        return actions.KvRead('', prefix, prefix=True)
+    def _read_back(
+        self,
+    ) -> Generator[kvflows.Step, kvflows.Answers, bool]:
+        """Read all segments in pages; tell whether it was completed.
 
-    def _seal(
-        self, items: tuple[records.KvItem, ...], incarnation: str
-    ) -> Generator[kvflows.Step, kvflows.Answers, None]:
+        The owner before may still write between two pages. A fold moves
+        entries to a later segment before it deletes the earlier ones, so
+        ascending pages miss none that is older than the page before.
+        """
         self.index = self._empty_index(self._settings)
-        self.index.read_back(items, self._clock())
-        if self.owned:
-            written = yield from self._append('seal', (), incarnation)
-            self.serving = written is Written.YES
+        prefix = claimlog.segment_prefix(self.partition)
+        page = actions.KvRead('', prefix, prefix=True, limit=PAGE_SEGMENTS)
+        while True:
+            answers = yield (page,)
+            items = answers[0].items
+            if answers[0].status != 'ok':
+                return False
+            self.index.read_back(items, self._clock())
+            if len(items) < PAGE_SEGMENTS:
+                return True
+            page = page._replace(after_key=items[-1].key)
 
     def _take_batch(self) -> None:
         room = self._settings.limits.claim_segment_bytes
@@ -213,7 +201,7 @@
         written = yield from self._append('fold', fold.entries, incarnation)
         self.busy = False
         produced = self._report(self, [], written)
-        if written is Written.YES:
+        if written is claimbatch.Written.YES:
             yield from self._delete(self.index.forget(fold.sources))
         return produced
 
@@ -236,7 +224,7 @@
         content = claimlog.encode_segment(segment, self._clock())
         key = claimlog.segment_key(self.partition, sequence)
         written = yield from self._create(key, content)
-        if written is Written.YES:
+        if written is claimbatch.Written.YES:
             self._confirmed_ms = self._clock()
             self.index.add(sequence, segment, len(content), self._clock())
         return written
@@ -253,19 +241,19 @@
             uncertain = uncertain or answers[0].status != 'unavailable'
             if not uncertain:
                 self.troubled = False
-                return Written.NOT
+                return claimbatch.Written.NOT
             if not self.owned or self._clock() - sent_ms > self._patience_ms():
-                return Written.UNCERTAIN
+                return claimbatch.Written.UNCERTAIN
             yield kvflows.Pause(RETRY_MS)
 
     def _known(
         self, answered: events.KvAnswered, content: bytes
-    ) -> Written | None:
+    ) -> claimbatch.Written | None:
         if answered.status == 'ok':
-            return Written.YES
+            return claimbatch.Written.YES
         if answered.status == 'conflict' and answered.items:
             same = answered.items[0].value == content
-            return Written.YES if same else Written.TAKEN
+            return claimbatch.Written.YES if same else claimbatch.Written.TAKEN
         return None
 
     def _patience_ms(self) -> int:
@@ -292,8 +280,3 @@
                 if answers[0].status == 'ok':
                     break
                 yield kvflows.Pause(RELOAD_MS)
-
-
-def _is_old_claim(pending: Waiting | Held, limit_ms: int) -> bool:
-    is_claim = isinstance(pending.message, messages.ClaimRequest)
-    return is_claim and pending.since_ms <= limit_ms
--- a/bergamotstream/configcommands.py
+++ b/bergamotstream/configcommands.py
@@ -42,10 +42,12 @@
         self,
         store: bundlestore.BundleStore,
         new_id: Callable[[], str],
+        version: Callable[[], int],
         adopt: Adopt,
     ) -> None:
-        """Use a store and a source of identifiers."""
+        """Use a store and sources of identifiers and the known version."""
         self._store = store
+        self._version = version
         self._new_id = new_id
         self._adopt = adopt
         self._flows_by_command: dict[str, Callable[..., CommandFlow]] = {
@@ -63,6 +65,22 @@
             raise errors.UnknownCommand(command)
         return self._flows_by_command[command](arguments)
 
+    def _load(
+        self,
+    ) -> Generator[kvflows.Step, kvflows.Answers, bundlestore.Stored]:
+        """Read what is in force; raises ``KvUnavailable``.
+
+        A change of an older version, for example of a service that was
+        restored from a copy, would be ignored by all hosts.
+        """
+        known = self._version()
+        stored = yield from self._store.load()
+        if stored.head.version < known:
+            raise errors.KvUnavailable(
+                f'it has version {stored.head.version} but {known} is in force'
+            )
+        return stored
+
     def _draft(self, arguments: Arguments) -> CommandFlow:
         draft: Body = {
             'id': self._new_id(),
@@ -72,7 +90,7 @@
             'wall_ms': _number(arguments, 'wall_ms'),
             'signed_by': '',
         }
-        stored = yield from self._store.load()
+        stored = yield from self._load()
         if stored.head.version != draft['base_version']:
             raise bundlestore.conflict(stored.head, draft['base_version'])
         bundlechanges.apply_changes(stored.document, draft['changes'])
@@ -109,7 +127,7 @@
     def _roll(self, arguments: Arguments) -> CommandFlow:
         _person(arguments, 'operator')
         wall_ms = _number(arguments, 'wall_ms')
-        stored = yield from self._store.load()
+        stored = yield from self._load()
         # A roll-out whose answer was lost is repeated by the operator.
         done = audit.find_nonce(stored.head, str(arguments.get('draft')))
         if done is not None:
@@ -134,7 +152,7 @@
         path = f'zones/{_text(arguments, "zone")}'
         change = {'path': path, 'value': ZONE_VALUES[command]}
         for attempt in range(1, ZONE_TRIES + 1):
-            stored = yield from self._store.load()
+            stored = yield from self._load()
             entry = _entry(command, operator, wall_ms, self._new_id())
             entry = entry._replace(signed_by=operator, urgent=True)
             try:
--- a/bergamotstream/keyvalues/etcd.py
+++ b/bergamotstream/keyvalues/etcd.py
@@ -75,7 +75,7 @@
 
     async def _perform(self, action: keyvalues.KvAction) -> events.KvAnswered:
         if isinstance(action, actions.KvRead):
-            answer = await self._range(action.key, prefix=action.prefix)
+            answer = await self._read(action)
             return events.KvAnswered(action.operation_id, 'ok', _items(answer))
         if isinstance(action, actions.KvWrite):
             return await self._write(action)
@@ -88,12 +88,19 @@
         found = await self._watch(action.key, action.after_revision)
         return events.KvAnswered(action.operation_id, 'ok', found)
 
-    async def _range(self, key: str, *, prefix: bool = False) -> Body:
-        body = {'key': _encode(key)}
-        if prefix:
-            body['range_end'] = _encode(key[:-1] + chr(ord(key[-1]) + 1))
+    async def _read(self, action: actions.KvRead) -> Body:
+        if not action.prefix:
+            return await self._range(action.key)
+        first = f'{action.after_key}\0' if action.after_key else action.key
+        end = action.key[:-1] + chr(ord(action.key[-1]) + 1)
+        body = {'key': _encode(first), 'range_end': _encode(end)}
+        if action.limit:
+            body['limit'] = str(action.limit)
         return await self._post('/v3/kv/range', body)
 
+    async def _range(self, key: str) -> Body:
+        return await self._post('/v3/kv/range', {'key': _encode(key)})
+
     async def _write(self, action: actions.KvWrite) -> events.KvAnswered:
         key = _encode(action.key)
         value = base64.b64encode(action.value).decode()
--- a/standins/kv.py
+++ b/standins/kv.py
@@ -98,8 +98,9 @@
         key = _text(body['key'])
         end = _text(body['range_end']) if body.get('range_end') else f'{key}\0'
         found = self.store.between(key, end)
+        kept = found[: int(body.get('limit', 0)) or None]
         return self._answer(
-            kvs=[_kv(item) for item in found], count=str(len(found))
+            kvs=[_kv(item) for item in kept], count=str(len(found))
         )
 
     def _put(self, body: Body) -> Body:
--- a/standins/kvstore.py
+++ b/standins/kvstore.py
@@ -165,9 +165,7 @@
         if isinstance(action, actions.KvWatch):
             return self._watch(action)
         if isinstance(action, actions.KvRead):
-            return self._read(
-                action.operation_id, action.key, prefix=action.prefix
-            )
+            return self._read_page(action)
         if isinstance(action, actions.KvWrite | actions.KvDelete):
             return self._change(action)
         raise TypeError(action)
@@ -194,15 +192,25 @@
         self.watches_by_operation[watch.operation_id] = watch
         return None
 
-    def _read(
-        self, operation_id: str, key: str, *, prefix: bool = False
+    def _read_page(self, action: actions.KvRead) -> events.KvAnswered:
+        if not action.prefix:
+            return self._read(action.operation_id, action.key)
+        first = f'{action.after_key}\0' if action.after_key else action.key
+        return self._between(
+            action.operation_id, first, prefix_end(action.key), action.limit
+        )
+
+    def _read(self, operation_id: str, key: str) -> events.KvAnswered:
+        return self._between(operation_id, key, f'{key}\0')
+
+    def _between(
+        self, operation_id: str, start: str, end: str, limit: int = 0
     ) -> events.KvAnswered:
         if self.down:
             return events.KvAnswered(operation_id, 'unavailable')
         self.store.counts['reads'] += 1
-        end = prefix_end(key) if prefix else f'{key}\0'
-        found = tuple(self.store.between(key, end))
-        return events.KvAnswered(operation_id, 'ok', found)
+        found = self.store.between(start, end)[: limit or None]
+        return events.KvAnswered(operation_id, 'ok', tuple(found))
 
     def _change(
         self, action: actions.KvWrite | actions.KvDelete
--- a/tests/test_bundles.py
+++ b/tests/test_bundles.py
@@ -221,14 +221,17 @@
     roll_first(cluster)
     cluster.run(500)
     old = cluster.state('h1').bundle
-    earlier = cluster.kv.store.get(audit.HEAD_KEY)
+    earlier = dict(cluster.kv.store.items_by_key)
     cluster.ask('h1', 'zone.out', zone='rosario', operator='eva')
     reply = messages.BundleReply(1, bundleformat.encode_bundle(old))
     component = cluster.cores_by_host['h1'].components_by_name['bundles']
     assert component.on_bundle_reply(reply, 'h2') == []
-    cluster.kv.store.put(audit.HEAD_KEY, earlier.value)
+    for item in earlier.values():
+        cluster.kv.store.put(item.key, item.value)
     cluster.run(3_000)
     assert version(cluster, 'h1') == 2
+    refused = cluster.ask('h1', 'zone.out', zone='salta', operator='eva')
+    assert 'has version 1 but 2 is in force' in refused.body['detail']
 
 
 def test_bundle_is_dropped_after_the_age_limit_and_returns():
--- a/tests/test_etcd.py
+++ b/tests/test_etcd.py
@@ -56,6 +56,11 @@
         ('a/1', b'y'),
         ('a/2', b''),
     ]
+    page = await client.perform(actions.KvRead('5', 'a/', prefix=True, limit=1))
+    rest = await client.perform(
+        actions.KvRead('5', 'a/', prefix=True, after_key='a/1', limit=9)
+    )
+    assert page.items + rest.items == read.items
     await client.perform(actions.KvWrite('6', 'a/3', b'', 0))
     await client.perform(actions.KvDelete('7', 'a/1'))
     await client.perform(actions.KvDelete('8', 'a/1', 'a/3'))
