Test the caller server; bound the kernel's buffer of a caller

The kernel took a whole answer of 300 KB from a caller that read nothing, so the 10 s limit never applied. Accepted sockets now have a send buffer of 64 KB.

--- a/bergamotstream/callers.py
+++ b/bergamotstream/callers.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import socket
 import uuid
 from collections.abc import Awaitable, Callable, Mapping
 from typing import Any
@@ -34,6 +35,8 @@
 ADDRESS_LIMIT_S = 2
 DEFAULT_FORMAT = 'prometheus'
 HTTP_OK = 200
+LISTEN_BACKLOG = 512
+SOCKET_BUFFER_BYTES = 65_536
 
 HttpHandler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
@@ -68,8 +71,8 @@
     async def start(self) -> None:
         """Listen at the caller address."""
         await self._runner.setup()
-        host, _, port = self._config.caller_address.rpartition(':')
-        await web.TCPSite(self._runner, host, int(port)).start()
+        listener = _listen(self._config.caller_address)
+        await web.SockSite(self._runner, listener).start()
 
     async def close(self) -> None:
         """Close all connections."""
@@ -254,6 +257,17 @@
         )
 
 
+def _listen(address: str) -> socket.socket:
+    host, _, port = address.rpartition(':')
+    listener = socket.create_server((host, int(port)), backlog=LISTEN_BACKLOG)
+    # Connections inherit the bound; by default the kernel would buffer
+    # megabytes for each caller that does not read.
+    listener.setsockopt(
+        socket.SOL_SOCKET, socket.SO_SNDBUF, SOCKET_BUFFER_BYTES
+    )
+    return listener
+
+
 @web.middleware
 async def typed_errors(
     request: web.Request, handler: HttpHandler
--- a/bergamotstream/requestbody.py
+++ b/bergamotstream/requestbody.py
@@ -8,7 +8,7 @@
 
 import re
 import uuid
-from typing import NamedTuple, NotRequired, TypedDict
+from typing import NamedTuple
 
 import pydantic
 import xxhash
@@ -24,22 +24,18 @@
 _KEY_PATTERN = re.compile(r'(\d{1,15})-(\S{1,200})')
 
 
-class RequestBody(TypedDict):
+class RequestBody(pydantic.BaseModel, strict=True, extra='forbid'):
     """The body of a request; durations in ms, sizes in tokens."""
 
-    __pydantic_config__ = pydantic.ConfigDict(  # type: ignore[misc]
-        strict=True, extra='forbid'
-    )
-
     workspace: str
     service: str
     prompt: str
     max_output_tokens: int
     deadline_ms: int
-    prompt_tokens: NotRequired[int]
-    request_id: NotRequired[str]
-    idempotency_key: NotRequired[str]
-    stream: NotRequired[bool]
+    prompt_tokens: int | None = None
+    request_id: str | None = None
+    idempotency_key: str = ''
+    stream: bool = True
 
 
 class ParsedRequest(NamedTuple):
@@ -51,9 +47,6 @@
     stream: bool
 
 
-_bodies = pydantic.TypeAdapter(RequestBody)
-
-
 def parse_request(
     received: bytes, wall_ms: int, request_id: str = ''
 ) -> ParsedRequest:
@@ -64,7 +57,7 @@
     ``deadline_passed``, ``prompt_too_long`` or ``key_expired``.
     """
     try:
-        body = _bodies.validate_json(received)
+        body = RequestBody.model_validate_json(received)
     except pydantic.ValidationError as fault:
         raise errors.InvalidRequest(_describe(fault)) from None
     _check_names(body)
@@ -72,9 +65,9 @@
     prompt_tokens = _prompt_tokens(body)
     return ParsedRequest(
         _spec(body, prompt_tokens, wall_ms, request_id),
-        body['prompt'],
-        body['deadline_ms'],
-        body.get('stream', True),
+        body.prompt,
+        body.deadline_ms,
+        body.stream,
     )
 
 
@@ -104,9 +97,9 @@
 
 def _check_names(body: RequestBody) -> None:
     names = {
-        'workspace': body['workspace'],
-        'service': body['service'],
-        'request_id': body.get('request_id', '-'),
+        'workspace': body.workspace,
+        'service': body.service,
+        'request_id': body.request_id or '-',
     }
     for field, name in names.items():
         if not 0 < len(name) <= MAX_NAME_CHARACTERS:
@@ -114,19 +107,19 @@
 
 
 def _check_sizes(body: RequestBody) -> None:
-    if not body['prompt']:
+    if not body.prompt:
         raise errors.InvalidRequest('prompt: must not be empty')
-    if not 0 < body['max_output_tokens'] <= MAX_OUTPUT_TOKENS:
+    if not 0 < body.max_output_tokens <= MAX_OUTPUT_TOKENS:
         raise errors.InvalidRequest('max_output_tokens: must be 1 to 32768')
-    if body['deadline_ms'] <= 0:
+    if body.deadline_ms <= 0:
         raise errors.DeadlinePassed('deadline_ms: no time is left')
-    if body['deadline_ms'] > MAX_DEADLINE_MS:
+    if body.deadline_ms > MAX_DEADLINE_MS:
         raise errors.InvalidRequest('deadline_ms: at most 600000')
 
 
 def _prompt_tokens(body: RequestBody) -> int:
-    counted = tokenizing.count_tokens(body['prompt'])
-    stated = body.get('prompt_tokens', counted)
+    counted = tokenizing.count_tokens(body.prompt)
+    stated = counted if body.prompt_tokens is None else body.prompt_tokens
     if max(counted, stated) > records.MAX_PROMPT_TOKENS:
         raise errors.PromptTooLong(f'{max(counted, stated)} prompt tokens')
     if stated < counted:
@@ -139,23 +132,23 @@
 def _spec(
     body: RequestBody, prompt_tokens: int, wall_ms: int, request_id: str
 ) -> records.RequestSpec:
-    key = body.get('idempotency_key', '')
-    prompt = body['prompt']
+    key = body.idempotency_key
+    prompt = body.prompt
     digested = '\n'.join(
         (
-            body['service'],
+            body.service,
             str(prompt_tokens),
-            str(body['max_output_tokens']),
+            str(body.max_output_tokens),
             prompt,
         )
     )
     return records.RequestSpec(
-        request_id=request_id or body.get('request_id') or uuid.uuid4().hex,
-        workspace=body['workspace'],
-        service=body['service'],
+        request_id=request_id or body.request_id or uuid.uuid4().hex,
+        workspace=body.workspace,
+        service=body.service,
         prompt_tokens=prompt_tokens,
-        max_output_tokens=body['max_output_tokens'],
-        fingerprint=tokenizing.fingerprint(body['service'], prompt),
+        max_output_tokens=body.max_output_tokens,
+        fingerprint=tokenizing.fingerprint(body.service, prompt),
         body_digest=xxhash.xxh64_intdigest(digested.encode()),
         prefix_hashes=tokenizing.prefix_hashes(prompt, prompt_tokens),
         idempotency_key=key,
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -13,6 +13,7 @@
 from aiohttp import web
 
 MS_PER_S = 1_000
+CLOSE_LIMIT_S = 0.1
 
 
 class Address(NamedTuple):
@@ -44,7 +45,13 @@
 
     def __init__(self, app: web.Application, address: Address) -> None:
         """Serve ``app`` at ``address``."""
-        self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=0)
+        # Handlers of silenced streams end with their connection.
+        self._runner = web.AppRunner(
+            app,
+            access_log=None,
+            handler_cancellation=True,
+            shutdown_timeout=CLOSE_LIMIT_S,
+        )
         self._address = address
         self._site: web.TCPSite | None = None
 
--- /dev/null
+++ b/tests/test_callers.py
@@ -0,0 +1,223 @@
+"""Callers: typed errors for bad input, whole answers, bounded memory."""
+
+import asyncio
+import json
+import socket
+import time
+
+import pytest
+
+from bergamotstream import answers, delivery, errors, events, requestbody
+from bergamotstream import settings as settings_module
+from standins import answers as expected_answers
+from standins import enginemodel
+from tests import shellhelp
+
+BAD_BODIES = [
+    (b'{"workspace": ', 'invalid_request', 400),
+    (b'[]', 'invalid_request', 400),
+    ({'deadline_ms': None}, 'invalid_request', 400),
+    ({'deadline_ms': '8000'}, 'invalid_request', 400),
+    ({'deadline_ms': 700_000}, 'invalid_request', 400),
+    ({'deadline_ms': -5}, 'deadline_passed', 504),
+    ({'deadline_ms': 0}, 'deadline_passed', 504),
+    ({'workspace': 7}, 'invalid_request', 400),
+    ({'workspace': ''}, 'invalid_request', 400),
+    ({'prompt': ''}, 'invalid_request', 400),
+    ({'max_output_tokens': 0}, 'invalid_request', 400),
+    ({'max_output_tokens': True}, 'invalid_request', 400),
+    ({'colour': 'red'}, 'invalid_request', 400),
+    ({'prompt_tokens': 1_000_001}, 'prompt_too_long', 413),
+    ({'prompt_tokens': 2}, 'invalid_request', 400),
+    ({'prompt': 'a' * 4_000_004}, 'prompt_too_long', 413),
+    ({'prompt': 'a' * 8_000_001}, 'body_too_large', 413),
+    ({'idempotency_key': 'no-time'}, 'invalid_request', 400),
+    ({'idempotency_key': '9' * 14 + '-k'}, 'invalid_request', 400),
+]
+
+
+async def test_bad_input_gives_typed_errors():
+    """Guards against a fault of the caller that has no code or remedy."""
+    async with shellhelp.running_host() as (core, http, _):
+        for change, code, status in BAD_BODIES:
+            body = change
+            if isinstance(change, dict):
+                body = json.dumps(shellhelp.request_body(**change)).encode()
+            async with http.post('/v1/requests', data=body) as response:
+                answer = await response.json()
+                assert (answer['code'], response.status) == (code, status)
+            assert answer['run_state'] == 'not_run'
+            assert answer['remedy'] and answer['message']
+        assert not core.count(events.RequestReceived)
+
+
+@pytest.mark.parametrize(
+    'path, body',
+    [
+        ('/admin', b'{'),
+        ('/admin', b'{"command": 5}'),
+        ('/admin', b'{"command": "hosts", "arguments": []}'),
+        ('/v1/requests/r1/resume?offset=-1', b'{}'),
+        ('/v1/requests/r1/resume', b'{}'),
+        ('/nowhere', b'{}'),
+    ],
+)
+async def test_bad_admin_and_resume_give_typed_errors(path, body):
+    """Guards against an untyped error outside of requests."""
+    async with shellhelp.running_host() as (_, http, _process):
+        async with http.post(path, data=body) as response:
+            assert (await response.json())['code'] == 'invalid_request'
+
+
+@pytest.mark.parametrize('code', errors.all_error_codes())
+def test_every_error_has_its_status_and_fields(code):
+    """Guards against a code whose HTTP answer lacks a field."""
+    kind = errors.get_error_by_code(code)
+    error = kind('x', run_state='ran', retry_after_ms=1_001)
+    response = delivery.error_response(error, 'r1')
+    body = json.loads(response.body)
+    assert response.status == kind.status
+    assert response.headers['Retry-After'] == '2'
+    assert body['code'] == code and body['run_state'] == 'ran'
+    assert kind.remedy in body['message'] and body['request_id'] == 'r1'
+
+
+async def test_refusal_before_the_stream_has_its_http_status():
+    """Guards against status 200 for a request that was not run."""
+    async with shellhelp.running_host() as (core, http, _):
+        body = shellhelp.request_body(request_id='r1')
+        async with http.post('/v1/requests', json=body) as response:
+            answer = await response.json()
+        assert (response.status, answer['run_state']) == (503, 'not_run')
+        assert response.headers['Retry-After'] == '2'
+        assert shellhelp.failures(core.seen) == ['refused']
+
+
+async def test_admin_gets_author_and_wall_time():
+    """Guards against an audit entry without time or author."""
+    async with shellhelp.running_host() as (_, http, _process):
+        body = {'command': 'x', 'arguments': {'author': 'ana'}}
+        async with http.post('/admin', json=body) as response:
+            answer = await response.json()
+        assert answer['body']['author'] == 'ana'
+        assert abs(answer['body']['wall_ms'] - time.time() * 1_000) < 5_000
+
+
+async def test_answers_are_whole_as_stream_and_as_object():
+    """Guards against lost or foreign tokens."""
+    async with shellhelp.running_engine() as (_, address):
+        async with shellhelp.running_host(address) as (_, http, process):
+            body = shellhelp.request_body()
+            wanted = expected_answers.answer_text(
+                expected_answers.fingerprint_of('asistente', body['prompt']), 20
+            )
+            async with http.post('/v1/requests', json=body) as response:
+                received = await shellhelp.read_events(response)
+            assert shellhelp.joined(received) == wanted
+            assert received[-1].event == 'done'
+            body['stream'] = False
+            async with http.post('/v1/requests', json=body) as response:
+                assert (await response.json())['text'] == wanted
+            async with http.get('/metrics') as response:
+                assert 'core_events_total' in await response.text()
+            async with http.get('/metrics?format=json') as response:
+                assert (await response.json())['counters']
+
+
+async def test_silent_stream_is_resumed_whole_and_in_order():
+    """Guards against lost or doubled tokens when a connection goes silent."""
+    timing = settings_module.Timing(silent_ms=500)
+    slow = shellhelp.FAST._replace(step_ms=20)
+    async with shellhelp.running_engine(slow) as (engine, address):
+        async with shellhelp.running_host(address, timing=timing) as (
+            core,
+            http,
+            _,
+        ):
+            body = shellhelp.request_body(max_output_tokens=60)
+            reply = await http.post('/v1/requests', json=body)
+            await asyncio.sleep(0.3)
+            engine.streams.mute_open()
+            received = await shellhelp.read_events(reply)
+    number = expected_answers.fingerprint_of('asistente', body['prompt'])
+    wanted = expected_answers.answer_text(number, 60)
+    assert shellhelp.joined(received) == wanted
+    assert shellhelp.failures(core.seen) == ['silent']
+
+
+async def test_caller_resumes_by_id_after_its_offset():
+    """Guards against an answer lost with the caller's connection."""
+    slow = shellhelp.FAST._replace(step_ms=20)
+    async with shellhelp.running_engine(slow) as (_, address):
+        async with shellhelp.running_host(address) as (core, http, _process):
+            body = shellhelp.request_body(request_id='r1', max_output_tokens=60)
+            reply = await http.post('/v1/requests', json=body)
+            await asyncio.sleep(0.3)
+            reply.close()
+            path = '/v1/requests/r1/resume?offset=3'
+            async with http.post(path, json=body) as response:
+                received = await shellhelp.read_events(response)
+            assert core.count(events.CallerGone) <= 1
+    number = expected_answers.fingerprint_of('asistente', body['prompt'])
+    wanted = expected_answers.answer_text(number, 60)
+    assert shellhelp.joined(received) == wanted[3 * len(wanted) // 60 :]
+    assert received[0].body['offset'] == 3
+
+
+async def test_slow_caller_is_bounded_and_then_dropped(monkeypatch):
+    """Guards against memory that grows with a caller that does not read."""
+    monkeypatch.setattr(delivery, 'STALL_LIMIT_S', 1)
+    limits = settings_module.Limits(stream_buffer_bytes=20_000)
+    model = enginemodel.EngineSettings(
+        prefill_tokens_per_s=10**8, step_ms=0.01, cold_factor=1
+    )
+    async with shellhelp.running_engine(model) as (_, address):
+        async with shellhelp.running_host(address, limits=limits) as (
+            core,
+            http,
+            process,
+        ):
+            server = process._server
+            body = shellhelp.request_body(
+                request_id='r1', max_output_tokens=30_000, deadline_ms=60_000
+            )
+            encoded = json.dumps(body).encode()
+            port = server._config.caller_address.rpartition(':')[2]
+            client = socket.socket()
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+            client.connect(('127.0.0.1', int(port)))
+            _, writer = await asyncio.open_connection(sock=client, limit=1)
+            writer.write(
+                b'POST /v1/requests HTTP/1.1\r\nHost: x\r\nContent-Length: '
+                + str(len(encoded)).encode()
+                + b'\r\n\r\n'
+                + encoded
+            )
+            largest = 0
+            for _ in range(400):
+                await asyncio.sleep(0.02)
+                answer = server.open_answers.by_request.get('r1')
+                largest = max(largest, answer.unread_bytes if answer else 0)
+                if core.count(events.CallerGone):
+                    break
+            writer.close()
+            assert core.count(events.CallerGone) == 1
+            assert 0 < largest <= 20_000 + answers.TOKEN_OVERHEAD_BYTES + 16
+
+
+def test_key_age_counts_from_the_key():
+    """Guards against a key that outlives its retention by clock skew."""
+    assert requestbody.key_age_ms('1000-k', 481_000) == 480_000
+    assert requestbody.key_age_ms('5000-k', 1_000) == 0
+    with pytest.raises(errors.InvalidRequest):
+        requestbody.key_age_ms('200000-k', 1_000)
+
+
+def test_equal_texts_share_the_blocks_of_the_shorter_prompt():
+    """Guards against a cache digest that never matches."""
+    body = json.dumps(shellhelp.request_body(prompt_tokens=2_048)).encode()
+    long = json.dumps(shellhelp.request_body(prompt_tokens=9_000)).encode()
+    short_hashes = requestbody.parse_request(body, 0).request.prefix_hashes
+    long_hashes = requestbody.parse_request(long, 0).request.prefix_hashes
+    assert len(short_hashes) == 4 and len(long_hashes) == 17
+    assert long_hashes[:4] == short_hashes
