--- /dev/null
+++ b/tests/test_engineclients.py
@@ -0,0 +1,221 @@
+"""Engine clients and stand-ins: how a failed attempt is classified."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from bergamotstream import (
+    actions,
+    attempts,
+    clock,
+    engines,
+    events,
+    records,
+)
+from standins import answers, hostlist, orderbook, plain, serving
+from tests import shellhelp
+
+TOKENS = 40
+
+
+class ListSink:
+    """Keeps the tokens of an attempt."""
+
+    def __init__(self, offset=0):
+        self.offset = offset
+        self.tokens = []
+
+    async def deliver(self, attempt_id, offset, tokens):
+        assert offset == self.offset
+        self.offset += len(tokens)
+        self.tokens.extend(tokens)
+
+
+def make_attempt(address, sink, *, resume=False, key='', prompt='hi', held=()):
+    """Return an attempt at one target, after held segments."""
+    request = records.RequestSpec(
+        'r1', 'acme', 'asistente', 1_000, TOKENS, 7, 0, idempotency_key=key
+    )
+    targets = [records.GrantedTarget('t0', held_at, 512) for held_at in held]
+    tokens = 1_000 - 512 * len(held)
+    targets.append(records.GrantedTarget('t1', address, tokens))
+    dispatch = actions.Dispatch(
+        'a1', 'r1', tuple(targets), 0, 900, sink.offset, resume
+    )
+    prefix = answers.answer_text(7, sink.offset)
+    return engines.Attempt(dispatch, request, prompt, prefix, sink)
+
+
+async def run_attempt(address, kind='model', sink=None, **options):
+    """Run an attempt to its end and return its events."""
+    config = shellhelp.make_settings()
+    config = config._replace(timing=config.timing._replace(silent_ms=500))
+    seen = []
+    async with attempts.new_session(config) as session:
+        client = engines.get_engine_by_kind(kind)(session, config, seen.append)
+        sink = ListSink() if sink is None else sink
+        await client.run(make_attempt(address, sink, **options))
+    return seen
+
+
+@contextlib.asynccontextmanager
+async def scripted_server(reply, then=None):
+    """Accept connections, send ``reply`` and close or hang."""
+
+    async def serve(reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(reply)
+        await writer.drain()
+        if then is not None:
+            await then.wait()
+        writer.close()
+
+    server = await asyncio.start_server(serve, '127.0.0.1', 0)
+    async with server:
+        yield '127.0.0.1:{0}'.format(server.sockets[0].getsockname()[1])
+
+
+def kinds_of(seen):
+    """Return the kinds of failures among events."""
+    return shellhelp.failures(seen)
+
+
+HEAD = (
+    b'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n'
+    b'Transfer-Encoding: chunked\r\n\r\n'
+)
+TOKEN = b'event: chunk\ndata: {"offset": 0, "text": "x "}\n\n'
+CHUNK = b'%x\r\n%s\r\n' % (len(TOKEN), TOKEN)
+
+
+async def test_unreachable_target_is_refused_and_resume_finds_it_dead():
+    """Guards against "not run" for an attempt that ran before it broke."""
+    nowhere = shellhelp.free_address()
+    assert kinds_of(await run_attempt(nowhere)) == ['refused']
+    assert kinds_of(await run_attempt(nowhere, 'plain')) == ['refused']
+    resumed = await run_attempt(nowhere, resume=True)
+    assert kinds_of(resumed) == ['target_died']
+
+
+@pytest.mark.parametrize(
+    'reply, kind',
+    [
+        (b'', 'lost'),
+        (HEAD, 'lost'),
+        (HEAD + CHUNK, 'lost'),
+        (HEAD + CHUNK + b'0\r\n\r\n', 'lost'),
+        (HEAD + b'7\r\ndata: [\r\n0\r\n\r\n', 'lost'),
+        (b'HTTP/1.1 500 X\r\nContent-Length: 2\r\n\r\n{}', 'rejected'),
+        (
+            b'HTTP/1.1 503 X\r\nContent-Length: 17\r\n\r\n{"not_run": true}',
+            'refused',
+        ),
+    ],
+)
+async def test_broken_and_refused_attempts_are_told_apart(reply, kind):
+    """Guards against a lost attempt reported as not run."""
+    async with scripted_server(reply) as address:
+        seen = await run_attempt(address)
+    assert kinds_of(seen) == [kind]
+    delivered = int(CHUNK in reply)
+    assert seen[-1].offset == delivered
+
+
+@pytest.mark.parametrize('reply', [b'', HEAD, HEAD + CHUNK])
+async def test_silence_is_noticed_before_and_after_the_first_token(reply):
+    """Guards against an attempt that waits for ever."""
+    hang = asyncio.Event()
+    async with scripted_server(reply, hang) as address:
+        seen = await asyncio.wait_for(run_attempt(address), 5)
+        hang.set()
+    assert kinds_of(seen) == ['silent']
+
+
+async def test_engine_answers_whole_and_refuses_when_full():
+    """Guards against a refusal that does not say that nothing ran."""
+    model = shellhelp.FAST._replace(memory_tokens=1_000 + TOKENS)
+    async with shellhelp.running_engine(model) as (app, address):
+        sink = ListSink()
+        seen = await run_attempt(address, sink=sink)
+        assert ''.join(sink.tokens) == answers.answer_text(7, TOKENS)
+        assert [type(event) for event in seen] == [
+            events.AttemptStarted,
+            events.FirstToken,
+            events.AttemptFinished,
+        ]
+        app.live.model.settings = model._replace(memory_tokens=10)
+        app.live.progress_by_attempt.clear()
+        assert kinds_of(await run_attempt(address)) == ['refused']
+
+
+async def test_engine_continues_after_a_prefix_and_resumes():
+    """Guards against doubled or missing tokens after a move."""
+    async with shellhelp.running_engine() as (_, address):
+        for resume in (False, True):
+            sink = ListSink(offset=15)
+            seen = await run_attempt(address, sink=sink, resume=resume)
+            assert not kinds_of(seen)
+            whole = answers.answer_text(7, 15) + ''.join(sink.tokens)
+            assert whole == answers.answer_text(7, TOKENS)
+
+
+async def test_poison_crashes_the_engine_and_kills_its_attempts():
+    """Guards against blame without a crash, and a crash without one."""
+    async with shellhelp.running_engine() as (app, address):
+        seen = await run_attempt(address, prompt='poison')
+        assert kinds_of(seen) == ['target_died']
+        assert app.live.model.starts == 2
+        await asyncio.sleep(0.4)
+        resumed = await run_attempt(address, resume=True)
+        assert kinds_of(resumed) == ['target_died']
+        assert not kinds_of(await run_attempt(address))
+
+
+async def test_group_holds_segments_and_frees_them():
+    """Guards against memory that stays reserved after a group's answer."""
+    async with shellhelp.running_engine() as (first, held):
+        async with shellhelp.running_engine() as (_, address):
+            holding = asyncio.create_task(run_attempt(address, held=[held]))
+            largest = 0
+            while not holding.done():
+                await asyncio.sleep(0.001)
+                largest = max(largest, first.live.model.memory_used)
+            assert not kinds_of(holding.result())
+        assert largest == 512
+        assert not first.live.model.memory_used
+
+
+async def test_plain_calls_are_counted_by_key():
+    """Guards against a stand-in that hides a repeated execution."""
+    app = plain.PlainApp('p1', call_ms=5)
+    address = shellhelp.free_address()
+    listener = serving.Listener(
+        app.application(), serving.parse_address(address)
+    )
+    await listener.start()
+    for _ in range(2):
+        sink = ListSink()
+        seen = await run_attempt(address, 'plain', sink, key='1-k')
+        assert seen[-1].answer.decode() == answers.plain_answer('hi')
+    assert app.executions_by_key == {'1-k': 2}
+    await listener.close()
+
+
+def test_orders_with_an_old_fence_are_rejected_or_obeyed():
+    """Guards against a deposed sender that changes a checking target."""
+    for checks, status in ((True, 'old_fence'), (False, 'done')):
+        book = orderbook.OrderBook(checks)
+        assert book.apply(5, {'role': 'prefill'}).status == 'done'
+        assert book.apply(4, {'role': 'decode'}).status == status
+        assert book.apply(6, {'colour': 1}).status == 'unknown_order'
+
+
+def test_host_list_shows_changes_late():
+    """Guards against tests that pass only with a host list without lag."""
+    time = clock.ManualClock(1_000)
+    app = hostlist.HostListApp(500, time)
+    app.change({'hosts': [{'name': 'h1'}]})
+    assert not app.visible()['hosts']
+    time.advance(500)
+    assert app.visible()['hosts'] == [{'name': 'h1'}]
