--- a/bergamotstream/daemon.py
+++ b/bergamotstream/daemon.py
@@ -23,8 +23,8 @@
     keyvalues,
     peerlinks,
     plugins,
-    policies,
     settings,
+    settingscheck,
 )
 
 EXIT_INVALID_SETTINGS = 2
@@ -34,6 +34,7 @@
 def build(config: settings.Settings) -> hostprocess.HostProcess:
     """Build the process of one host; needs a running event loop."""
     incoming: asyncio.Queue[events.Event] = asyncio.Queue()
+    plugins.import_plugins('bergamotstream.keyvalues')
     client_type = keyvalues.get_client_by_name(config.platform.kv_client)
     return hostprocess.HostProcess(
         config,
@@ -53,23 +54,6 @@
     await process.run()
 
 
-def load_checked(path: str) -> settings.Settings:
-    """Read settings and check that their plug-ins and addresses exist.
-
-    Raises :class:`errors.InvalidSettings` that names every fault.
-    """
-    config = settings.load_settings(path)
-    faults = [
-        *_plugin_faults(config),
-        *_address_faults('caller_address', config.caller_address),
-        *_address_faults('peer_address', config.peer_address),
-    ]
-    if faults:
-        lines = '\n'.join(f'{path}: {fault}' for fault in faults)
-        raise errors.InvalidSettings(lines)
-    return config
-
-
 def main(*, config: str, check: bool = False) -> None:
     """Run an entry host.
 
@@ -79,9 +63,9 @@
     logging.set_verbosity(logging.INFO)
     logging.use_absl_handler()
     try:
-        loaded = load_checked(config)
+        loaded = settingscheck.load_checked(config)
     except errors.InvalidSettings as fault:
-        sys.stderr.write(f'{fault}\n')
+        sys.stderr.write(f'{fault.detail}\n{fault.remedy}\n')
         sys.exit(EXIT_INVALID_SETTINGS)
     if check:
         sys.stdout.write(f'{config}: valid\n')
@@ -95,28 +79,5 @@
     defopt.run(main)
 
 
-def _plugin_faults(config: settings.Settings) -> list[str]:
-    plugins.import_plugins('bergamotstream.keyvalues')
-    faults = []
-    try:
-        keyvalues.get_client_by_name(config.platform.kv_client)
-    except KeyError:
-        faults.append(
-            f'platform.kv_client: unknown {config.platform.kv_client}'
-        )
-    try:
-        policies.get_policy_by_name(config.policy)
-    except KeyError:
-        faults.append(f'policy: unknown {config.policy}')
-    return faults
-
-
-def _address_faults(field: str, address: str) -> list[str]:
-    host, _, port = address.rpartition(':')
-    if host and port.isdecimal():
-        return []
-    return [f'{field}: must be <IP>:<port>']
-
-
 if __name__ == '__main__':
     run()
--- /dev/null
+++ b/bergamotstream/settingscheck.py
@@ -0,0 +1,74 @@
+"""
+Settings check
+~~~~~~~~~~~~~~
+
+Checks a settings file as the daemon will use it: types and keys, plug-in names
+and addresses. All faults are reported together.
+"""
+
+import pathlib
+import tomllib
+from collections.abc import Callable, Iterator, Mapping
+from typing import Any
+
+from bergamotstream import errors, keyvalues, plugins, policies, settings
+
+ADDRESS_FIELDS = ('caller_address', 'peer_address')
+MAX_PORT = 65_535
+
+
+def load_checked(path: str) -> settings.Settings:
+    """Read a settings file that a daemon can start with.
+
+    Raises :class:`errors.InvalidSettings` that names every fault.
+    """
+    faults = []
+    try:
+        config = settings.load_settings(path)
+    except errors.InvalidSettings as fault:
+        faults.append(fault.detail)
+    faults.extend(f'{path}: {fault}' for fault in _use_faults(path))
+    if faults:
+        raise errors.InvalidSettings('\n'.join(faults))
+    return config
+
+
+def _use_faults(path: str) -> Iterator[str]:
+    """Yield faults that types do not show, also in a file with others."""
+    try:
+        tables = tomllib.loads(pathlib.Path(path).read_text(encoding='utf-8'))
+    except (OSError, ValueError):
+        # Reported with its reason when the settings were read.
+        return
+    for field in ADDRESS_FIELDS:
+        if field in tables and not _is_address(tables[field]):
+            yield f'{field}: must be <IP>:<port from 1 to {MAX_PORT}>'
+    platform = tables.get('platform')
+    if isinstance(platform, Mapping):
+        yield from _name_faults(
+            'platform.kv_client', platform.get('kv_client'), _find_client
+        )
+    yield from _name_faults(
+        'policy', tables.get('policy'), policies.get_policy_by_name
+    )
+
+
+def _name_faults(
+    field: str, name: Any, look_up: Callable[[str], Any]
+) -> Iterator[str]:
+    if not isinstance(name, str):
+        return
+    try:
+        look_up(name)
+    except (KeyError, errors.InvalidSettings):
+        yield f'{field}: there is no plug-in {name!r}'
+
+
+def _find_client(name: str) -> type[keyvalues.KeyValueClient]:
+    plugins.import_plugins('bergamotstream.keyvalues')
+    return keyvalues.get_client_by_name(name)
+
+
+def _is_address(address: Any) -> bool:
+    host, _, port = str(address).rpartition(':')
+    return bool(host) and port.isdecimal() and 0 < int(port) <= MAX_PORT
--- /dev/null
+++ b/demo/__main__.py
@@ -0,0 +1,130 @@
+"""
+Demonstration
+~~~~~~~~~~~~~
+
+Starts platform services, targets and entry hosts as separate processes on
+loopback, sends a seeded load and checks every answer.
+"""
+
+import asyncio
+import collections
+import pathlib
+import sys
+import tempfile
+import time
+
+import aiohttp
+import defopt
+
+from demo import caller, fleet, load, operators, processes, report
+
+START_LIMIT_S = 30
+
+
+async def run_load(
+    planned: fleet.Fleet, http: aiohttp.ClientSession, requests: int
+) -> list[caller.Outcome]:
+    """Send all requests at their times and return their outcomes."""
+    callers = caller.Caller(http, planned.hosts[0].caller_address)
+    began_s = time.monotonic()
+    tasks = []
+    for request in load.plan_load(requests):
+        wait_s = began_s + request.at_s - time.monotonic()
+        await asyncio.sleep(max(wait_s, 0))
+        tasks.append(asyncio.create_task(callers.run(request)))
+    return list(await asyncio.gather(*tasks))
+
+
+async def count_executions(
+    planned: fleet.Fleet, http: aiohttp.ClientSession
+) -> collections.Counter[str]:
+    """Return how often each key was executed by the plain service."""
+    executions: collections.Counter[str] = collections.Counter()
+    for plain in planned.plains:
+        async with http.get(f'http://{plain.address}/stats') as response:
+            executions.update((await response.json())['executions'])
+    return executions
+
+
+def check_executions(
+    outcomes: list[caller.Outcome], executions: collections.Counter[str]
+) -> list[str]:
+    """Return the keys that ran twice, or ran although refused."""
+    faults = []
+    for outcome in outcomes:
+        count = executions[outcome.key] if outcome.key else 0
+        wanted = {'answered': {1}, 'refused': {0}}.get(outcome.state, {0, 1})
+        if outcome.key and count not in wanted:
+            faults.append(f'{outcome.key}: {outcome.state}, ran {count} times')
+    return faults
+
+
+async def demonstrate(
+    requests: int, folder: pathlib.Path, children: processes.Processes
+) -> bool:
+    """Run everything; return whether every answer was whole and its own."""
+    planned = fleet.plan_fleet()
+    unlimited = aiohttp.TCPConnector(limit=0)
+    async with aiohttp.ClientSession(connector=unlimited) as http:
+        async with asyncio.timeout(START_LIMIT_S):
+            await fleet.start_platform(planned, children, http)
+            await fleet.start_hosts(planned, children, folder)
+            for host in planned.hosts:
+                await fleet.wait_until_listening(
+                    http, host.caller_address, '/healthz'
+                )
+            await operators.create_bundle(http, planned)
+            await operators.wait_until_ready(http, planned)
+        print(f'{len(planned.hosts)} hosts are ready; {requests} requests')
+        outcomes = await run_load(planned, http, requests)
+        executions = await count_executions(planned, http)
+    report.print_report(outcomes)
+    faults = check_executions(outcomes, executions)
+    crashed = children.ended()
+    for fault in (*faults, *(f'{name} has ended' for name in crashed)):
+        print(f'  {fault}')
+    names = [host.name for host in planned.hosts]
+    statuses = await children.stop(names)
+    print(f'graceful stop of the hosts: exit statuses {statuses}')
+    stopped = not any(statuses.values())
+    return stopped and not crashed and not faults and _all_whole(outcomes)
+
+
+def _all_whole(outcomes: list[caller.Outcome]) -> bool:
+    states = {outcome.state for outcome in outcomes}
+    return 'answered' in states and not states & {'failed', 'wrong'}
+
+
+async def supervise(requests: int, limit_s: int, folder: pathlib.Path) -> bool:
+    """Stop all processes whatever happens."""
+    children = processes.Processes(folder)
+    try:
+        async with asyncio.timeout(limit_s):
+            return await demonstrate(requests, folder, children)
+    except TimeoutError:
+        print(f'not finished within {limit_s} s')
+        for name in children.ended():
+            print(f'{name} has ended:\n{children.log_tail(name)}')
+        return False
+    finally:
+        await children.stop_all()
+
+
+def main(*, requests: int = 200, limit_s: int = 300, logs: str = '') -> None:
+    """Run the demonstration.
+
+    :param requests: count of requests to send
+    :param limit_s: time limit of the whole demonstration in s
+    :param logs: folder for settings and logs; a temporary one by default
+    """
+    with tempfile.TemporaryDirectory() as temporary:
+        folder = pathlib.Path(logs or temporary)
+        folder.mkdir(parents=True, exist_ok=True)
+        began_s = time.monotonic()
+        whole = asyncio.run(supervise(requests, limit_s, folder))
+        print(f'finished in {time.monotonic() - began_s:.1f} s')
+    sys.exit(0 if whole else 1)
+
+
+if __name__ == '__main__':
+    defopt.run(main)
--- /dev/null
+++ b/demo/processes.py
@@ -0,0 +1,88 @@
+"""
+Processes
+~~~~~~~~~
+
+Starts the processes of the demonstration and stops exactly those.
+"""
+
+import asyncio
+import pathlib
+import socket
+import sys
+from collections.abc import Sequence
+
+STOP_LIMIT_S = 8.0
+LOG_TAIL_LINES = 20
+
+
+def free_addresses(count: int) -> list[str]:
+    """Return distinct loopback addresses that nothing listens at."""
+    probes = [socket.create_server(('127.0.0.1', 0)) for _ in range(count)]
+    addresses = [f'127.0.0.1:{probe.getsockname()[1]}' for probe in probes]
+    for probe in probes:
+        probe.close()
+    return addresses
+
+
+class Processes:
+    """Child processes by name, each with a log file in a folder."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        """Write logs into ``folder``."""
+        self._folder = folder
+        self._children: dict[str, asyncio.subprocess.Process] = {}
+
+    async def start(self, name: str, module: str, *options: str) -> None:
+        """Run ``python -m module options``."""
+        with self._log_path(name).open('wb') as log:
+            self._children[name] = await asyncio.create_subprocess_exec(
+                sys.executable,
+                '-m',
+                module,
+                *options,
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+            )
+
+    def ended(self) -> list[str]:
+        """Return the names of processes that have ended by themselves."""
+        return [
+            name
+            for name, child in self._children.items()
+            if child.returncode is not None
+        ]
+
+    def log_tail(self, name: str) -> str:
+        """Return the last lines that a process wrote."""
+        lines = self._log_path(name).read_text().splitlines()
+        return '\n'.join(lines[-LOG_TAIL_LINES:])
+
+    async def stop(self, names: Sequence[str]) -> dict[str, int]:
+        """Terminate processes, kill what remains; return exit statuses."""
+        children = {name: self._children[name] for name in names}
+        for child in children.values():
+            if child.returncode is None:
+                child.terminate()
+        waits = [
+            asyncio.create_task(child.wait()) for child in children.values()
+        ]
+        await asyncio.wait(waits, timeout=STOP_LIMIT_S)
+        for child in children.values():
+            if child.returncode is None:
+                child.kill()
+        statuses = await asyncio.gather(*waits)
+        return dict(zip(children, statuses, strict=True))
+
+    async def stop_all(self) -> None:
+        """Stop all processes that still run."""
+        running = [
+            name
+            for name, child in self._children.items()
+            if child.returncode is None
+        ]
+        if running:
+            await self.stop(running)
+
+    def _log_path(self, name: str) -> pathlib.Path:
+        return self._folder / f'{name}.log'
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -130,6 +130,7 @@
     step_ms: float = DEFAULTS.step_ms,
     chunk_tokens: int = DEFAULTS.chunk_tokens,
     cold_factor: float = DEFAULTS.cold_factor,
+    warm_after: int = DEFAULTS.warm_after,
     report_lag_ms: int = DEFAULTS.report_lag_ms,
     ignore_fencing: bool = False,
     restart_ms: int = 300,
@@ -144,6 +145,7 @@
     :param step_ms: duration of a decode step
     :param chunk_tokens: prefill tokens in one step
     :param cold_factor: slowdown while cold
+    :param warm_after: finished requests after which it is warm
     :param report_lag_ms: lag of load reports and cache events
     :param ignore_fencing: obey orders whatever their fencing number
     :param restart_ms: time during which a crashed engine refuses connections
@@ -155,6 +157,7 @@
         step_ms=step_ms,
         chunk_tokens=chunk_tokens,
         cold_factor=cold_factor,
+        warm_after=warm_after,
         report_lag_ms=report_lag_ms,
     )
     checks = not ignore_fencing
