Add the missing schema fields of grant messages; tidy the demonstration

GrantRequest.sent_ms and GrantReply.asked_ms had no field in peer.capnp, so each grant request to another host was dropped as invalid.

--- a/bergamotstream/peer.capnp
+++ b/bergamotstream/peer.capnp
@@ -93,6 +93,7 @@
   remainingMs @2 :Int64;
   priority @3 :Int64;
   excludedTargets @4 :List(Text);
+  sentMs @5 :Int64;
 }
 
 struct GrantedTarget {
@@ -111,6 +112,7 @@
   fence @6 :Int64;
   code @7 :Text;
   retryAfterMs @8 :Int64;
+  askedMs @9 :Int64;
 }
 
 struct GrantCancel {
--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -16,7 +16,7 @@
 import aiohttp
 import defopt
 
-from demo import caller, fleet, load, operators, processes, report
+from demo import caller, fleet, operators, processes, report, workload
 
 START_LIMIT_S = 30
 
@@ -27,11 +27,10 @@
     """Send all requests at their times and return their outcomes."""
     callers = caller.Caller(http, planned.hosts[0].caller_address)
     began_s = time.monotonic()
-    tasks = []
-    for request in load.plan_load(requests):
-        wait_s = began_s + request.at_s - time.monotonic()
-        await asyncio.sleep(max(wait_s, 0))
-        tasks.append(asyncio.create_task(callers.run(request)))
+    tasks = [
+        callers.run_at(request, began_s + request.at_s)
+        for request in workload.plan_load(requests)
+    ]
     return list(await asyncio.gather(*tasks))
 
 
@@ -40,12 +39,22 @@
 ) -> collections.Counter[str]:
     """Return how often each key was executed by the plain service."""
     executions: collections.Counter[str] = collections.Counter()
-    for plain in planned.plains:
-        async with http.get(f'http://{plain.address}/stats') as response:
-            executions.update((await response.json())['executions'])
+    counted = await asyncio.gather(
+        *(read_executions(plain.address, http) for plain in planned.plains)
+    )
+    for executions_by_key in counted:
+        executions.update(executions_by_key)
     return executions
 
 
+async def read_executions(
+    address: str, http: aiohttp.ClientSession
+) -> dict[str, int]:
+    """Return the executions of one plain target by key."""
+    async with http.get(f'http://{address}/stats') as response:
+        return dict((await response.json())['executions'])
+
+
 def check_executions(
     outcomes: list[caller.Outcome], executions: collections.Counter[str]
 ) -> list[str]:
@@ -68,11 +77,7 @@
     async with aiohttp.ClientSession(connector=unlimited) as http:
         async with asyncio.timeout(START_LIMIT_S):
             await fleet.start_platform(planned, children, http)
-            await fleet.start_hosts(planned, children, folder)
-            for host in planned.hosts:
-                await fleet.wait_until_listening(
-                    http, host.caller_address, '/healthz'
-                )
+            await fleet.start_hosts(planned, children, folder, http)
             await operators.create_bundle(http, planned)
             await operators.wait_until_ready(http, planned)
         print(f'{len(planned.hosts)} hosts are ready; {requests} requests')
--- a/demo/caller.py
+++ b/demo/caller.py
@@ -15,7 +15,7 @@
 import aiohttp
 
 from bergamotstream import eventstream
-from demo import load
+from demo import workload
 from standins import answers
 
 MAX_TRIES = 4
@@ -26,7 +26,7 @@
 class Outcome(NamedTuple):
     """How a request ended: answered, refused, failed or wrong."""
 
-    request: load.PlannedRequest
+    request: workload.PlannedRequest
     state: str
     detail: str = ''
     ttft_ms: int = 0
@@ -40,7 +40,7 @@
         """Start empty."""
         self.tokens = 0
         self.text = ''
-        self.first_at_s = 0.0
+        self.first_at_s: float = 0
         self.error: dict[str, Any] = {}
         self.done = False
 
@@ -70,11 +70,18 @@
         self._first_host = first_host
         self._known: dict[str, tuple[float, list[str]]] = {}
 
-    async def run(self, request: load.PlannedRequest) -> Outcome:
+    async def run_at(
+        self, request: workload.PlannedRequest, at_s: float
+    ) -> Outcome:
+        """Send a request at a monotonic time in seconds."""
+        await asyncio.sleep(max(at_s - time.monotonic(), 0))
+        return await self.run(request)
+
+    async def run(self, request: workload.PlannedRequest) -> Outcome:
         """Send a request and return how it ended."""
         body = {**request.body, 'request_id': uuid.uuid4().hex}
         if request.kind == 'transfer':
-            body['idempotency_key'] = load.new_key(request.number)
+            body['idempotency_key'] = workload.new_key(request.number)
         key = body.get('idempotency_key', '')
         collected = Collected()
         began_s = time.monotonic()
@@ -89,17 +96,19 @@
     async def _try_repeatedly(
         self, body: dict[str, Any], collected: Collected
     ) -> None:
-        for attempt in range(MAX_TRIES):
+        attempt = 0
+        while attempt < MAX_TRIES:
             collected.error = {}
             hosts = await self._hosts(body['workspace'])
             url = f'http://{hosts[attempt % len(hosts)]}/v1/requests'
             if collected.tokens:
                 url = f'{url}/{body["request_id"]}/resume'
                 url = f'{url}?offset={collected.tokens}'
+            attempt += 1
             try:
                 await self._send(url, body, collected)
             except (aiohttp.ClientError, OSError):
-                if body.get('idempotency_key') or attempt == MAX_TRIES - 1:
+                if body.get('idempotency_key') or attempt == MAX_TRIES:
                     raise
             wait_ms = collected.error.get('retry_after_ms', 0)
             if collected.done or (collected.error and not wait_ms):
@@ -119,7 +128,7 @@
                     collected.add(event)
 
     async def _hosts(self, workspace: str) -> list[str]:
-        until_s, hosts = self._known.get(workspace, (0.0, []))
+        until_s, hosts = self._known.get(workspace, (0, []))
         if time.monotonic() < until_s:
             return hosts
         url = f'http://{self._first_host}/v1/address?workspace={workspace}'
@@ -133,7 +142,7 @@
 
 
 def _judge(
-    request: load.PlannedRequest, collected: Collected
+    request: workload.PlannedRequest, collected: Collected
 ) -> tuple[str, str]:
     """Return the state of an answer and what is wrong with it."""
     if collected.error:
@@ -148,7 +157,7 @@
     return 'answered', ''
 
 
-def _expected(request: load.PlannedRequest) -> str:
+def _expected(request: workload.PlannedRequest) -> str:
     body = request.body
     if request.plain:
         return answers.plain_answer(body['prompt'])
--- a/demo/fleet.py
+++ b/demo/fleet.py
@@ -6,8 +6,10 @@
 addresses, options and settings files.
 """
 
-import importlib.util
+import asyncio
 import pathlib
+from collections.abc import Mapping
+from importlib import util
 from typing import NamedTuple
 
 import aiohttp
@@ -50,6 +52,9 @@
 """
 
 
+Command = tuple[str, Mapping[str, object]]
+
+
 class Fleet(NamedTuple):
     """Addresses of everything that runs."""
 
@@ -88,26 +93,24 @@
     fleet: Fleet, children: processes.Processes, http: aiohttp.ClientSession
 ) -> None:
     """Start platform services and targets and fill the host list."""
-    await children.start('kv', 'standins.kv', '--address', fleet.kv)
-    await children.start(
-        'hostlist',
-        'standins.hostlist',
-        *('--address', fleet.host_list, '--lag-ms', str(HOST_LIST_LAG_MS)),
-    )
-    if importlib.util.find_spec(WEIGHT_STORE_MODULE) is not None:
-        await children.start(
-            'weights', WEIGHT_STORE_MODULE, '--address', fleet.weight_store
-        )
-    for engine in fleet.engines:
-        await children.start(
-            engine.name, 'standins.engine', *_engine_options(engine)
-        )
-    for plain in fleet.plains:
-        await children.start(
-            plain.name,
-            'standins.plain',
-            *('--address', plain.address, '--name', plain.name),
+    commands: dict[str, Command] = {
+        'kv': ('standins.kv', {'address': fleet.kv}),
+        'hostlist': (
+            'standins.hostlist',
+            {'address': fleet.host_list, 'lag-ms': HOST_LIST_LAG_MS},
+        ),
+        **{plain.name: _plain_command(plain) for plain in fleet.plains},
+        **{engine.name: _engine_command(engine) for engine in fleet.engines},
+    }
+    if util.find_spec(WEIGHT_STORE_MODULE) is not None:
+        options = {'address': fleet.weight_store}
+        commands['weights'] = (WEIGHT_STORE_MODULE, options)
+    await asyncio.gather(
+        *(
+            children.start(name, module, options)
+            for name, (module, options) in commands.items()
         )
+    )
     await wait_until_listening(http, fleet.kv, '/stats')
     await wait_until_listening(http, fleet.host_list, '/hosts')
     listed = {
@@ -122,25 +125,27 @@
 
 
 async def start_hosts(
-    fleet: Fleet, children: processes.Processes, folder: pathlib.Path
+    fleet: Fleet,
+    children: processes.Processes,
+    folder: pathlib.Path,
+    http: aiohttp.ClientSession,
 ) -> None:
-    """Write settings files and start the entry hosts."""
-    peers = [host.peer_address for host in fleet.hosts]
+    """Write settings files, start the entry hosts and wait for them."""
+    paths = {host.name: folder / f'{host.name}.toml' for host in fleet.hosts}
     for host in fleet.hosts:
-        path = folder / f'{host.name}.toml'
-        path.write_text(
-            SETTINGS_TEXT.format(
-                host=host,
-                peers=[peer for peer in peers if peer != host.peer_address],
-                kv=fleet.kv,
-                host_list=fleet.host_list,
-                weight_store=f'http://{fleet.weight_store}',
-                keep_ms=ADDRESS_KEEP_MS,
-            )
+        paths[host.name].write_text(_settings_text(host, fleet))
+    await asyncio.gather(
+        *(
+            children.start(name, 'bergamotstream.daemon', {'config': path})
+            for name, path in paths.items()
         )
-        await children.start(
-            host.name, 'bergamotstream.daemon', '--config', str(path)
+    )
+    await asyncio.gather(
+        *(
+            wait_until_listening(http, listed.caller_address, '/healthz')
+            for listed in fleet.hosts
         )
+    )
 
 
 async def wait_until_listening(
@@ -152,12 +157,17 @@
             async with http.get(f'http://{address}{path}') as response:
                 await response.read()
         except aiohttp.ClientError:
-            await processes.asyncio.sleep(0.05)
+            await asyncio.sleep(0.05)
         else:
             return
 
 
-def _engine_options(engine: records.TargetInfo) -> tuple[str, ...]:
+def _plain_command(plain: records.TargetInfo) -> Command:
+    options = {'address': plain.address, 'name': plain.name}
+    return 'standins.plain', options
+
+
+def _engine_command(engine: records.TargetInfo) -> Command:
     options = {
         'address': engine.address,
         'name': engine.name,
@@ -166,8 +176,16 @@
         'step-ms': STEP_MS,
         'warm-after': WARM_AFTER,
     }
-    return tuple(
-        text
-        for name, option in options.items()
-        for text in (f'--{name}', str(option))
+    return 'standins.engine', options
+
+
+def _settings_text(host: records.HostInfo, fleet: Fleet) -> str:
+    peers = [peer.peer_address for peer in fleet.hosts if peer != host]
+    return SETTINGS_TEXT.format(
+        host=host,
+        peers=peers,
+        kv=fleet.kv,
+        host_list=fleet.host_list,
+        weight_store=f'http://{fleet.weight_store}',
+        keep_ms=ADDRESS_KEEP_MS,
     )
--- a/demo/operators.py
+++ b/demo/operators.py
@@ -90,13 +90,22 @@
 ) -> None:
     """Wait until each host has the bundle and an owner for all targets."""
     count = len(planned.engines) + len(planned.plains)
-    for host in planned.hosts:
-        ready = False
-        while not ready:
-            await asyncio.sleep(POLL_S)
-            listed = await command(http, host.caller_address, 'targets')
-            owned = [target for target in listed['targets'] if target['owner']]
-            ready = len(owned) == count
+    await asyncio.gather(
+        *(
+            _wait_for_owners(http, host.caller_address, count)
+            for host in planned.hosts
+        )
+    )
+
+
+async def _wait_for_owners(
+    http: aiohttp.ClientSession, address: str, count: int
+) -> None:
+    owned = 0
+    while owned < count:
+        await asyncio.sleep(POLL_S)
+        listed = await command(http, address, 'targets')
+        owned = sum(bool(target['owner']) for target in listed['targets'])
 
 
 async def _repeat_until_done(attempt: Any) -> dict[str, Any]:
--- a/demo/processes.py
+++ b/demo/processes.py
@@ -9,7 +9,7 @@
 import pathlib
 import socket
 import sys
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 STOP_LIMIT_S = 8.0
 LOG_TAIL_LINES = 20
@@ -32,14 +32,21 @@
         self._folder = folder
         self._children: dict[str, asyncio.subprocess.Process] = {}
 
-    async def start(self, name: str, module: str, *options: str) -> None:
-        """Run ``python -m module options``."""
+    async def start(
+        self, name: str, module: str, options: Mapping[str, object]
+    ) -> None:
+        """Run ``python -m module`` with ``--option value`` for each option."""
+        texts = [
+            text
+            for option, given in options.items()
+            for text in (f'--{option}', str(given))
+        ]
         with self._log_path(name).open('wb') as log:
             self._children[name] = await asyncio.create_subprocess_exec(
                 sys.executable,
                 '-m',
                 module,
-                *options,
+                *texts,
                 stdin=asyncio.subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
@@ -65,12 +72,12 @@
             if child.returncode is None:
                 child.terminate()
         waits = [
-            asyncio.create_task(child.wait()) for child in children.values()
+            asyncio.create_task(entry.wait()) for entry in children.values()
         ]
         await asyncio.wait(waits, timeout=STOP_LIMIT_S)
-        for child in children.values():
-            if child.returncode is None:
-                child.kill()
+        for late in children.values():
+            if late.returncode is None:
+                late.kill()
         statuses = await asyncio.gather(*waits)
         return dict(zip(children, statuses, strict=True))
 
--- a/demo/report.py
+++ b/demo/report.py
@@ -35,12 +35,12 @@
     print(''.join(f'{state:>10}' for state in STATES))
     for label, group in sorted(rows.items()):
         print(_row(label, group))
-    for outcome in outcomes:
-        if outcome.state != 'answered':
-            tokens = outcome.request.body.get('prompt_tokens', 0)
+    for unanswered in outcomes:
+        if unanswered.state != 'answered':
+            tokens = unanswered.request.body.get('prompt_tokens', 0)
             print(
-                f'  request {outcome.request.number} ({tokens} tokens): '
-                f'{outcome.state}, {outcome.detail}'
+                f'  request {unanswered.request.number} ({tokens} tokens): '
+                f'{unanswered.state}, {unanswered.detail}'
             )
 
 
@@ -48,9 +48,9 @@
     recorded = histogram.HdrHistogram(
         metrics.LOWEST_MS, metrics.HIGHEST_MS, metrics.SIGNIFICANT_DIGITS
     )
-    for outcome in group:
-        if outcome.state == 'answered':
-            recorded.record_value(max(outcome.ttft_ms, metrics.LOWEST_MS))
+    for entry in group:
+        if entry.state == 'answered':
+            recorded.record_value(max(entry.ttft_ms, metrics.LOWEST_MS))
     values = metrics.quantiles(recorded).values()
     counts = collections.Counter(outcome.state for outcome in group)
     return (
--- a/demo/load.py
+++ b/demo/workload.py
@@ -54,7 +54,7 @@
 def plan_load(count: int) -> list[PlannedRequest]:
     """Return ``count`` requests in the order in which they are sent."""
     source = random.Random(SEED)
-    at_s = 0.0
+    at_s: float = 0
     planned = []
     for number in range(count):
         at_s += source.expovariate(ARRIVALS_PER_S)
