--- a/bench/fakes.py
+++ b/bench/fakes.py
@@ -208,6 +208,12 @@
             if isinstance(target, targets.EngineTarget):
                 yield target
 
+    def memory_in_use(self) -> bool:
+        """Tell whether any engine holds an attempt."""
+        return any(
+            target.engine.sequences_by_attempt for target in self.engines()
+        )
+
     def is_poison(self, attempt_id: str) -> bool:
         """Tell whether an attempt crashes the target that runs it."""
         return self.requests_by_attempt.get(attempt_id) in self.poisons
--- a/bench/operators.py
+++ b/bench/operators.py
@@ -77,7 +77,8 @@
 
     def change(self, change: Change, via: str) -> None:
         """Make a change through host ``via``."""
-        bundle = self.world.hosts_by_name[via].core.state.bundle
+        host = self.world.hosts_by_name[via]
+        bundle = host.core.state.bundle
         pending = Pending(change, via)
         pending.commands.extend(
             self.world.version.commands(change, bundle.version if bundle else 0)
