Return the asker's clock reading with each grant

Every grant was released at once as not run: accepting hosts compare asked_ms with their clock, and the owner never set it.

--- a/bergamotstream/grants.py
+++ b/bergamotstream/grants.py
@@ -27,6 +27,7 @@
         """Keep what the accepting host ``asker`` asked for at ``now_ms``."""
         self.request = message.request
         self.asker = asker
+        self.asked_ms = message.sent_ms
         self.priority = message.priority
         self.excluded = frozenset(message.excluded_targets)
         self.queued_ms = now_ms
@@ -60,6 +61,7 @@
         """Grant ``targets`` at ``now_ms``."""
         self.attempt_id = attempt_id
         self.holder = waiting.asker
+        self.asked_ms = waiting.asked_ms
         self.request = waiting.request
         self.length_class = waiting.length_class
         self.engine_priority = waiting.engine_priority
@@ -91,6 +93,7 @@
             attempt_id=grant.attempt_id,
             targets=grant.targets,
             engine_priority=grant.engine_priority,
+            asked_ms=grant.asked_ms,
         ),
     )
 
--- a/bergamotstream/partitionowner.py
+++ b/bergamotstream/partitionowner.py
@@ -95,12 +95,14 @@
             names = {target.name for target in grant.targets}
             if names.isdisjoint(message.excluded_targets):
                 grant.holder = asker
+                grant.asked_ms = message.sent_ms
                 self._out.append(grants.grant_reply(self.partition, grant))
                 return
             self._end_grant(grant, 'failed')
         queued = self.admission.waiting_by_request.get(request_id)
         if queued is not None:
             queued.asker = asker
+            queued.asked_ms = message.sent_ms
             return
         waiting = grants.Waiting(message, asker, self._state.now_ms)
         self.admission.submit(waiting)
