--- a/bench/hosts.py
+++ b/bench/hosts.py
@@ -100,15 +100,18 @@
         request_id = call.spec.request_id
         self.calls_by_request[request_id] = call
         offset = getattr(event, 'offset', 0)
-        self.assemblers_by_request[request_id] = relay.StreamAssembler(
-            request_id, offset
+        assembler = self.assemblers_by_request.setdefault(
+            request_id, relay.StreamAssembler(request_id)
         )
+        assembler.restart(offset)
         self.receive(event)
 
     def close_call(self, request_id: str) -> None:
-        """Note that a caller closed its connection."""
+        """Tell the core that a caller closed its connection.
+
+        The answer stays open until the core ends it.
+        """
         self.receive(events.CallerGone(request_id))
-        self.run(self._forget, request_id)
 
     def to_caller(self, method: Callable[..., Any], *arguments: Any) -> None:
         """Send something to a caller."""
--- a/bench/real.py
+++ b/bench/real.py
@@ -29,7 +29,16 @@
 
 def _build(config, incarnation):
     from bergamotstream import granting, core
-    kinds=tuple(dict.fromkeys((*assembly.COMPONENTS[:3], granting.Granting, *assembly.COMPONENTS[3:])))
+
+    kinds = tuple(
+        dict.fromkeys(
+            (
+                *assembly.COMPONENTS[:3],
+                granting.Granting,
+                *assembly.COMPONENTS[3:],
+            )
+        )
+    )
     return core.HostCore(config, incarnation, kinds)
 
 
