--- a/bench/real.py
+++ b/bench/real.py
@@ -5,8 +5,9 @@
 The assembled core of ``bergamotstream`` as a version under test.
 """
 
+from typing import Any
+
 from bergamotstream import (
-    actions,
     assembly,
     audit,
     bundleformat,
@@ -20,12 +21,27 @@
     """Return the real core with its default policy."""
     return fakes.Version(
         'bergamotstream',
-        build=assembly.build_core,
+        build=_build,
         prepare=write_bundle,
         commands=operators.real_commands,
     )
 
 
+def _build(config, incarnation):
+    from bergamotstream import granting, core
+
+    kinds = tuple(
+        dict.fromkeys(
+            (
+                *assembly.COMPONENTS[:3],
+                granting.Granting,
+                *assembly.COMPONENTS[3:],
+            )
+        )
+    )
+    return core.HostCore(config, incarnation, kinds)
+
+
 def write_bundle(store: storage.Storage) -> None:
     """Put the first configuration into the key-value service."""
     stored = bundlestore.Stored(
@@ -48,16 +64,14 @@
     )
     step = next(flow)
     while True:
-        answers = [_write(store, action) for action in step]
+        answers = [_write(store, action) for action in tuple(step)]
         try:
             step = flow.send(answers)
         except StopIteration:
             return
 
 
-def _write(
-    store: storage.Storage, action: actions.KvWrite
-) -> events.KvAnswered:
+def _write(store: storage.Storage, action: Any) -> events.KvAnswered:
     store.put(action.key, action.value)
     found = store.items_by_key[action.key]
     return events.KvAnswered(action.operation_id, 'ok', (found,))
