--- a/bergamotstream/admission.py
+++ b/bergamotstream/admission.py
@@ -13,10 +13,10 @@
     actions,
     demand,
     fairness,
+    forecast,
     grants,
     placing,
     policies,
-    prediction,
     quarantine,
     records,
     state,
@@ -27,17 +27,11 @@
 MAX_QUEUED = 2_000
 RETRY_MS = 500
 MIN_RETRY_MS = 100
-QUEUES = ('suspect', 'short', 'medium', 'long')
-# Prompts whose expected wait stands for their class in load summaries.
-TYPICAL_TOKENS: dict[records.LengthClass, int] = {
-    'short': 2_000,
-    'medium': 16_000,
-    'long': 200_000,
-}
-NO_TARGET_WAIT_MS = 60_000
 # Suspects that are considered in one pass; one may have to wait for another.
 SUSPECTS_AT_ONCE = 16
 OVERTAKING_AT_ONCE = 8
+# Entries of granted requests that may stay in the heap of latest starts.
+SPARE = 256
 LONG_INTERVAL_MS = 100
 
 Granter = Callable[[grants.Waiting, placing.Placement], None]
@@ -65,7 +59,8 @@
         self._state = shared
         self._targets_by_name = targets_by_name
         self._blame = blame
-        self._queues = {name: fairness.FairQueue() for name in QUEUES}
+        self._queues = {name: fairness.FairQueue() for name in forecast.QUEUES}
+        self.forecast = forecast.Forecast(shared, self.placer, self._queues)
         self._latest_starts: list[tuple[float, int, grants.Waiting]] = []
         self._arrivals = 0
         self._long_ms = shared.now_ms
@@ -94,8 +89,9 @@
             waiting.request.prompt_tokens,
             self._state.now_ms,
         )
+        self._forget_granted()
         self._arrivals += 1
-        latest = waiting.deadline_ms - self._fastest_ms(waiting)
+        latest = waiting.deadline_ms - self.forecast.fastest_ms(waiting)
         heapq.heappush(self._latest_starts, (latest, self._arrivals, waiting))
 
     def withdraw(self, request_id: str) -> None:
@@ -103,7 +99,8 @@
         waiting = self.waiting_by_request.pop(request_id, None)
         if waiting is not None:
             self._queue_of(waiting).remove(waiting)
-            self.placer.release_reservations(request_id)
+            if waiting.suspect:
+                self.placer.release_reservations(request_id)
 
     def pump(self, granter: Granter) -> None:
         """Grant waiting requests while there is room for them."""
@@ -126,12 +123,22 @@
             if waiting.queued:
                 self.deny(waiting, 'deadline_unreachable')
 
+    def _forget_granted(self) -> None:
+        """Keep the heap of latest starts in proportion to the queue."""
+        if len(self._latest_starts) > 2 * len(self.waiting_by_request) + SPARE:
+            self._latest_starts = [
+                entry for entry in self._latest_starts if entry[2].queued
+            ]
+            heapq.heapify(self._latest_starts)
+
     def _deny_if_late(self, waiting: grants.Waiting) -> None:
         """Deny a request whose predicted finish is past its deadline."""
         if not waiting.queued:
             return
-        wait_ms = self.expected_ms(waiting)
-        finish_ms = self._state.now_ms + wait_ms + self._decode_ms(waiting)
+        wait_ms = self.forecast.ttft_ms(waiting)
+        finish_ms = (
+            self._state.now_ms + wait_ms + self.forecast.decode_ms(waiting)
+        )
         if finish_ms > waiting.deadline_ms:
             self.deny(waiting, 'deadline_unreachable', int(wait_ms))
 
@@ -165,30 +172,7 @@
     def load(self) -> records.PartitionLoad:
         """Return the expected waits for other hosts."""
         self.placer.update_best()
-        waits: dict[records.LengthClass, int] = {
-            length_class: self._typical_ms(length_class)
-            for length_class in TYPICAL_TOKENS
-        }
-        return records.PartitionLoad(
-            partition=self.partition,
-            short_wait_ms=waits['short'],
-            medium_wait_ms=waits['medium'],
-            long_wait_ms=waits['long'],
-            queued=len(self.waiting_by_request),
-        )
-
-    def expected_ms(self, waiting: grants.Waiting) -> float:
-        """Return the expected time to first token of a queued request."""
-        need = targetstate.Need(
-            waiting.length_class,
-            waiting.engine_priority,
-            waiting.request.prompt_tokens,
-            0,
-            waiting.request.prefix_hashes,
-        )
-        queued = self._queued_before(waiting.length_class)
-        own = waiting.request.prompt_tokens if waiting.queued else 0
-        return self._expected_ms(need, max(queued - own, 0))
+        return self.forecast.load(self.partition, len(self.waiting_by_request))
 
     def _pump_queue(self, queue: fairness.FairQueue, granter: Granter) -> None:
         waiting = queue.head()
@@ -241,7 +225,9 @@
         if placement is None:
             return False
         ttft_ms = placement.predicted_ttft_ms
-        finish_ms = self._state.now_ms + ttft_ms + self._decode_ms(waiting)
+        finish_ms = (
+            self._state.now_ms + ttft_ms + self.forecast.decode_ms(waiting)
+        )
         if finish_ms > waiting.deadline_ms:
             self.deny(waiting, 'deadline_unreachable', int(ttft_ms))
             return True
@@ -279,7 +265,10 @@
             return 'no_target'
         if self._excludes_all(waiting):
             return 'no_target'
-        if self._fastest_ms(waiting) > waiting.deadline_ms - self._state.now_ms:
+        if (
+            self.forecast.fastest_ms(waiting)
+            > waiting.deadline_ms - self._state.now_ms
+        ):
             return 'deadline_unreachable'
         return ''
 
@@ -294,7 +283,7 @@
             for workspace, count in queue.count_by_workspace.items():
                 counts[workspace] = counts.get(workspace, 0) + count
         largest = max(counts, key=counts.__getitem__)
-        for name in reversed(QUEUES):
+        for name in reversed(forecast.QUEUES):
             newest = self._queues[name].newest_of(largest)
             if newest is not None:
                 self.deny(newest, 'overloaded')
@@ -314,45 +303,3 @@
         )
         config = workspaces.get(waiting.request.workspace)
         return 1 if config is None else config.weight
-
-    def _queued_before(self, length_class: records.LengthClass) -> float:
-        names = QUEUES[: QUEUES.index(length_class) + 1]
-        return sum(self._queues[name].tokens for name in names)
-
-    def _expected_ms(self, need: targetstate.Need, queued: float) -> float:
-        now_ms = self._state.now_ms
-        best = float(NO_TARGET_WAIT_MS)
-        speed = float(0)
-        for target in self.placer.usable(now_ms):
-            target.drain(now_ms)
-            best = min(best, target.predicted_ttft_ms(need))
-            speed += target.speeds.prefill_tokens_per_s
-        if need.length_class == 'long' and self._targets_by_name:
-            speed *= self.placer.long_limit / len(self._targets_by_name)
-        if not speed:
-            return best
-        return best + queued * prediction.MS_PER_S / speed
-
-    def _typical_ms(self, length_class: records.LengthClass) -> int:
-        tokens = TYPICAL_TOKENS[length_class]
-        priority = grants.engine_priority(length_class, 0)
-        need = targetstate.Need(length_class, priority, tokens, tokens)
-        return int(self._expected_ms(need, self._queued_before(length_class)))
-
-    def _fastest_ms(self, waiting: grants.Waiting) -> float:
-        """Return the shortest possible time to the last token."""
-        if self.placer.service.kind == 'plain':
-            return self.placer.best.call_ms
-        request = waiting.request
-        segments = self.placer.segments(waiting)
-        longest = max((entry.prompt_tokens for entry in segments), default=0)
-        # Cached blocks may be skipped.
-        cached = len(request.prefix_hashes) * prediction.BLOCK_TOKENS
-        prefill_ms = self.placer.best.prefill_ms(max(longest - cached, 0))
-        return prefill_ms + self._decode_ms(waiting)
-
-    def _decode_ms(self, waiting: grants.Waiting) -> float:
-        if self.placer.service.kind == 'plain':
-            return 0
-        pace_ms = self.placer.best.decode_ms_per_token
-        return waiting.request.max_output_tokens * pace_ms
--- a/bergamotstream/coldstart.py
+++ b/bergamotstream/coldstart.py
@@ -14,6 +14,7 @@
 SLOW_IN_ROW = 2
 # Shorter predictions are dominated by scheduling jitter of the host.
 MIN_PREDICTION_MS = 40.0
+OLDEST_REPORT_MS = 60_000
 
 
 class ColdStart:
@@ -25,14 +26,15 @@
         self._service = service
         self._finished = 0
         self._slow_in_row = 0
-        self._since_ms = now_ms
+        # No report is too old to replace the first assumption.
+        self._since_ms = now_ms - OLDEST_REPORT_MS
         self._told_by_report = True
         self._reported = False
 
     @property
     def slow(self) -> bool:
         """Tell whether the target is known to be cold."""
-        return self.cold and self._reported
+        return self.cold and (self._reported or not self._told_by_report)
 
     @property
     def cap(self) -> int:
@@ -83,12 +85,9 @@
         that was found cold by its TTFT is warm again only after enough
         finished attempts, unless it has reported to be cold since.
         """
-        if not self._reported:
-            self._reported = True
-            self.cold = cold
-            return False
         if taken_ms < self._since_ms:
             return False
+        self._reported = True
         if cold:
             return self._hear_cold(now_ms)
         if self.cold and self._told_by_report:
--- /dev/null
+++ b/bergamotstream/crashes.py
@@ -0,0 +1,64 @@
+"""
+Crashes
+~~~~~~~
+
+Finds out that a target has died and whom to blame. News of one crash come
+from several hosts and from the target's next report; only the first counts.
+"""
+
+from collections.abc import Iterable
+
+from bergamotstream import grants, granttable, quarantine, state, targetstate
+
+
+class CrashWatch:
+    """Crashes of the targets of one partition."""
+
+    def __init__(
+        self,
+        shared: state.HostState,
+        table: granttable.GrantTable,
+        blame: quarantine.Quarantine,
+    ) -> None:
+        """Blame attempts of ``table``."""
+        self._state = shared
+        self._table = table
+        self._blame = blame
+
+    def target_lost(
+        self, target: targetstate.TargetState, grant: grants.Grant
+    ) -> None:
+        """Handle the report of a host that lost an attempt's target.
+
+        A host cannot tell which target of a group died, so there only a
+        changed start id counts.
+        """
+        now_ms = self._state.now_ms
+        target.back_off(now_ms)
+        if len(grant.targets) > 1 or grant.granted_ms <= target.lost_ms:
+            return
+        self.blame_running(target, target.occupancy.occupants)
+        target.lost_ms = now_ms
+        target.turn_cold(now_ms, told_by_report=False)
+
+    def blame_running(
+        self, target: targetstate.TargetState, attempts: Iterable[str]
+    ) -> None:
+        """Blame the attempts that started since the last known crash."""
+        running = [
+            self._table.grants_by_attempt[attempt_id]
+            for attempt_id in attempts
+            if attempt_id in self._table.grants_by_attempt
+        ]
+        fingerprints = [
+            grant.request.fingerprint
+            for grant in running
+            if grant.granted_ms > target.lost_ms
+        ]
+        if fingerprints:
+            self._blame.blame_crash(
+                target.name,
+                fingerprints,
+                self._state.blame_by_fingerprint,
+                self._state.now_ms,
+            )
--- a/bergamotstream/fairness.py
+++ b/bergamotstream/fairness.py
@@ -13,6 +13,8 @@
 from bergamotstream import grants
 
 MIN_WEIGHT = 0.001
+# Removed entries that may stay in the heap.
+SPARE = 64
 
 
 class FairQueue:
@@ -75,6 +77,9 @@
         if not self._count:
             self._heap.clear()
             self._forget_past_workspaces()
+        elif len(self._heap) > 2 * self._count + SPARE:
+            self._heap = [entry for entry in self._heap if entry[2].queued]
+            heapq.heapify(self._heap)
 
     def newest_of(self, workspace: str) -> grants.Waiting | None:
         """Return the last request of a workspace; scans, use when full."""
--- /dev/null
+++ b/bergamotstream/forecast.py
@@ -0,0 +1,114 @@
+"""
+Forecast
+~~~~~~~~
+
+Expected waits and finishes in a partition, from the targets' learned speeds
+and the work that is queued.
+"""
+
+from collections.abc import Mapping
+
+from bergamotstream import (
+    fairness,
+    grants,
+    occupancy,
+    placing,
+    prediction,
+    records,
+    state,
+)
+
+QUEUES = ('suspect', 'short', 'medium', 'long')
+# Prompts whose expected wait stands for their class in load summaries.
+TYPICAL_TOKENS: dict[records.LengthClass, int] = {
+    'short': 2_000,
+    'medium': 16_000,
+    'long': 200_000,
+}
+NO_TARGET_WAIT_MS = 60_000
+
+
+class Forecast:
+    """Expected times of requests in one partition."""
+
+    def __init__(
+        self,
+        shared: state.HostState,
+        placer: placing.Placer,
+        queues: Mapping[str, fairness.FairQueue],
+    ) -> None:
+        """Read the targets of ``placer`` and the queues."""
+        self._state = shared
+        self._placer = placer
+        self._queues = queues
+
+    def load(self, partition: str, queued: int) -> records.PartitionLoad:
+        """Return the expected waits for other hosts."""
+        waits = {
+            length_class: self._typical_ms(length_class)
+            for length_class in TYPICAL_TOKENS
+        }
+        return records.PartitionLoad(
+            partition=partition,
+            short_wait_ms=waits['short'],
+            medium_wait_ms=waits['medium'],
+            long_wait_ms=waits['long'],
+            queued=queued,
+        )
+
+    def ttft_ms(self, waiting: grants.Waiting) -> float:
+        """Return the expected time to first token of a queued request."""
+        request = waiting.request
+        need = occupancy.Need(
+            waiting.length_class,
+            waiting.engine_priority,
+            request.prompt_tokens,
+            0,
+            request.prefix_hashes,
+        )
+        before = self._queued_before(waiting.length_class)
+        return self._expected_ms(need, max(before - waiting.cost_tokens, 0))
+
+    def fastest_ms(self, waiting: grants.Waiting) -> float:
+        """Return the shortest possible time to the last token."""
+        if self._placer.service.kind == 'plain':
+            return self._placer.best.call_ms
+        request = waiting.request
+        segments = self._placer.segments(waiting)
+        longest = max((entry.prompt_tokens for entry in segments), default=0)
+        # Cached blocks may be skipped.
+        cached = len(request.prefix_hashes) * prediction.BLOCK_TOKENS
+        prefill_ms = self._placer.best.prefill_ms(max(longest - cached, 0))
+        return prefill_ms + self.decode_ms(waiting)
+
+    def decode_ms(self, waiting: grants.Waiting) -> float:
+        """Return the time from the first to the last token."""
+        if self._placer.service.kind == 'plain':
+            return 0
+        pace_ms = self._placer.best.decode_ms_per_token
+        return waiting.request.max_output_tokens * pace_ms
+
+    def _typical_ms(self, length_class: records.LengthClass) -> int:
+        tokens = TYPICAL_TOKENS[length_class]
+        priority = grants.engine_priority(length_class, 0)
+        need = occupancy.Need(length_class, priority, tokens, tokens)
+        return int(self._expected_ms(need, self._queued_before(length_class)))
+
+    def _queued_before(self, length_class: records.LengthClass) -> float:
+        names = QUEUES[: QUEUES.index(length_class) + 1]
+        return sum(self._queues[name].tokens for name in names)
+
+    def _expected_ms(self, need: occupancy.Need, queued: float) -> float:
+        now_ms = self._state.now_ms
+        best = float(NO_TARGET_WAIT_MS)
+        speed = float(0)
+        targets = self._placer.usable(now_ms)
+        for target in targets:
+            target.drain(now_ms)
+            best = min(best, target.predicted_ttft_ms(need))
+            speed += target.speeds.prefill_tokens_per_s
+        if need.length_class == 'long' and targets:
+            speed *= min(self._placer.long_limit / len(targets), 1)
+        if not speed:
+            return best
+        return best + queued * prediction.MS_PER_S / speed
--- a/bergamotstream/groups.py
+++ b/bergamotstream/groups.py
@@ -44,6 +44,17 @@
     return (first, *itertools.repeat(Segment(share, share), count - 1))
 
 
+def segments_of(
+    targets: Sequence[records.GrantedTarget], request: records.RequestSpec
+) -> tuple[Segment, ...]:
+    """Return the segments of a grant that another owner has given."""
+    first, *others = (entry.tokens for entry in targets)
+    return (
+        Segment(first, first + request.max_output_tokens),
+        *(Segment(tokens, tokens) for tokens in others),
+    )
+
+
 def choose_group(
     candidates: Sequence[targetstate.TargetState], count: int
 ) -> tuple[targetstate.TargetState, ...]:
@@ -87,4 +98,4 @@
 ) -> tuple[bool, int, float, str]:
     ahead = target.prefills.tokens_ahead(prediction.NO_PRIORITY)
     cold = target.cold_start.cold
-    return cold, target.memory_used, ahead, target.name
+    return cold, target.occupancy.memory_used, ahead, target.name
--- /dev/null
+++ b/bergamotstream/occupancy.py
@@ -0,0 +1,184 @@
+"""
+Occupancy
+~~~~~~~~~
+
+The attempts that occupy one target and the memory that they reserve. Memory
+of an ended attempt stays counted until a recent report no longer shows it.
+"""
+
+from typing import NamedTuple
+
+from bergamotstream import records
+
+# Share of memory and slots that only short requests may use.
+SHORT_SHARE = 0.2
+# Longest time between a grant and the arrival of its attempt at the target.
+FLIGHT_MS = 500
+
+
+class Need(NamedTuple):
+    """What a request needs from one target."""
+
+    length_class: records.LengthClass
+    priority: int
+    prompt_tokens: int
+    memory_tokens: int
+    prefix_hashes: tuple[int, ...] = ()
+    # The workspace has more than its share of the partition's slots.
+    over_share: bool = False
+
+
+class Occupant:
+    """An attempt that occupies a target; ended ones may still run there."""
+
+    def __init__(self, need: Need, granted_ms: int) -> None:
+        """Occupy ``need`` from ``granted_ms`` on."""
+        self.need = need
+        self.granted_ms = granted_ms
+        self.ended_ms: int | None = None
+
+    @property
+    def short(self) -> bool:
+        """Tell whether the short requests' share may be used."""
+        return self.need.length_class == 'short'
+
+
+class Occupancy:
+    """Reservations on one target and what its reports say about them."""
+
+    def __init__(self, service: records.ServiceConfig) -> None:
+        """Start empty; memory of unknown attempts comes with a report."""
+        self.occupants: dict[str, Occupant] = {}
+        self.orphans: frozenset[str] = frozenset()
+        self.memory_reserved = 0
+        self._service = service
+        self._memory_beyond_short = 0
+        self._beyond_short = 0
+        self._orphan_memory = 0
+        self._freed_ms_by_attempt: dict[str, int] = {}
+
+    @property
+    def running(self) -> int:
+        """Return attempts that run or may run on the target."""
+        return len(self.occupants) + len(self.orphans)
+
+    @property
+    def memory_used(self) -> int:
+        """Return memory in tokens that is reserved or held by orphans."""
+        return self.memory_reserved + self._orphan_memory
+
+    @property
+    def memory_beyond_short(self) -> int:
+        """Return the memory that medium and long requests may use."""
+        return int(self._service.memory_tokens * (1 - SHORT_SHARE))
+
+    def fits(self, need: Need, cap: int) -> bool:
+        """Tell whether ``cap`` and the memory leave room for ``need``."""
+        slots = kept_share(cap) if need.over_share else cap
+        if self.running >= slots:
+            return False
+        if self._service.kind == 'plain':
+            return True
+        if self.memory_used + need.memory_tokens > self._service.memory_tokens:
+            return False
+        if need.length_class == 'short':
+            return True
+        if self._beyond_short + len(self.orphans) >= kept_share(slots):
+            return False
+        return self.fits_beside(need, 0)
+
+    def fits_beside(self, need: Need, kept_tokens: int) -> bool:
+        """Tell whether ``need`` leaves memory for a long prompt's part."""
+        used = self._memory_beyond_short + self._orphan_memory
+        wanted = need.memory_tokens + kept_tokens
+        return used + wanted <= self.memory_beyond_short
+
+    def occupy(self, attempt_id: str, need: Need, now_ms: int) -> None:
+        """Reserve memory and a slot for an attempt."""
+        if attempt_id in self.occupants:
+            return
+        occupant = Occupant(need, now_ms)
+        self.occupants[attempt_id] = occupant
+        self.orphans -= {attempt_id}
+        if not self.orphans:
+            self._orphan_memory = 0
+        self._reserve(occupant, 1)
+
+    def end(self, attempt_id: str, now_ms: int) -> None:
+        """Keep the memory of an attempt until a report shows it gone."""
+        occupant = self.occupants.get(attempt_id)
+        if occupant is not None and occupant.ended_ms is None:
+            occupant.ended_ms = now_ms
+
+    def free(self, attempt_id: str, now_ms: int) -> None:
+        """Free an attempt that has certainly ended."""
+        occupant = self.occupants.pop(attempt_id, None)
+        if occupant is not None:
+            self._reserve(occupant, -1)
+            self._freed_ms_by_attempt[attempt_id] = now_ms
+
+    def dead_attempts(
+        self, shown: frozenset[str], taken_ms: int
+    ) -> tuple[str, ...]:
+        """Return attempts that a restart before ``taken_ms`` has killed."""
+        return tuple(
+            attempt_id
+            for attempt_id, occupant in self.occupants.items()
+            if attempt_id not in shown
+            and occupant.granted_ms < taken_ms - FLIGHT_MS
+        )
+
+    def free_ended(
+        self, shown: frozenset[str], taken_ms: int, now_ms: int
+    ) -> None:
+        """Free ended attempts that a report taken since does not show."""
+        gone = [
+            attempt_id
+            for attempt_id, occupant in self.occupants.items()
+            if occupant.ended_ms is not None
+            and attempt_id not in shown
+            and taken_ms >= occupant.ended_ms
+        ]
+        for attempt_id in gone:
+            self.free(attempt_id, now_ms)
+
+    def ended(self, shown: frozenset[str]) -> tuple[str, ...]:
+        """Return ended attempts that a report still shows."""
+        return tuple(
+            attempt_id
+            for attempt_id, occupant in self.occupants.items()
+            if occupant.ended_ms is not None and attempt_id in shown
+        )
+
+    def find_orphans(
+        self, shown: frozenset[str], memory_tokens: int, taken_ms: int
+    ) -> None:
+        """Count attempts that are shown without being known.
+
+        An attempt that was freed after the report was taken is no orphan.
+        """
+        self._freed_ms_by_attempt = {
+            attempt_id: freed_ms
+            for attempt_id, freed_ms in self._freed_ms_by_attempt.items()
+            if freed_ms > taken_ms
+        }
+        known = shown & self.occupants.keys()
+        self.orphans = shown - known - self._freed_ms_by_attempt.keys()
+        known_memory = sum(
+            self.occupants[attempt_id].need.memory_tokens
+            for attempt_id in known
+        )
+        beyond = max(memory_tokens - known_memory, 0)
+        self._orphan_memory = beyond if self.orphans else 0
+
+    def _reserve(self, occupant: Occupant, sign: int) -> None:
+        memory = sign * occupant.need.memory_tokens
+        self.memory_reserved += memory
+        if not occupant.short:
+            self._beyond_short += sign
+            self._memory_beyond_short += memory
+
+
+def kept_share(slots: int) -> int:
+    """Return the slots without the share that is kept for others."""
+    return max(int(slots * (1 - SHORT_SHARE)), min(slots, 1))
--- a/bergamotstream/partitionowner.py
+++ b/bergamotstream/partitionowner.py
@@ -6,14 +6,15 @@
 they occupy. Nothing here reads a clock or sends anything by itself.
 """
 
-import heapq
-
 from bergamotstream import (
     actions,
     admission,
     adoption,
+    crashes,
     events,
     grants,
+    granttable,
+    groups,
     messages,
     placing,
     quarantine,
@@ -41,15 +42,14 @@
         self.partition = partition
         self.service = service
         self.targets_by_name: dict[str, targetstate.TargetState] = {}
-        self.grants_by_attempt: dict[str, grants.Grant] = {}
+        self.table = granttable.GrantTable()
         self.adoption = adoption.Adoption(partition, shared)
         self.admission = admission.Admission(
             partition, shared, service, self.targets_by_name, blame
         )
         self._state = shared
         self._blame = blame
-        self._attempt_by_request: dict[str, str] = {}
-        self._leases: list[tuple[int, str]] = []
+        self._crashes = crashes.CrashWatch(shared, self.table, blame)
         self._load_ms = shared.now_ms - LOAD_INTERVAL_MS
         self._out: list[actions.Action] = []
 
@@ -90,7 +90,7 @@
     def request(self, message: messages.GrantRequest, asker: str) -> None:
         """Queue a request, or repeat the answer that it has had."""
         request_id = message.request.request_id
-        grant = self._grant_of(request_id)
+        grant = self.table.of_request(request_id)
         if grant is not None:
             names = {target.name for target in grant.targets}
             if names.isdisjoint(message.excluded_targets):
@@ -101,13 +101,14 @@
         queued = self.admission.waiting_by_request.get(request_id)
         if queued is not None:
             queued.asker = asker
+            queued.excluded = frozenset(message.excluded_targets)
             return
         waiting = grants.Waiting(message, asker, self._state.now_ms)
         self.admission.submit(waiting)
 
     def renew(self, attempt_id: str, sender: str) -> None:
         """Extend a lease, or tell the sender that there is none."""
-        grant = self.grants_by_attempt.get(attempt_id)
+        grant = self.table.get(attempt_id)
         if grant is not None:
             if grant.holder == sender:
                 grant.expires_ms = self._lease_end_ms()
@@ -121,7 +122,7 @@
 
     def progress(self, message: messages.GrantProgress) -> None:
         """Learn from the first token of an attempt."""
-        grant = self.grants_by_attempt.get(message.attempt_id)
+        grant = self.table.get(message.attempt_id)
         if grant is None or grant.ttft_ms is not None:
             return
         grant.ttft_ms = message.ttft_ms
@@ -135,7 +136,7 @@
 
     def release(self, message: messages.GrantRelease, sender: str) -> None:
         """End a grant as its holder reports."""
-        grant = self.grants_by_attempt.get(message.attempt_id)
+        grant = self.table.get(message.attempt_id)
         if grant is None or grant.holder != sender:
             return
         now_ms = self._state.now_ms
@@ -145,14 +146,14 @@
             elif message.outcome == 'not_run':
                 target.back_off(now_ms)
             elif message.outcome == 'target_lost':
-                self._target_lost(target, grant)
+                self._crashes.target_lost(target, grant)
         if message.outcome == 'finished' and grant.suspect:
             self._blame.clear(grant.request.fingerprint, now_ms)
         self._end_grant(grant, message.outcome)
 
     def find(self, request_id: str, asker: str) -> None:
         """Hand a running grant over to the host that asks for it."""
-        grant = self._grant_of(request_id)
+        grant = self.table.of_request(request_id)
         if grant is None:
             reply = messages.FindReply(self.partition, request_id, found=False)
         else:
@@ -172,7 +173,7 @@
         """Take over grants that the previous owner gave."""
         self.adoption.answered.add(sender)
         for holding in holdings:
-            if holding.attempt_id not in self.grants_by_attempt:
+            if holding.attempt_id not in self.table.grants_by_attempt:
                 self._adopt(holding, sender)
 
     def report(self, report: records.LoadReport) -> None:
@@ -188,7 +189,7 @@
             self._restarted(target, findings.dead)
         cancels = list(findings.cancel)
         if self.adoption.complete and self.adoption.certain:
-            cancels.extend(sorted(target.orphans))
+            cancels.extend(sorted(target.occupancy.orphans))
         for attempt_id in cancels:
             self._out.append(actions.CancelAttempt(target.name, attempt_id))
         self._deny_without_targets()
@@ -202,7 +203,8 @@
     def tick(self) -> None:
         """Expire leases, deny late requests and refresh the summary."""
         self._out.extend(self.adoption.ask_again())
-        self._expire_leases()
+        for grant in self.table.expired(self._state.now_ms):
+            self._end_grant(grant, 'expired')
         self.admission.check_deadlines()
         if self._state.now_ms - self._load_ms >= LOAD_INTERVAL_MS:
             self._load_ms = self._state.now_ms
@@ -225,21 +227,14 @@
         grant = grants.Grant(attempt_id, waiting, granted, now_ms)
         grant.predicted_ttft_ms = placement.predicted_ttft_ms
         for entry in placement.assignments:
-            entry.target.occupy(attempt_id, entry.need, now_ms)
-            entry.target.start_prefill(attempt_id, entry.need, now_ms)
+            entry.target.occupy(attempt_id, entry.need, now_ms, prefill=True)
         self._add_grant(grant)
         self._out.append(grants.grant_reply(self.partition, grant))
 
     def _add_grant(self, grant: grants.Grant) -> None:
         grant.expires_ms = self._lease_end_ms()
-        self.grants_by_attempt[grant.attempt_id] = grant
-        self._attempt_by_request[grant.request.request_id] = grant.attempt_id
-        heapq.heappush(self._leases, (grant.expires_ms, grant.attempt_id))
-        self.admission.placer.count_running(grant.request.workspace, 1)
-        if grant.suspect:
-            self.admission.placer.running_suspects.add(
-                grant.request.fingerprint
-            )
+        self.table.add(grant)
+        self.admission.placer.grant_started(grant)
 
     def _adopt(self, holding: records.Holding, sender: str) -> None:
         request = holding.request
@@ -253,23 +248,17 @@
         grant = grants.Grant(
             holding.attempt_id, waiting, holding.targets, self._state.now_ms
         )
-        output = request.max_output_tokens
-        tokens_by_target = {
-            entry.name: entry.tokens for entry in holding.targets
-        }
-        for target in self._targets_of(grant):
-            segment = tokens_by_target[target.name]
-            need = targetstate.Need(
-                waiting.length_class,
-                waiting.engine_priority,
-                segment,
-                segment + output,
-                request.prefix_hashes,
-            )
-            output = 0
-            target.occupy(grant.attempt_id, need, self._state.now_ms)
-            if not holding.first_token_seen:
-                target.start_prefill(grant.attempt_id, need, self._state.now_ms)
+        segments = groups.segments_of(holding.targets, request)
+        needs = self.admission.placer.needs_of(waiting, segments)
+        for entry, need in zip(holding.targets, needs, strict=True):
+            target = self.targets_by_name.get(entry.name)
+            if target is not None:
+                target.occupy(
+                    grant.attempt_id,
+                    need,
+                    self._state.now_ms,
+                    prefill=not holding.first_token_seen,
+                )
         self._add_grant(grant)
 
     def _priority_of(self, workspace: str) -> int:
@@ -285,35 +274,13 @@
             if entry.name in self.targets_by_name
         ]
 
-    def _grant_of(self, request_id: str) -> grants.Grant | None:
-        attempt_id = self._attempt_by_request.get(request_id, '')
-        return self.grants_by_attempt.get(attempt_id)
-
     def _lease_end_ms(self) -> int:
         return self._state.now_ms + self._state.settings.timing.grant_lease_ms
 
-    def _expire_leases(self) -> None:
-        now_ms = self._state.now_ms
-        while self._leases and self._leases[0][0] <= now_ms:
-            _, attempt_id = heapq.heappop(self._leases)
-            grant = self.grants_by_attempt.get(attempt_id)
-            if grant is None:
-                continue
-            if grant.expires_ms > now_ms:
-                heapq.heappush(self._leases, (grant.expires_ms, attempt_id))
-            else:
-                self._end_grant(grant, 'expired')
-
     def _end_grant(self, grant: grants.Grant, outcome: str) -> None:
         """Free a grant's memory, now or when a report shows it gone."""
-        self.grants_by_attempt.pop(grant.attempt_id, None)
-        self._attempt_by_request.pop(grant.request.request_id, None)
-        self.admission.placer.count_running(grant.request.workspace, -1)
-        if grant.suspect:
-            self.admission.placer.running_suspects.discard(
-                grant.request.fingerprint
-            )
-        self.admission.placer.release_reservations(grant.request.request_id)
+        self.table.remove(grant)
+        self.admission.placer.grant_ended(grant)
         now_ms = self._state.now_ms
         # Targets of a group keep their segment until it is cancelled.
         kept = len(grant.targets) > 1 and outcome != 'not_run'
@@ -326,51 +293,17 @@
                 actions.CancelAttempt(target.name, grant.attempt_id)
             )
 
-    def _target_lost(
-        self, target: targetstate.TargetState, grant: grants.Grant
-    ) -> None:
-        """Handle the first news of a crash; others are of the same one."""
-        now_ms = self._state.now_ms
-        target.back_off(now_ms)
-        if grant.granted_ms <= target.lost_ms:
-            return
-        self._blame_running(target, tuple(target.occupants))
-        target.lost_ms = now_ms
-        target.turn_cold(now_ms, told_by_report=False)
-
     def _restarted(
         self, target: targetstate.TargetState, dead: tuple[str, ...]
     ) -> None:
         """End the attempts that a restart has killed."""
-        self._blame_running(target, dead)
+        self._crashes.blame_running(target, dead)
         for attempt_id in dead:
-            grant = self.grants_by_attempt.get(attempt_id)
+            grant = self.table.get(attempt_id)
             if grant is not None:
                 self._end_grant(grant, 'target_lost')
             target.free(attempt_id, self._state.now_ms)
 
-    def _blame_running(
-        self, target: targetstate.TargetState, attempts: tuple[str, ...]
-    ) -> None:
-        """Blame the attempts that started since the last known crash."""
-        running = [
-            self.grants_by_attempt[attempt_id]
-            for attempt_id in attempts
-            if attempt_id in self.grants_by_attempt
-        ]
-        fingerprints = [
-            grant.request.fingerprint
-            for grant in running
-            if grant.granted_ms > target.lost_ms
-        ]
-        if fingerprints:
-            self._blame.blame_crash(
-                target.name,
-                fingerprints,
-                self._state.blame_by_fingerprint,
-                self._state.now_ms,
-            )
-
     def _forget_target(self, name: str) -> None:
         self.targets_by_name.pop(name)
         self._out.append(actions.UnwatchTarget(name))
--- a/bergamotstream/placing.py
+++ b/bergamotstream/placing.py
@@ -12,6 +12,7 @@
     demand,
     grants,
     groups,
+    occupancy,
     policies,
     prediction,
     records,
@@ -26,7 +27,7 @@
     """A target with what the request needs from it."""
 
     target: targetstate.TargetState
-    need: targetstate.Need
+    need: occupancy.Need
 
 
 class Placement(NamedTuple):
@@ -63,7 +64,7 @@
         self.best = prediction.Speeds(service)
         self._kept: Kept | None = None
         # A blamed prompt is tried on one target at a time.
-        self.running_suspects: set[int] = set()
+        self._running_suspects: set[int] = set()
 
     def usable(self, now_ms: int) -> list[targetstate.TargetState]:
         """Return the targets that may be given new work at all."""
@@ -98,7 +99,7 @@
             return (groups.Segment(request.prompt_tokens, 0),)
         memory = self.service.memory_tokens
         if waiting.length_class != 'short':
-            memory = int(memory * (1 - targetstate.SHORT_SHARE))
+            memory = int(memory * (1 - occupancy.SHORT_SHARE))
         staying = sum(
             not target.leaving for target in self.targets_by_name.values()
         )
@@ -131,8 +132,26 @@
         )
         return None if chosen is None else _placement([chosen], [need])
 
-    def count_running(self, workspace: str, change: int) -> None:
-        """Follow the number of grants of a workspace."""
+    def grant_started(self, grant: grants.Grant) -> None:
+        """Count a grant of its workspace."""
+        self._count_running(grant.request.workspace, 1)
+        if grant.suspect:
+            self._running_suspects.add(grant.request.fingerprint)
+
+    def grant_ended(self, grant: grants.Grant) -> None:
+        """Stop counting a grant and let others use a suspect's target."""
+        self._count_running(grant.request.workspace, -1)
+        if grant.suspect:
+            self._running_suspects.discard(grant.request.fingerprint)
+            self.release_reservations(grant.request.request_id)
+
+    def needs_of(
+        self, waiting: grants.Waiting, segments: Iterable[groups.Segment]
+    ) -> list[occupancy.Need]:
+        """Return what a request needs from each of its targets."""
+        return [_need(waiting, segment) for segment in segments]
+
+    def _count_running(self, workspace: str, change: int) -> None:
         count = self.running_by_workspace.get(workspace, 0) + change
         if count:
             self.running_by_workspace[workspace] = count
@@ -146,7 +165,7 @@
                 target.reserved_for = ''
 
     def _candidates(
-        self, waiting: grants.Waiting, need: targetstate.Need, now_ms: int
+        self, waiting: grants.Waiting, need: occupancy.Need, now_ms: int
     ) -> list[targetstate.TargetState]:
         found = []
         usable = self.usable(now_ms)
@@ -165,7 +184,7 @@
             entry
             for entry in found
             if entry.name not in kept.names
-            or entry.fits_beside(need, kept.memory_tokens)
+            or entry.occupancy.fits_beside(need, kept.memory_tokens)
         ]
         if need.length_class == 'short':
             return others or found
@@ -231,7 +250,7 @@
     ) -> Placement | None:
         """Place a suspect on targets that run nothing else."""
         request_id = waiting.request.request_id
-        if waiting.request.fingerprint in self.running_suspects:
+        if waiting.request.fingerprint in self._running_suspects:
             return None
         mine, others = [], 0
         for target in self.usable(now_ms):
@@ -273,8 +292,8 @@
     return not target.reserved_for, target.running, target.name
 
 
-def _need(waiting: grants.Waiting, segment: groups.Segment) -> targetstate.Need:
-    return targetstate.Need(
+def _need(waiting: grants.Waiting, segment: groups.Segment) -> occupancy.Need:
+    return occupancy.Need(
         length_class=waiting.length_class,
         priority=waiting.engine_priority,
         prompt_tokens=segment.prompt_tokens,
@@ -285,7 +304,7 @@
 
 def _placement(
     targets: Iterable[targetstate.TargetState],
-    needs: Iterable[targetstate.Need],
+    needs: Iterable[occupancy.Need],
 ) -> Placement:
     assignments = tuple(
         Assignment(target, need)
--- a/bergamotstream/policies/base.py
+++ b/bergamotstream/policies/base.py
@@ -8,7 +8,7 @@
 from collections.abc import Sequence
 from typing import Any, ClassVar
 
-from bergamotstream import errors, targetstate
+from bergamotstream import errors, occupancy, targetstate
 
 _policies_by_name: dict[str, type['Policy']] = {}
 
@@ -32,7 +32,7 @@
         self.options = options
 
     def choose(
-        self, candidates: Candidates, need: targetstate.Need, now_ms: int
+        self, candidates: Candidates, need: occupancy.Need, now_ms: int
     ) -> targetstate.TargetState | None:
         """Return the target to use, or None to keep the request queued.
 
--- a/bergamotstream/policies/leastloaded.py
+++ b/bergamotstream/policies/leastloaded.py
@@ -5,7 +5,7 @@
 Balances the number of running attempts.
 """
 
-from bergamotstream import targetstate
+from bergamotstream import occupancy, targetstate
 from bergamotstream.policies import base
 
 
@@ -17,11 +17,11 @@
     aliases = ('ll',)
 
     def choose(
-        self, candidates: base.Candidates, need: targetstate.Need, now_ms: int
+        self, candidates: base.Candidates, need: occupancy.Need, now_ms: int
     ) -> targetstate.TargetState | None:
         """Return the candidate with the fewest attempts, then tokens."""
         return min(candidates, key=_load, default=None)
 
 
 def _load(target: targetstate.TargetState) -> tuple[int, int, str]:
-    return target.running, target.memory_used, target.name
+    return target.running, target.occupancy.memory_used, target.name
--- a/bergamotstream/policies/predictive.py
+++ b/bergamotstream/policies/predictive.py
@@ -7,7 +7,7 @@
 
 from typing import Any
 
-from bergamotstream import records, targetstate
+from bergamotstream import occupancy, prediction, records, targetstate
 from bergamotstream.policies import base
 
 # A target takes a further prompt of a class while fewer tokens than this run
@@ -19,6 +19,9 @@
 }
 # One prompt that is processed and one that waits keep an engine busy.
 MAX_AHEAD = 1
+# An idle cold target is given a short request after this time, else it would
+# stay cold for as long as warm ones suffice. Medium ones go there at once.
+IDLE_COLD_MS = 5_000
 
 
 @base.register
@@ -39,7 +42,7 @@
         self._window = options.get('window_tokens', WINDOW_TOKENS)
 
     def choose(
-        self, candidates: base.Candidates, need: targetstate.Need, now_ms: int
+        self, candidates: base.Candidates, need: occupancy.Need, now_ms: int
     ) -> targetstate.TargetState | None:
         """Return the candidate whose first token is expected first."""
         best: tuple[float, int, str] | None = None
@@ -48,16 +51,29 @@
             if not self._accepts(target, need):
                 continue
             predicted_ms = target.predicted_ttft_ms(need)
+            if _should_warm(target, need, now_ms):
+                predicted_ms /= prediction.COLD_FACTOR
             rating = (predicted_ms, target.running, target.name)
             if best is None or rating < best:
                 best, chosen = rating, target
         return chosen
 
     def _accepts(
-        self, target: targetstate.TargetState, need: targetstate.Need
+        self, target: targetstate.TargetState, need: occupancy.Need
     ) -> bool:
         ahead = target.prefills
         if ahead.count_ahead(need.priority) > MAX_AHEAD:
             return False
         window = self._window[need.length_class]
         return ahead.tokens_ahead(need.priority) <= window
+
+
+def _should_warm(
+    target: targetstate.TargetState, need: occupancy.Need, now_ms: int
+) -> bool:
+    """Tell whether a cold target should be chosen as if it were warm."""
+    if not target.cold_start.slow or target.running:
+        return False
+    if need.length_class == 'medium':
+        return True
+    return now_ms - target.idle_since_ms >= IDLE_COLD_MS
--- a/bergamotstream/policies/roundrobin.py
+++ b/bergamotstream/policies/roundrobin.py
@@ -5,7 +5,7 @@
 The simplest policy, kept as a reference for measurements.
 """
 
-from bergamotstream import targetstate
+from bergamotstream import occupancy, targetstate
 from bergamotstream.policies import base
 
 
@@ -18,7 +18,7 @@
     _last = ''
 
     def choose(
-        self, candidates: base.Candidates, need: targetstate.Need, now_ms: int
+        self, candidates: base.Candidates, need: occupancy.Need, now_ms: int
     ) -> targetstate.TargetState | None:
         """Return the next candidate after the last one used."""
         if not candidates:
--- a/tests/test_granting.py
+++ b/tests/test_granting.py
@@ -102,7 +102,7 @@
     world.run_until(8_000)
     assert not any(engine.memory_used for engine in world.engines.values())
     for target in world.owner.targets_by_name.values():
-        assert target.memory_used == 0
+        assert target.occupancy.memory_used == 0
 
 
 def test_orphans_are_cancelled_and_fresh_attempts_are_not():
@@ -115,7 +115,7 @@
     target = world.owner.targets_by_name['t00']
     assert 'stray' not in engine.sequences_by_attempt
     world.run_until(MINUTE_MS)
-    assert target.memory_used == 0
+    assert target.occupancy.memory_used == 0
     assert all(call.done_ms and not call.codes for call in calls)
 
 
@@ -135,9 +135,9 @@
     world.handle(events.MessageReceived(call.arrival.host, release))
     empty = records.LoadReport('t00', 't00/1', (), 0, 500)
     world.handle(events.LoadReported(empty))
-    assert target.memory_used == 34_000
+    assert target.occupancy.memory_used == 34_000
     world.handle(events.LoadReported(empty._replace(age_ms=0)))
-    assert target.memory_used == 0
+    assert target.occupancy.memory_used == 0
 
 
 def test_two_groups_of_most_targets_do_not_deadlock():
@@ -270,7 +270,7 @@
     world.run_until(1_200)
     assert call.reply == first
     assert call.repeats == 1
-    assert len(world.owner.grants_by_attempt) == 1
+    assert len(world.owner.table.grants_by_attempt) == 1
 
 
 def test_new_owner_adopts_before_it_grants():
@@ -281,7 +281,7 @@
         arrival(1, 200_000, output=5_000, remaining_ms=10 * MINUTE_MS)
     )
     world.run_until(2_000)
-    grant = world.owner.grants_by_attempt[held.reply.attempt_id]
+    grant = world.owner.table.grants_by_attempt[held.reply.attempt_id]
     engine.submit(enginemodel.Submission('unclaimed', 90_000, 100, 900), 2_000)
     holding = records.Holding(
         grant.attempt_id, grant.request, grant.targets, 50_000, False
@@ -298,7 +298,7 @@
         reply = messages.HoldingsReply(simulation.PARTITION, owned, ())
         world.handle(events.MessageReceived(host, reply))
     target = world.owner.targets_by_name['t00']
-    assert target.memory_reserved >= 205_000
+    assert target.occupancy.memory_reserved >= 205_000
     world.run_until(10 * MINUTE_MS)
     assert held.done_ms
     assert fresh.done_ms
@@ -315,3 +315,78 @@
     world.run_until(1_100)
     assert late.codes == ['no_owner']
     assert all(call.reply or call.codes == ['no_owner'] for call in waiting)
+
+
+def test_a_crashed_target_warms_up_again():
+    """Guards against a cold target that nobody uses while others suffice."""
+    world = simulation.Simulation(4)
+    world.at(2_000, lambda: world.crash('t01'))
+    for number in range(300):
+        world.submit(arrival(number, at_ms=1_000 + number * 200))
+    world.run_until(MINUTE_MS + 5_000)
+    assert not world.owner.targets_by_name['t01'].cold_start.cold
+    assert not world.engines['t01'].cold
+    assert world.engines['t01'].starts == 2
+
+
+def test_crash_under_a_group_leaves_the_other_targets_warm():
+    """Guards against blaming every target of a group for one crash."""
+    world = simulation.Simulation(4)
+    call = world.submit(arrival(1, 900_000, remaining_ms=10 * MINUTE_MS))
+    world.at(3_000, lambda: world.crash('t01'))
+    world.run_until(5_000)
+    targets = world.owner.targets_by_name
+    assert call.lost == 1
+    assert [entry.cold_start.cold for entry in targets.values()] == [
+        name == 't01' for name in targets
+    ]
+    assert not any(engine.memory_used for engine in world.engines.values())
+
+
+def test_resuming_host_takes_the_grant_over():
+    """Guards against a stream that ends when its host's lease does."""
+    world = simulation.Simulation(1)
+    call = world.submit(arrival(1, output=900))
+    world.run_until(1_500)
+    attempt_id = call.reply.attempt_id
+    world.drops = lambda subject: isinstance(subject, messages.GrantRenew)
+    for at_ms in range(2_000, 20_000, 1_000):
+        renewal = messages.GrantRenew(simulation.PARTITION, (attempt_id,))
+        received = events.MessageReceived('h3', renewal)
+        world.at(at_ms, lambda: world.handle(received))
+    find = messages.FindRequest(simulation.PARTITION, 'r1')
+    world.handle(events.MessageReceived('h3', find))
+    world.run_until(30_000)
+    assert call.done_ms
+
+
+def test_failing_targets_are_avoided_for_longer_each_time():
+    """Guards against sending everything to a target that refuses."""
+    world = simulation.Simulation(2)
+    world.engines['t00'].submit = lambda submission, now_ms: 'busy'
+    for number in range(100):
+        world.submit(arrival(number, at_ms=1_000 + number * 100))
+    world.run_until(MINUTE_MS)
+    refused = [call for call in world.calls.values() if call.codes]
+    assert len(refused) <= 8
+    assert all(call.done_ms or call.codes for call in world.calls.values())
+
+
+def test_plain_service_spreads_calls_over_its_slots():
+    """Guards against treating a plain service like an engine."""
+    service = records.ServiceConfig(
+        simulation.SERVICE, 'plain', slots=4, cold_limit=1, warm_after=1
+    )
+    bundle = simulation.default_bundle(
+        services_by_name={simulation.SERVICE: service}
+    )
+    world = simulation.Simulation(3, bundle=bundle)
+    calls = burst(world, range(14), tokens=0, output=30)
+    # The last slot of a target is kept for workspaces below their share.
+    calls += burst(world, range(20, 23), tokens=0, workspace='w2')
+    world.run_until(1_010)
+    used = [entry.running for entry in world.owner.targets_by_name.values()]
+    assert used == [4, 4, 4]
+    assert all(call.reply for call in calls[-3:])
+    world.run_until(MINUTE_MS)
+    assert all(call.done_ms for call in calls)
