--- a/bergamotstream/assembly.py
+++ b/bergamotstream/assembly.py
@@ -13,13 +13,14 @@
     components,
     core,
     granting,
+    inventory,
     membership,
-    operations,
     orders,
     ownership,
     placement,
     sessions,
     settings,
+    stopping,
 )
 
 COMPONENTS: tuple[type[components.Component], ...] = (
@@ -30,7 +31,8 @@
     accounts.Accounts,
     claims.Claims,
     orders.Orders,
-    operations.Operations,
+    inventory.Inventory,
+    stopping.Stopping,
     placement.Placement,
     sessions.Sessions,
 )
--- a/tests/corekit.py
+++ b/tests/corekit.py
@@ -4,11 +4,11 @@
     accounts,
     core,
     events,
-    operations,
     placement,
     records,
     sessions,
     settings,
+    stopping,
 )
 
 OWNER = 'h2'
@@ -61,7 +61,7 @@
             accounts.Accounts,
             sessions.Sessions,
             placement.Placement,
-            operations.Operations,
+            stopping.Stopping,
         )
         self.core = core.HostCore(make_settings(), 'i1', kinds)
         shared = self.core.state
