Fix three faults of the claim log's folds

Found by lowering the fold threshold in the random-fault test and by review:

- A segment that expired while it was being folded stopped the host with a KeyError.
- An owner could write, fold and delete the sequence that a new owner was about to seal; the late seal then succeeded and both confirmed claims.
Segments are now deleted 10 s after their creation at the earliest, and a seal counts only if confirmed within 5 s of the read before it.

--- a/bergamotstream/claimbatch.py
+++ b/bergamotstream/claimbatch.py
@@ -9,7 +9,7 @@
 import enum
 from typing import NamedTuple
 
-from bergamotstream import claimlog, messages
+from bergamotstream import claimformat, messages
 
 
 class Written(enum.Enum):
@@ -28,7 +28,7 @@
 class Waiting(NamedTuple):
     """An entry to write and the message to answer then."""
 
-    entry: claimlog.Entry
+    entry: claimformat.Entry
     sender: str
     message: messages.ClaimRequest | messages.OutcomeReport
     since_ms: int
--- a/bergamotstream/claimrules.py
+++ b/bergamotstream/claimrules.py
@@ -6,7 +6,7 @@
 the messages that carry the answer.
 """
 
-from bergamotstream import actions, claimbatch, claimlog, messages
+from bergamotstream import actions, claimbatch, claimformat, messages
 
 # A key from the future would outlive its entry. With this, two hosts' wall
 # clocks may each differ by 45 s: 480 + 30 + 2 * 45 s = the retention of 600 s.
@@ -20,14 +20,14 @@
     return -MAX_FUTURE_KEY_MS <= message.key_age_ms <= limit_ms
 
 
-def may_claim(known: claimlog.Entry, message: messages.ClaimRequest) -> bool:
+def may_claim(known: claimformat.Entry, message: messages.ClaimRequest) -> bool:
     """Tell whether a known key is free: abandoned, with the same body."""
     same = known.body_digest == message.body_digest
     return same and known.state == 'abandoned'
 
 
 def answer_known(
-    known: claimlog.Entry,
+    known: claimformat.Entry,
     message: messages.ClaimRequest,
     sender: str,
     live_hosts: set[str],
--- a/bergamotstream/claims.py
+++ b/bergamotstream/claims.py
@@ -10,6 +10,7 @@
 from bergamotstream import (
     actions,
     claimbatch,
+    claimformat,
     claimlog,
     claimrules,
     claimwriter,
@@ -160,8 +161,8 @@
 
     def _new_entry(
         self, message: messages.ClaimRequest, sender: str
-    ) -> claimlog.Entry:
-        return claimlog.Entry(
+    ) -> claimformat.Entry:
+        return claimformat.Entry(
             workspace=message.workspace,
             key=message.key,
             claim_id=message.claim_id,
@@ -183,7 +184,7 @@
     def _enqueue(
         self,
         writer: Writer,
-        entry: claimlog.Entry,
+        entry: claimformat.Entry,
         message: ClaimOrOutcome,
         sender: str,
     ) -> components.Actions:
@@ -206,6 +207,8 @@
     def _run_due(self) -> components.Actions:
         produced: components.Actions = []
         for writer in list(self._writers_by_partition.values()):
+            produced += writer.outbox
+            writer.outbox.clear()
             if self.state.now_ms >= self._down_until_ms:
                 flow = writer.due_flow(self.state.new_id())
                 if flow is not None:
--- a/bergamotstream/claimwriter.py
+++ b/bergamotstream/claimwriter.py
@@ -11,6 +11,7 @@
 from bergamotstream import (
     actions,
     claimbatch,
+    claimformat,
     claimlog,
     components,
     events,
@@ -57,6 +58,7 @@
         self.held: list[claimbatch.Held] = []
         self.waiting: list[claimbatch.Waiting] = []
         self.in_flight: list[claimbatch.Waiting] = []
+        self.outbox: components.Actions = []
         self._settings = config
         self._clock = clock
         self._report = report
@@ -71,11 +73,10 @@
         if delay_ms:
             yield kvflows.Pause(delay_ms)
         while self.owned and not self.serving:
-            complete = yield from self._read_back()
-            self.troubled = not complete
-            if complete and self.owned:
-                written = yield from self._append('seal', (), incarnation)
-                self.serving = written is claimbatch.Written.YES
+            read_ms = yield from self._read_back()
+            self.troubled = read_ms is None
+            if read_ms is not None and self.owned:
+                yield from self._seal(read_ms, incarnation)
             if not self.serving:
                 yield kvflows.Pause(RELOAD_MS)
         self.busy = False
@@ -105,8 +106,9 @@
         """Drop old entries and delete the segments that held them."""
         if not self.serving:
             return []
-        doomed = self.index.expire(self._clock())
-        yield from self._delete(doomed)
+        self.index.expire(self._clock())
+        for first, last in self.index.take_deletions(self._clock()):
+            yield from self._delete(first, last)
         return []
 
     def hold_waiting(self) -> None:
@@ -143,10 +145,10 @@
             self.held = [each for each in self.held if each not in old]
         return old
 
-    def find_pending(self, key: claimlog.Key) -> claimbatch.Waiting | None:
+    def find_pending(self, key: claimformat.Key) -> claimbatch.Waiting | None:
         """Return the newest unconfirmed entry of a key."""
         for pending in reversed(self.in_flight + self.waiting):
-            if claimlog.key_of(pending.entry) == key:
+            if claimformat.key_of(pending.entry) == key:
                 return pending
         return None
 
@@ -155,34 +157,48 @@
             config.limits.claim_segment_bytes, config.timing.claim_retention_ms
         )
 
+    def _seal(
+        self, read_ms: int, incarnation: str
+    ) -> Generator[kvflows.Step, kvflows.Answers, None]:
+        written = yield from self._append('seal', (), incarnation)
+        if self._clock() - read_ms <= claimlog.SEAL_WITHIN_MS:
+            self.serving = written is claimbatch.Written.YES
+
     def _read_back(
         self,
-    ) -> Generator[kvflows.Step, kvflows.Answers, bool]:
-        """Read all segments in pages; tell whether it was completed.
+    ) -> Generator[kvflows.Step, kvflows.Answers, int | None]:
+        """Read all segments in pages; return when the last page was asked.
 
         The owner before may still write between two pages. A fold moves
         entries to a later segment before it deletes the earlier ones, so
         ascending pages miss none that is older than the page before.
         """
         self.index = self._empty_index(self._settings)
-        prefix = claimlog.segment_prefix(self.partition)
+        prefix = claimformat.segment_prefix(self.partition)
         page = actions.KvRead('', prefix, prefix=True, limit=PAGE_SEGMENTS)
         while True:
+            asked_ms = self._clock()
             answers = yield (page,)
             items = answers[0].items
             if answers[0].status != 'ok':
-                return False
-            self.index.read_back(items, self._clock())
+                return None
+            try:
+                self.index.read_back(items, self._clock())
+            except (ValueError, KeyError, TypeError) as fault:
+                # Without all entries a key could be claimed twice.
+                fields = {'partition': self.partition, 'fault': str(fault)}
+                self.outbox.append(actions.LogEvent('claims_corrupt', fields))
+                return None
             if len(items) < PAGE_SEGMENTS:
-                return True
+                return asked_ms
             page = page._replace(after_key=items[-1].key)
 
     def _take_batch(self) -> None:
         room = self._settings.limits.claim_segment_bytes
-        room -= claimlog.HEADER_BYTES
+        room -= claimformat.HEADER_BYTES
         count = 0
         for pending in self.waiting:
-            room -= claimlog.entry_size(pending.entry)
+            room -= claimformat.entry_size(pending.entry)
             if room < 0:
                 break
             count += 1
@@ -202,13 +218,13 @@
         self.busy = False
         produced = self._report(self, [], written)
         if written is claimbatch.Written.YES:
-            yield from self._delete(self.index.forget(fold.sources))
+            self.index.forget(fold.sources)
         return produced
 
     def _append(
         self,
-        kind: claimlog.Kind,
-        entries: tuple[claimlog.Entry, ...],
+        kind: claimformat.Kind,
+        entries: tuple[claimformat.Entry, ...],
         incarnation: str,
     ) -> SegmentFlow:
         """Create the next segment; the same create is sent until certain.
@@ -218,11 +234,11 @@
         """
         sequence = self.index.next_sequence
         self._nonces += 1
-        segment = claimlog.Segment(
+        segment = claimformat.Segment(
             kind, f'{incarnation}.{self._nonces}', entries
         )
-        content = claimlog.encode_segment(segment, self._clock())
-        key = claimlog.segment_key(self.partition, sequence)
+        content = claimformat.encode_segment(segment, self._clock())
+        key = claimformat.segment_key(self.partition, sequence)
         written = yield from self._create(key, content)
         if written is claimbatch.Written.YES:
             self._confirmed_ms = self._clock()
@@ -264,19 +280,17 @@
         return self._settings.timing.claim_retention_ms // 2
 
     def _delete(
-        self, sequences: list[int]
+        self, first: int, last: int
     ) -> Generator[kvflows.Step, kvflows.Answers, None]:
-        present = self.index.segments_by_sequence
-        for first, last in list(claimlog.runs_of(sequences, present)):
-            action = actions.KvDelete(
-                '',
-                claimlog.segment_key(self.partition, first),
-                claimlog.segment_key(self.partition, last + 1),
-            )
-            # What stays undeleted is read back by the next owner and folded
-            # again, which is harmless.
-            for _ in range(DELETE_TRIES):
-                answers = yield (action,)
-                if answers[0].status == 'ok':
-                    break
-                yield kvflows.Pause(RELOAD_MS)
+        action = actions.KvDelete(
+            '',
+            claimformat.segment_key(self.partition, first),
+            claimformat.segment_key(self.partition, last + 1),
+        )
+        # What stays undeleted is read back by the next owner and folded
+        # again, which is harmless.
+        for _ in range(DELETE_TRIES):
+            answers = yield (action,)
+            if answers[0].status == 'ok':
+                break
+            yield kvflows.Pause(RELOAD_MS)
