--- a/demo/caller.py
+++ b/demo/caller.py
@@ -90,7 +90,7 @@
         except (aiohttp.ClientError, OSError, ValueError) as fault:
             return Outcome(request, 'failed', repr(fault), key=key)
         ttft_ms = int((collected.first_at_s - began_s) * MS_PER_S)
-        state, detail = _judge(request, collected)
+        state, detail = judge(request, collected)
         return Outcome(request, state, detail, ttft_ms, key)
 
     async def _try_repeatedly(
@@ -141,7 +141,7 @@
         return hosts
 
 
-def _judge(
+def judge(
     request: workload.PlannedRequest, collected: Collected
 ) -> tuple[str, str]:
     """Return the state of an answer and what is wrong with it."""
--- a/demo/fleet.py
+++ b/demo/fleet.py
@@ -27,6 +27,7 @@
 PREFILL_TOKENS_PER_S = 200_000
 STEP_MS = 5.0
 WARM_AFTER = 2
+COLD_FACTOR = 2.0
 HOST_LIST_LAG_MS = 500
 # Callers of the demonstration keep an address for a shorter time, so that its
 # hosts stop sooner.
@@ -175,6 +176,7 @@
         'prefill-tokens-per-s': PREFILL_TOKENS_PER_S,
         'step-ms': STEP_MS,
         'warm-after': WARM_AFTER,
+        'cold-factor': COLD_FACTOR,
     }
     return 'standins.engine', options
 
--- a/demo/operators.py
+++ b/demo/operators.py
@@ -69,11 +69,11 @@
     http: aiohttp.ClientSession, planned: fleet.Fleet
 ) -> None:
     """Draft, sign and roll out the first bundle at three hosts."""
-    first, second, third = (host.caller_address for host in planned.hosts)
+    addresses = [host.caller_address for host in planned.hosts]
     draft = await _repeat_until_done(
         lambda: command(
             http,
-            first,
+            addresses[0],
             'config.draft',
             author=AUTHOR,
             base_version=0,
@@ -81,8 +81,11 @@
         )
     )
     number = draft['draft']
-    await command(http, second, 'config.sign', draft=number, signer=SIGNER)
-    await command(http, third, 'config.roll', draft=number, operator=AUTHOR)
+    # Any host takes any command; the key-value service orders them.
+    middle = addresses[len(addresses) // 2]
+    await command(http, middle, 'config.sign', draft=number, signer=SIGNER)
+    last = addresses[-1]
+    await command(http, last, 'config.roll', draft=number, operator=AUTHOR)
 
 
 async def wait_until_ready(
--- a/demo/processes.py
+++ b/demo/processes.py
@@ -11,7 +11,9 @@
 import sys
 from collections.abc import Mapping, Sequence
 
+# Hosts finish open requests; what is left at the end need not.
 STOP_LIMIT_S = 8.0
+END_LIMIT_S = 2.0
 LOG_TAIL_LINES = 20
 
 
@@ -65,7 +67,9 @@
         lines = self._log_path(name).read_text().splitlines()
         return '\n'.join(lines[-LOG_TAIL_LINES:])
 
-    async def stop(self, names: Sequence[str]) -> dict[str, int]:
+    async def stop(
+        self, names: Sequence[str], limit_s: float = STOP_LIMIT_S
+    ) -> dict[str, int]:
         """Terminate processes, kill what remains; return exit statuses."""
         children = {name: self._children[name] for name in names}
         for child in children.values():
@@ -74,7 +78,7 @@
         waits = [
             asyncio.create_task(entry.wait()) for entry in children.values()
         ]
-        await asyncio.wait(waits, timeout=STOP_LIMIT_S)
+        await asyncio.wait(waits, timeout=limit_s)
         for late in children.values():
             if late.returncode is None:
                 late.kill()
@@ -89,7 +93,7 @@
             if child.returncode is None
         ]
         if running:
-            await self.stop(running)
+            await self.stop(running, END_LIMIT_S)
 
     def _log_path(self, name: str) -> pathlib.Path:
         return self._folder / f'{name}.log'
