--- a/bergamotstream/partitionowner.py
+++ b/bergamotstream/partitionowner.py
@@ -95,12 +95,15 @@
             names = {target.name for target in grant.targets}
             if names.isdisjoint(message.excluded_targets):
                 grant.holder = asker
+                grant.asked_ms = message.sent_ms
+                grant.expires_ms = self._lease_end_ms()
                 self._out.append(grants.grant_reply(self.partition, grant))
                 return
             self._end_grant(grant, 'failed')
         queued = self.admission.waiting_by_request.get(request_id)
         if queued is not None:
             queued.asker = asker
+            queued.asked_ms = message.sent_ms
             return
         waiting = grants.Waiting(message, asker, self._state.now_ms)
         self.admission.submit(waiting)
@@ -235,6 +238,11 @@
         self.grants_by_attempt[grant.attempt_id] = grant
         self._attempt_by_request[grant.request.request_id] = grant.attempt_id
         heapq.heappush(self._leases, (grant.expires_ms, grant.attempt_id))
+        self.admission.placer.count_running(grant.request.workspace, 1)
+        if grant.suspect:
+            self.admission.placer.running_suspects.add(
+                grant.request.fingerprint
+            )
 
     def _adopt(self, holding: records.Holding, sender: str) -> None:
         request = holding.request
@@ -248,12 +256,15 @@
         grant = grants.Grant(
             holding.attempt_id, waiting, holding.targets, self._state.now_ms
         )
-        output = request.max_output_tokens
+        producer = holding.targets[-1].name
         tokens_by_target = {
             entry.name: entry.tokens for entry in holding.targets
         }
         for target in self._targets_of(grant):
             segment = tokens_by_target[target.name]
+            output = 0
+            if target.name == producer:
+                output = request.max_output_tokens
             need = targetstate.Need(
                 waiting.length_class,
                 waiting.engine_priority,
@@ -261,7 +272,6 @@
                 segment + output,
                 request.prefix_hashes,
             )
-            output = 0
             target.occupy(grant.attempt_id, need, self._state.now_ms)
             if not holding.first_token_seen:
                 target.start_prefill(grant.attempt_id, need, self._state.now_ms)
@@ -303,6 +313,11 @@
         """Free a grant's memory, now or when a report shows it gone."""
         self.grants_by_attempt.pop(grant.attempt_id, None)
         self._attempt_by_request.pop(grant.request.request_id, None)
+        self.admission.placer.count_running(grant.request.workspace, -1)
+        if grant.suspect:
+            self.admission.placer.running_suspects.discard(
+                grant.request.fingerprint
+            )
         self.admission.placer.release_reservations(grant.request.request_id)
         now_ms = self._state.now_ms
         # Targets of a group keep their segment until it is cancelled.
