--- a/bergamotstream/bundleformat.py
+++ b/bergamotstream/bundleformat.py
@@ -64,15 +64,26 @@
     return {section: {} for section in SECTIONS}
 
 
-def build_bundle(version: int, document: Mapping[str, Any]) -> records.Bundle:
-    """Check a document; raises ``InvalidBundle`` that names every fault."""
+def build_bundle(
+    version: int,
+    document: Mapping[str, Any],
+    previous: records.Bundle | None = None,
+) -> records.Bundle:
+    """Check a document; raises ``InvalidBundle`` that names every fault.
+
+    Entries that are the same in ``previous`` are not checked again, which
+    matters with thousands of workspaces.
+    """
+    known = _known_entries(previous)
     faults = [
         f'{section}: unknown section'
         for section in document
         if section not in SECTIONS
     ]
     built = {
-        section: _build_section(section, document.get(section, {}), faults)
+        section: _build_section(
+            section, document.get(section, {}), known.get(section, {}), faults
+        )
         for section in SECTIONS
     }
     if faults:
@@ -108,7 +119,9 @@
     return content
 
 
-def decode_bundle(content: bytes) -> records.Bundle:
+def decode_bundle(
+    content: bytes, previous: records.Bundle | None = None
+) -> records.Bundle:
     """Read what a peer sent; raises ``InvalidBundle``."""
     try:
         fields = json.loads(_decompress(content))
@@ -118,11 +131,22 @@
         raise errors.InvalidBundle('version: must be a positive integer')
     if not isinstance(fields.get('document'), dict):
         raise errors.InvalidBundle('document: must be an object')
-    return build_bundle(fields['version'], fields['document'])
+    return build_bundle(fields['version'], fields['document'], previous)
+
+
+def _known_entries(
+    previous: records.Bundle | None,
+) -> dict[str, Mapping[str, Any]]:
+    if previous is None:
+        return {}
+    return {
+        'workspaces': previous.workspaces_by_name,
+        'services': previous.services_by_name,
+    }
 
 
 def _build_section(
-    section: str, entries: Any, faults: list[str]
+    section: str, entries: Any, known: Mapping[str, Any], faults: list[str]
 ) -> dict[str, Any]:
     if not isinstance(entries, dict):
         faults.append(f'{section}: must be an object')
@@ -130,7 +154,9 @@
     built = {}
     for name, entry in entries.items():
         path = f'{section}/{name}'
-        if NAME_PATTERN.fullmatch(name) is None:
+        if _is_same(known.get(name), entry):
+            built[name] = known[name]
+        elif NAME_PATTERN.fullmatch(name) is None:
             faults.append(f'{path}: must be 1 to 63 of A-Z a-z 0-9 . _ -')
         elif section in MARKS_BY_SECTION:
             faults.extend(_mark_faults(section, path, entry))
@@ -140,6 +166,12 @@
     return built
 
 
+def _is_same(known: Any, entry: Any) -> bool:
+    if known is None or not isinstance(entry, dict):
+        return False
+    return known._asdict() == {'name': known.name, **entry}
+
+
 def _mark_faults(section: str, path: str, entry: Any) -> Iterator[str]:
     mark = MARKS_BY_SECTION[section]
     if entry != mark:
--- a/bergamotstream/bundles.py
+++ b/bergamotstream/bundles.py
@@ -109,7 +109,7 @@
         if message.version < self.version:
             return []
         try:
-            bundle = bundleformat.decode_bundle(message.content)
+            bundle = bundleformat.decode_bundle(message.content, self._kept)
         except errors.InvalidBundle as fault:
             fields = {'peer': sender, 'fault': fault.detail}
             return [actions.LogEvent('bundle_rejected', fields)]
@@ -191,7 +191,9 @@
         """Adopt a version of the head; flows hand the actions on."""
         if head.version >= max(self.version, 1):
             self._store.keep(head)
-            bundle = bundleformat.build_bundle(head.version, document)
+            bundle = bundleformat.build_bundle(
+                head.version, document, self._kept
+            )
             self._adopted += self._adopt(bundle)
 
     def _take_actions(self) -> components.Actions:
--- a/tests/test_bundles.py
+++ b/tests/test_bundles.py
@@ -323,6 +323,9 @@
         parts.add(part, body)
     assert parts.document(hashes) == document
     document['workspaces']['customer-7'] = {**ANA, 'priority': 3}
+    changed = bundleformat.build_bundle(2, document, bundle)
+    assert changed == bundleformat.build_bundle(2, document)
+    assert changed.workspaces_by_name['customer-7'].priority == 3
     assert len(parts.split(document, hashes, 'n2')[1]) == 1
 
 
