Queue by workspace, and decide in less time

A workspace above its share of slots blocked the requests of others behind it in the one queue; only the first request of each workspace is now in the heap and the next workspace is tried.

--- a/bergamotstream/admission.py
+++ b/bergamotstream/admission.py
@@ -30,6 +30,8 @@
 # Suspects that are considered in one pass; one may have to wait for another.
 SUSPECTS_AT_ONCE = 16
 OVERTAKING_AT_ONCE = 8
+# Workspaces whose first request is tried when the next one is blocked.
+HEADS_AT_ONCE = 8
 # Entries of granted requests that may stay in the heap of latest starts.
 SPARE = 256
 LONG_INTERVAL_MS = 100
@@ -91,8 +93,8 @@
         )
         self._forget_granted()
         self._arrivals += 1
-        latest = waiting.deadline_ms - self.forecast.fastest_ms(waiting)
-        heapq.heappush(self._latest_starts, (latest, self._arrivals, waiting))
+        entry = (waiting.latest_start_ms, self._arrivals, waiting)
+        heapq.heappush(self._latest_starts, entry)
 
     def withdraw(self, request_id: str) -> None:
         """Remove a request that its accepting host no longer wants."""
@@ -106,7 +108,7 @@
         """Grant waiting requests while there is room for them."""
         if not self.waiting_by_request:
             return
-        for waiting in list(self._queues['suspect'])[:SUSPECTS_AT_ONCE]:
+        for waiting in self._queues['suspect'].first(SUSPECTS_AT_ONCE):
             self._try_grant(waiting, granter)
         self._pump_queue(self._queues['short'], granter)
         self._pump_queue(self._queues['medium'], granter)
@@ -175,11 +177,29 @@
         return self.forecast.load(self.partition, len(self.waiting_by_request))
 
     def _pump_queue(self, queue: fairness.FairQueue, granter: Granter) -> None:
+        progress = True
+        while progress:
+            progress = self._grant_one(queue, granter)
+
+    def _grant_one(self, queue: fairness.FairQueue, granter: Granter) -> bool:
+        """Handle the next request that can be; return False if none can."""
         waiting = queue.head()
-        while waiting is not None:
-            if not self._try_grant(waiting, granter):
-                return
-            waiting = queue.head()
+        if waiting is None or self._try_grant(waiting, granter):
+            return waiting is not None
+        if not self._blocked_alone(waiting):
+            return False
+        for other in queue.heads(HEADS_AT_ONCE)[1:]:
+            if self._try_grant(other, granter):
+                return True
+            if not self._blocked_alone(other):
+                return False
+        return False
+
+    def _blocked_alone(self, waiting: grants.Waiting) -> bool:
+        """Tell whether a later request may have room where this has none."""
+        if waiting.excluded:
+            return True
+        return self.placer.over_share(waiting.request.workspace)
 
     def _pump_long(self, granter: Granter) -> None:
         """Grant long prompts; seldom, because they wait for seconds."""
@@ -265,10 +285,9 @@
             return 'no_target'
         if self._excludes_all(waiting):
             return 'no_target'
-        if (
-            self.forecast.fastest_ms(waiting)
-            > waiting.deadline_ms - self._state.now_ms
-        ):
+        fastest_ms = self.forecast.fastest_ms(waiting)
+        waiting.latest_start_ms = waiting.deadline_ms - fastest_ms
+        if waiting.latest_start_ms < self._state.now_ms:
             return 'deadline_unreachable'
         return ''
 
--- a/bergamotstream/fairness.py
+++ b/bergamotstream/fairness.py
@@ -7,24 +7,33 @@
 Packet Switching Networks", 1996. The cost of a request is its tokens.
 """
 
+import collections
 import heapq
+import itertools
 from collections.abc import Iterator
 
 from bergamotstream import grants
 
 MIN_WEIGHT = 0.001
-# Removed entries that may stay in the heap.
+# Outdated entries that may stay in the heap of heads.
 SPARE = 64
 
+Entry = tuple[float, int, grants.Waiting]
+
 
 class FairQueue:
-    """Waiting requests of one length class, in order of their start tags."""
+    """Waiting requests of one length class, in order of their start tags.
+
+    Requests of one workspace stay in order of arrival, so only the first of
+    each workspace is in the heap.
+    """
 
     def __init__(self) -> None:
         """Start empty with a virtual time of zero."""
         self.tokens = 0
         self.count_by_workspace: dict[str, int] = {}
-        self._heap: list[tuple[float, int, grants.Waiting]] = []
+        self._entries_by_workspace: dict[str, collections.deque[Entry]] = {}
+        self._heads: list[Entry] = []
         self._finish_by_workspace: dict[str, float] = {}
         self._virtual_time = float(0)
         self._arrivals = 0
@@ -34,10 +43,6 @@
         """Return the number of requests that still wait."""
         return self._count
 
-    def __iter__(self) -> Iterator[grants.Waiting]:
-        """Yield the waiting requests in no particular order."""
-        return (entry for _, _, entry in self._heap if entry.queued)
-
     def push(self, waiting: grants.Waiting, weight: float) -> None:
         """Append a request of a workspace with ``weight``."""
         workspace = waiting.request.workspace
@@ -46,26 +51,43 @@
         cost = waiting.cost_tokens / max(weight, MIN_WEIGHT)
         self._finish_by_workspace[workspace] = start + cost
         self._arrivals += 1
-        heapq.heappush(self._heap, (start, self._arrivals, waiting))
+        entry = (start, self._arrivals, waiting)
+        entries = self._entries_by_workspace.setdefault(
+            workspace, collections.deque()
+        )
+        entries.append(entry)
+        if len(entries) == 1:
+            heapq.heappush(self._heads, entry)
         waiting.queued = True
         self._add(waiting, 1)
 
     def head(self) -> grants.Waiting | None:
         """Return the next request without removing it."""
-        while self._heap and not self._heap[0][2].queued:
-            heapq.heappop(self._heap)
-        return self._heap[0][2] if self._heap else None
+        while self._heads and not self._heads[0][2].queued:
+            heapq.heappop(self._heads)
+        return self._heads[0][2] if self._heads else None
+
+    def heads(self, count: int) -> list[grants.Waiting]:
+        """Return the first request of each of the next workspaces."""
+        entries = heapq.nsmallest(count, self._heads, key=_start_tag)
+        return [waiting for _, _, waiting in entries if waiting.queued]
 
     def first(self, count: int) -> list[grants.Waiting]:
         """Return up to ``count`` requests in the order of their turn."""
-        entries = heapq.nsmallest(count, self._heap, key=_start_tag)
-        return [waiting for _, _, waiting in entries if waiting.queued]
+        entries = itertools.chain.from_iterable(
+            itertools.islice(entries, count)
+            for entries in self._entries_by_workspace.values()
+        )
+        return [
+            waiting
+            for _, _, waiting in heapq.nsmallest(count, entries, key=_start_tag)
+            if waiting.queued
+        ]
 
     def take(self, waiting: grants.Waiting) -> None:
         """Remove a request because it has been granted."""
-        if waiting is self.head():
-            start, _, _ = heapq.heappop(self._heap)
-            self._virtual_time = max(self._virtual_time, start)
+        start = self._entries_by_workspace[waiting.request.workspace][0][0]
+        self._virtual_time = max(self._virtual_time, start)
         self.remove(waiting)
 
     def remove(self, waiting: grants.Waiting) -> None:
@@ -74,21 +96,37 @@
             return
         waiting.queued = False
         self._add(waiting, -1)
+        self._drop_removed(waiting.request.workspace)
         if not self._count:
-            self._heap.clear()
+            self._heads.clear()
             self._forget_past_workspaces()
-        elif len(self._heap) > 2 * self._count + SPARE:
-            self._heap = [entry for entry in self._heap if entry[2].queued]
-            heapq.heapify(self._heap)
 
     def newest_of(self, workspace: str) -> grants.Waiting | None:
-        """Return the last request of a workspace; scans, use when full."""
-        entries = [
-            entry
-            for entry in sorted(self._heap, key=_start_tag)
-            if entry[2].queued and entry[2].request.workspace == workspace
-        ]
-        return entries[-1][2] if entries else None
+        """Return the last request of a workspace."""
+        for _, _, waiting in self._newest_first(workspace):
+            if waiting.queued:
+                return waiting
+        return None
+
+    def _newest_first(self, workspace: str) -> Iterator[Entry]:
+        return reversed(
+            self._entries_by_workspace.get(workspace, collections.deque())
+        )
+
+    def _drop_removed(self, workspace: str) -> None:
+        """Bring the next waiting request of a workspace to its front."""
+        entries = self._entries_by_workspace[workspace]
+        if entries[0][2].queued:
+            return
+        while entries and not entries[0][2].queued:
+            entries.popleft()
+        if entries:
+            heapq.heappush(self._heads, entries[0])
+        else:
+            self._entries_by_workspace.pop(workspace)
+        if len(self._heads) > 2 * len(self._entries_by_workspace) + SPARE:
+            self._heads = [entry for entry in self._heads if entry[2].queued]
+            heapq.heapify(self._heads)
 
     def _add(self, waiting: grants.Waiting, sign: int) -> None:
         workspace = waiting.request.workspace
@@ -108,5 +146,5 @@
         }
 
 
-def _start_tag(entry: tuple[float, int, grants.Waiting]) -> tuple[float, int]:
+def _start_tag(entry: Entry) -> tuple[float, int]:
     return entry[0], entry[1]
--- a/bergamotstream/groups.py
+++ b/bergamotstream/groups.py
@@ -25,19 +25,17 @@
 
 
 def split_prompt(
-    request: records.RequestSpec, target_memory: int, target_count: int
+    request: records.RequestSpec, target_memory: int
 ) -> tuple[Segment, ...]:
     """Split a prompt over as few targets as possible.
 
     Each target has room for the output as well, because the first target of
-    the group produces it. Returns () if ``target_count`` are too few.
+    the group produces it. Returns () if the output alone is too long.
     """
     room = target_memory - request.max_output_tokens
     if room <= 0:
         return ()
     count = max(-(-request.prompt_tokens // room), 1)
-    if count > target_count:
-        return ()
     share = -(-request.prompt_tokens // count)
     rest = request.prompt_tokens - share * (count - 1)
     first = Segment(rest, rest + request.max_output_tokens)
@@ -84,7 +82,7 @@
 
 
 def _expected_load(target: targetstate.TargetState) -> tuple[float, int, str]:
-    ahead = target.prefills.tokens_ahead(prediction.NO_PRIORITY)
+    ahead = target.prefills.ahead(prediction.NO_PRIORITY).tokens
     return ahead, target.running, target.name
 
 
@@ -96,6 +94,6 @@
 def _time_until_clear(
     target: targetstate.TargetState,
 ) -> tuple[bool, int, float, str]:
-    ahead = target.prefills.tokens_ahead(prediction.NO_PRIORITY)
+    ahead = target.prefills.ahead(prediction.NO_PRIORITY).tokens
     cold = target.cold_start.cold
     return cold, target.occupancy.memory_used, ahead, target.name
--- a/bergamotstream/placing.py
+++ b/bergamotstream/placing.py
@@ -100,10 +100,15 @@
         memory = self.service.memory_tokens
         if waiting.length_class != 'short':
             memory = int(memory * (1 - occupancy.SHORT_SHARE))
-        staying = sum(
+        segments = groups.split_prompt(request, memory)
+        if len(segments) > 1 and len(segments) > self._staying():
+            return ()
+        return segments
+
+    def _staying(self) -> int:
+        return sum(
             not target.leaving for target in self.targets_by_name.values()
         )
-        return groups.split_prompt(request, memory, staying)
 
     def update_long_limit(
         self, others_tokens_per_s: float, waiting_long: float, now_ms: int
@@ -168,10 +173,9 @@
         self, waiting: grants.Waiting, need: occupancy.Need, now_ms: int
     ) -> list[targetstate.TargetState]:
         found = []
-        usable = self.usable(now_ms)
-        if self._over_share(waiting.request.workspace, usable):
+        if self.over_share(waiting.request.workspace):
             need = need._replace(over_share=True)
-        for target in usable:
+        for target in self.usable(now_ms):
             if target.reserved_for or target.name in waiting.excluded:
                 continue
             if target.fits(need):
@@ -190,16 +194,18 @@
             return others or found
         return others
 
-    def _over_share(
-        self, workspace: str, usable: list[targetstate.TargetState]
-    ) -> bool:
+    def over_share(self, workspace: str) -> bool:
         """Tell whether others must be able to get the last slots.
 
         Without this a flood that arrives first fills all slots, and fair
         queueing alone cannot serve another workspace until one is free.
         """
         running = self.running_by_workspace.get(workspace, 0)
-        slots = sum(target.cold_start.cap for target in usable)
+        if running <= 1:
+            return False
+        slots = sum(
+            target.cold_start.cap for target in self.targets_by_name.values()
+        )
         return running * (len(self.running_by_workspace) + 1) > slots
 
     def _place_long(
--- a/bergamotstream/policies/predictive.py
+++ b/bergamotstream/policies/predictive.py
@@ -61,11 +61,10 @@
     def _accepts(
         self, target: targetstate.TargetState, need: occupancy.Need
     ) -> bool:
-        ahead = target.prefills
-        if ahead.count_ahead(need.priority) > MAX_AHEAD:
+        ahead = target.prefills.ahead(need.priority)
+        if ahead.prefills > MAX_AHEAD:
             return False
-        window = self._window[need.length_class]
-        return ahead.tokens_ahead(need.priority) <= window
+        return ahead.tokens <= self._window[need.length_class]
 
 
 def _should_warm(
--- a/bergamotstream/prediction.py
+++ b/bergamotstream/prediction.py
@@ -7,6 +7,7 @@
 """
 
 import bisect
+from typing import NamedTuple
 
 from bergamotstream import grants, records
 
@@ -97,6 +98,18 @@
         self.undisturbed = True
 
 
+class Ahead(NamedTuple):
+    """Prefills that run before a new one.
+
+    ``step_tokens`` are those of a step of a less urgent prefill that has
+    begun and cannot be interrupted.
+    """
+
+    prefills: int
+    tokens: float
+    step_tokens: float
+
+
 class PrefillQueue:
     """Estimate of an engine's prefill work, in the order it is run.
 
@@ -143,8 +156,11 @@
 
     def drain(self, now_ms: int, tokens_per_s: float) -> None:
         """Account for the work done since the last call."""
-        budget = (now_ms - self._updated_ms) * tokens_per_s / MS_PER_S
+        elapsed_ms = now_ms - self._updated_ms
         self._updated_ms = now_ms
+        if not self._entries or not elapsed_ms:
+            return
+        budget = elapsed_ms * tokens_per_s / MS_PER_S
         for entry in self._entries:
             done = min(max(entry.tokens_left - OVERDUE_TOKENS, 0), budget)
             entry.tokens_left -= done
@@ -164,23 +180,19 @@
                 long_tokens += entry.tokens_left
         return long_tokens, all_tokens
 
-    def tokens_ahead(self, priority: int) -> float:
-        """Return tokens that run before a new prefill of ``priority``."""
-        return sum(
-            entry.tokens_left
-            for entry in self._entries
-            if entry.priority <= priority
-        )
-
-    def count_ahead(self, priority: int) -> int:
-        """Return how many prefills run before one of ``priority``."""
-        return sum(entry.priority <= priority for entry in self._entries)
-
-    def tokens_in_step(self, priority: int) -> float:
-        """Return tokens of a running step that ``priority`` must await."""
-        if not self._entries or self._entries[0].priority <= priority:
-            return 0
-        return min(self._entries[0].tokens_left, CHUNK_TOKENS)
+    def ahead(self, priority: int) -> Ahead:
+        """Return what runs before a new prefill of ``priority``."""
+        count = 0
+        tokens = float(0)
+        for entry in self._entries:
+            if entry.priority > priority:
+                break
+            count += 1
+            tokens += entry.tokens_left
+        in_step = float(0)
+        if self._entries and not count:
+            in_step = min(self._entries[0].tokens_left, CHUNK_TOKENS)
+        return Ahead(count, tokens, in_step)
 
 
 def _priority(entry: Prefill) -> int:
--- a/bergamotstream/targetstate.py
+++ b/bergamotstream/targetstate.py
@@ -95,6 +95,8 @@
 
     def cached_tokens(self, need: occupancy.Need) -> int:
         """Return the prompt tokens that the engine probably has cached."""
+        if not need.prefix_hashes:
+            return 0
         blocks = self.prefixes.matching_blocks(need.prefix_hashes)
         return blocks * prediction.BLOCK_TOKENS
 
@@ -106,11 +108,11 @@
         """
         if self.service.kind == 'plain':
             return self.speeds.call_ms * (1 + self.running / self.slots)
-        own = max(need.prompt_tokens - self.cached_tokens(need), 1)
-        ahead = self.prefills.tokens_ahead(need.priority)
-        ahead += self.prefills.tokens_in_step(need.priority)
+        ahead = self.prefills.ahead(need.priority)
+        tokens = ahead.tokens + ahead.step_tokens
+        tokens += max(need.prompt_tokens - self.cached_tokens(need), 1)
         factor = prediction.COLD_FACTOR if self.cold_start.slow else 1
-        return self.speeds.prefill_ms(ahead + own) * factor
+        return self.speeds.prefill_ms(tokens) * factor
 
     @property
     def slots(self) -> int:
