Let targets of a group go when their part has been prefilled

Cause: no message tells that a part of a group's prompt has been exported, so its target counted as busy with a long prompt until the group's first token, twice as long as it was. The estimate of prefill work now ends such a part, and begins the first target's part after the others. The predicted TTFT of a group is the sum of both, so its deadline check was wrong before by half.

--- a/bergamotstream/forecast.py
+++ b/bergamotstream/forecast.py
@@ -76,6 +76,9 @@
         request = waiting.request
         segments = self._placer.segments(waiting)
         longest = max((entry.prompt_tokens for entry in segments), default=0)
+        if len(segments) > 1:
+            # The first target begins when the others have exported.
+            longest += segments[0].prompt_tokens
         # Cached blocks may be skipped.
         cached = len(request.prefix_hashes) * prediction.BLOCK_TOKENS
         prefill_ms = self._placer.best.prefill_ms(max(longest - cached, 0))
--- a/bergamotstream/occupancy.py
+++ b/bergamotstream/occupancy.py
@@ -26,6 +26,10 @@
     prefix_hashes: tuple[int, ...] = ()
     # The workspace has more than its share of the partition's slots.
     over_share: bool = False
+    # A part of a prompt whose KV cache is exported to the group's first
+    # target, which begins with its own part ``delay_ms`` after the grant.
+    exported: bool = False
+    delay_ms: int = 0
 
 
 class Occupant:
--- a/bergamotstream/placing.py
+++ b/bergamotstream/placing.py
@@ -5,7 +5,7 @@
 Finds room for one request on the targets of a partition.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
 from bergamotstream import (
@@ -309,14 +309,27 @@
 
 
 def _placement(
-    targets: Iterable[targetstate.TargetState],
-    needs: Iterable[occupancy.Need],
+    targets: Sequence[targetstate.TargetState],
+    needs: Sequence[occupancy.Need],
 ) -> Placement:
+    """Return the assignments and the predicted time to first token.
+
+    The first target of a group begins its part of the prompt when the others
+    have exported theirs.
+    """
+    first, *others = needs
+    exported = [need._replace(exported=True) for need in others]
+    delay_ms = max(
+        (
+            target.predicted_ttft_ms(need)
+            for target, need in zip(targets[1:], exported, strict=True)
+        ),
+        default=0,
+    )
+    delayed = first._replace(delay_ms=int(delay_ms))
     assignments = tuple(
         Assignment(target, need)
-        for target, need in zip(targets, needs, strict=True)
-    )
-    predicted = max(
-        entry.target.predicted_ttft_ms(entry.need) for entry in assignments
+        for target, need in zip(targets, (delayed, *exported), strict=True)
     )
-    return Placement(assignments, predicted)
+    own_ms = targets[0].predicted_ttft_ms(first)
+    return Placement(assignments, delay_ms + own_ms)
--- a/bergamotstream/prediction.py
+++ b/bergamotstream/prediction.py
@@ -86,10 +86,23 @@
 class Prefill:
     """A granted attempt whose first token has not been seen."""
 
-    def __init__(self, attempt_id: str, priority: int, tokens: int) -> None:
-        """Start with all ``tokens`` left."""
+    def __init__(
+        self,
+        attempt_id: str,
+        priority: int,
+        tokens: int,
+        begins_ms: int = 0,
+        exported: bool = False,
+    ) -> None:
+        """Start with all ``tokens`` left.
+
+        No message tells the end of a part that is ``exported``, so it ends
+        when the estimate says so.
+        """
         self.attempt_id = attempt_id
         self.priority = priority
+        self.begins_ms = begins_ms
+        self.exported = exported
         self.tokens = tokens
         self.tokens_left = float(tokens)
         # When it became the one that is processed, if known.
@@ -161,10 +174,18 @@
         if not self._entries or not elapsed_ms:
             return
         budget = elapsed_ms * tokens_per_s / MS_PER_S
+        ended = []
         for entry in self._entries:
-            done = min(max(entry.tokens_left - OVERDUE_TOKENS, 0), budget)
+            if entry.begins_ms > now_ms:
+                continue
+            rest = 0 if entry.exported else OVERDUE_TOKENS
+            done = min(max(entry.tokens_left - rest, 0), budget)
             entry.tokens_left -= done
             budget -= done
+            if not entry.tokens_left:
+                ended.append(entry.attempt_id)
+        for attempt_id in ended:
+            self.remove(attempt_id)
 
     def last_priority(self) -> int:
         """Return the priority of the least urgent prefill, or -1."""
@@ -191,7 +212,9 @@
             tokens += entry.tokens_left
         in_step = float(0)
         if self._entries and not count:
-            in_step = min(self._entries[0].tokens_left, CHUNK_TOKENS)
+            first = self._entries[0]
+            if first.begins_ms <= self._updated_ms:
+                in_step = min(first.tokens_left, CHUNK_TOKENS)
         return Ahead(count, tokens, in_step)
 
 
--- a/bergamotstream/targetstate.py
+++ b/bergamotstream/targetstate.py
@@ -217,7 +217,15 @@
         self.drain(now_ms)
         cached = self.cached_tokens(need)
         tokens = max(need.prompt_tokens - cached, 1)
-        self.prefills.add(prediction.Prefill(attempt_id, need.priority, tokens))
+        self.prefills.add(
+            prediction.Prefill(
+                attempt_id,
+                need.priority,
+                tokens,
+                now_ms + need.delay_ms,
+                need.exported,
+            )
+        )
 
     def _learn_prefill(
         self,
