--- a/bench/partition.py
+++ b/bench/partition.py
@@ -37,6 +37,7 @@
     """Measured figures of one run."""
 
     histograms: dict[str, histogram.HdrHistogram]
+    paces: histogram.HdrHistogram
     requests: int
     unfinished: int
     denied: int
@@ -84,6 +85,7 @@
         name: histogram.HdrHistogram(1, LONGEST_MS * 4, 3)
         for name in ('short', 'medium', 'long')
     }
+    paces = histogram.HdrHistogram(1, LONGEST_MS, 3)
     unfinished = 0
     denied = 0
     for call in world.calls.values():
@@ -95,7 +97,9 @@
             tokens = call.arrival.request.prompt_tokens
             kind = records.length_class(tokens)
             histograms[kind].record_value(call.ttft_ms)
-    return Outcome(histograms, len(arrivals), unfinished, denied, cost)
+            if kind == 'short' and call.done_ms is not None:
+                paces.record_value(_ms_per_token(call))
+    return Outcome(histograms, paces, len(arrivals), unfinished, denied, cost)
 
 
 def report(
@@ -115,6 +119,8 @@
     for kind in present.histograms:
         values = [present.percentile(kind, part) for part in PERCENTILES]
         print(f'  {kind:6} p50/p95/p99 TTFT ms: {values}')
+    pace = [present.paces.get_value_at_percentile(x) for x in PERCENTILES]
+    print(f'  short  p50/p95/p99 ms between tokens: {pace}')
     before = absent.percentile('short', 95)
     after = present.percentile('short', 95)
     others = [absent.percentile('short', part) for part in PERCENTILES]
@@ -138,6 +144,14 @@
             report(policy, arrivals, duration_ms)
 
 
+def _ms_per_token(call: simulation.Call) -> int:
+    if call.done_ms is None or call.ttft_ms is None:
+        return 0
+    first_ms = call.arrival.at_ms + call.ttft_ms
+    gaps = max(call.arrival.output_tokens - 1, 1)
+    return max(round((call.done_ms - first_ms) / gaps), 1)
+
+
 def _arrival(
     source: random.Random, at_ms: int, number: int
 ) -> simulation.Arrival:
--- a/bergamotstream/groups.py
+++ b/bergamotstream/groups.py
@@ -81,9 +81,9 @@
     return frozenset(target.name for target in ordered[:count])
 
 
-def _expected_load(target: targetstate.TargetState) -> tuple[float, int, str]:
+def _expected_load(target: targetstate.TargetState) -> tuple[int, int, str]:
     ahead = target.prefills.ahead(prediction.NO_PRIORITY).tokens
-    return ahead, target.running, target.name
+    return int(ahead // prediction.CHUNK_TOKENS), target.running, target.name
 
 
 def _long_ms(target: targetstate.TargetState) -> float:
