--- a/bergamotstream/forecast.py
+++ b/bergamotstream/forecast.py
@@ -74,11 +74,11 @@
         if self._placer.service.kind == 'plain':
             return self._placer.best.call_ms
         request = waiting.request
-        segments = self._placer.segments(waiting)
-        longest = max((entry.prompt_tokens for entry in segments), default=0)
-        # Cached blocks may be skipped.
+        # Targets of a group prefill one after another; cached blocks may be
+        # skipped.
         cached = len(request.prefix_hashes) * prediction.BLOCK_TOKENS
-        prefill_ms = self._placer.best.prefill_ms(max(longest - cached, 0))
+        uncached = max(request.prompt_tokens - cached, 0)
+        prefill_ms = self._placer.best.prefill_ms(uncached)
         return prefill_ms + self.decode_ms(waiting)
 
     def decode_ms(self, waiting: grants.Waiting) -> float:
--- a/bergamotstream/placing.py
+++ b/bergamotstream/placing.py
@@ -5,7 +5,7 @@
 Finds room for one request on the targets of a partition.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
 from bergamotstream import (
@@ -100,10 +100,15 @@
         memory = self.service.memory_tokens
         if waiting.length_class != 'short':
             memory = int(memory * (1 - occupancy.SHORT_SHARE))
-        staying = sum(
+        segments = groups.split_prompt(request, memory)
+        if len(segments) > 1 and len(segments) > self._staying():
+            return ()
+        return segments
+
+    def _staying(self) -> int:
+        return sum(
             not target.leaving for target in self.targets_by_name.values()
         )
-        return groups.split_prompt(request, memory, staying)
 
     def update_long_limit(
         self, others_tokens_per_s: float, waiting_long: float, now_ms: int
@@ -168,10 +173,9 @@
         self, waiting: grants.Waiting, need: occupancy.Need, now_ms: int
     ) -> list[targetstate.TargetState]:
         found = []
-        usable = self.usable(now_ms)
-        if self._over_share(waiting.request.workspace, usable):
+        if self.over_share(waiting.request.workspace):
             need = need._replace(over_share=True)
-        for target in usable:
+        for target in self.usable(now_ms):
             if target.reserved_for or target.name in waiting.excluded:
                 continue
             if target.fits(need):
@@ -190,16 +194,18 @@
             return others or found
         return others
 
-    def _over_share(
-        self, workspace: str, usable: list[targetstate.TargetState]
-    ) -> bool:
+    def over_share(self, workspace: str) -> bool:
         """Tell whether others must be able to get the last slots.
 
         Without this a flood that arrives first fills all slots, and fair
         queueing alone cannot serve another workspace until one is free.
         """
         running = self.running_by_workspace.get(workspace, 0)
-        slots = sum(target.cold_start.cap for target in usable)
+        if running <= 1:
+            return False
+        slots = sum(
+            target.cold_start.cap for target in self.targets_by_name.values()
+        )
         return running * (len(self.running_by_workspace) + 1) > slots
 
     def _place_long(
@@ -225,7 +231,7 @@
             return _placement(group, needs)
         if len(needs) > 1 and not self._kept_for_other(waiting):
             names = groups.choose_kept_clear(self.usable(now_ms), len(needs))
-            self._kept = Kept(waiting, names, needs[0].memory_tokens)
+            self._kept = Kept(waiting, names, largest.memory_tokens)
         return None
 
     def _kept_for_other(self, waiting: grants.Waiting) -> bool:
@@ -304,14 +310,21 @@
 
 
 def _placement(
-    targets: Iterable[targetstate.TargetState],
-    needs: Iterable[occupancy.Need],
+    targets: Sequence[targetstate.TargetState],
+    needs: Sequence[occupancy.Need],
 ) -> Placement:
-    assignments = tuple(
-        Assignment(target, need)
-        for target, need in zip(targets, needs, strict=True)
-    )
-    predicted = max(
-        entry.target.predicted_ttft_ms(entry.need) for entry in assignments
-    )
-    return Placement(assignments, predicted)
+    """Return the assignments and the predicted time to first token.
+
+    Each target of a group begins its part of the prompt when the one before
+    it has exported its own.
+    """
+    last = len(targets) - 1
+    delay_ms = float(0)
+    assignments = []
+    for index, target in enumerate(targets):
+        need = needs[index]._replace(
+            delay_ms=int(delay_ms), exported=index < last
+        )
+        assignments.append(Assignment(target, need))
+        delay_ms += target.predicted_ttft_ms(needs[index])
+    return Placement(tuple(assignments), delay_ms)
--- a/bergamotstream/prediction.py
+++ b/bergamotstream/prediction.py
@@ -7,6 +7,7 @@
 """
 
 import bisect
+from typing import NamedTuple
 
 from bergamotstream import grants, records
 
@@ -85,10 +86,23 @@
 class Prefill:
     """A granted attempt whose first token has not been seen."""
 
-    def __init__(self, attempt_id: str, priority: int, tokens: int) -> None:
-        """Start with all ``tokens`` left."""
+    def __init__(
+        self,
+        attempt_id: str,
+        priority: int,
+        tokens: int,
+        begins_ms: int = 0,
+        exported: bool = False,
+    ) -> None:
+        """Start with all ``tokens`` left.
+
+        No message tells the end of a part that is ``exported``, so it ends
+        when the estimate says so.
+        """
         self.attempt_id = attempt_id
         self.priority = priority
+        self.begins_ms = begins_ms
+        self.exported = exported
         self.tokens = tokens
         self.tokens_left = float(tokens)
         # When it became the one that is processed, if known.
@@ -97,6 +111,18 @@
         self.undisturbed = True
 
 
+class Ahead(NamedTuple):
+    """Prefills that run before a new one.
+
+    ``step_tokens`` are those of a step of a less urgent prefill that has
+    begun and cannot be interrupted.
+    """
+
+    prefills: int
+    tokens: float
+    step_tokens: float
+
+
 class PrefillQueue:
     """Estimate of an engine's prefill work, in the order it is run.
 
@@ -143,12 +169,23 @@
 
     def drain(self, now_ms: int, tokens_per_s: float) -> None:
         """Account for the work done since the last call."""
-        budget = (now_ms - self._updated_ms) * tokens_per_s / MS_PER_S
+        elapsed_ms = now_ms - self._updated_ms
         self._updated_ms = now_ms
+        if not self._entries or not elapsed_ms:
+            return
+        budget = elapsed_ms * tokens_per_s / MS_PER_S
+        ended = []
         for entry in self._entries:
-            done = min(max(entry.tokens_left - OVERDUE_TOKENS, 0), budget)
+            if entry.begins_ms > now_ms:
+                continue
+            rest = 0 if entry.exported else OVERDUE_TOKENS
+            done = min(max(entry.tokens_left - rest, 0), budget)
             entry.tokens_left -= done
             budget -= done
+            if not entry.tokens_left:
+                ended.append(entry.attempt_id)
+        for attempt_id in ended:
+            self.remove(attempt_id)
 
     def last_priority(self) -> int:
         """Return the priority of the least urgent prefill, or -1."""
@@ -164,23 +201,21 @@
                 long_tokens += entry.tokens_left
         return long_tokens, all_tokens
 
-    def tokens_ahead(self, priority: int) -> float:
-        """Return tokens that run before a new prefill of ``priority``."""
-        return sum(
-            entry.tokens_left
-            for entry in self._entries
-            if entry.priority <= priority
-        )
-
-    def count_ahead(self, priority: int) -> int:
-        """Return how many prefills run before one of ``priority``."""
-        return sum(entry.priority <= priority for entry in self._entries)
-
-    def tokens_in_step(self, priority: int) -> float:
-        """Return tokens of a running step that ``priority`` must await."""
-        if not self._entries or self._entries[0].priority <= priority:
-            return 0
-        return min(self._entries[0].tokens_left, CHUNK_TOKENS)
+    def ahead(self, priority: int) -> Ahead:
+        """Return what runs before a new prefill of ``priority``."""
+        count = 0
+        tokens = float(0)
+        for entry in self._entries:
+            if entry.priority > priority:
+                break
+            count += 1
+            tokens += entry.tokens_left
+        in_step = float(0)
+        if self._entries and not count:
+            first = self._entries[0]
+            if first.begins_ms <= self._updated_ms:
+                in_step = min(first.tokens_left, CHUNK_TOKENS)
+        return Ahead(count, tokens, in_step)
 
 
 def _priority(entry: Prefill) -> int:
