--- a/bergamotstream/actions.py
+++ b/bergamotstream/actions.py
@@ -119,11 +119,17 @@
 
 
 class KvRead(NamedTuple):
-    """Read one key, or all keys with a prefix."""
+    """Read one key, or all keys with a prefix.
+
+    ``after_key`` and ``limit`` read the keys with a prefix in pages, in the
+    order of keys.
+    """
 
     operation_id: str
     key: str
     prefix: bool = False
+    after_key: str = ''
+    limit: int = 0
 
 
 class KvWrite(NamedTuple):
@@ -136,10 +142,11 @@
 
 
 class KvDelete(NamedTuple):
-    """Delete a key."""
+    """Delete a key, or all keys from ``key`` up to and without ``end_key``."""
 
     operation_id: str
     key: str
+    end_key: str = ''
 
 
 class KvWatch(NamedTuple):
--- a/bergamotstream/admission.py
+++ b/bergamotstream/admission.py
@@ -7,15 +7,16 @@
 """
 
 import heapq
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Mapping
 
 from bergamotstream import (
     actions,
+    demand,
     fairness,
+    forecast,
     grants,
     placing,
     policies,
-    prediction,
     quarantine,
     records,
     state,
@@ -26,14 +27,12 @@
 MAX_QUEUED = 2_000
 RETRY_MS = 500
 MIN_RETRY_MS = 100
-QUEUES = ('suspect', 'short', 'medium', 'long')
-# Prompts whose expected wait stands for their class in load summaries.
-TYPICAL_TOKENS: dict[records.LengthClass, int] = {
-    'short': 2_000,
-    'medium': 16_000,
-    'long': 200_000,
-}
-NO_TARGET_WAIT_MS = 60_000
+# Suspects that are considered in one pass; one may have to wait for another.
+SUSPECTS_AT_ONCE = 16
+OVERTAKING_AT_ONCE = 8
+# Entries of granted requests that may stay in the heap of latest starts.
+SPARE = 256
+LONG_INTERVAL_MS = 100
 
 Granter = Callable[[grants.Waiting, placing.Placement], None]
 
@@ -60,9 +59,12 @@
         self._state = shared
         self._targets_by_name = targets_by_name
         self._blame = blame
-        self._queues = {name: fairness.FairQueue() for name in QUEUES}
+        self._queues = {name: fairness.FairQueue() for name in forecast.QUEUES}
+        self.forecast = forecast.Forecast(shared, self.placer, self._queues)
         self._latest_starts: list[tuple[float, int, grants.Waiting]] = []
         self._arrivals = 0
+        self._long_ms = shared.now_ms
+        self._demand = demand.Demand(shared.now_ms)
         self._denials: list[actions.Action] = []
         self._fresh: list[grants.Waiting] = []
 
@@ -80,8 +82,16 @@
         self.waiting_by_request[waiting.request.request_id] = waiting
         self._queue_of(waiting).push(waiting, self._weight(waiting))
         self._fresh.append(waiting)
+        if len(self._queues['long']) == 1:
+            self._long_ms = self._state.now_ms
+        self._demand.add(
+            waiting.length_class,
+            waiting.request.prompt_tokens,
+            self._state.now_ms,
+        )
+        self._forget_granted()
         self._arrivals += 1
-        latest = waiting.deadline_ms - self._fastest_ms(waiting)
+        latest = waiting.deadline_ms - self.forecast.fastest_ms(waiting)
         heapq.heappush(self._latest_starts, (latest, self._arrivals, waiting))
 
     def withdraw(self, request_id: str) -> None:
@@ -89,16 +99,18 @@
         waiting = self.waiting_by_request.pop(request_id, None)
         if waiting is not None:
             self._queue_of(waiting).remove(waiting)
-            self.placer.release_reservations(request_id)
+            if waiting.suspect:
+                self.placer.release_reservations(request_id)
 
     def pump(self, granter: Granter) -> None:
         """Grant waiting requests while there is room for them."""
         if not self.waiting_by_request:
             return
-        now_ms = self._state.now_ms
-        self.placer.update_long_limit(self._long_share(), now_ms)
-        for name in QUEUES:
-            self._pump_queue(self._queues[name], granter)
+        for waiting in list(self._queues['suspect'])[:SUSPECTS_AT_ONCE]:
+            self._try_grant(waiting, granter)
+        self._pump_queue(self._queues['short'], granter)
+        self._pump_queue(self._queues['medium'], granter)
+        self._pump_long(granter)
         for waiting in self._fresh:
             self._deny_if_late(waiting)
         self._fresh.clear()
@@ -111,12 +123,22 @@
             if waiting.queued:
                 self.deny(waiting, 'deadline_unreachable')
 
+    def _forget_granted(self) -> None:
+        """Keep the heap of latest starts in proportion to the queue."""
+        if len(self._latest_starts) > 2 * len(self.waiting_by_request) + SPARE:
+            self._latest_starts = [
+                entry for entry in self._latest_starts if entry[2].queued
+            ]
+            heapq.heapify(self._latest_starts)
+
     def _deny_if_late(self, waiting: grants.Waiting) -> None:
         """Deny a request whose predicted finish is past its deadline."""
         if not waiting.queued:
             return
-        wait_ms = self.expected_ms(waiting)
-        finish_ms = self._state.now_ms + wait_ms + self._decode_ms(waiting)
+        wait_ms = self.forecast.ttft_ms(waiting)
+        finish_ms = (
+            self._state.now_ms + wait_ms + self.forecast.decode_ms(waiting)
+        )
         if finish_ms > waiting.deadline_ms:
             self.deny(waiting, 'deadline_unreachable', int(wait_ms))
 
@@ -149,61 +171,80 @@
 
     def load(self) -> records.PartitionLoad:
         """Return the expected waits for other hosts."""
-        waits: dict[records.LengthClass, int] = {
-            length_class: self._typical_ms(length_class)
-            for length_class in TYPICAL_TOKENS
-        }
-        return records.PartitionLoad(
-            partition=self.partition,
-            short_wait_ms=waits['short'],
-            medium_wait_ms=waits['medium'],
-            long_wait_ms=waits['long'],
-            queued=len(self.waiting_by_request),
-        )
-
-    def expected_ms(self, waiting: grants.Waiting) -> float:
-        """Return the expected time to first token of a queued request."""
-        need = targetstate.Need(
-            waiting.length_class,
-            waiting.engine_priority,
-            waiting.request.prompt_tokens,
-            0,
-            waiting.request.prefix_hashes,
-        )
-        queued = self._queued_before(waiting.length_class)
-        own = waiting.request.prompt_tokens if waiting.queued else 0
-        return self._expected_ms(need, max(queued - own, 0))
+        self.placer.update_best()
+        return self.forecast.load(self.partition, len(self.waiting_by_request))
 
     def _pump_queue(self, queue: fairness.FairQueue, granter: Granter) -> None:
-        now_ms = self._state.now_ms
         waiting = queue.head()
         while waiting is not None:
-            if self._newly_blamed(waiting):
-                waiting = queue.head()
-                continue
-            placement = self.placer.place(waiting, now_ms)
-            if placement is None:
+            if not self._try_grant(waiting, granter):
                 return
-            queue.pop()
-            finish_ms = placement.predicted_ttft_ms + self._decode_ms(waiting)
-            if now_ms + finish_ms > waiting.deadline_ms:
-                self.deny(
-                    waiting,
-                    'deadline_unreachable',
-                    int(placement.predicted_ttft_ms),
-                )
-            else:
-                self.waiting_by_request.pop(waiting.request.request_id)
-                granter(waiting, placement)
             waiting = queue.head()
 
-    def _newly_blamed(self, waiting: grants.Waiting) -> bool:
-        """Move a request that was blamed while it waited."""
-        if waiting.suspect:
+    def _pump_long(self, granter: Granter) -> None:
+        """Grant long prompts; seldom, because they wait for seconds."""
+        now_ms = self._state.now_ms
+        queue = self._queues['long']
+        if not queue or now_ms < self._long_ms:
+            return
+        self._long_ms = now_ms + LONG_INTERVAL_MS
+        self.placer.update_long_limit(
+            self._demand.others_tokens_per_s(now_ms), queue.tokens, now_ms
+        )
+        self._pump_queue(queue, granter)
+        blocked = queue.head()
+        if blocked is not None:
+            self._overtake(queue, blocked, granter)
+
+    def _overtake(
+        self,
+        queue: fairness.FairQueue,
+        blocked: grants.Waiting,
+        granter: Granter,
+    ) -> None:
+        """Let smaller prompts pass one that waits for several targets.
+
+        They pass with at most as many tokens as the prompt itself has, so
+        its wait stays bounded.
+        """
+        if len(self.placer.segments(blocked)) < 2:
+            return
+        for waiting in queue.first(OVERTAKING_AT_ONCE):
+            tokens = waiting.request.prompt_tokens
+            passed = blocked.overtaken_tokens + tokens
+            if passed > blocked.request.prompt_tokens:
+                continue
+            if waiting is not blocked and self._try_grant(waiting, granter):
+                blocked.overtaken_tokens = passed
+
+    def _try_grant(self, waiting: grants.Waiting, granter: Granter) -> bool:
+        """Grant, deny or move a request; return False if it must wait."""
+        if self._newly_blamed(waiting):
+            return True
+        placement = self.placer.place(waiting, self._state.now_ms)
+        if placement is None:
             return False
+        ttft_ms = placement.predicted_ttft_ms
+        finish_ms = (
+            self._state.now_ms + ttft_ms + self.forecast.decode_ms(waiting)
+        )
+        if finish_ms > waiting.deadline_ms:
+            self.deny(waiting, 'deadline_unreachable', int(ttft_ms))
+            return True
+        self.waiting_by_request.pop(waiting.request.request_id)
+        self._queue_of(waiting).take(waiting)
+        granter(waiting, placement)
+        return True
+
+    def _newly_blamed(self, waiting: grants.Waiting) -> bool:
+        """Deny or move a request that was blamed while it waited."""
         fingerprint = waiting.request.fingerprint
         shared = self._state.blame_by_fingerprint
-        if self._blame.score(fingerprint, shared) <= 0:
+        score = self._blame.score(fingerprint, shared)
+        if self._blame.is_quarantined(fingerprint, shared):
+            self.deny(waiting, 'request_quarantined')
+            return True
+        if waiting.suspect or score <= 0:
             return False
         self.withdraw(waiting.request.request_id)
         self.submit(waiting)
@@ -218,13 +259,16 @@
             request.fingerprint, self._state.blame_by_fingerprint
         ):
             return 'request_quarantined'
-        if not self.placer.usable(self._state.now_ms):
+        if not self.placer.any_usable(self._state.now_ms):
             return 'no_target'
         if not self.placer.segments(waiting):
             return 'no_target'
         if self._excludes_all(waiting):
             return 'no_target'
-        if self._fastest_ms(waiting) > waiting.deadline_ms - self._state.now_ms:
+        if (
+            self.forecast.fastest_ms(waiting)
+            > waiting.deadline_ms - self._state.now_ms
+        ):
             return 'deadline_unreachable'
         return ''
 
@@ -239,7 +283,7 @@
             for workspace, count in queue.count_by_workspace.items():
                 counts[workspace] = counts.get(workspace, 0) + count
         largest = max(counts, key=counts.__getitem__)
-        for name in reversed(QUEUES):
+        for name in reversed(forecast.QUEUES):
             newest = self._queues[name].newest_of(largest)
             if newest is not None:
                 self.deny(newest, 'overloaded')
@@ -259,65 +303,3 @@
         )
         config = workspaces.get(waiting.request.workspace)
         return 1 if config is None else config.weight
-
-    def _long_share(self) -> float:
-        """Return the share of long prompts in the queued and given work."""
-        long_tokens = float(self._queues['long'].tokens)
-        all_tokens = float(sum(queue.tokens for queue in self._queues.values()))
-        for target in self._targets_by_name.values():
-            target.drain(self._state.now_ms)
-            long_left, left = target.prefills.tokens_by_length()
-            long_tokens += long_left
-            all_tokens += left
-        return long_tokens / all_tokens if all_tokens else 0
-
-    def _queued_before(self, length_class: records.LengthClass) -> float:
-        names = QUEUES[: QUEUES.index(length_class) + 1]
-        return sum(self._queues[name].tokens for name in names)
-
-    def _expected_ms(self, need: targetstate.Need, queued: float) -> float:
-        now_ms = self._state.now_ms
-        best = float(NO_TARGET_WAIT_MS)
-        speed = float(0)
-        for target in self.placer.usable(now_ms):
-            target.drain(now_ms)
-            best = min(best, target.predicted_ttft_ms(need))
-            speed += target.speeds.prefill_tokens_per_s
-        if need.length_class == 'long' and self._targets_by_name:
-            speed *= self.placer.long_limit / len(self._targets_by_name)
-        if not speed:
-            return best
-        return best + queued * prediction.MS_PER_S / speed
-
-    def _typical_ms(self, length_class: records.LengthClass) -> int:
-        tokens = TYPICAL_TOKENS[length_class]
-        priority = grants.engine_priority(length_class, 0)
-        need = targetstate.Need(length_class, priority, tokens, tokens)
-        return int(self._expected_ms(need, self._queued_before(length_class)))
-
-    def _usable_targets(self) -> Iterator[targetstate.TargetState]:
-        yield from self.placer.usable(self._state.now_ms)
-
-    def _fastest_ms(self, waiting: grants.Waiting) -> float:
-        """Return the shortest possible time to the last token."""
-        speeds = [target.speeds for target in self._usable_targets()]
-        if not speeds:
-            return 0
-        if self.placer.service.kind == 'plain':
-            return min(entry.call_ms for entry in speeds)
-        fastest = max(speeds, key=lambda entry: entry.prefill_tokens_per_s)
-        segments = self.placer.segments(waiting)
-        longest = max((entry.prompt_tokens for entry in segments), default=0)
-        # Cached blocks may be skipped.
-        cached = len(waiting.request.prefix_hashes) * prediction.BLOCK_TOKENS
-        uncached = max(longest - cached, 0)
-        return fastest.prefill_ms(uncached) + self._decode_ms(waiting)
-
-    def _decode_ms(self, waiting: grants.Waiting) -> float:
-        if self.placer.service.kind == 'plain':
-            return 0
-        paces = [
-            target.speeds.decode_ms_per_token
-            for target in self._usable_targets()
-        ]
-        return waiting.request.max_output_tokens * min(paces, default=0)
--- a/bergamotstream/assembly.py
+++ b/bergamotstream/assembly.py
@@ -9,22 +9,30 @@
 from bergamotstream import (
     accounts,
     bundles,
+    claims,
     components,
     core,
+    granting,
+    inventory,
     membership,
-    operations,
+    orders,
     ownership,
     placement,
     sessions,
     settings,
+    stopping,
 )
 
 COMPONENTS: tuple[type[components.Component], ...] = (
     membership.Membership,
     ownership.Ownership,
     bundles.Bundles,
+    granting.Granting,
     accounts.Accounts,
-    operations.Operations,
+    claims.Claims,
+    orders.Orders,
+    inventory.Inventory,
+    stopping.Stopping,
     placement.Placement,
     sessions.Sessions,
 )
--- /dev/null
+++ b/bergamotstream/claimlog.py
@@ -0,0 +1,208 @@
+"""
+Claim log
+~~~~~~~~~
+
+Index of the segments and entries of one claims partition; their format is in
+:mod:`claimformat`.
+
+Retention. An entry is dropped 10 min after its claim. Its age is kept in folds
+and counts on from there at a new owner, so it is never overestimated. When
+there are 64 small segments (under a third of the limit), two or more of them
+are folded into one of at most 64 KB. A segment whose entries are all dropped is
+deleted, but never the last one, which gives the next sequence.
+
+Nothing is deleted within 10 s of its creation. A new owner's seal counts only
+if it is confirmed within 5 s of the read before it; else the owner before could
+have written, folded and deleted the sealed sequence in between. Seals are kept
+for 10 min, and the last 64 always: a deposed owner that resumes late must find
+its next sequence taken.
+
+A partition therefore has at most 64 small segments, one key for each 21 KB of
+entries, the segments of 10 s and the seals of 10 min or the last 64.
+"""
+
+from collections.abc import Iterable, Iterator, Sequence
+from typing import NamedTuple
+
+from bergamotstream import claimformat, records
+
+FOLD_SEGMENTS = 64
+KEPT_SEALS = 64
+# Answers beyond this in one partition are not kept; a repeated request then
+# gets 'may_have_run'. This bounds memory and the time of reading back.
+MAX_ANSWER_BYTES = 8_000_000
+# Small segments are at most a third of the limit, so that two always fit.
+SMALL_DIVISOR = 3
+DELETE_AFTER_MS = 10_000
+SEAL_WITHIN_MS = 5_000
+
+
+class SegmentInfo(NamedTuple):
+    """What the index keeps of a segment."""
+
+    kind: claimformat.Kind
+    size: int
+    keys: tuple[claimformat.Key, ...]
+    newest_ms: int
+    added_ms: int
+
+
+class Fold(NamedTuple):
+    """Entries to write again and the segments that they replace."""
+
+    entries: tuple[claimformat.Entry, ...]
+    sources: tuple[int, ...]
+
+
+def runs_of(
+    sequences: Iterable[int], present: Iterable[int]
+) -> Iterator[tuple[int, int]]:
+    """Yield first and last of runs without other present sequences."""
+    wanted = set(sequences)
+    run: list[int] = []
+    for sequence in sorted(wanted | set(present)):
+        if sequence in wanted:
+            run.append(sequence)
+        elif run:
+            yield run[0], run[-1]
+            run = []
+    if run:
+        yield run[0], run[-1]
+
+
+class ClaimIndex:
+    """Entries and segments of one partition."""
+
+    def __init__(self, segment_bytes: int, retention_ms: int) -> None:
+        """Start empty; sizes are in bytes."""
+        self.entries_by_key: dict[claimformat.Key, claimformat.Entry] = {}
+        self.segments_by_sequence: dict[int, SegmentInfo] = {}
+        self.next_sequence = 1
+        self._small: dict[int, None] = {}
+        self._added_ms_by_forgotten: dict[int, int] = {}
+        self.answer_bytes = 0
+        self._segment_bytes = segment_bytes
+        self._retention_ms = retention_ms
+
+    def read_back(self, items: Sequence[records.KvItem], now_ms: int) -> None:
+        """Build the index from all segments, in key order."""
+        for item in items:
+            segment = claimformat.decode_segment(item.value, now_ms)
+            self.add(
+                claimformat.sequence_of(item.key),
+                segment,
+                len(item.value),
+                now_ms,
+            )
+
+    def add(
+        self,
+        sequence: int,
+        segment: claimformat.Segment,
+        size: int,
+        now_ms: int,
+    ) -> None:
+        """Apply a segment that is certainly in the log."""
+        keys = tuple(claimformat.key_of(entry) for entry in segment.entries)
+        births = [entry.born_ms for entry in segment.entries] or [now_ms]
+        for key, entry in zip(keys, segment.entries, strict=True):
+            self._set(key, entry._replace(home=sequence))
+        self.segments_by_sequence[sequence] = SegmentInfo(
+            segment.kind, size, keys, max(births), now_ms
+        )
+        small = size < self._segment_bytes // SMALL_DIVISOR
+        if small and segment.kind != 'seal':
+            self._small[sequence] = None
+        self.next_sequence = sequence + 1
+
+    def expire(self, now_ms: int) -> None:
+        """Drop old entries and the segments that hold no others."""
+        dropped_ms = now_ms - self._retention_ms
+        # Entries are nearly in the order of their claims, so the scan ends
+        # at the first young one; a misplaced one is dropped a little later.
+        for key, entry in list(self._oldest(dropped_ms)):
+            self.entries_by_key.pop(key)
+            self.answer_bytes -= len(entry.answer or b'')
+        old = [
+            sequence
+            for sequence, info in self.segments_by_sequence.items()
+            if info.newest_ms <= dropped_ms and info.kind != 'seal'
+        ]
+        old.extend(self._old_seals(dropped_ms))
+        last = self.next_sequence - 1
+        self.forget(sequence for sequence in old if sequence != last)
+
+    def take_deletions(self, now_ms: int) -> list[tuple[int, int]]:
+        """Return runs, first and last, of segments to delete now."""
+        due = [
+            sequence
+            for sequence, added_ms in self._added_ms_by_forgotten.items()
+            if now_ms - added_ms >= DELETE_AFTER_MS
+        ]
+        for sequence in due:
+            self._added_ms_by_forgotten.pop(sequence)
+        present = (*self.segments_by_sequence, *self._added_ms_by_forgotten)
+        return list(runs_of(due, present))
+
+    def plan_fold(self) -> Fold | None:
+        """Return the next fold, or None while there are few segments."""
+        if len(self._small) < FOLD_SEGMENTS:
+            return None
+        room = self._segment_bytes - claimformat.HEADER_BYTES
+        folded: list[claimformat.Entry] = []
+        sources: list[int] = []
+        for sequence in self._small:
+            added = self._live_entries(sequence)
+            room -= sum(map(claimformat.entry_size, added))
+            if room < 0:
+                break
+            folded.extend(added)
+            sources.append(sequence)
+        return Fold(tuple(folded), tuple(sources))
+
+    def forget(self, sequences: Iterable[int]) -> None:
+        """Forget segments; they are deleted later."""
+        for sequence in list(sequences):
+            # A segment can expire while it is folded.
+            info = self.segments_by_sequence.pop(sequence, None)
+            if info is not None:
+                self._added_ms_by_forgotten[sequence] = info.added_ms
+            self._small.pop(sequence, None)
+
+    def _set(self, key: claimformat.Key, entry: claimformat.Entry) -> None:
+        before = self.entries_by_key.get(key)
+        if before is not None:
+            self.answer_bytes -= len(before.answer or b'')
+            if before.claim_id != entry.claim_id:
+                # A new claim of an abandoned key is as young as its claim.
+                self.entries_by_key.pop(key)
+        self.entries_by_key[key] = entry
+        self.answer_bytes += len(entry.answer or b'')
+
+    def _oldest(
+        self, dropped_ms: int
+    ) -> Iterator[tuple[claimformat.Key, claimformat.Entry]]:
+        for key, entry in self.entries_by_key.items():
+            if entry.born_ms > dropped_ms:
+                return
+            yield key, entry
+
+    def _old_seals(self, dropped_ms: int) -> list[int]:
+        seals = [
+            sequence
+            for sequence, info in self.segments_by_sequence.items()
+            if info.kind == 'seal'
+        ]
+        return [
+            sequence
+            for sequence in seals[:-KEPT_SEALS]
+            if self.segments_by_sequence[sequence].newest_ms <= dropped_ms
+        ]
+
+    def _live_entries(self, sequence: int) -> list[claimformat.Entry]:
+        """Return the entries whose present state only this segment holds."""
+        known = (
+            self.entries_by_key.get(key)
+            for key in self.segments_by_sequence[sequence].keys
+        )
+        return [entry for entry in known if entry and entry.home == sequence]
--- a/bergamotstream/fairness.py
+++ b/bergamotstream/fairness.py
@@ -13,6 +13,8 @@
 from bergamotstream import grants
 
 MIN_WEIGHT = 0.001
+# Removed entries that may stay in the heap.
+SPARE = 64
 
 
 class FairQueue:
@@ -54,13 +56,16 @@
             heapq.heappop(self._heap)
         return self._heap[0][2] if self._heap else None
 
-    def pop(self) -> None:
-        """Remove the head because it has been granted or denied."""
-        waiting = self.head()
-        if waiting is None:
-            return
-        self._virtual_time = max(self._virtual_time, self._heap[0][0])
-        heapq.heappop(self._heap)
+    def first(self, count: int) -> list[grants.Waiting]:
+        """Return up to ``count`` requests in the order of their turn."""
+        entries = heapq.nsmallest(count, self._heap, key=_start_tag)
+        return [waiting for _, _, waiting in entries if waiting.queued]
+
+    def take(self, waiting: grants.Waiting) -> None:
+        """Remove a request because it has been granted."""
+        if waiting is self.head():
+            start, _, _ = heapq.heappop(self._heap)
+            self._virtual_time = max(self._virtual_time, start)
         self.remove(waiting)
 
     def remove(self, waiting: grants.Waiting) -> None:
@@ -72,6 +77,9 @@
         if not self._count:
             self._heap.clear()
             self._forget_past_workspaces()
+        elif len(self._heap) > 2 * self._count + SPARE:
+            self._heap = [entry for entry in self._heap if entry[2].queued]
+            heapq.heapify(self._heap)
 
     def newest_of(self, workspace: str) -> grants.Waiting | None:
         """Return the last request of a workspace; scans, use when full."""
--- a/bergamotstream/grants.py
+++ b/bergamotstream/grants.py
@@ -27,6 +27,7 @@
         """Keep what the accepting host ``asker`` asked for at ``now_ms``."""
         self.request = message.request
         self.asker = asker
+        # The asker's clock, from before the owner grants.
         self.asked_ms = message.sent_ms
         self.priority = message.priority
         self.excluded = frozenset(message.excluded_targets)
@@ -34,6 +35,7 @@
         self.deadline_ms = now_ms + message.remaining_ms
         self.length_class = records.length_class(message.request.prompt_tokens)
         self.queued = False
+        self.overtaken_tokens = 0
         self.suspect = False
 
     @property
--- a/bergamotstream/placing.py
+++ b/bergamotstream/placing.py
@@ -5,11 +5,19 @@
 Finds room for one request on the targets of a partition.
 """
 
-import math
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from bergamotstream import grants, groups, policies, records, targetstate
+from bergamotstream import (
+    demand,
+    grants,
+    groups,
+    occupancy,
+    policies,
+    prediction,
+    records,
+    targetstate,
+)
 
 # Part of the targets that suspects of a crash may have to themselves.
 SUSPECT_SHARE = 0.25
@@ -19,16 +27,24 @@
     """A target with what the request needs from it."""
 
     target: targetstate.TargetState
-    need: targetstate.Need
+    need: occupancy.Need
 
 
 class Placement(NamedTuple):
-    """Targets of one attempt; the first produces the output."""
+    """Targets of one attempt; the last produces the output."""
 
     assignments: tuple[Assignment, ...]
     predicted_ttft_ms: float
 
 
+class Kept(NamedTuple):
+    """Targets that are kept clear for a waiting group of targets."""
+
+    waiting: grants.Waiting
+    names: frozenset[str]
+    memory_tokens: int
+
+
 class Placer:
     """Room on a partition's targets, found by the selected policy."""
 
@@ -44,7 +60,11 @@
         self.long_limit = 1
         self.running_by_workspace: dict[str, int] = {}
         self._policy = policy
-        self._kept_clear: frozenset[str] = frozenset()
+        # The best speeds among the targets, refreshed now and then.
+        self.best = prediction.Speeds(service)
+        self._kept: Kept | None = None
+        # A blamed prompt is tried on one target at a time.
+        self._running_suspects: set[int] = set()
 
     def usable(self, now_ms: int) -> list[targetstate.TargetState]:
         """Return the targets that may be given new work at all."""
@@ -54,6 +74,24 @@
             if target.usable(now_ms)
         ]
 
+    def any_usable(self, now_ms: int) -> bool:
+        """Tell whether any target may be given new work."""
+        return any(
+            target.usable(now_ms) for target in self.targets_by_name.values()
+        )
+
+    def update_best(self) -> None:
+        """Refresh the best speeds among the targets."""
+        speeds = [entry.speeds for entry in self.targets_by_name.values()]
+        if speeds:
+            self.best.prefill_tokens_per_s = max(
+                entry.prefill_tokens_per_s for entry in speeds
+            )
+            self.best.decode_ms_per_token = min(
+                entry.decode_ms_per_token for entry in speeds
+            )
+            self.best.call_ms = min(entry.call_ms for entry in speeds)
+
     def segments(self, waiting: grants.Waiting) -> tuple[groups.Segment, ...]:
         """Return the parts of the prompt; () if it can never fit."""
         request = waiting.request
@@ -61,17 +99,23 @@
             return (groups.Segment(request.prompt_tokens, 0),)
         memory = self.service.memory_tokens
         if waiting.length_class != 'short':
-            memory = int(memory * (1 - targetstate.SHORT_SHARE))
+            memory = int(memory * (1 - occupancy.SHORT_SHARE))
         staying = sum(
             not target.leaving for target in self.targets_by_name.values()
         )
         return groups.split_prompt(request, memory, staying)
 
-    def update_long_limit(self, long_share: float, now_ms: int) -> None:
-        """Follow the share of long prompts in the work at hand."""
-        usable = len(self.usable(now_ms))
-        wanted = math.ceil(long_share * usable)
-        self.long_limit = max(min(wanted, usable - 1), 1)
+    def update_long_limit(
+        self, others_tokens_per_s: float, waiting_long: float, now_ms: int
+    ) -> None:
+        """Follow the demand of other prompts and the waiting long ones."""
+        usable = self.usable(now_ms)
+        speed = sum(entry.speeds.prefill_tokens_per_s for entry in usable)
+        if speed:
+            others = others_tokens_per_s * len(usable) / speed
+            self.long_limit = demand.long_limit(
+                len(usable), others, waiting_long
+            )
 
     def place(self, waiting: grants.Waiting, now_ms: int) -> Placement | None:
         """Return targets with room for the request, or None for now."""
@@ -88,12 +132,26 @@
         )
         return None if chosen is None else _placement([chosen], [need])
 
-    def stop_keeping_clear(self) -> None:
-        """Give up targets that were kept clear for a waiting group."""
-        self._kept_clear = frozenset()
-
-    def count_running(self, workspace: str, change: int) -> None:
-        """Follow the number of grants of a workspace."""
+    def grant_started(self, grant: grants.Grant) -> None:
+        """Count a grant of its workspace."""
+        self._count_running(grant.request.workspace, 1)
+        if grant.suspect:
+            self._running_suspects.add(grant.request.fingerprint)
+
+    def grant_ended(self, grant: grants.Grant) -> None:
+        """Stop counting a grant and let others use a suspect's target."""
+        self._count_running(grant.request.workspace, -1)
+        if grant.suspect:
+            self._running_suspects.discard(grant.request.fingerprint)
+            self.release_reservations(grant.request.request_id)
+
+    def needs_of(
+        self, waiting: grants.Waiting, segments: Iterable[groups.Segment]
+    ) -> list[occupancy.Need]:
+        """Return what a request needs from each of its targets."""
+        return [_need(waiting, segment) for segment in segments]
+
+    def _count_running(self, workspace: str, change: int) -> None:
         count = self.running_by_workspace.get(workspace, 0) + change
         if count:
             self.running_by_workspace[workspace] = count
@@ -107,7 +165,7 @@
                 target.reserved_for = ''
 
     def _candidates(
-        self, waiting: grants.Waiting, need: targetstate.Need, now_ms: int
+        self, waiting: grants.Waiting, need: occupancy.Need, now_ms: int
     ) -> list[targetstate.TargetState]:
         found = []
         usable = self.usable(now_ms)
@@ -119,10 +177,14 @@
             if target.fits(need):
                 target.drain(now_ms)
                 found.append(target)
-        if need.length_class == 'long' or not self._kept_clear:
+        kept = self._kept
+        if kept is None or not self._kept_for_other(waiting):
             return found
         others = [
-            entry for entry in found if entry.name not in self._kept_clear
+            entry
+            for entry in found
+            if entry.name not in kept.names
+            or entry.occupancy.fits_beside(need, kept.memory_tokens)
         ]
         if need.length_class == 'short':
             return others or found
@@ -147,28 +209,34 @@
         now_ms: int,
     ) -> Placement | None:
         needs = [_need(waiting, segment) for segment in segments]
-        candidates = self._candidates(waiting, needs[0], now_ms)
+        largest = max(needs, key=lambda need: need.memory_tokens)
+        candidates = self._candidates(waiting, largest, now_ms)
         if not self._policy.separates_lengths and len(needs) == 1:
             chosen = self._policy.choose(candidates, needs[0], now_ms)
             return None if chosen is None else _placement([chosen], needs)
         free = [target for target in candidates if not target.has_long_prefill]
         if self._warm_count(now_ms) >= len(needs):
-            free = [target for target in free if not target.cold_start.cold]
+            free = [target for target in free if not target.cold_start.slow]
         limit = max(self.long_limit, len(needs))
         group: tuple[targetstate.TargetState, ...] = ()
         if self._busy_with_long() + len(needs) <= limit:
             group = groups.choose_group(free, len(needs))
         if group:
-            self._kept_clear = frozenset()
             return _placement(group, needs)
-        if len(needs) > 1:
-            self._kept_clear = groups.choose_reserved(
-                self.usable(now_ms), len(needs)
-            )
+        if len(needs) > 1 and not self._kept_for_other(waiting):
+            names = groups.choose_kept_clear(self.usable(now_ms), len(needs))
+            self._kept = Kept(waiting, names, needs[0].memory_tokens)
         return None
 
+    def _kept_for_other(self, waiting: grants.Waiting) -> bool:
+        """Tell whether another group waits for the targets kept clear."""
+        kept = self._kept
+        if kept is None or not kept.waiting.queued:
+            return False
+        return kept.waiting is not waiting
+
     def _warm_count(self, now_ms: int) -> int:
-        return sum(not target.cold_start.cold for target in self.usable(now_ms))
+        return sum(not target.cold_start.slow for target in self.usable(now_ms))
 
     def _busy_with_long(self) -> int:
         return sum(
@@ -183,6 +251,8 @@
     ) -> Placement | None:
         """Place a suspect on targets that run nothing else."""
         request_id = waiting.request.request_id
+        if waiting.request.fingerprint in self._running_suspects:
+            return None
         mine, others = [], 0
         for target in self.usable(now_ms):
             if target.reserved_for == request_id:
@@ -223,8 +293,8 @@
     return not target.reserved_for, target.running, target.name
 
 
-def _need(waiting: grants.Waiting, segment: groups.Segment) -> targetstate.Need:
-    return targetstate.Need(
+def _need(waiting: grants.Waiting, segment: groups.Segment) -> occupancy.Need:
+    return occupancy.Need(
         length_class=waiting.length_class,
         priority=waiting.engine_priority,
         prompt_tokens=segment.prompt_tokens,
@@ -235,7 +305,7 @@
 
 def _placement(
     targets: Iterable[targetstate.TargetState],
-    needs: Iterable[targetstate.Need],
+    needs: Iterable[occupancy.Need],
 ) -> Placement:
     assignments = tuple(
         Assignment(target, need)
