--- a/bench/real.py
+++ b/bench/real.py
@@ -21,27 +21,12 @@
     """Return the real core with its default policy."""
     return fakes.Version(
         'bergamotstream',
-        build=_build,
+        build=assembly.build_core,
         prepare=write_bundle,
         commands=operators.real_commands,
     )
 
 
-def _build(config, incarnation):
-    from bergamotstream import granting, core
-
-    kinds = tuple(
-        dict.fromkeys(
-            (
-                *assembly.COMPONENTS[:3],
-                granting.Granting,
-                *assembly.COMPONENTS[3:],
-            )
-        )
-    )
-    return core.HostCore(config, incarnation, kinds)
-
-
 def write_bundle(store: storage.Storage) -> None:
     """Put the first configuration into the key-value service."""
     stored = bundlestore.Stored(
