--- a/bergamotstream/votes.py
+++ b/bergamotstream/votes.py
@@ -11,6 +11,9 @@
 
 from bergamotstream import cellrecord, partitions, records, state
 
+# Takeover times after which even the first choice gives up being elected.
+FIRST_CHOICE_PATIENCE = 4
+
 
 def rank(
     partition: str,
@@ -121,28 +124,32 @@
         return view is not None and name in view.released
 
     def _releases(self, name: str) -> bool:
-        """Tell whether this host gives a partition up.
-
-        It does so when it is retreating and another host is not. It also
-        does so when it is supported but was unable to own for
-        ``takeover_ms`` and is not the first choice: votes are split, or it
-        cannot hear the others.
-        """
-        host = self.state.host
-        if not self._is_supported(name) or self.state.owns(name):
-            self._unowned_since_ms.pop(name, None)
+        """Tell whether this host gives a partition up."""
         if not self._is_supported(name):
+            self._unowned_since_ms.pop(name, None)
             return False
+        host = self.state.host
         first = self._first_eligible(name)
-        if first == host:
-            return False
-        if host in self._retreating and first not in self._retreating:
-            return bool(first)
+        if first and first not in self._retreating and first != host:
+            if host in self._retreating:
+                return True
+        return self._is_stuck(name, first == host)
+
+    def _is_stuck(self, name: str, is_first: bool) -> bool:
+        """Tell whether this host is supported but has long failed to own.
+
+        That happens when votes are split or when hosts hear each other in
+        one direction only. The first choice tries for longer.
+        """
         if self.state.owns(name):
+            self._unowned_since_ms.pop(name, None)
             return False
         now_ms = self.state.now_ms
         since_ms = self._unowned_since_ms.setdefault(name, now_ms)
-        return now_ms - since_ms >= self.state.settings.timing.takeover_ms
+        limit_ms = self.state.settings.timing.takeover_ms
+        if is_first:
+            limit_ms *= FIRST_CHOICE_PATIENCE
+        return now_ms - since_ms >= limit_ms
 
     def _is_supported(self, name: str) -> bool:
         host = self.state.host
