End a link whose peer breaks while it is closed

Python 3.11's TaskGroup reports the fault of a child and drops a cancellation that arrives at the same time, so the sending end went on until it was idle for 30 s. Ruled out: an open request (open_requests=0) and the HTTP server (closed before). The new test hangs without the change.

--- a/bergamotstream/linktasks.py
+++ b/bergamotstream/linktasks.py
@@ -64,6 +64,9 @@
                 self._note_fault(repr(_first_leaf(group)))
             except* errors.InvalidMessage:
                 self._note_fault('the answer is not a frame')
+            # A task group drops a cancellation that meets a fault.
+            if _is_cancelled():
+                raise asyncio.CancelledError
             await asyncio.sleep(self._delay_s)
             self._delay_s = min(2 * self._delay_s, MAX_DELAY_S)
 
@@ -178,6 +181,11 @@
         writer.transport.abort()
 
 
+def _is_cancelled() -> bool:
+    task = asyncio.current_task()
+    return task is not None and task.cancelling() > 0
+
+
 def _first_leaf(fault: BaseException) -> BaseException:
     while isinstance(fault, BaseExceptionGroup):
         fault = fault.exceptions[0]
--- /dev/null
+++ b/tests/test_linkclose.py
@@ -0,0 +1,34 @@
+"""End of a link to a peer."""
+
+import asyncio
+
+from bergamotstream import linktasks, outbox, records
+from tests import shellhelp
+
+
+async def test_link_ends_when_its_peer_breaks_at_the_same_moment():
+    """Guards against a stopping host that waits 30 s for a link.
+
+    Hosts that stop together break each other's links while they close them;
+    the task group then reported the fault and dropped the cancellation.
+    """
+    broken = asyncio.Event()
+
+    class BreakingEnd(linktasks.SendingEnd):
+        async def _use_connection(self):
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._break())
+                await asyncio.Event().wait()
+
+        async def _break(self):
+            await broken.wait()
+            raise ConnectionResetError
+
+    peer = records.HostInfo('h2', 'parana', '127.0.0.1:1', '127.0.0.1:2')
+    end = BreakingEnd(shellhelp.make_settings(), peer, outbox.Outbox())
+    task = asyncio.create_task(end.run())
+    await asyncio.sleep(0.01)
+    broken.set()
+    task.cancel()
+    await asyncio.wait({task}, timeout=1)
+    assert task.cancelled()
