--- a/bergamotstream/assembly.py
+++ b/bergamotstream/assembly.py
@@ -9,15 +9,18 @@
 from bergamotstream import (
     accounts,
     bundles,
+    claims,
     components,
     core,
     granting,
+    inventory,
     membership,
-    operations,
+    orders,
     ownership,
     placement,
     sessions,
     settings,
+    stopping,
 )
 
 COMPONENTS: tuple[type[components.Component], ...] = (
@@ -26,7 +29,10 @@
     bundles.Bundles,
     granting.Granting,
     accounts.Accounts,
-    operations.Operations,
+    claims.Claims,
+    orders.Orders,
+    inventory.Inventory,
+    stopping.Stopping,
     placement.Placement,
     sessions.Sessions,
 )
--- a/bergamotstream/inventory.py
+++ b/bergamotstream/inventory.py
@@ -8,11 +8,14 @@
 
 from typing import Any
 
-from bergamotstream import actions, components, events
+from bergamotstream import actions, components, events, partitions, records
+
+# Commands that other components answer.
+OTHER_COMMANDS = ('config.', 'zone.', 'audit.', 'target.')
 
 
 class Inventory(components.Component):
-    """Answers ``hosts.show``, ``targets.show`` and ``host.drain``."""
+    """Answers commands on hosts, targets and partitions."""
 
     name = 'inventory'
 
@@ -23,13 +26,17 @@
             return [_answer(event, {'hosts': self._hosts()})]
         if event.command == 'targets.show':
             return [_answer(event, {'targets': self._targets()})]
+        if event.command == 'partitions.show':
+            return [_answer(event, self._partitions())]
         if event.command == 'host.drain':
             body = {'host': self.state.host, 'state': 'leaving'}
             return [
                 actions.Raise(events.StopRequested()),
                 _answer(event, body),
             ]
-        return []
+        if event.command.startswith(OTHER_COMMANDS):
+            return []
+        return [actions.AnswerAdmin(event.query_id, 'unknown_command', {})]
 
     def _hosts(self) -> list[dict[str, Any]]:
         record = self.state.record
@@ -60,10 +67,27 @@
                 **target._asdict(),
                 'leaving': target.leaving or name in leaving,
                 'zone_out': target.availability_zone in zones_out,
+                'owner': self._owner_of(target),
             }
             for name, target in sorted(self.state.targets_by_name.items())
         ]
 
+    def _owner_of(self, target: records.TargetInfo) -> str:
+        bundle = self.state.bundle
+        service = None
+        if bundle is not None:
+            service = bundle.services_by_name.get(target.service)
+        if service is None:
+            return ''
+        partition = partitions.targets_partition(target, service)
+        return self.state.owner_of(partition)
+
+    def _partitions(self) -> dict[str, Any]:
+        return {
+            'partitions': dict(sorted(self.state.owners_by_partition.items())),
+            'owned': sorted(self.state.owned_partitions),
+        }
+
 
 def _answer(
     event: events.AdminAsked, body: dict[str, Any]
--- a/demo/operators.py
+++ b/demo/operators.py
@@ -107,7 +107,7 @@
     owned = 0
     while owned < count:
         await asyncio.sleep(POLL_S)
-        listed = await command(http, address, 'targets')
+        listed = await command(http, address, 'targets.show')
         owned = sum(bool(target['owner']) for target in listed['targets'])
 
 
