Choose the readers of the configuration from two availability zones

Cause: the two readers of a cell were the first two live members in record order. If both are cut off from KV, for example because they share a zone, the others never learn of a version whose roll-out host has died. Ruled out: a watch on every host (1,600 waiting calls, again after each change) and a slow poll by the others (misses the 3 s). Before: 0 of 3 remaining hosts had the version after 3 s; after: 3 of 3 (tests/test_bundles.py, test_zone_cut_off_from_kv_still_learns_a_version).

--- a/bergamotstream/bundles.py
+++ b/bergamotstream/bundles.py
@@ -149,7 +149,21 @@
             return True
         live = self.state.live_peers | {self.state.host}
         members = [member for member in record.members if member in live]
-        return self.state.host in members[:READERS_PER_CELL]
+        return self.state.host in self._spread_over_zones(members)
+
+    def _spread_over_zones(self, members: list[str]) -> list[str]:
+        """Return the readers, in different zones where that is possible.
+
+        A zone that is cut off from KV must not take both readers with it.
+        """
+        first_by_zone: dict[str, str] = {}
+        for member in members:
+            known = self.state.hosts_by_name.get(member)
+            zone = known.availability_zone if known else ''
+            first_by_zone.setdefault(zone, member)
+        preferred = list(first_by_zone.values())
+        others = [name for name in members if name not in preferred]
+        return [*preferred, *others][:READERS_PER_CELL]
 
     def _follow(self) -> kvflows.Flow:
         """Read the head for the first time, or wait until it changes."""
--- a/tests/test_bundles.py
+++ b/tests/test_bundles.py
@@ -12,6 +12,7 @@
     bundles,
     errors,
     messages,
+    records,
 )
 from tests import kvcluster
 
@@ -87,6 +88,28 @@
     assert (head.entries[0].author, head.entries[0].signed_by) == ('eva', 'leo')
 
 
+def test_zone_cut_off_from_kv_still_learns_a_version():
+    """Guards against two readers that one cut takes away (item 10)."""
+    cluster = start(('h1', 'h2', 'h3', 'h4'))
+    kvcluster.share_versions(cluster)
+    members = tuple(cluster.cores_by_host)
+    for host in members:
+        shared = cluster.state(host)
+        for name in members:
+            zone = 'parana' if name in {'h1', 'h2'} else 'rosario'
+            shared.hosts_by_name[name] = records.HostInfo(name, zone, '', '')
+    cluster.cut_off |= {'h1', 'h2'}
+    draft = draft_and_sign(cluster, 'h4', FIRST, 0)
+    cluster.submit('h4', 'config.roll', draft=draft, operator='eva')
+    cluster.run(100)
+    # The host that rolled it dies before it tells a peer.
+    cluster.cores_by_host.pop('h4')
+    for _ in range(12):
+        cluster.run(250)
+        kvcluster.share_versions(cluster)
+    assert [version(cluster, host) for host in ('h1', 'h2', 'h3')] == [1] * 3
+
+
 def test_one_of_two_racing_operators_wins():
     """Guards against one change overwriting another."""
     cluster = start()
