Expect waits by slots as well as by prefill, and trust reports after a loss

The queue's wait counted output tokens as prefill, so prompts with a long output limit were denied too early; it is now the larger of the prefill and the slot time. A target that one host could not reach stayed cold until eight requests had finished; a younger report of the same start now makes it warm. A change of a service's sizes starts its partitions anew with their queues.

--- a/bergamotstream/crashes.py
+++ b/bergamotstream/crashes.py
@@ -39,7 +39,8 @@
             return
         self.blame_running(target, target.occupancy.occupants)
         target.lost_ms = now_ms
-        target.turn_cold(now_ms, told_by_report=False)
+        # A later report of the same start shows that it did not restart.
+        target.turn_cold(now_ms, told_by_report=True)
 
     def blame_running(
         self, target: targetstate.TargetState, attempts: Iterable[str]
--- a/bergamotstream/fairness.py
+++ b/bergamotstream/fairness.py
@@ -31,6 +31,7 @@
     def __init__(self) -> None:
         """Start empty with a virtual time of zero."""
         self.tokens = 0
+        self.output_tokens = 0
         self.count_by_workspace: dict[str, int] = {}
         self._entries_by_workspace: dict[str, collections.deque[Entry]] = {}
         self._heads: list[Entry] = []
@@ -131,7 +132,8 @@
     def _add(self, waiting: grants.Waiting, sign: int) -> None:
         workspace = waiting.request.workspace
         self._count += sign
-        self.tokens += sign * waiting.cost_tokens
+        self.tokens += sign * waiting.request.prompt_tokens
+        self.output_tokens += sign * waiting.request.max_output_tokens
         count = self.count_by_workspace.get(workspace, 0) + sign
         if count:
             self.count_by_workspace[workspace] = count
--- a/bergamotstream/forecast.py
+++ b/bergamotstream/forecast.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Mapping
+from typing import NamedTuple
 
 from bergamotstream import (
     fairness,
@@ -28,6 +29,20 @@
 NO_TARGET_WAIT_MS = 60_000
 
 
+class Queued(NamedTuple):
+    """Tokens of requests that are granted before another one."""
+
+    prompt_tokens: int
+    output_tokens: int
+
+    def without(self, request: records.RequestSpec) -> 'Queued':
+        """Return the rest without a request that is itself queued."""
+        return Queued(
+            max(self.prompt_tokens - request.prompt_tokens, 0),
+            max(self.output_tokens - request.max_output_tokens, 0),
+        )
+
+
 class Forecast:
     """Expected times of requests in one partition."""
 
@@ -41,6 +56,7 @@
         self._state = shared
         self._placer = placer
         self._queues = queues
+        self._output_ratio = float(1)
 
     def load(self, partition: str, queued: int) -> records.PartitionLoad:
         """Return the expected waits for other hosts."""
@@ -67,7 +83,13 @@
             request.prefix_hashes,
         )
         before = self._queued_before(waiting.length_class)
-        return self._expected_ms(need, max(before - waiting.cost_tokens, 0))
+        return self._expected_ms(need, before.without(request))
+
+    def learn_output(self, tokens: int, max_tokens: int) -> None:
+        """Learn how much of their output limit requests use."""
+        if max_tokens > 0:
+            change = tokens / max_tokens - self._output_ratio
+            self._output_ratio += prediction.SAMPLE_WEIGHT * change
 
     def fastest_ms(self, waiting: grants.Waiting) -> float:
         """Return the shortest possible time to the last token."""
@@ -97,21 +119,30 @@
         need = occupancy.Need(length_class, priority, tokens, tokens)
         return int(self._expected_ms(need, self._queued_before(length_class)))
 
-    def _queued_before(self, length_class: records.LengthClass) -> float:
+    def _queued_before(self, length_class: records.LengthClass) -> Queued:
         names = QUEUES[: QUEUES.index(length_class) + 1]
-        return sum(self._queues[name].tokens for name in names)
+        return Queued(
+            sum(self._queues[name].tokens for name in names),
+            sum(self._queues[name].output_tokens for name in names),
+        )
 
-    def _expected_ms(self, need: occupancy.Need, queued: float) -> float:
+    def _expected_ms(self, need: occupancy.Need, queued: Queued) -> float:
+        """Return the TTFT after the queued work, by prefill or by slots."""
         now_ms = self._state.now_ms
         best = float(NO_TARGET_WAIT_MS)
         speed = float(0)
+        slots = 0
         targets = self._placer.usable(now_ms)
         for target in targets:
             target.drain(now_ms)
             best = min(best, target.predicted_ttft_ms(need))
             speed += target.speeds.prefill_tokens_per_s
+            slots += target.cold_start.cap
         if need.length_class == 'long' and targets:
             speed *= min(self._placer.long_limit / len(targets), 1)
-        if not speed:
+        if not targets:
             return best
-        return best + queued * prediction.MS_PER_S / speed
+        prefill_ms = queued.prompt_tokens * prediction.MS_PER_S / speed
+        pace_ms = self._placer.best.decode_ms_per_token * self._output_ratio
+        slots_ms = queued.output_tokens * pace_ms / slots
+        return best + max(prefill_ms, slots_ms)
--- a/bergamotstream/granting.py
+++ b/bergamotstream/granting.py
@@ -45,7 +45,7 @@
         """Watch the targets and ask the members for their grants."""
         if not event.partition.startswith(f'{KIND}:'):
             return []
-        produced = self._drop(event.partition)
+        previous = self.owners_by_partition.pop(event.partition, None)
         owner = partitionowner.PartitionOwner(
             event.partition,
             self._service_of(event.partition),
@@ -54,8 +54,9 @@
         )
         self.owners_by_partition[event.partition] = owner
         self._update_targets()
-        produced.extend(owner.adoption.ask())
-        return produced + owner.take_actions()
+        if previous is not None:
+            owner.take_over(previous)
+        return owner.adoption.ask() + owner.take_actions()
 
     @components.handles(events.PartitionLost)
     def lose(self, event: events.PartitionLost) -> components.Actions:
@@ -67,8 +68,15 @@
         self, event: events.HostListRead | events.BundleChanged
     ) -> components.Actions:
         """Follow the targets and what operators say about them."""
+        produced: components.Actions = []
+        for partition, owner in list(self.owners_by_partition.items()):
+            if owner.service != self._service_of(partition):
+                # Sizes and caps changed: start anew from the holdings.
+                produced.extend(
+                    self.acquire(events.PartitionAcquired(partition))
+                )
         self._update_targets()
-        return self._take_all()
+        return produced + self._take_all()
 
     @components.handles(messages.GrantRequest)
     def request(
--- a/bergamotstream/partitionowner.py
+++ b/bergamotstream/partitionowner.py
@@ -87,6 +87,17 @@
             self._out.append(actions.UnwatchTarget(name))
         self.admission.deny_all('no_owner')
 
+    def take_over(self, previous: 'PartitionOwner') -> None:
+        """Continue with the requests and watches of an older state."""
+        watched = [
+            actions.WatchTarget(target.info)
+            for target in previous.targets_by_name.values()
+        ]
+        self._out = [action for action in self._out if action not in watched]
+        for waiting in previous.admission.waiting_by_request.values():
+            self.admission.submit(waiting)
+        previous.admission.waiting_by_request.clear()
+
     def request(self, message: messages.GrantRequest, asker: str) -> None:
         """Queue a request, or repeat the answer that it has had."""
         request_id = message.request.request_id
@@ -140,15 +151,13 @@
         if grant is None or grant.holder != sender:
             return
         now_ms = self._state.now_ms
+        if message.outcome == 'finished':
+            self._learn_end(grant, message)
         for target in self._targets_of(grant):
-            if message.outcome == 'finished':
-                target.learn_end(grant, message, now_ms)
-            elif message.outcome == 'not_run':
+            if message.outcome == 'not_run':
                 target.back_off(now_ms)
             elif message.outcome == 'target_lost':
                 self._crashes.target_lost(target, grant)
-        if message.outcome == 'finished' and grant.suspect:
-            self._blame.clear(grant.request.fingerprint, now_ms)
         self._end_grant(grant, message.outcome)
 
     def find(self, request_id: str, asker: str) -> None:
@@ -261,6 +270,20 @@
                 )
         self._add_grant(grant)
 
+    def _learn_end(
+        self, grant: grants.Grant, message: messages.GrantRelease
+    ) -> None:
+        now_ms = self._state.now_ms
+        if grant.suspect:
+            self._blame.clear(grant.request.fingerprint, now_ms)
+        self.admission.forecast.learn_output(
+            message.output_tokens, grant.request.max_output_tokens
+        )
+        # The other targets of a group have finished no attempt.
+        target = self.targets_by_name.get(grant.targets[0].name)
+        if target is not None:
+            target.learn_end(grant, message, now_ms)
+
     def _priority_of(self, workspace: str) -> int:
         bundle = self._state.bundle
         if bundle is None or workspace not in bundle.workspaces_by_name:
--- a/bergamotstream/targetstate.py
+++ b/bergamotstream/targetstate.py
@@ -198,7 +198,9 @@
             return None
         self._taken_ms = taken_ms
         shown = frozenset(report.running)
-        restarted = bool(self._start_id) and report.start_id != self._start_id
+        restarted = report.start_id != self._start_id
+        if not self._start_id and self.lost_ms < 0:
+            restarted = False
         self._start_id = report.start_id
         dead: tuple[str, ...] = ()
         if restarted:
--- a/tests/test_granting.py
+++ b/tests/test_granting.py
@@ -390,3 +390,36 @@
     assert all(call.reply for call in calls[-3:])
     world.run_until(MINUTE_MS)
     assert all(call.done_ms for call in calls)
+
+
+def test_host_without_a_route_does_not_keep_a_target_cold():
+    """Guards against one host's network fault that idles a good target."""
+    world = simulation.Simulation(1)
+    call = world.submit(arrival(1))
+    world.run_until(1_100)
+    release = messages.GrantRelease(
+        simulation.PARTITION, call.reply.attempt_id, 'target_lost'
+    )
+    world.handle(events.MessageReceived(call.arrival.host, release))
+    cold_start = world.owner.targets_by_name['t00'].cold_start
+    assert cold_start.cap == 1
+    world.run_until(3_000)
+    assert not cold_start.cold
+
+
+def test_changed_service_keeps_the_queue():
+    """Guards against losing waiting requests when operators resize."""
+    world = simulation.Simulation(1)
+    calls = burst(world, range(12))
+    world.run_until(1_010)
+    service = records.ServiceConfig(simulation.SERVICE, 'model', slots=16)
+    services = {simulation.SERVICE: service}
+    world.set_bundle(
+        simulation.default_bundle(services_by_name=services, version=2)
+    )
+    for call in calls:
+        owned = world.calls_by_attempt.values()
+        assert call in owned or not call.codes
+    world.run_until(MINUTE_MS)
+    assert all(call.done_ms for call in calls)
+    assert world.owner.targets_by_name['t00'].cold_start.cap == 16
