--- a/bergamotstream/admission.py
+++ b/bergamotstream/admission.py
@@ -6,15 +6,16 @@
 denied because it cannot meet its deadline.
 """
 
-import heapq
 from collections.abc import Callable, Mapping
 
 from bergamotstream import (
     actions,
+    assignments,
     demand,
     fairness,
     forecast,
     grants,
+    lateststarts,
     placing,
     policies,
     quarantine,
@@ -32,11 +33,9 @@
 OVERTAKING_AT_ONCE = 8
 # Workspaces whose first request is tried when the next one is blocked.
 HEADS_AT_ONCE = 8
-# Entries of granted requests that may stay in the heap of latest starts.
-SPARE = 256
 LONG_INTERVAL_MS = 100
 
-Granter = Callable[[grants.Waiting, placing.Placement], None]
+Granter = Callable[[grants.Waiting, assignments.Placement], None]
 
 
 class Admission:
@@ -63,8 +62,7 @@
         self._blame = blame
         self._queues = {name: fairness.FairQueue() for name in forecast.QUEUES}
         self.forecast = forecast.Forecast(shared, self.placer, self._queues)
-        self._latest_starts: list[tuple[float, int, grants.Waiting]] = []
-        self._arrivals = 0
+        self._latest_starts = lateststarts.LatestStarts()
         self._long_ms = shared.now_ms
         self._demand = demand.Demand(shared.now_ms)
         self._denials: list[actions.Action] = []
@@ -91,10 +89,7 @@
             waiting.request.prompt_tokens,
             self._state.now_ms,
         )
-        self._forget_granted()
-        self._arrivals += 1
-        entry = (waiting.latest_start_ms, self._arrivals, waiting)
-        heapq.heappush(self._latest_starts, entry)
+        self._latest_starts.add(waiting, len(self.waiting_by_request))
 
     def withdraw(self, request_id: str) -> None:
         """Remove a request that its accepting host no longer wants."""
@@ -102,7 +97,7 @@
         if waiting is not None:
             self._queue_of(waiting).remove(waiting)
             if waiting.suspect:
-                self.placer.release_reservations(request_id)
+                self.placer.isolation.release(request_id)
 
     def pump(self, granter: Granter) -> None:
         """Grant waiting requests while there is room for them."""
@@ -119,19 +114,8 @@
 
     def check_deadlines(self) -> None:
         """Deny requests that could not finish even if granted now."""
-        now_ms = self._state.now_ms
-        while self._latest_starts and self._latest_starts[0][0] <= now_ms:
-            _, _, waiting = heapq.heappop(self._latest_starts)
-            if waiting.queued:
-                self.deny(waiting, 'deadline_unreachable')
-
-    def _forget_granted(self) -> None:
-        """Keep the heap of latest starts in proportion to the queue."""
-        if len(self._latest_starts) > 2 * len(self.waiting_by_request) + SPARE:
-            self._latest_starts = [
-                entry for entry in self._latest_starts if entry[2].queued
-            ]
-            heapq.heapify(self._latest_starts)
+        for waiting in self._latest_starts.passed(self._state.now_ms):
+            self.deny(waiting, 'deadline_unreachable')
 
     def _deny_if_late(self, waiting: grants.Waiting) -> None:
         """Deny a request whose predicted finish is past its deadline."""
--- a/bergamotstream/adoption.py
+++ b/bergamotstream/adoption.py
@@ -5,7 +5,16 @@
 The wait of a new owner for the grants that the members hold.
 """
 
-from bergamotstream import actions, messages, state
+from bergamotstream import (
+    actions,
+    assignments,
+    grants,
+    groups,
+    messages,
+    occupancy,
+    records,
+    state,
+)
 
 
 class Adoption:
@@ -67,3 +76,33 @@
         if record is None:
             return self._live_hosts()
         return self._live_hosts().union(record.members)
+
+
+def grant_of_holding(
+    partition: str,
+    holding: records.Holding,
+    holder: str,
+    shared: state.HostState,
+) -> tuple[grants.Grant, list[occupancy.Need]]:
+    """Return the grant of a holding and what it needs from its targets."""
+    request = holding.request
+    message = messages.GrantRequest(
+        partition,
+        request,
+        holding.remaining_ms,
+        _priority_of(request.workspace, shared),
+    )
+    waiting = grants.Waiting(message, holder, shared.now_ms)
+    grant = grants.Grant(
+        holding.attempt_id, waiting, holding.targets, shared.now_ms
+    )
+    segments = groups.segments_of(holding.targets, request)
+    needs = [assignments.need_of(waiting, segment) for segment in segments]
+    return grant, needs
+
+
+def _priority_of(workspace: str, shared: state.HostState) -> int:
+    bundle = shared.bundle
+    if bundle is None or workspace not in bundle.workspaces_by_name:
+        return 0
+    return bundle.workspaces_by_name[workspace].priority
--- a/bergamotstream/partitionowner.py
+++ b/bergamotstream/partitionowner.py
@@ -10,11 +10,11 @@
     actions,
     admission,
     adoption,
+    assignments,
     crashes,
     events,
     grants,
     granttable,
-    groups,
     messages,
     placing,
     quarantine,
@@ -221,7 +221,7 @@
             self._state.own_loads_by_partition[self.partition] = load
 
     def _grant(
-        self, waiting: grants.Waiting, placement: placing.Placement
+        self, waiting: grants.Waiting, placement: assignments.Placement
     ) -> None:
         now_ms = self._state.now_ms
         granted = tuple(
@@ -246,20 +246,10 @@
         self.admission.placer.grant_started(grant)
 
     def _adopt(self, holding: records.Holding, sender: str) -> None:
-        request = holding.request
-        message = messages.GrantRequest(
-            self.partition,
-            request,
-            holding.remaining_ms,
-            self._priority_of(request.workspace),
+        grant, needs = adoption.grant_of_holding(
+            self.partition, holding, sender, self._state
         )
-        waiting = grants.Waiting(message, sender, self._state.now_ms)
-        grant = grants.Grant(
-            holding.attempt_id, waiting, holding.targets, self._state.now_ms
-        )
-        segments = groups.segments_of(holding.targets, request)
-        needs = self.admission.placer.needs_of(waiting, segments)
-        for entry, need in zip(holding.targets, needs, strict=True):
+        for entry, need in zip(grant.targets, needs, strict=True):
             target = self.targets_by_name.get(entry.name)
             if target is not None:
                 target.occupy(
@@ -284,12 +274,6 @@
         if target is not None:
             target.learn_end(grant, message, now_ms)
 
-    def _priority_of(self, workspace: str) -> int:
-        bundle = self._state.bundle
-        if bundle is None or workspace not in bundle.workspaces_by_name:
-            return 0
-        return bundle.workspaces_by_name[workspace].priority
-
     def _targets_of(self, grant: grants.Grant) -> list[targetstate.TargetState]:
         return [
             self.targets_by_name[entry.name]
--- a/bergamotstream/placing.py
+++ b/bergamotstream/placing.py
@@ -5,13 +5,14 @@
 Finds room for one request on the targets of a partition.
 """
 
-from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
 from bergamotstream import (
+    assignments,
     demand,
     grants,
     groups,
+    isolation,
     occupancy,
     policies,
     prediction,
@@ -19,23 +20,6 @@
     targetstate,
 )
 
-# Part of the targets that suspects of a crash may have to themselves.
-SUSPECT_SHARE = 0.25
-
-
-class Assignment(NamedTuple):
-    """A target with what the request needs from it."""
-
-    target: targetstate.TargetState
-    need: occupancy.Need
-
-
-class Placement(NamedTuple):
-    """Targets of one attempt; the first produces the output."""
-
-    assignments: tuple[Assignment, ...]
-    predicted_ttft_ms: float
-
 
 class Kept(NamedTuple):
     """Targets that are kept clear for a waiting group of targets."""
@@ -63,8 +47,7 @@
         # The best speeds among the targets, refreshed now and then.
         self.best = prediction.Speeds(service)
         self._kept: Kept | None = None
-        # A blamed prompt is tried on one target at a time.
-        self._running_suspects: set[int] = set()
+        self.isolation = isolation.Isolation(targets_by_name)
 
     def usable(self, now_ms: int) -> list[targetstate.TargetState]:
         """Return the targets that may be given new work at all."""
@@ -122,39 +105,38 @@
                 len(usable), others, waiting_long
             )
 
-    def place(self, waiting: grants.Waiting, now_ms: int) -> Placement | None:
+    def place(
+        self, waiting: grants.Waiting, now_ms: int
+    ) -> assignments.Placement | None:
         """Return targets with room for the request, or None for now."""
         segments = self.segments(waiting)
         if not segments:
             return None
         if waiting.suspect:
-            return self._place_alone(waiting, segments, now_ms)
+            return self.isolation.place(waiting, segments, now_ms)
         if waiting.length_class == 'long' and self.service.kind == 'model':
             return self._place_long(waiting, segments, now_ms)
-        need = _need(waiting, segments[0])
+        need = assignments.need_of(waiting, segments[0])
         chosen = self._policy.choose(
             self._candidates(waiting, need, now_ms), need, now_ms
         )
-        return None if chosen is None else _placement([chosen], [need])
+        return (
+            None
+            if chosen is None
+            else assignments.placement_of([chosen], [need])
+        )
 
     def grant_started(self, grant: grants.Grant) -> None:
         """Count a grant of its workspace."""
         self._count_running(grant.request.workspace, 1)
         if grant.suspect:
-            self._running_suspects.add(grant.request.fingerprint)
+            self.isolation.started(grant)
 
     def grant_ended(self, grant: grants.Grant) -> None:
         """Stop counting a grant and let others use a suspect's target."""
         self._count_running(grant.request.workspace, -1)
         if grant.suspect:
-            self._running_suspects.discard(grant.request.fingerprint)
-            self.release_reservations(grant.request.request_id)
-
-    def needs_of(
-        self, waiting: grants.Waiting, segments: Iterable[groups.Segment]
-    ) -> list[occupancy.Need]:
-        """Return what a request needs from each of its targets."""
-        return [_need(waiting, segment) for segment in segments]
+            self.isolation.ended(grant)
 
     def _count_running(self, workspace: str, change: int) -> None:
         count = self.running_by_workspace.get(workspace, 0) + change
@@ -163,12 +145,6 @@
         else:
             self.running_by_workspace.pop(workspace, None)
 
-    def release_reservations(self, request_id: str) -> None:
-        """Let others use the targets that a suspect had to itself."""
-        for target in self.targets_by_name.values():
-            if target.reserved_for == request_id:
-                target.reserved_for = ''
-
     def _candidates(
         self, waiting: grants.Waiting, need: occupancy.Need, now_ms: int
     ) -> list[targetstate.TargetState]:
@@ -213,12 +189,16 @@
         waiting: grants.Waiting,
         segments: tuple[groups.Segment, ...],
         now_ms: int,
-    ) -> Placement | None:
-        needs = [_need(waiting, segment) for segment in segments]
+    ) -> assignments.Placement | None:
+        needs = [assignments.need_of(waiting, segment) for segment in segments]
         candidates = self._candidates(waiting, needs[0], now_ms)
         if not self._policy.separates_lengths and len(needs) == 1:
             chosen = self._policy.choose(candidates, needs[0], now_ms)
-            return None if chosen is None else _placement([chosen], needs)
+            return (
+                None
+                if chosen is None
+                else assignments.placement_of([chosen], needs)
+            )
         free = [target for target in candidates if not target.has_long_prefill]
         if self._warm_count(now_ms) >= len(needs):
             free = [target for target in free if not target.cold_start.slow]
@@ -227,7 +207,7 @@
         if self._busy_with_long() + len(needs) <= limit:
             group = groups.choose_group(free, len(needs))
         if group:
-            return _placement(group, needs)
+            return assignments.placement_of(group, needs)
         if len(needs) > 1 and not self._kept_for_other(waiting):
             names = groups.choose_kept_clear(self.usable(now_ms), len(needs))
             self._kept = Kept(waiting, names, needs[0].memory_tokens)
@@ -247,89 +227,3 @@
         return sum(
             target.has_long_prefill for target in self.targets_by_name.values()
         )
-
-    def _place_alone(
-        self,
-        waiting: grants.Waiting,
-        segments: tuple[groups.Segment, ...],
-        now_ms: int,
-    ) -> Placement | None:
-        """Place a suspect on targets that run nothing else."""
-        request_id = waiting.request.request_id
-        if waiting.request.fingerprint in self._running_suspects:
-            return None
-        mine, others = [], 0
-        for target in self.usable(now_ms):
-            if target.reserved_for == request_id:
-                mine.append(target)
-            elif target.reserved_for:
-                others += 1
-        limit = max(int(len(self.targets_by_name) * SUSPECT_SHARE), 1)
-        if not mine and others and others + len(segments) > limit:
-            return None
-        if len(mine) < len(segments):
-            mine = self._reserve(waiting, len(segments), now_ms)
-        if len(mine) < len(segments) or any(entry.running for entry in mine):
-            return None
-        needs = [_need(waiting, segment) for segment in segments]
-        for target in mine:
-            target.drain(now_ms)
-        return _placement(mine[: len(needs)], needs)
-
-    def _reserve(
-        self, waiting: grants.Waiting, count: int, now_ms: int
-    ) -> list[targetstate.TargetState]:
-        request_id = waiting.request.request_id
-        free = [
-            target
-            for target in self.usable(now_ms)
-            if target.reserved_for in {'', request_id}
-            and target.name not in waiting.excluded
-        ]
-        chosen = sorted(free, key=_soonest_alone)[:count]
-        for target in chosen:
-            target.reserved_for = request_id
-        return chosen
-
-
-def _soonest_alone(
-    target: targetstate.TargetState,
-) -> tuple[bool, int, str]:
-    return not target.reserved_for, target.running, target.name
-
-
-def _need(waiting: grants.Waiting, segment: groups.Segment) -> occupancy.Need:
-    return occupancy.Need(
-        length_class=waiting.length_class,
-        priority=waiting.engine_priority,
-        prompt_tokens=segment.prompt_tokens,
-        memory_tokens=segment.memory_tokens,
-        prefix_hashes=waiting.request.prefix_hashes,
-    )
-
-
-def _placement(
-    targets: Sequence[targetstate.TargetState],
-    needs: Sequence[occupancy.Need],
-) -> Placement:
-    """Return the assignments and the predicted time to first token.
-
-    The first target of a group begins its part of the prompt when the others
-    have exported theirs.
-    """
-    first, *others = needs
-    exported = [need._replace(exported=True) for need in others]
-    delay_ms = max(
-        (
-            target.predicted_ttft_ms(need)
-            for target, need in zip(targets[1:], exported, strict=True)
-        ),
-        default=0,
-    )
-    delayed = first._replace(delay_ms=int(delay_ms))
-    assignments = tuple(
-        Assignment(target, need)
-        for target, need in zip(targets, (delayed, *exported), strict=True)
-    )
-    own_ms = targets[0].predicted_ttft_ms(first)
-    return Placement(assignments, delay_ms + own_ms)
