--- a/bench/partition.py
+++ b/bench/partition.py
@@ -33,6 +33,13 @@
 MS_PER_S = 1_000
 
 
+class Cost(NamedTuple):
+    """Processor time of the owner's decisions in microseconds."""
+
+    per_request: float
+    per_target_s: float
+
+
 class Outcome(NamedTuple):
     """Measured figures of one run."""
 
@@ -41,7 +48,7 @@
     requests: int
     unfinished: int
     denied: int
-    decision_us: float
+    cost: Cost
 
     def percentile(self, length_class: str, percentile: int) -> int:
         """Return a TTFT in ms."""
@@ -50,11 +57,11 @@
 
 
 def make_arrivals(
-    seed: int, load: float, duration_ms: int
+    seed: int, load: float, duration_ms: int, targets: int = TARGETS
 ) -> list[simulation.Arrival]:
     """Return requests from ten workspaces, two of them large."""
     source = random.Random(seed)
-    rate = load * TARGETS * NOMINAL_TOKENS_PER_S / mean_prompt_tokens()
+    rate = load * targets * NOMINAL_TOKENS_PER_S / mean_prompt_tokens()
     arrivals: list[simulation.Arrival] = []
     at_ms = float(0)
     while at_ms < duration_ms:
@@ -72,14 +79,21 @@
 
 
 def run(
-    policy: str, arrivals: list[simulation.Arrival], duration_ms: int
+    policy: str,
+    arrivals: list[simulation.Arrival],
+    duration_ms: int,
+    targets: int,
 ) -> Outcome:
     """Run one policy on given arrivals."""
-    world = simulation.Simulation(TARGETS, policy)
+    world = simulation.Simulation(targets, policy)
     for arrival in arrivals:
         world.submit(arrival)
     world.run_until(duration_ms)
-    cost = world.decision_ns / simulation.NS_PER_US / max(len(arrivals), 1)
+    seconds = duration_ms / MS_PER_S
+    cost = Cost(
+        world.request_ns / simulation.NS_PER_US / max(len(arrivals), 1),
+        world.target_ns / simulation.NS_PER_US / targets / seconds,
+    )
     world.run_until(duration_ms + LONGEST_MS)
     histograms = {
         name: histogram.HdrHistogram(1, LONGEST_MS * 4, 3)
@@ -103,19 +117,25 @@
 
 
 def report(
-    policy: str, arrivals: list[simulation.Arrival], duration_ms: int
+    policy: str,
+    arrivals: list[simulation.Arrival],
+    duration_ms: int,
+    targets: int,
 ) -> None:
     """Print the figures of a policy with and without long prompts."""
-    present = run(policy, arrivals, duration_ms)
+    present = run(policy, arrivals, duration_ms, targets)
     lighter = [
         arrival
         for arrival in arrivals
         if arrival.request.prompt_tokens <= records.MEDIUM_PROMPT_TOKENS
     ]
-    absent = run(policy, lighter, duration_ms)
+    absent = run(policy, lighter, duration_ms, targets)
     print(f'policy={policy} requests={present.requests}', end=' ')
     print(f'unfinished={present.unfinished} denied={present.denied}', end=' ')
-    print(f'decision_us_per_request={present.decision_us:.0f}')
+    print(
+        f'us_per_request={present.cost.per_request:.0f}',
+        f'us_per_target_s={present.cost.per_target_s:.0f}',
+    )
     for kind in present.histograms:
         values = [present.percentile(kind, part) for part in PERCENTILES]
         print(f'  {kind:6} p50/p95/p99 TTFT ms: {values}')
@@ -133,15 +153,18 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--policy', action='append')
     parser.add_argument('--load', type=float, default=0.55)
+    parser.add_argument('--targets', type=int, default=TARGETS)
     parser.add_argument('--seconds', type=int, default=300)
     parser.add_argument('--seed', type=int, action='append')
     options = parser.parse_args()
     duration_ms = options.seconds * MS_PER_S
     for seed in options.seed or [1]:
-        arrivals = make_arrivals(seed, options.load, duration_ms)
+        arrivals = make_arrivals(
+            seed, options.load, duration_ms, options.targets
+        )
         print(f'seed={seed} load={options.load} seconds={options.seconds}')
         for policy in options.policy or policies.all_policy_names():
-            report(policy, arrivals, duration_ms)
+            report(policy, arrivals, duration_ms, options.targets)
 
 
 def _ms_per_token(call: simulation.Call) -> int:
--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -82,7 +82,9 @@
         self.now_ms = 0
         self.calls: dict[str, Call] = {}
         self.calls_by_attempt: dict[str, Call] = {}
-        self.decision_ns = 0
+        # Time that the owner spent on messages, and on ticks and reports.
+        self.request_ns = 0
+        self.target_ns = 0
         self.drops: Callable[[Any], bool] = lambda _: False
         self.on_handled: Callable[[], None] = lambda: None
         self._order = itertools.count()
@@ -163,7 +165,11 @@
         """Give the owner an event and carry out its actions."""
         begin = time.perf_counter_ns()
         produced = self.core.handle(event, self.now_ms)
-        self.decision_ns += time.perf_counter_ns() - begin
+        spent_ns = time.perf_counter_ns() - begin
+        if isinstance(event, events.MessageReceived):
+            self.request_ns += spent_ns
+        else:
+            self.target_ns += spent_ns
         for action in produced:
             if not self.drops(action):
                 self._carry_out(action)
--- a/tests/test_granting.py
+++ b/tests/test_granting.py
@@ -5,7 +5,7 @@
 import pytest
 
 from bench import simulation
-from bergamotstream import events, messages, records
+from bergamotstream import coldstart, events, messages, records
 from standins import enginemodel
 
 MINUTE_MS = 60_000
@@ -180,6 +180,9 @@
                 crashes.append(call.reply.attempt_id)
                 name = call.reply.targets[0].name
                 world.at(world.now_ms + 60, lambda: world.crash(name))
+        for grant in world.owner.table.grants_by_attempt.values():
+            target = world.owner.targets_by_name[grant.targets[0].name]
+            assert not grant.suspect or target.running == 1
 
     world.on_handled = watch
     burst(world, range(9), output=400, at_ms=900)
@@ -455,3 +458,15 @@
         assert not target.reserved_for
     assert not world.owner.table.grants_by_attempt
     assert not world.owner.admission.waiting_by_request
+
+
+def test_only_attempts_of_the_cold_time_raise_the_cap():
+    """Guards against counting a finish that came before a restart."""
+    service = records.ServiceConfig(simulation.SERVICE, 'model')
+    state = coldstart.ColdStart(service, 0)
+    state.observe_report(cold=False, taken_ms=0, now_ms=0)
+    state.turn_cold(1_000, told_by_report=True)
+    state.count_finished(granted_ms=900, now_ms=1_100)
+    assert state.cap == 1
+    state.count_finished(granted_ms=1_000, now_ms=1_200)
+    assert state.cap == 2
