--- a/bergamotstream/admission.py
+++ b/bergamotstream/admission.py
@@ -157,7 +157,7 @@
 
     def load(self) -> records.PartitionLoad:
         """Return the expected waits for other hosts."""
-        self.placer.update_best()
+        self.placer.refresh()
         return self.forecast.load(self.partition, len(self.waiting_by_request))
 
     def _pump_queue(self, queue: fairness.FairQueue, granter: Granter) -> None:
--- a/bergamotstream/partitionowner.py
+++ b/bergamotstream/partitionowner.py
@@ -79,6 +79,7 @@
                 self._out.append(actions.WatchTarget(info))
             target.info = info
             target.leaving_by_operator = info.name in leaving
+        self.admission.placer.refresh()
         self._deny_without_targets()
 
     def drop(self) -> None:
@@ -316,10 +317,7 @@
         self._out.append(actions.UnwatchTarget(name))
 
     def _deny_without_targets(self) -> None:
-        staying = [
-            target
-            for target in self.targets_by_name.values()
-            if not target.leaving
-        ]
-        if not staying:
+        if not any(
+            not target.leaving for target in self.targets_by_name.values()
+        ):
             self.admission.deny_all('no_target')
--- a/bergamotstream/placing.py
+++ b/bergamotstream/placing.py
@@ -46,6 +46,7 @@
         self._policy = policy
         # The best speeds among the targets, refreshed now and then.
         self.best = prediction.Speeds(service)
+        self._slots = 0
         self._kept: Kept | None = None
         self.isolation = isolation.Isolation(targets_by_name)
 
@@ -63,8 +64,11 @@
             target.usable(now_ms) for target in self.targets_by_name.values()
         )
 
-    def update_best(self) -> None:
-        """Refresh the best speeds among the targets."""
+    def refresh(self) -> None:
+        """Refresh the best speeds and the sum of the caps."""
+        self._slots = sum(
+            target.cold_start.cap for target in self.targets_by_name.values()
+        )
         speeds = [entry.speeds for entry in self.targets_by_name.values()]
         if speeds:
             self.best.prefill_tokens_per_s = max(
@@ -179,10 +183,7 @@
         running = self.running_by_workspace.get(workspace, 0)
         if running <= 1:
             return False
-        slots = sum(
-            target.cold_start.cap for target in self.targets_by_name.values()
-        )
-        return running * (len(self.running_by_workspace) + 1) > slots
+        return running * (len(self.running_by_workspace) + 1) > self._slots
 
     def _place_long(
         self,
--- a/bergamotstream/policies/predictive.py
+++ b/bergamotstream/policies/predictive.py
@@ -47,10 +47,12 @@
         """Return the candidate whose first token is expected first."""
         best: tuple[float, int, str] | None = None
         chosen = None
+        window = self._window[need.length_class]
         for target in candidates:
-            if not self._accepts(target, need):
+            ahead = target.prefills.ahead(need.priority)
+            if ahead.prefills > MAX_AHEAD or ahead.tokens > window:
                 continue
-            predicted_ms = target.predicted_ttft_ms(need)
+            predicted_ms = target.predicted_ttft_ms(need, ahead)
             if _should_warm(target, need, now_ms):
                 predicted_ms /= prediction.COLD_FACTOR
             rating = (predicted_ms, target.running, target.name)
@@ -58,14 +60,6 @@
                 best, chosen = rating, target
         return chosen
 
-    def _accepts(
-        self, target: targetstate.TargetState, need: occupancy.Need
-    ) -> bool:
-        ahead = target.prefills.ahead(need.priority)
-        if ahead.prefills > MAX_AHEAD:
-            return False
-        return ahead.tokens <= self._window[need.length_class]
-
 
 def _should_warm(
     target: targetstate.TargetState, need: occupancy.Need, now_ms: int
--- a/bergamotstream/prediction.py
+++ b/bergamotstream/prediction.py
@@ -123,6 +123,9 @@
     step_tokens: float
 
 
+NOTHING_AHEAD = Ahead(0, float(0), float(0))
+
+
 class PrefillQueue:
     """Estimate of an engine's prefill work, in the order it is run.
 
@@ -203,6 +206,8 @@
 
     def ahead(self, priority: int) -> Ahead:
         """Return what runs before a new prefill of ``priority``."""
+        if not self._entries:
+            return NOTHING_AHEAD
         count = 0
         tokens = float(0)
         for entry in self._entries:
@@ -211,7 +216,7 @@
             count += 1
             tokens += entry.tokens_left
         in_step = float(0)
-        if self._entries and not count:
+        if not count:
             first = self._entries[0]
             if first.begins_ms <= self._updated_ms:
                 in_step = min(first.tokens_left, CHUNK_TOKENS)
--- a/bergamotstream/targetstate.py
+++ b/bergamotstream/targetstate.py
@@ -100,15 +100,18 @@
         blocks = self.prefixes.matching_blocks(need.prefix_hashes)
         return blocks * prediction.BLOCK_TOKENS
 
-    def predicted_ttft_ms(self, need: occupancy.Need) -> float:
+    def predicted_ttft_ms(
+        self, need: occupancy.Need, ahead: prediction.Ahead | None = None
+    ) -> float:
         """Return the predicted time to first token of a new attempt.
 
-        Call :meth:`drain` before. A step of a less urgent prefill that has
+        Call :meth:`drain` before; ``ahead`` saves counting again. A step of a less urgent prefill that has
         begun must end first. A cold target is slower by a fixed factor.
         """
         if self.service.kind == 'plain':
             return self.speeds.call_ms * (1 + self.running / self.slots)
-        ahead = self.prefills.ahead(need.priority)
+        if ahead is None:
+            ahead = self.prefills.ahead(need.priority)
         tokens = ahead.tokens + ahead.step_tokens
         tokens += max(need.prompt_tokens - self.cached_tokens(need), 1)
         factor = prediction.COLD_FACTOR if self.cold_start.slow else 1
