--- a/bergamotstream/granting.py
+++ b/bergamotstream/granting.py
@@ -14,6 +14,7 @@
     messages,
     partitionowner,
     partitions,
+    policies,
     quarantine,
     records,
     state,
@@ -30,8 +31,9 @@
     name = 'granting'
 
     def __init__(self, shared: state.HostState) -> None:
-        """Start without partitions."""
+        """Start without partitions; an unknown policy raises at once."""
         super().__init__(shared)
+        policies.get_policy_by_name(shared.settings.policy)
         self.owners_by_partition: dict[str, partitionowner.PartitionOwner] = {}
         self.quarantine = quarantine.Quarantine(
             shared.settings.limits.quarantine_after,
--- a/tests/test_granting.py
+++ b/tests/test_granting.py
@@ -5,7 +5,7 @@
 import pytest
 
 from bench import simulation
-from bergamotstream import coldstart, events, messages, records
+from bergamotstream import coldstart, errors, events, messages, records
 from standins import enginemodel
 
 MINUTE_MS = 60_000
@@ -470,3 +470,9 @@
     assert state.cap == 1
     state.count_finished(granted_ms=1_000, now_ms=1_200)
     assert state.cap == 2
+
+
+def test_unknown_policy_is_refused_at_the_start():
+    """Guards against a misspelt policy that is found at the first request."""
+    with pytest.raises(errors.InvalidSettings, match='least-loaded'):
+        simulation.Simulation(1, policy='fastest')
