Test groups under an overload of medium prompts

Both rates are tested now: the groups always finish, and late prompts are denied with a typed error.

--- a/tests/test_granting.py
+++ b/tests/test_granting.py
@@ -142,16 +142,24 @@
     assert target.occupancy.memory_used == 0
 
 
-def test_two_groups_of_most_targets_do_not_deadlock():
-    """Guards against groups that each hold a part and wait for the rest."""
+@pytest.mark.parametrize('every_ms', [300, 1_000])
+def test_two_groups_of_most_targets_do_not_deadlock(every_ms):
+    """Guards against groups that each hold a part and wait for the rest.
+
+    Medium prompts every 300 ms overload the targets together with the groups,
+    so that some cannot meet their deadline and must be told so.
+    """
     world = simulation.Simulation(4)
     calls = burst(world, (1, 2), tokens=900_000, remaining_ms=10 * MINUTE_MS)
     small = [
-        world.submit(arrival(number, 20_000, at_ms=number * 1_000))
-        for number in range(10, 100)
+        world.submit(arrival(number, 20_000, at_ms=number * every_ms))
+        for number in range(10, 10 + 90_000 // every_ms)
     ]
     world.run_until(10 * MINUTE_MS)
-    assert all(call.done_ms for call in calls + small)
+    assert all(call.done_ms for call in calls)
+    late = [call for call in small if not call.done_ms]
+    assert all(call.codes == ['deadline_unreachable'] for call in late)
+    assert every_ms == 300 or not late
     assert not any(engine.memory_used for engine in world.engines.values())
 
 
