--- a/bergamotstream/granting.py
+++ b/bergamotstream/granting.py
@@ -14,6 +14,7 @@
     messages,
     partitionowner,
     partitions,
+    policies,
     quarantine,
     records,
     state,
@@ -30,8 +31,9 @@
     name = 'granting'
 
     def __init__(self, shared: state.HostState) -> None:
-        """Start without partitions."""
+        """Start without partitions; an unknown policy raises at once."""
         super().__init__(shared)
+        policies.get_policy_by_name(shared.settings.policy)
         self.owners_by_partition: dict[str, partitionowner.PartitionOwner] = {}
         self.quarantine = quarantine.Quarantine(
             shared.settings.limits.quarantine_after,
@@ -45,7 +47,7 @@
         """Watch the targets and ask the members for their grants."""
         if not event.partition.startswith(f'{KIND}:'):
             return []
-        produced = self._drop(event.partition)
+        previous = self.owners_by_partition.pop(event.partition, None)
         owner = partitionowner.PartitionOwner(
             event.partition,
             self._service_of(event.partition),
@@ -54,8 +56,9 @@
         )
         self.owners_by_partition[event.partition] = owner
         self._update_targets()
-        produced.extend(owner.adoption.ask())
-        return produced + owner.take_actions()
+        if previous is not None:
+            owner.take_over(previous)
+        return owner.adoption.ask() + owner.take_actions()
 
     @components.handles(events.PartitionLost)
     def lose(self, event: events.PartitionLost) -> components.Actions:
@@ -67,8 +70,15 @@
         self, event: events.HostListRead | events.BundleChanged
     ) -> components.Actions:
         """Follow the targets and what operators say about them."""
+        produced: components.Actions = []
+        for partition, owner in list(self.owners_by_partition.items()):
+            if owner.service != self._service_of(partition):
+                # Sizes and caps changed: start anew from the holdings.
+                produced.extend(
+                    self.acquire(events.PartitionAcquired(partition))
+                )
         self._update_targets()
-        return self._take_all()
+        return produced + self._take_all()
 
     @components.handles(messages.GrantRequest)
     def request(
