--- a/tests/cellfake.py
+++ b/tests/cellfake.py
@@ -59,7 +59,6 @@
         kinds = (membership.Membership, ownership.Ownership)
         incarnation = str(next(self._number))
         self.cores[name] = core.HostCore(config, incarnation, kinds)
-        self.set_bundle(frozenset(), [name])
         self.times[name] = (
             self.random.randrange(10**6),
             self.random.choice(DRIFTS),
@@ -67,6 +66,7 @@
         self.inboxes[name] = []
         self.dead.discard(name)
         self.frozen.discard(name)
+        self.set_bundle(frozenset(), [name])
         self.list_hosts()
 
     def host_info(self, name):
@@ -77,6 +77,7 @@
         for name in names:
             state = self.cores[name].state
             state.bundle = records.Bundle(1, {}, {}, zones_out)
+            self.give(name, events.BundleChanged(1))
 
     def kill(self, name):
         self.dead.add(name)
