Refuse frames of another cell; keep links alive on a faulty address

A host that takes over the address of a removed host would else accept the record and requests of the cell that still knows the former host.

--- a/bench/heartbeats.py
+++ b/bench/heartbeats.py
@@ -99,8 +99,10 @@
 
 def report_message(kind: str, heartbeat: messages.Heartbeat) -> None:
     """Print size and codec costs of a heartbeat."""
-    frame = wire.encode('host-0', heartbeat, LIMIT_BYTES)
-    encode_us = measure(lambda: wire.encode('host-0', heartbeat, LIMIT_BYTES))
+    frame = wire.encode('host-0', 'cell-1', heartbeat, LIMIT_BYTES)
+    encode_us = measure(
+        lambda: wire.encode('host-0', 'cell-1', heartbeat, LIMIT_BYTES)
+    )
     decode_us = measure(lambda: wire.decode(frame, LIMIT_BYTES))
     print(
         f'heartbeat={kind} bytes={len(frame)} '
--- a/bergamotstream/linktasks.py
+++ b/bergamotstream/linktasks.py
@@ -60,7 +60,7 @@
         while time.monotonic() - self._outbox.last_put_s < IDLE_S:
             try:
                 await self._use_connection()
-            except* (OSError, EOFError, PeerRefusedError) as group:
+            except* (OSError, EOFError, ValueError, PeerRefusedError) as group:
                 self._note_fault(repr(_first_leaf(group)))
             except* errors.InvalidMessage:
                 self._note_fault('the answer is not a frame')
@@ -146,10 +146,20 @@
         while True:
             content = await framing.read_frame(reader, limit_bytes, silent_ms)
             if content:
-                envelope = wire.decode(content, limit_bytes)
-                await self._deliver(events.MessageReceived(*envelope))
+                await self._receive(wire.decode(content, limit_bytes))
             await self._write(writer, framing.EMPTY_FRAME)
 
+    async def _receive(self, envelope: wire.Envelope) -> None:
+        if envelope.cell != self._config.cell:
+            # The peer knows an address that this host has taken over.
+            raise errors.InvalidMessage(
+                f'{envelope.sender!r} is in cell {envelope.cell!r}, '
+                f'this host is in {self._config.cell!r}'
+            )
+        await self._deliver(
+            events.MessageReceived(envelope.sender, envelope.message)
+        )
+
     async def _write(self, writer: asyncio.StreamWriter, frame: bytes) -> None:
         writer.write(frame)
         async with asyncio.timeout(self._silent_s):
--- a/bergamotstream/peer.capnp
+++ b/bergamotstream/peer.capnp
@@ -6,29 +6,30 @@
 struct Envelope {
   version @0 :UInt16;
   sender @1 :Text;
+  cell @2 :Text;
   body :union {
-    heartbeat @2 :Heartbeat;
-    recordNotice @3 :RecordNotice;
-    grantRequest @4 :GrantRequest;
-    grantReply @5 :GrantReply;
-    grantCancel @6 :GrantCancel;
-    grantRenew @7 :GrantRenew;
-    grantExpired @8 :GrantExpired;
-    grantProgress @9 :GrantProgress;
-    grantRelease @10 :GrantRelease;
-    holdingsQuery @11 :HoldingsQuery;
-    holdingsReply @12 :HoldingsReply;
-    chargeRequest @13 :ChargeRequest;
-    chargeReply @14 :ChargeReply;
-    chargeRelease @15 :ChargeRelease;
-    claimRequest @16 :ClaimRequest;
-    claimReply @17 :ClaimReply;
-    outcomeReport @18 :OutcomeReport;
-    outcomeAck @19 :OutcomeAck;
-    bundleRequest @20 :BundleRequest;
-    bundleReply @21 :BundleReply;
-    findRequest @22 :FindRequest;
-    findReply @23 :FindReply;
+    heartbeat @3 :Heartbeat;
+    recordNotice @4 :RecordNotice;
+    grantRequest @5 :GrantRequest;
+    grantReply @6 :GrantReply;
+    grantCancel @7 :GrantCancel;
+    grantRenew @8 :GrantRenew;
+    grantExpired @9 :GrantExpired;
+    grantProgress @10 :GrantProgress;
+    grantRelease @11 :GrantRelease;
+    holdingsQuery @12 :HoldingsQuery;
+    holdingsReply @13 :HoldingsReply;
+    chargeRequest @14 :ChargeRequest;
+    chargeReply @15 :ChargeReply;
+    chargeRelease @16 :ChargeRelease;
+    claimRequest @17 :ClaimRequest;
+    claimReply @18 :ClaimReply;
+    outcomeReport @19 :OutcomeReport;
+    outcomeAck @20 :OutcomeAck;
+    bundleRequest @21 :BundleRequest;
+    bundleReply @22 :BundleReply;
+    findRequest @23 :FindRequest;
+    findReply @24 :FindReply;
   }
 }
 
--- a/bergamotstream/peerlinks.py
+++ b/bergamotstream/peerlinks.py
@@ -105,6 +105,7 @@
             try:
                 frame = wire.encode(
                     self._settings.host,
+                    self._settings.cell,
                     message,
                     self._settings.limits.message_bytes,
                 )
--- a/bergamotstream/wire.py
+++ b/bergamotstream/wire.py
@@ -35,13 +35,16 @@
 
 
 class Envelope(NamedTuple):
-    """A decoded message and the host that sent it."""
+    """A decoded message and the host and cell that sent it."""
 
     sender: str
+    cell: str
     message: messages.Message
 
 
-def encode(sender: str, message: messages.Message, limit_bytes: int) -> bytes:
+def encode(
+    sender: str, cell: str, message: messages.Message, limit_bytes: int
+) -> bytes:
     """Return the packed bytes of a message.
 
     Raises :class:`errors.InvalidMessage` if the message does not fit the
@@ -51,7 +54,7 @@
     body = {_lower_first(kind.__name__): _to_wire(kind)(message)}
     try:
         frame = _schema.Envelope.new_message(
-            version=PROTOCOL_VERSION, sender=sender, body=body
+            version=PROTOCOL_VERSION, sender=sender, cell=cell, body=body
         ).to_bytes_packed()
     except (capnp.KjException, OverflowError, TypeError) as fault:
         raise _invalid(f'{kind.__name__} does not fit: {fault}') from fault
@@ -87,7 +90,8 @@
     field = envelope.body.which()
     kind = _kinds_by_field()[str(field)]
     body = getattr(envelope.body, str(field))
-    return Envelope(envelope.sender, _from_wire(kind)(body))
+    message = _from_wire(kind)(body)
+    return Envelope(envelope.sender, envelope.cell, message)
 
 
 @functools.cache
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -230,3 +230,19 @@
     cell.run(3_000)
     assert cell.record('h3') == cell.record('h0')
     assert 'h3' not in dict(map(reversed, cell.owners()))
+
+
+def test_blame_copies_follow_their_owner():
+    """Guards against blame that outlives its withdrawal, or that is lost
+    with the owner that recorded it."""
+    cell = started(3)
+    copies = cell.cores['h1'].state.blame_by_fingerprint
+    cell.cores['h0'].state.own_blame_by_fingerprint.update({7: 1.0, 8: 0.5})
+    cell.run(500)
+    assert copies == {7: 1.0, 8: 0.5}
+    del cell.cores['h0'].state.own_blame_by_fingerprint[7]
+    cell.run(500)
+    assert copies == {8: 0.5}
+    cell.start('h0')
+    cell.run(1_000)
+    assert copies == {8: 0.5}
--- a/tests/test_peerlinks.py
+++ b/tests/test_peerlinks.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import re
 
 import pytest
 
@@ -102,20 +103,27 @@
     proxy.close()
 
 
-async def test_other_protocol_version_is_refused(
-    unused_tcp_port_factory, monkeypatch
+@pytest.mark.parametrize(
+    ('version', 'cell', 'refusal'),
+    [
+        (9, 'cell-1', 'protocol_mismatch: .*version 9'),
+        (wire.PROTOCOL_VERSION, 'cell-2', 'invalid_message: .*cell-2'),
+    ],
+)
+async def test_foreign_peer_is_refused(
+    unused_tcp_port_factory, monkeypatch, version, cell, refusal
 ):
-    """Guards against a mixed cell that fails without saying why."""
+    """Guards against a mixed cell that fails without saying why, and
+    against messages for the former user of an address."""
     port = unused_tcp_port_factory()
-    monkeypatch.setattr(wire, 'PROTOCOL_VERSION', 9)
-    frame = framing.frame(wire.encode('a', NOTICE, 1_000))
+    monkeypatch.setattr(wire, 'PROTOCOL_VERSION', version)
+    frame = framing.frame(wire.encode('a', cell, NOTICE, 1_000))
     monkeypatch.undo()
     async with opened('b', port) as (_, queue):
         reader, writer = await asyncio.open_connection('127.0.0.1', port)
         writer.write(frame)
         answer = await asyncio.wait_for(reader.read(), 5)
-        assert b'protocol_mismatch' in answer
-        assert b'version 9' in answer
+        assert re.search(refusal, answer.decode(errors='replace'))
         assert queue.empty()
         writer.close()
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -37,7 +37,7 @@
     'cell-1', 'i1', 3, 5, (messages.Echo('h1', 7),),
     (messages.Support('claims:0', 'h1'),), (), False, 2, (), (),
 )  # fmt: skip
-FRAME = wire.encode('h0', HEARTBEAT, LIMIT_BYTES)
+FRAME = wire.encode('h0', 'c', HEARTBEAT, LIMIT_BYTES)
 
 
 @pytest.mark.parametrize('kind', KINDS)
@@ -47,8 +47,8 @@
     @hypothesis.settings(max_examples=15, derandomize=True, deadline=None)
     @hypothesis.given(values(kind))
     def check(message):
-        frame = wire.encode('h0', message, LIMIT_BYTES)
-        assert wire.decode(frame, LIMIT_BYTES) == ('h0', message)
+        frame = wire.encode('h0', 'c', message, LIMIT_BYTES)
+        assert wire.decode(frame, LIMIT_BYTES) == ('h0', 'c', message)
 
     check()
 
@@ -77,7 +77,7 @@
 def test_rejects_another_protocol_version(monkeypatch):
     """Guards against reading fields of another version by position."""
     monkeypatch.setattr(wire, 'PROTOCOL_VERSION', 2)
-    newer = wire.encode('h0', HEARTBEAT, LIMIT_BYTES)
+    newer = wire.encode('h0', 'c', HEARTBEAT, LIMIT_BYTES)
     monkeypatch.undo()
     with pytest.raises(errors.ProtocolMismatch, match='version 2'):
         wire.decode(newer, LIMIT_BYTES)
@@ -87,10 +87,10 @@
     """Guards against unbounded memory, also by zeros that pack to little."""
     reply = messages.BundleReply(1, bytes(range(256)) * 1_100)
     with pytest.raises(errors.InvalidMessage, match='exceed'):
-        wire.encode('h0', reply, LIMIT_BYTES)
+        wire.encode('h0', 'c', reply, LIMIT_BYTES)
     with pytest.raises(errors.InvalidMessage, match='exceed'):
         wire.decode(bytes(LIMIT_BYTES + 1), LIMIT_BYTES)
-    zeros = wire.encode('h0', messages.BundleReply(1, bytes(2**24)), 2**24)
+    zeros = wire.encode('h0', 'c', messages.BundleReply(1, bytes(2**24)), 2**24)
     assert len(zeros) < LIMIT_BYTES
     with pytest.raises(errors.InvalidMessage):
         wire.decode(zeros, LIMIT_BYTES)
@@ -99,8 +99,8 @@
 def test_rejects_values_outside_the_schema():
     """Guards against an unknown choice and an integer that does not fit."""
     reply = messages.ClaimReply('claims:0', 'c', 'other')
-    frame = wire.encode('h0', reply, LIMIT_BYTES)
+    frame = wire.encode('h0', 'c', reply, LIMIT_BYTES)
     with pytest.raises(errors.InvalidMessage, match='other'):
         wire.decode(frame, LIMIT_BYTES)
     with pytest.raises(errors.InvalidMessage, match='fit'):
-        wire.encode('h0', messages.BundleRequest(2**64), LIMIT_BYTES)
+        wire.encode('h0', 'c', messages.BundleRequest(2**64), LIMIT_BYTES)
