--- a/bergamotstream/linktasks.py
+++ b/bergamotstream/linktasks.py
@@ -39,6 +39,10 @@
     """The peer does not accept what this host sends."""
 
 
+# ValueError: the address of the peer is not of the form ip:port.
+LINK_FAULTS = (OSError, EOFError, ValueError, PeerRefusedError)
+
+
 class SendingEnd:
     """Keeps one connection to a peer open and writes its outbox to it."""
 
@@ -60,7 +64,7 @@
         while time.monotonic() - self._outbox.last_put_s < IDLE_S:
             try:
                 await self._use_connection()
-            except* (OSError, EOFError, ValueError, PeerRefusedError) as group:
+            except* LINK_FAULTS as group:
                 self._note_fault(repr(_first_leaf(group)))
             except* errors.InvalidMessage:
                 self._note_fault('the answer is not a frame')
