--- a/bergamotstream/linktasks.py
+++ b/bergamotstream/linktasks.py
@@ -28,7 +28,7 @@
 CONNECT_TIMEOUT_S = 0.5
 FIRST_DELAY_S = 0.1
 MAX_DELAY_S = 1.0
-# A link that nothing was sent on for this long is closed.
+# A failed link is given up when nothing was sent on it for this long.
 IDLE_S = 30.0
 MAX_REFUSAL_BYTES = 512
 
--- a/bergamotstream/votes.py
+++ b/bergamotstream/votes.py
@@ -7,7 +7,7 @@
 member moves its support only when the host it supported cannot own any more.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 
 from bergamotstream import cellrecord, partitions, records, state
 
@@ -51,6 +51,7 @@
         self._rank_basis: tuple[object, ...] = ()
         self._retreating: frozenset[str] = frozenset()
         self._eligible: set[str] = set()
+        self._is_agreed = False
 
     def review(self, names: Iterable[str]) -> None:
         """Update releases and supports of the named partitions."""
@@ -89,17 +90,28 @@
         current = self.state.votes.supports.get(name, '')
         if current and not self._may_leave(name, current, released):
             return current
-        candidates = self._ranks[name]
-        if not current:
-            # Joins the majority that elected the owner before this host
-            # could vote; another choice would only split the votes.
-            candidates = (self.state.owner_of(name), *candidates)
-        for host in candidates:
+        for host in self._candidates(name, is_first_vote=not current):
             if host in self._eligible:
                 if not self._has_released(name, host, released):
                     return host
         return ''
 
+    def _candidates(self, name: str, *, is_first_vote: bool) -> Sequence[str]:
+        """Return the hosts to support, best first.
+
+        A first vote joins the majority that elected the present owner. If
+        there is none, it waits for a while until all live members report
+        the record. Otherwise members with different views split the votes.
+        """
+        if not is_first_vote:
+            return self._ranks[name]
+        owner = self.state.owner_of(name)
+        wait_ms = self.state.settings.timing.takeover_ms
+        is_recent = self.state.now_ms - self._adopted_ms < wait_ms
+        if is_recent and not self._is_agreed:
+            return (owner,)
+        return (owner, *self._ranks[name])
+
     def _may_leave(
         self, name: str, host: str, released: frozenset[str]
     ) -> bool:
@@ -169,6 +181,9 @@
         live = self.state.live_peers.intersection(record.members)
         views = self.state.peers.views_by_host
         self._eligible = {host for host in live if views[host].heartbeat.epoch}
+        self._is_agreed = all(
+            views[host].heartbeat.epoch == record.epoch for host in live
+        )
         host = self.state.host
         if host in record.members and self.state.reported_epoch:
             if len(live) + 1 >= cellrecord.majority(record):
--- a/tests/test_peerlinks.py
+++ b/tests/test_peerlinks.py
@@ -50,8 +50,8 @@
 
 
 async def test_messages_arrive_in_order(unused_tcp_port_factory):
-    """Guards against loss or reordering on a working link, and against a
-    peer that starts later than its first message."""
+    """Guards against loss or reordering on a working link, also of messages
+    beyond the read buffer, and against a peer that starts late."""
     port_a, port_b = unused_tcp_port_factory(), unused_tcp_port_factory()
     async with opened('a', port_a) as (links, _):
         links.send(host_info('b', port_b), NOTICE)
@@ -64,6 +64,9 @@
             assert await receive(queue) == ('a', NOTICE)
             for version in range(100):
                 assert (await receive(queue)).message.version == version
+            large = messages.BundleReply(1, bytes(range(256)) * 900)
+            links.send(host_info('b', port_b), large)
+            assert (await receive(queue)).message == large
 
 
 async def test_silent_link_is_replaced(unused_tcp_port_factory):
