--- a/bergamotstream/linktasks.py
+++ b/bergamotstream/linktasks.py
@@ -28,7 +28,7 @@
 CONNECT_TIMEOUT_S = 0.5
 FIRST_DELAY_S = 0.1
 MAX_DELAY_S = 1.0
-# A link that nothing was sent on for this long is closed.
+# A failed link is given up when nothing was sent on it for this long.
 IDLE_S = 30.0
 MAX_REFUSAL_BYTES = 512
 
@@ -39,6 +39,10 @@
     """The peer does not accept what this host sends."""
 
 
+# ValueError: the address of the peer is not of the form ip:port.
+LINK_FAULTS = (OSError, EOFError, ValueError, PeerRefusedError)
+
+
 class SendingEnd:
     """Keeps one connection to a peer open and writes its outbox to it."""
 
@@ -60,7 +64,7 @@
         while time.monotonic() - self._outbox.last_put_s < IDLE_S:
             try:
                 await self._use_connection()
-            except* (OSError, EOFError, PeerRefusedError) as group:
+            except* LINK_FAULTS as group:
                 self._note_fault(repr(_first_leaf(group)))
             except* errors.InvalidMessage:
                 self._note_fault('the answer is not a frame')
@@ -149,10 +153,20 @@
         while True:
             content = await framing.read_frame(reader, limit_bytes, silent_ms)
             if content:
-                envelope = wire.decode(content, limit_bytes)
-                await self._deliver(events.MessageReceived(*envelope))
+                await self._receive(wire.decode(content, limit_bytes))
             await self._write(writer, framing.EMPTY_FRAME)
 
+    async def _receive(self, envelope: wire.Envelope) -> None:
+        if envelope.cell != self._config.cell:
+            # The peer knows an address that this host has taken over.
+            raise errors.InvalidMessage(
+                f'{envelope.sender!r} is in cell {envelope.cell!r}, '
+                f'this host is in {self._config.cell!r}'
+            )
+        await self._deliver(
+            events.MessageReceived(envelope.sender, envelope.message)
+        )
+
     async def _write(self, writer: asyncio.StreamWriter, frame: bytes) -> None:
         writer.write(frame)
         async with asyncio.timeout(self._silent_s):
--- a/tests/test_peerlinks.py
+++ b/tests/test_peerlinks.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import re
 
 import pytest
 
@@ -49,8 +50,8 @@
 
 
 async def test_messages_arrive_in_order(unused_tcp_port_factory):
-    """Guards against loss or reordering on a working link, and against a
-    peer that starts later than its first message."""
+    """Guards against loss or reordering on a working link, also of messages
+    beyond the read buffer, and against a peer that starts late."""
     port_a, port_b = unused_tcp_port_factory(), unused_tcp_port_factory()
     async with opened('a', port_a) as (links, _):
         links.send(host_info('b', port_b), NOTICE)
@@ -63,6 +64,9 @@
             assert await receive(queue) == ('a', NOTICE)
             for version in range(100):
                 assert (await receive(queue)).message.version == version
+            large = messages.BundleReply(1, bytes(range(256)) * 900)
+            links.send(host_info('b', port_b), large)
+            assert (await receive(queue)).message == large
 
 
 async def test_silent_link_is_replaced(unused_tcp_port_factory):
@@ -102,20 +106,27 @@
     proxy.close()
 
 
-async def test_other_protocol_version_is_refused(
-    unused_tcp_port_factory, monkeypatch
+@pytest.mark.parametrize(
+    ('version', 'cell', 'refusal'),
+    [
+        (9, 'cell-1', 'protocol_mismatch: .*version 9'),
+        (wire.PROTOCOL_VERSION, 'cell-2', 'invalid_message: .*cell-2'),
+    ],
+)
+async def test_foreign_peer_is_refused(
+    unused_tcp_port_factory, monkeypatch, version, cell, refusal
 ):
-    """Guards against a mixed cell that fails without saying why."""
+    """Guards against a mixed cell that fails without saying why, and
+    against messages for the former user of an address."""
     port = unused_tcp_port_factory()
-    monkeypatch.setattr(wire, 'PROTOCOL_VERSION', 9)
-    frame = framing.frame(wire.encode('a', NOTICE, 1_000))
+    monkeypatch.setattr(wire, 'PROTOCOL_VERSION', version)
+    frame = framing.frame(wire.encode('a', cell, NOTICE, 1_000))
     monkeypatch.undo()
     async with opened('b', port) as (_, queue):
         reader, writer = await asyncio.open_connection('127.0.0.1', port)
         writer.write(frame)
         answer = await asyncio.wait_for(reader.read(), 5)
-        assert b'protocol_mismatch' in answer
-        assert b'version 9' in answer
+        assert re.search(refusal, answer.decode(errors='replace'))
         assert queue.empty()
         writer.close()
 
