Use no grant that a new owner does not know of or that grew old while held

Cause: a reply of the previous owner could arrive after the holdings had been reported to the new one, and a paused host could dispatch when its charge was confirmed late. Ruled out: relying on renewal, which has no answer. Before: both new tests fail; after: they pass.

--- a/bergamotstream/asking.py
+++ b/bergamotstream/asking.py
@@ -95,20 +95,42 @@
         return self.ask(session)
 
     def usable(
-        self, session: sessionstate.Session, message: messages.GrantReply
+        self,
+        session: sessionstate.Session,
+        message: messages.GrantReply,
+        sender: str,
     ) -> bool:
-        """Tell whether a reply answers the open question in time.
+        """Tell whether a reply answers the open question in time."""
+        ask = session.ask
+        if ask is None or ask.partition != message.partition:
+            return False
+        if ask.owner != sender:
+            return False
+        return not message.granted or self.is_leased(message.asked_ms)
+
+    def is_leased(self, asked_ms: int) -> bool:
+        """Tell whether the owner surely still counts an unused grant.
 
         ``asked_ms`` is this host's clock reading from before the owner
-        granted, so the bound needs no common clock: the owner still counts a
-        grant that is younger than its lease.
+        granted, so the bound needs no common clock.
+        """
+        age_ms = self._state.now_ms - asked_ms
+        return age_ms < self._timing.grant_lease_ms * USABLE_LEASE_SHARE
+
+    def follow_owner(
+        self, session: sessionstate.Session, partition: str, owner: str
+    ) -> components.Actions:
+        """Ask the new owner of a partition instead of the previous one.
+
+        The new owner has been told what this host holds. A grant of the
+        previous owner that is still under way is not among that, so it must
+        not be used.
         """
         ask = session.ask
-        if ask is None or ask.partition != message.partition:
-            return False
-        age_ms = self._state.now_ms - message.asked_ms
-        usable_ms = self._timing.grant_lease_ms * USABLE_LEASE_SHARE
-        return not message.granted or age_ms < usable_ms
+        if ask is None or ask.partition != partition or ask.owner == owner:
+            return []
+        session.ask = ask._replace(owner=owner, last_ms=self._state.now_ms)
+        return self._send(session, session.ask)
 
     def withdraw(self, session: sessionstate.Session) -> components.Actions:
         """Cancel a question that waits for its answer."""
--- a/bergamotstream/sessions.py
+++ b/bergamotstream/sessions.py
@@ -114,7 +114,7 @@
     ) -> components.Actions:
         """Use a grant, or ask elsewhere after a denial."""
         session = self.sessions_by_request.get(message.request_id)
-        if session is None or not self._asking.usable(session, message):
+        if session is None or not self._asking.usable(session, message, sender):
             return self._grants.return_grant(message, sender)
         if not message.granted:
             return self._denied(session, message)
@@ -123,6 +123,7 @@
             partition=message.partition,
             targets=message.targets,
             engine_priority=message.engine_priority,
+            asked_ms=message.asked_ms,
         )
         self._grants.hold(session, attempt)
         return self._advance(session)
@@ -137,7 +138,7 @@
             return []
         verdict = self._claiming.answered(session, message)
         if verdict.dispatch:
-            return self._grants.dispatch(session)
+            return self._start(session)
         if verdict.recorded is not None:
             return self._finish(session, verdict.recorded)
         return [
@@ -205,7 +206,12 @@
                 self.sessions_by_request.values(), message.partition
             ),
         )
-        return [actions.SendMessage(sender, reply)]
+        produced: components.Actions = [actions.SendMessage(sender, reply)]
+        for session in self.sessions_by_request.values():
+            produced.extend(
+                self._asking.follow_owner(session, message.partition, sender)
+            )
+        return produced
 
     @components.handles(events.AttemptStarted)
     def started(self, event: events.AttemptStarted) -> components.Actions:
@@ -351,11 +357,26 @@
         if session.stage != 'asking':
             return []
         if session.repeatable:
-            return self._grants.dispatch(session)
+            return self._start(session)
         session.stage = 'claiming'
         self._wake(session, self.state.now_ms)
         return self._claiming.ask(session)
 
+    def _start(self, session: sessionstate.Session) -> components.Actions:
+        """Dispatch unless the grant has grown old while it was held."""
+        attempt = session.attempt
+        if attempt is not None and self._asking.is_leased(attempt.asked_ms):
+            return self._grants.dispatch(session)
+        produced = self._grants.end(session, 'not_run')
+        if not session.repeatable:
+            return [
+                *produced,
+                *self._claiming.abandoned(session),
+                *self._refuse(session, 'claims_unavailable'),
+            ]
+        session.restart_asking()
+        return [*produced, *self._ask(session)]
+
     def _wait_for_claim(
         self, session: sessionstate.Session
     ) -> components.Actions:
--- a/bergamotstream/sessionstate.py
+++ b/bergamotstream/sessionstate.py
@@ -21,6 +21,7 @@
     partition: str
     targets: tuple[records.GrantedTarget, ...]
     engine_priority: int
+    asked_ms: int = 0
     dispatched_ms: int = 0
     started: bool = False
     first_token_ms: int = 0
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -82,6 +82,31 @@
     assert released[0].attempt_id == 'a1'
 
 
+def test_grant_that_grew_old_while_held_is_returned():
+    """Guards against a host that freezes between its grant and dispatch."""
+    host = corekit.Host()
+    charges, asks = start(host)
+    grant(host, asks[0])
+    host.now_ms += 3_000
+    produced = charge(host, charges[0])
+    assert not corekit.actions_of(produced, actions.Dispatch)
+    released = corekit.messages_of(produced, messages.GrantRelease)
+    assert released[0].outcome == 'not_run'
+
+
+def test_grant_of_the_previous_owner_is_not_used():
+    """Guards against a grant that the new owner does not know of."""
+    host = corekit.Host()
+    charges, asks = start(host)
+    charge(host, charges[0])
+    query = messages.HoldingsQuery(asks[0].partition)
+    produced = host.receive(query, sender='h3')
+    assert corekit.messages_of(produced, messages.GrantRequest)
+    produced = grant(host, asks[0])
+    assert not corekit.actions_of(produced, actions.Dispatch)
+    assert corekit.messages_of(produced, messages.GrantRelease)
+
+
 def test_denied_partition_is_not_the_end():
     """Guards against a refusal while another partition can still grant."""
     host = corekit.Host()
