--- /dev/null
+++ b/bergamotstream/bodies.py
@@ -0,0 +1,36 @@
+"""
+Bodies
+~~~~~~
+
+Reads the bodies of HTTP requests within a time limit.
+"""
+
+import asyncio
+import json
+from typing import Any
+
+from aiohttp import web
+
+from bergamotstream import errors
+
+UPLOAD_LIMIT_S = 10
+
+
+async def read_body(request: web.Request) -> bytes:
+    """Return a body; raises ``invalid_request`` if it takes over 10 s."""
+    try:
+        async with asyncio.timeout(UPLOAD_LIMIT_S):
+            return await request.read()
+    except TimeoutError:
+        raise errors.InvalidRequest('body: not received within 10 s') from None
+
+
+def parse_object(received: bytes) -> dict[str, Any]:
+    """Return a JSON object; raises ``invalid_request`` for anything else."""
+    try:
+        body = json.loads(received)
+    except ValueError as fault:
+        raise errors.InvalidRequest(f'body: not JSON: {fault}') from None
+    if not isinstance(body, dict):
+        raise errors.InvalidRequest('body: not a JSON object')
+    return body
--- a/bergamotstream/callers.py
+++ b/bergamotstream/callers.py
@@ -9,16 +9,14 @@
 
 import asyncio
 import socket
-import uuid
-from collections.abc import Awaitable, Callable, Mapping
-from typing import Any
+from collections.abc import Awaitable, Callable
 
 from absl import logging
 from aiohttp import web
 
 from bergamotstream import (
-    actions,
     answers,
+    bodies,
     clock,
     delivery,
     errors,
@@ -26,15 +24,12 @@
     exporters,
     logs,
     metrics,
+    queries,
     requestbody,
     settings,
 )
 
-UPLOAD_LIMIT_S = 10
-ADMIN_LIMIT_S = 30
-ADDRESS_LIMIT_S = 2
 DEFAULT_FORMAT = 'prometheus'
-HTTP_OK = 200
 LISTEN_BACKLOG = 512
 SOCKET_BUFFER_BYTES = 65_536
 
@@ -60,7 +55,7 @@
         self._incoming = incoming
         self._meters = meters
         self._time = time
-        self._queries: dict[str, asyncio.Future[Any]] = {}
+        self.queries = queries.Queries(incoming, time)
         self._runner = web.AppRunner(
             self._application(),
             access_log=None,
@@ -78,14 +73,6 @@
         """Close all connections."""
         await self._runner.cleanup()
 
-    def answer_query(
-        self, action: actions.AnswerAddress | actions.AnswerAdmin
-    ) -> None:
-        """Hand the core's answer to the handler that waits for it."""
-        waiting = self._queries.pop(action.query_id, None)
-        if waiting is not None and not waiting.done():
-            waiting.set_result(action)
-
     def _application(self) -> web.Application:
         app = web.Application(
             client_max_size=self._config.limits.body_bytes,
@@ -95,8 +82,8 @@
             [
                 web.post('/v1/requests', self._submit),
                 web.post('/v1/requests/{id}/resume', self._resume),
-                web.get('/v1/address', self._address),
-                web.post('/admin', self._admin),
+                web.get('/v1/address', self.queries.address),
+                web.post('/admin', self.queries.admin),
                 web.get('/metrics', self._metrics),
                 web.get('/healthz', self._health),
             ]
@@ -141,7 +128,7 @@
         self, request: web.Request, request_id: str = ''
     ) -> requestbody.ParsedRequest:
         began_ms = self._time.now_ms()
-        received = await _read_body(request)
+        received = await bodies.read_body(request)
         parsed = requestbody.parse_request(
             received, self._time.wall_ms(), request_id
         )
@@ -186,57 +173,6 @@
         if request.transport is not None:
             request.transport.abort()
 
-    async def _address(self, request: web.Request) -> web.Response:
-        workspace = request.query.get('workspace', '')
-        if not workspace:
-            raise errors.InvalidRequest('workspace: is missing')
-        answer: actions.AnswerAddress = await self._ask(
-            lambda query_id: events.AddressAsked(query_id, workspace),
-            ADDRESS_LIMIT_S,
-        )
-        hosts = [
-            {
-                'name': host.name,
-                'availability_zone': host.availability_zone,
-                'address': host.caller_address,
-            }
-            for host in answer.hosts
-        ]
-        return web.json_response({'hosts': hosts, 'keep_ms': answer.keep_ms})
-
-    async def _admin(self, request: web.Request) -> web.Response:
-        body = delivery.parse_object(await _read_body(request))
-        command, arguments = _command(body)
-        arguments['wall_ms'] = self._time.wall_ms()
-        answer: actions.AnswerAdmin = await self._ask(
-            lambda query_id: events.AdminAsked(query_id, command, arguments),
-            ADMIN_LIMIT_S,
-        )
-        return web.json_response(
-            {
-                'code': answer.code,
-                'body': dict(answer.body),
-                'retry_after_ms': answer.body.get('retry_after_ms', 0),
-            },
-            status=_status(answer.code),
-        )
-
-    async def _ask(
-        self, make_event: Callable[[str], events.Event], limit_s: float
-    ) -> Any:
-        query_id = uuid.uuid4().hex
-        waiting = asyncio.get_running_loop().create_future()
-        self._queries[query_id] = waiting
-        self._incoming.put_nowait(make_event(query_id))
-        try:
-            return await asyncio.wait_for(waiting, limit_s)
-        except TimeoutError:
-            raise errors.KvUnavailable(
-                'the host did not answer in time', run_state='may_have_run'
-            ) from None
-        finally:
-            self._queries.pop(query_id, None)
-
     async def _metrics(self, request: web.Request) -> web.Response:
         name = request.query.get('format', DEFAULT_FORMAT)
         try:
@@ -296,31 +232,7 @@
     return delivery.error_response(unknown)
 
 
-async def _read_body(request: web.Request) -> bytes:
-    try:
-        async with asyncio.timeout(UPLOAD_LIMIT_S):
-            return await request.read()
-    except TimeoutError:
-        raise errors.InvalidRequest('body: not received within 10 s') from None
-
-
 def _offset(text: str) -> int:
     if not text.isdecimal() or int(text) > requestbody.MAX_OUTPUT_TOKENS:
         raise errors.InvalidRequest('offset: must be a count of tokens')
     return int(text)
-
-
-def _command(body: Mapping[str, Any]) -> tuple[str, dict[str, Any]]:
-    command = body.get('command')
-    arguments = body.get('arguments', {})
-    if not isinstance(command, str) or not command:
-        raise errors.InvalidRequest('command: must be a string')
-    if not isinstance(arguments, dict):
-        raise errors.InvalidRequest('arguments: must be an object')
-    if not isinstance(arguments.get('author', ''), str):
-        raise errors.InvalidRequest('arguments.author: must be a string')
-    return command, dict(arguments)
-
-
-def _status(code: str) -> int:
-    return errors.get_error_by_code(code).status if code else HTTP_OK
--- a/bergamotstream/delivery.py
+++ b/bergamotstream/delivery.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import contextlib
-import json
 from typing import Any
 
 from aiohttp import web
@@ -187,14 +186,3 @@
         if transport is None:
             raise ConnectionResetError('the caller is gone')
         return transport.get_write_buffer_size()
-
-
-def parse_object(received: bytes) -> dict[str, Any]:
-    """Return a JSON object; raises ``invalid_request`` for anything else."""
-    try:
-        body = json.loads(received)
-    except ValueError as fault:
-        raise errors.InvalidRequest(f'body: not JSON: {fault}') from None
-    if not isinstance(body, dict):
-        raise errors.InvalidRequest('body: not a JSON object')
-    return body
--- a/bergamotstream/engines/model.py
+++ b/bergamotstream/engines/model.py
@@ -19,6 +19,8 @@
 
 BLOCK_TOKENS = 512
 CALL_TIMEOUT = aiohttp.ClientTimeout(total=2)
+# Loading weights takes much longer than other calls.
+ORDER_TIMEOUT = aiohttp.ClientTimeout(total=30)
 READ_BYTES = 65_536
 HTTP_OK = 200
 # The core attaches to these attempts again.
@@ -95,7 +97,8 @@
     ) -> Mapping[str, Any]:
         """Send an order and return ``status`` and ``state``."""
         body = {'fence': fence, 'order': dict(order)}
-        return await self._call(f'http://{address}/v1/orders', body)
+        url = f'http://{address}/v1/orders'
+        return await self._call(url, body, ORDER_TIMEOUT)
 
     async def _hold_segments(self, attempt: engines.Attempt) -> None:
         done = 0
@@ -152,10 +155,13 @@
         async with asyncio.timeout(self.silent_s):
             return await response.content.read(READ_BYTES)
 
-    async def _call(self, url: str, body: Mapping[str, Any]) -> dict[str, Any]:
-        async with self.session.post(
-            url, json=body, timeout=CALL_TIMEOUT
-        ) as response:
+    async def _call(
+        self,
+        url: str,
+        body: Mapping[str, Any],
+        limit: aiohttp.ClientTimeout = CALL_TIMEOUT,
+    ) -> dict[str, Any]:
+        async with self.session.post(url, json=body, timeout=limit) as response:
             response.raise_for_status()
             return _object(await response.read())
 
--- a/bergamotstream/hostprocess.py
+++ b/bergamotstream/hostprocess.py
@@ -13,6 +13,7 @@
 from absl import logging
 
 from bergamotstream import (
+    actions,
     attempts,
     callers,
     clock,
@@ -133,4 +134,14 @@
         spent_us = self._time.now_us() - began
         self.meters.count('core_us', kind, spent_us)
         for action in produced:
+            self._perform(action, performer)
+
+    def _perform(
+        self, action: actions.Action, performer: runner.ActionRunner
+    ) -> None:
+        kind = type(action).__name__
+        try:
             performer.perform(action)
+        except Exception:
+            self.meters.count('action_faults', kind)
+            logging.exception('%s', logs.line('action_fault', {'kind': kind}))
--- a/bergamotstream/runner.py
+++ b/bergamotstream/runner.py
@@ -141,7 +141,7 @@
         self, action: actions.AnswerAddress | actions.AnswerAdmin
     ) -> None:
         """Answer an address query or an operator's command."""
-        self._around.server.answer_query(action)
+        self._around.server.queries.answer(action)
 
     @performs(actions.WatchTarget)
     def watch_target(self, action: actions.WatchTarget) -> None:
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -7,15 +7,17 @@
 """
 
 import asyncio
+from typing import Any
 
 import defopt
-from aiohttp import web
+from aiohttp import client, web
 
 from bergamotstream import clock
 from standins import enginemodel, enginestreams, liveengine, orderbook, serving
 
 DEFAULTS = enginemodel.EngineSettings()
 MAX_BODY_BYTES = 16_000_000
+HTTP_OK = 200
 
 
 class EngineApp:
@@ -29,6 +31,7 @@
         *,
         checks_fencing: bool = True,
         restart_ms: int = 300,
+        weight_store: str = '',
     ) -> None:
         """Serve at ``address``; a crash takes ``restart_ms`` to recover."""
         time = clock.Clock()
@@ -37,6 +40,7 @@
         self.orders = orderbook.OrderBook(checks_fencing)
         self.streams = enginestreams.Streams(self.live)
         self._restart_ms = restart_ms
+        self._weight_store = weight_store
         self._listener = serving.Listener(
             self._application(), serving.parse_address(address)
         )
@@ -90,11 +94,28 @@
 
     async def _orders(self, request: web.Request) -> web.Response:
         body = await serving.read_json(request)
-        answer = self.orders.apply(
-            int(body.get('fence', 0)), body.get('order', {})
-        )
+        fence = int(body.get('fence', 0))
+        order = body.get('order', {})
+        status = self.orders.check(fence, order)
+        if status == 'done' and order['kind'] in orderbook.LOADING_KINDS:
+            status = await self._load_weights(order)
+        if status != 'done':
+            return web.json_response(self.orders.answer(status)._asdict())
+        # A newer holder may have sent an order while the weights were loaded.
+        answer = self.orders.apply(fence, order)
         return web.json_response(answer._asdict())
 
+    async def _load_weights(self, order: dict[str, Any]) -> str:
+        if not self._weight_store:
+            return 'done'
+        url = f'{self._weight_store}/weights/{order["kind"]}'
+        async with client.ClientSession() as session:
+            async with session.get(url) as response:
+                if response.status != HTTP_OK:
+                    return 'weights_unavailable'
+                await response.read()
+        return 'done'
+
     async def _faults(self, request: web.Request) -> web.Response:
         body = await serving.read_json(request)
         kind = body.get('kind', '')
@@ -134,6 +155,7 @@
     report_lag_ms: int = DEFAULTS.report_lag_ms,
     ignore_fencing: bool = False,
     restart_ms: int = 300,
+    weight_store: str = '',
 ) -> None:
     """Run a model engine stand-in.
 
@@ -148,6 +170,7 @@
     :param warm_after: finished requests after which it is warm
     :param report_lag_ms: lag of load reports and cache events
     :param ignore_fencing: obey orders whatever their fencing number
+    :param weight_store: URL from which orders load weights
     :param restart_ms: time during which a crashed engine refuses connections
     """
     settings = DEFAULTS._replace(
@@ -162,7 +185,12 @@
     )
     checks = not ignore_fencing
     app = EngineApp(
-        name, address, settings, checks_fencing=checks, restart_ms=restart_ms
+        name,
+        address,
+        settings,
+        checks_fencing=checks,
+        restart_ms=restart_ms,
+        weight_store=weight_store,
     )
     asyncio.run(_serve(app))
 
--- a/standins/orderbook.py
+++ b/standins/orderbook.py
@@ -8,7 +8,15 @@
 from collections.abc import Mapping
 from typing import Any, NamedTuple
 
-ORDER_FIELDS = ('model', 'adapter', 'version', 'role')
+# Fields that an order of each kind sets; ``state`` only reads the state back.
+FIELDS_BY_KIND: Mapping[str, frozenset[str]] = {
+    'load': frozenset(('model', 'adapter', 'version')),
+    'adapter': frozenset(('adapter',)),
+    'version': frozenset(('version',)),
+    'role': frozenset(('role',)),
+    'state': frozenset(),
+}
+LOADING_KINDS = frozenset(('load', 'adapter', 'version'))
 
 
 class OrderAnswer(NamedTuple):
@@ -27,18 +35,25 @@
         self._highest_fence = 0
         self._state: dict[str, Any] = {'role': 'both', 'version': ''}
 
-    def apply(self, fence: int, order: Mapping[str, Any]) -> OrderAnswer:
-        """Apply an order; one without fields only reads the state back."""
-        unknown = set(order) - set(ORDER_FIELDS)
-        if unknown:
-            return self._answer('unknown_order')
+    def check(self, fence: int, order: Mapping[str, Any]) -> str:
+        """Return why an order is rejected, or ``done``."""
+        known = FIELDS_BY_KIND.get(str(order.get('kind')))
+        if known is None or set(order) - known - {'kind'}:
+            return 'unknown_order'
         if self._checks_fencing and fence < self._highest_fence:
-            return self._answer('old_fence')
-        if order:
+            return 'old_fence'
+        return 'done'
+
+    def apply(self, fence: int, order: Mapping[str, Any]) -> OrderAnswer:
+        """Apply an order unless it is rejected."""
+        status = self.check(fence, order)
+        if status == 'done':
             self._highest_fence = max(fence, self._highest_fence)
-            self._state.update(order)
-        return self._answer('done')
+            wanted = {name: order[name] for name in order if name != 'kind'}
+            self._state.update(wanted)
+        return self.answer(status)
 
-    def _answer(self, status: str) -> OrderAnswer:
+    def answer(self, status: str) -> OrderAnswer:
+        """Return an answer with the present state."""
         state = {**self._state, 'fence': self._highest_fence}
         return OrderAnswer(status, state)
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -92,7 +92,11 @@
 
 
 async def test_sigterm_lets_an_open_request_finish(tmp_path):
-    """Guards against a planned stop that interrupts a request."""
+    """Guards against a planned stop that interrupts a request.
+
+    An order to the engine comes first: it uses key-value service, weight
+    store and engine by their protocols.
+    """
     planned = fleet.plan_fleet()
     planned = planned._replace(
         hosts=planned.hosts[:1],
@@ -110,6 +114,14 @@
             await fleet.start_hosts(planned, children, tmp_path, http)
             await operators.create_bundle(http, planned)
             await operators.wait_until_ready(http, planned)
+            ordered = await operators.command(
+                http,
+                host.caller_address,
+                'target.order',
+                target=planned.engines[0].name,
+                order={'kind': 'load', 'model': 'm2'},
+            )
+            assert ordered['state']['model'] == 'm2'
             url = f'http://{host.caller_address}/v1/requests'
             async with http.post(url, json=body) as response:
                 assert response.status == 200, await response.text()
--- a/tests/test_engineclients.py
+++ b/tests/test_engineclients.py
@@ -206,9 +206,13 @@
     """Guards against a deposed sender that changes a checking target."""
     for checks, status in ((True, 'old_fence'), (False, 'done')):
         book = orderbook.OrderBook(checks)
-        assert book.apply(5, {'role': 'prefill'}).status == 'done'
-        assert book.apply(4, {'role': 'decode'}).status == status
-        assert book.apply(6, {'colour': 1}).status == 'unknown_order'
+        order = {'kind': 'role', 'role': 'prefill'}
+        assert book.apply(5, order).status == 'done'
+        assert book.apply(4, {**order, 'role': 'decode'}).status == status
+        unknown = {'kind': 'role', 'colour': 1}
+        assert book.apply(6, unknown).status == 'unknown_order'
+        state = book.apply(5, {'kind': 'state'}).state
+        assert state['role'] == ('prefill' if checks else 'decode')
 
 
 def test_host_list_shows_changes_late():
