--- a/bergamotstream/admission.py
+++ b/bergamotstream/admission.py
@@ -76,7 +76,8 @@
             return
         fingerprint = waiting.request.fingerprint
         shared = self._state.blame_by_fingerprint
-        waiting.suspect = self._blame.score(fingerprint, shared) > 0
+        waiting.blame = self._blame.score(fingerprint, shared)
+        waiting.suspect = waiting.blame > 0
         if len(self.waiting_by_request) >= MAX_QUEUED:
             self._make_room()
         self.waiting_by_request[waiting.request.request_id] = waiting
@@ -248,6 +249,7 @@
         if self._blame.is_quarantined(fingerprint, shared):
             self.deny(waiting, 'request_quarantined')
             return True
+        waiting.blame = score
         if waiting.suspect or score <= 0:
             return False
         self.withdraw(waiting.request.request_id)
--- a/bergamotstream/asking.py
+++ b/bergamotstream/asking.py
@@ -54,6 +54,7 @@
         if not partition:
             return self._wait_for_owner(session)
         self.choice.sent(partition, session.request)
+        session.ownerless_since_ms = 0
         now_ms = self._state.now_ms
         session.ask = sessionstate.Ask(
             partition=partition,
@@ -160,7 +161,9 @@
     ) -> components.Actions:
         session.ask = None
         denials = session.denials_by_partition
-        waited_ms = self._state.now_ms - session.received_ms
+        if not session.ownerless_since_ms:
+            session.ownerless_since_ms = self._state.now_ms
+        waited_ms = self._state.now_ms - session.ownerless_since_ms
         if self._unowned(session) and waited_ms < MAX_OWNER_WAIT_MS:
             session.denials_by_partition = {
                 partition: denial
--- a/bergamotstream/grants.py
+++ b/bergamotstream/grants.py
@@ -38,6 +38,7 @@
         self.queued = False
         self.overtaken_tokens = 0
         self.suspect = False
+        self.blame = float(0)
 
     @property
     def cost_tokens(self) -> int:
--- a/bergamotstream/sessionstate.py
+++ b/bergamotstream/sessionstate.py
@@ -78,6 +78,7 @@
         self.may_have_run = False
         self.caller_gone_ms = 0
         self.ask_again_at_ms = 0
+        self.ownerless_since_ms = 0
 
     @property
     def repeatable(self) -> bool:
--- a/tests/test_granting.py
+++ b/tests/test_granting.py
@@ -211,6 +211,36 @@
     assert set(world.core.state.own_blame_by_fingerprint) == {666}
 
 
+def test_many_suspects_of_one_crash_still_make_their_deadlines():
+    """Guards against innocents that wait for their turn to run alone."""
+    world = simulation.Simulation(4)
+    calls = burst(world, range(100), output=300, at_ms=900)
+
+    def crash():
+        engines = world.engines.values()
+        engine = max(engines, key=lambda each: len(each.sequences_by_attempt))
+        world.crash(engine.name)
+
+    world.at(3_900, crash)
+    world.run_until(4_000)
+    lost = [call for call in calls if call.lost]
+    assert len(lost) >= 16
+    again = [
+        world.submit(
+            arrival(
+                100 + number,
+                fingerprint=call.arrival.request.fingerprint,
+                output=60,
+                at_ms=4_000,
+                remaining_ms=10_000,
+            )
+        )
+        for number, call in enumerate(lost)
+    ]
+    world.run_until(MINUTE_MS)
+    assert all(call.done_ms for call in again)
+
+
 @pytest.mark.parametrize('how', ['host_list', 'bundle', 'report'])
 def test_leaving_target_gets_no_new_work(how):
     """Guards against new work for a target that is being drained."""
