Recover a cell whose majority of members is gone for good

Cause: a record change needs a majority that reports the current epoch, so after the loss of most members, or the replacement of all at once, the record could not change and nothing was owned again. Change: members that the host list no longer shows and that have been silent for the removal time are removed together when all others are accounted for. Ruled out: removing silent members that are still listed (a cut-off majority would own beside the minority); a test guards this.

--- a/bergamotstream/cellrecord.py
+++ b/bergamotstream/cellrecord.py
@@ -173,16 +173,27 @@
 
     def _note_settled(self) -> None:
         record = self.state.record
-        if record is None or self._count_reports(record) < majority(record):
+        if record is None or not self._is_confirmed(record):
             self._settled_since_ms = None
         elif self._settled_since_ms is None:
             self._settled_since_ms = self.state.now_ms
 
+    def _is_confirmed(self, record: records.CellRecord) -> bool:
+        """Tell whether no other majority can report an earlier epoch.
+
+        Without a majority that is so only when the platform's host list
+        shows that each member that does not report is gone for good.
+        """
+        reports = self._count_reports(record)
+        if reports >= majority(record):
+            return True
+        return reports + len(self._gone(record)) == len(record.members)
+
     def _is_settled(self, record: records.CellRecord) -> bool:
         """Tell whether nobody can still own by the epoch before this one.
 
-        A majority reports this epoch, and has done so for longer than an
-        owner may rely on what the same hosts reported before.
+        The record must have been confirmed for longer than an owner may rely
+        on what the same hosts reported before.
         """
         since_ms = self._settled_since_ms
         if since_ms is None or record != self.state.record:
@@ -198,35 +209,45 @@
 
     def _changed_members(self, record: records.CellRecord) -> tuple[str, ...]:
         """Return the members after the next change; empty if none is due."""
-        host = self.state.host
-        members = record.members
         if not self._is_settled(record):
             return ()
-        if host not in members:
-            is_full = len(members) >= self.state.settings.limits.cell_hosts
-            if is_full or host in self.state.leaving_hosts:
-                return ()
-            return (*members, host)
-        gone = self._first_gone(record)
-        return tuple(name for name in members if name != gone) if gone else ()
-
-    def _first_gone(self, record: records.CellRecord) -> str:
+        members = record.members
+        if self._count_reports(record) < majority(record):
+            # Most members are gone for good, so no majority can form until
+            # all of them have been removed.
+            gone = self._gone(record)
+            members = tuple(name for name in members if name not in gone)
+            return self._with_host(members)
+        if self.state.host not in members:
+            joined = self._with_host(members)
+            return () if joined == members else joined
+        first_gone = self._gone(record)[:1]
+        if not first_gone:
+            return ()
+        return tuple(name for name in members if name not in first_gone)
+
+    def _with_host(self, members: tuple[str, ...]) -> tuple[str, ...]:
+        host = self.state.host
+        is_full = len(members) >= self.state.settings.limits.cell_hosts
+        if host in members or is_full or host in self.state.leaving_hosts:
+            return members
+        return (*members, host)
+
+    def _gone(self, record: records.CellRecord) -> tuple[str, ...]:
+        """Return the members that are not listed and have long been silent."""
         if not self.listed_hosts:
-            return ''
-        present = [
+            return ()
+        present = {self.state.host, *self.state.live_peers}
+        # Later hosts wait longer, so that usually one host writes.
+        turn = sorted(present).index(self.state.host)
+        timing = self.state.settings.timing
+        wait_ms = timing.member_removal_ms + turn * timing.takeover_ms
+        return tuple(
             member
             for member in record.members
-            if member == self.state.host or member in self.state.live_peers
-        ]
-        # Later members wait longer, so that usually one host writes.
-        timing = self.state.settings.timing
-        wait_ms = present.index(self.state.host) * timing.takeover_ms
-        wait_ms += timing.member_removal_ms
-        for member in record.members:
-            is_listed = member in self.listed_hosts
-            if not is_listed and self.state.peers.silence_ms(member) >= wait_ms:
-                return member
-        return ''
+            if member not in self.listed_hosts
+            and self.state.peers.silence_ms(member) >= wait_ms
+        )
 
     def _begin(self, proposal: records.CellRecord | None = None) -> str:
         self._operation_id = f'{OPERATION_PREFIX}{self.state.new_id()}'
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -208,6 +208,32 @@
     assert {cell.record(name).epoch for name in cell.cores} == {4}
 
 
+@pytest.mark.parametrize('survivors', [2, 0])
+def test_cell_recovers_when_most_members_are_gone(survivors):
+    """Guards against a record whose majority can never report again."""
+    cell = started(5)
+    for index in range(survivors, 5):
+        cell.kill(f'h{index}')
+        cell.listed.pop(f'h{index}')
+    for index in range(5, 8):
+        cell.start(f'h{index}')
+    cell.run_until(cell.all_owned, 40_000)
+    cell.run(20_000)
+    expected = [f'h{index}' for index in (*range(survivors), 5, 6, 7)]
+    assert sorted(cell.stored_record().members) == expected
+
+
+def test_silent_but_listed_majority_is_not_removed():
+    """Guards against a minority that takes over from a cut-off majority."""
+    cell = started(5)
+    others = ('h0', 'h1', 'h2')
+    for name in others:
+        cell.cuts.update(frozenset((name, end)) for end in ('h3', 'h4'))
+    cell.run(30_000)
+    assert len(cell.stored_record().members) == 5
+    assert not cell.cores['h3'].state.owned_partitions
+
+
 def test_kv_is_not_busy_while_it_is_down():
     """Guards against retries without a delay during an outage."""
     cell = cellfake.CellFake(1)
