Say "may have run" from the dispatch on

The core took AttemptStarted as the first sign of execution. A plain target says nothing before its answer, and an engine's first byte may be late, so a deadline or an expired grant in between was reported as "not run". From the dispatch on a request may have run; only a refusal by the target takes that back. Ruled out: sending AttemptStarted when the connection is open, because a later refusal could not be told from a run. The new test fails without the change.

--- a/bergamotstream/heldgrants.py
+++ b/bergamotstream/heldgrants.py
@@ -46,6 +46,9 @@
             return []
         session.stage = 'running'
         if not resume:
+            # Until the target answers, the attempt may run there.
+            session.may_have_run_before = session.may_have_run
+            session.may_have_run = True
             attempt = attempt._replace(dispatched_ms=self._state.now_ms)
             session.attempt = attempt
         return [
--- a/bergamotstream/sessions.py
+++ b/bergamotstream/sessions.py
@@ -246,8 +246,9 @@
             return []
         progressed = event.offset > session.offset
         session.offset = max(session.offset, event.offset)
-        if event.kind != 'refused':
-            session.may_have_run = True
+        session.may_have_run = True
+        if event.kind == 'refused':
+            session.may_have_run = session.may_have_run_before
         if event.kind == 'rejected':
             return self._fail_rejected(session)
         if event.kind in RESUMABLE and session.resumable:
--- a/bergamotstream/sessionstate.py
+++ b/bergamotstream/sessionstate.py
@@ -75,6 +75,8 @@
         self.denials_by_partition: dict[str, tuple[str, int]] = {}
         self.pending_finds: set[str] = set()
         self.may_have_run = False
+        # Whether it may have run before the present dispatch.
+        self.may_have_run_before = False
         self.caller_gone_ms = 0
         self.ask_again_at_ms = 0
 
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -121,6 +121,23 @@
     assert corekit.actions_of(produced, actions.CancelAttempt)
 
 
+def test_dispatched_request_without_any_answer_may_have_run():
+    """Guards against "not run" for a call whose answer is still to come.
+
+    A plain target says nothing before its answer, so a deadline in between
+    was reported as "not run".
+    """
+    host = corekit.Host()
+    running(host)
+    produced = host.send(events.Tick(), 10_000)
+    assert refusals(produced)[0].run_state == 'may_have_run'
+    other = corekit.Host()
+    running(other)
+    other.send(events.AttemptFailed('a1', 'refused', 0))
+    produced = other.send(events.Tick(), 10_000)
+    assert refusals(produced)[0].run_state == 'not_run'
+
+
 def test_lost_stream_is_resumed_and_dead_target_replaced():
     """Guards against a caller that gets only a part of its answer."""
     host = corekit.Host()
