--- a/bergamotstream/partitionowner.py
+++ b/bergamotstream/partitionowner.py
@@ -10,11 +10,11 @@
     actions,
     admission,
     adoption,
+    assignments,
     crashes,
     events,
     grants,
     granttable,
-    groups,
     messages,
     placing,
     quarantine,
@@ -79,6 +79,7 @@
                 self._out.append(actions.WatchTarget(info))
             target.info = info
             target.leaving_by_operator = info.name in leaving
+        self.admission.placer.refresh()
         self._deny_without_targets()
 
     def drop(self) -> None:
@@ -87,6 +88,17 @@
             self._out.append(actions.UnwatchTarget(name))
         self.admission.deny_all('no_owner')
 
+    def take_over(self, previous: 'PartitionOwner') -> None:
+        """Continue with the requests and watches of an older state."""
+        watched = [
+            actions.WatchTarget(target.info)
+            for target in previous.targets_by_name.values()
+        ]
+        self._out = [action for action in self._out if action not in watched]
+        for waiting in previous.admission.waiting_by_request.values():
+            self.admission.submit(waiting)
+        previous.admission.waiting_by_request.clear()
+
     def request(self, message: messages.GrantRequest, asker: str) -> None:
         """Queue a request, or repeat the answer that it has had."""
         request_id = message.request.request_id
@@ -143,15 +155,13 @@
         if grant is None or grant.holder != sender:
             return
         now_ms = self._state.now_ms
+        if message.outcome == 'finished':
+            self._learn_end(grant, message)
         for target in self._targets_of(grant):
-            if message.outcome == 'finished':
-                target.learn_end(grant, message, now_ms)
-            elif message.outcome == 'not_run':
+            if message.outcome == 'not_run':
                 target.back_off(now_ms)
             elif message.outcome == 'target_lost':
                 self._crashes.target_lost(target, grant)
-        if message.outcome == 'finished' and grant.suspect:
-            self._blame.clear(grant.request.fingerprint, now_ms)
         self._end_grant(grant, message.outcome)
 
     def find(self, request_id: str, asker: str) -> None:
@@ -215,7 +225,7 @@
             self._state.own_loads_by_partition[self.partition] = load
 
     def _grant(
-        self, waiting: grants.Waiting, placement: placing.Placement
+        self, waiting: grants.Waiting, placement: assignments.Placement
     ) -> None:
         now_ms = self._state.now_ms
         granted = tuple(
@@ -240,20 +250,10 @@
         self.admission.placer.grant_started(grant)
 
     def _adopt(self, holding: records.Holding, sender: str) -> None:
-        request = holding.request
-        message = messages.GrantRequest(
-            self.partition,
-            request,
-            holding.remaining_ms,
-            self._priority_of(request.workspace),
+        grant, needs = adoption.grant_of_holding(
+            self.partition, holding, sender, self._state
         )
-        waiting = grants.Waiting(message, sender, self._state.now_ms)
-        grant = grants.Grant(
-            holding.attempt_id, waiting, holding.targets, self._state.now_ms
-        )
-        segments = groups.segments_of(holding.targets, request)
-        needs = self.admission.placer.needs_of(waiting, segments)
-        for entry, need in zip(holding.targets, needs, strict=True):
+        for entry, need in zip(grant.targets, needs, strict=True):
             target = self.targets_by_name.get(entry.name)
             if target is not None:
                 target.occupy(
@@ -264,11 +264,19 @@
                 )
         self._add_grant(grant)
 
-    def _priority_of(self, workspace: str) -> int:
-        bundle = self._state.bundle
-        if bundle is None or workspace not in bundle.workspaces_by_name:
-            return 0
-        return bundle.workspaces_by_name[workspace].priority
+    def _learn_end(
+        self, grant: grants.Grant, message: messages.GrantRelease
+    ) -> None:
+        now_ms = self._state.now_ms
+        if grant.suspect:
+            self._blame.clear(grant.request.fingerprint, now_ms)
+        self.admission.forecast.learn_output(
+            message.output_tokens, grant.request.max_output_tokens
+        )
+        # The other targets of a group have finished no attempt.
+        target = self.targets_by_name.get(grant.targets[0].name)
+        if target is not None:
+            target.learn_end(grant, message, now_ms)
 
     def _targets_of(self, grant: grants.Grant) -> list[targetstate.TargetState]:
         return [
@@ -312,10 +320,7 @@
         self._out.append(actions.UnwatchTarget(name))
 
     def _deny_without_targets(self) -> None:
-        staying = [
-            target
-            for target in self.targets_by_name.values()
-            if not target.leaving
-        ]
-        if not staying:
+        if not any(
+            not target.leaving for target in self.targets_by_name.values()
+        ):
             self.admission.deny_all('no_target')
--- a/bergamotstream/sessionstate.py
+++ b/bergamotstream/sessionstate.py
@@ -21,6 +21,7 @@
     partition: str
     targets: tuple[records.GrantedTarget, ...]
     engine_priority: int
+    asked_ms: int = 0
     dispatched_ms: int = 0
     started: bool = False
     first_token_ms: int = 0
@@ -79,6 +80,7 @@
         self.may_have_run_before = False
         self.caller_gone_ms = 0
         self.ask_again_at_ms = 0
+        self.ownerless_since_ms = 0
 
     @property
     def repeatable(self) -> bool:
