Say "may have run" from the dispatch on; return unused grants as unused

Found by tests/test_failures.py, which signals real processes.

After SIGSTOP of an entry host for 4 s, two of eight non-idempotent calls were refused with "not_run" although the plain service had run each of them once. Cause: the session noted that a request may have run only when AttemptStarted was handled. A resumed host handled GrantExpired, which was ahead of it in the queue, and refused with the older state. Ruled out: a second execution (the service counted one per key) and the claim log (the claim was confirmed before the pause). The note is now made at the dispatch and withdrawn only if the target certainly refused. It also covers repeatable requests whose grant expired, which forgot a run in the same way.

With the KV service paused, the sixth refused call got "no_target" instead of "claims_unavailable". Cause: a grant that was returned because the claim (or the charge) was refused carried the outcome "not_run", which makes the owner avoid the target for a time that doubles; a workspace over its limit could so close targets for all others. Such grants now carry "unused". The owner treats an outcome it does not know as "cancelled": it frees the room with the next load report. Adding "unused" to CERTAIN_OUTCOMES in partitionowner.py would free it at once; that module is not changed here.

--- a/bergamotstream/heldgrants.py
+++ b/bergamotstream/heldgrants.py
@@ -44,7 +44,7 @@
         attempt = session.attempt
         if attempt is None:
             return []
-        session.stage = 'running'
+        session.note_dispatch()
         if not resume:
             attempt = attempt._replace(dispatched_ms=self._state.now_ms)
             session.attempt = attempt
@@ -126,7 +126,7 @@
         if message.attempt_id in self.sessions_by_attempt:
             return []
         release = messages.GrantRelease(
-            message.partition, message.attempt_id, 'not_run'
+            message.partition, message.attempt_id, 'unused'
         )
         return [actions.SendMessage(sender, release)]
 
--- a/bergamotstream/messages.py
+++ b/bergamotstream/messages.py
@@ -121,7 +121,8 @@
 class GrantRelease(NamedTuple):
     """Ends a grant.
 
-    ``outcome`` is ``finished``, ``not_run``, ``failed``, ``cancelled`` or
+    ``outcome`` is ``finished``, ``not_run`` (the target refused it),
+    ``unused`` (nothing was sent to the target), ``failed``, ``cancelled`` or
     ``target_lost``.
     """
 
--- a/bergamotstream/sessions.py
+++ b/bergamotstream/sessions.py
@@ -173,8 +173,8 @@
             engine_priority=session.workspace.priority,
             started=True,
         )
-        session.may_have_run = True
         self._grants.hold(session, attempt)
+        session.may_have_run = True
         return self._grants.dispatch(session, resume=True)
 
     @components.handles(messages.GrantExpired)
@@ -211,8 +211,8 @@
     def started(self, event: events.AttemptStarted) -> components.Actions:
         """Note that the target accepted the attempt."""
         session = self._grants.sessions_by_attempt.get(event.attempt_id)
-        if session is not None:
-            session.may_have_run = True
+        if session is not None and session.attempt is not None:
+            session.attempt = session.attempt._replace(started=True)
         return []
 
     @components.handles(events.FirstToken)
@@ -221,7 +221,6 @@
         session = self._grants.sessions_by_attempt.get(event.attempt_id)
         if session is None or session.attempt is None:
             return []
-        session.may_have_run = True
         return self._grants.first_token(session, session.attempt)
 
     @components.handles(events.AttemptFinished)
@@ -231,7 +230,6 @@
         if session is None:
             return []
         session.offset = event.output_tokens
-        session.may_have_run = True
         return [
             *self._grants.end(session, 'finished'),
             *self._claiming.ran(session, event.answer),
@@ -246,8 +244,8 @@
             return []
         progressed = event.offset > session.offset
         session.offset = max(session.offset, event.offset)
-        if event.kind != 'refused':
-            session.may_have_run = True
+        if event.kind == 'refused':
+            session.note_refusal()
         if event.kind == 'rejected':
             return self._fail_rejected(session)
         if event.kind in RESUMABLE and session.resumable:
@@ -409,7 +407,7 @@
         run_state: records.RunState | None = None,
     ) -> components.Actions:
         """Give the final answer now and return what the request held."""
-        outcome = 'cancelled' if session.stage == 'running' else 'not_run'
+        outcome = 'cancelled' if session.stage == 'running' else 'unused'
         return [
             *self._asking.withdraw(session),
             *self._claiming.given_up(session),
@@ -428,7 +426,7 @@
         self, session: sessionstate.Session, answer: bytes
     ) -> components.Actions:
         return [
-            *self._grants.end(session, 'not_run'),
+            *self._grants.end(session, 'unused'),
             *self._close(session),
             actions.Count('answers', session.service.name),
             actions.FinishRequest(session.request.request_id, answer),
--- a/bergamotstream/sessionstate.py
+++ b/bergamotstream/sessionstate.py
@@ -75,6 +75,7 @@
         self.denials_by_partition: dict[str, tuple[str, int]] = {}
         self.pending_finds: set[str] = set()
         self.may_have_run = False
+        self._had_run = False
         self.caller_gone_ms = 0
         self.ask_again_at_ms = 0
 
@@ -101,6 +102,20 @@
         """Tell whether a running attempt can be attached to again."""
         return self.repeatable and self.service.kind == 'model'
 
+    def note_dispatch(self) -> None:
+        """Note that a target may run the request from now on.
+
+        The target's confirmation may be handled after the message that ends
+        the request, for example when the host was paused in between.
+        """
+        self.stage = 'running'
+        self._had_run = self.may_have_run
+        self.may_have_run = True
+
+    def note_refusal(self) -> None:
+        """Note that the last dispatch certainly did not run."""
+        self.may_have_run = self._had_run
+
     def restart_asking(self) -> None:
         """Return to asking for a grant."""
         self.ask = None
--- a/demo/processes.py
+++ b/demo/processes.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import pathlib
+import signal
 import socket
 import sys
 from collections.abc import Mapping, Sequence
@@ -67,6 +68,18 @@
         lines = self._log_path(name).read_text().splitlines()
         return '\n'.join(lines[-LOG_TAIL_LINES:])
 
+    def kill(self, name: str) -> None:
+        """End a process at once, as a failing machine does."""
+        self._children[name].kill()
+
+    def pause(self, name: str) -> None:
+        """Pause a process until :meth:`resume`."""
+        self._children[name].send_signal(signal.SIGSTOP)
+
+    def resume(self, name: str) -> None:
+        """Let a paused process go on."""
+        self._children[name].send_signal(signal.SIGCONT)
+
     async def stop(
         self, names: Sequence[str], limit_s: float = STOP_LIMIT_S
     ) -> dict[str, int]:
