--- a/bergamotstream/heldgrants.py
+++ b/bergamotstream/heldgrants.py
@@ -44,11 +44,8 @@
         attempt = session.attempt
         if attempt is None:
             return []
-        session.stage = 'running'
+        session.note_dispatch()
         if not resume:
-            # Until the target answers, the attempt may run there.
-            session.may_have_run_before = session.may_have_run
-            session.may_have_run = True
             attempt = attempt._replace(dispatched_ms=self._state.now_ms)
             session.attempt = attempt
         return [
@@ -129,7 +126,7 @@
         if message.attempt_id in self.sessions_by_attempt:
             return []
         release = messages.GrantRelease(
-            message.partition, message.attempt_id, 'not_run'
+            message.partition, message.attempt_id, 'unused'
         )
         return [actions.SendMessage(sender, release)]
 
--- a/bergamotstream/partitionowner.py
+++ b/bergamotstream/partitionowner.py
@@ -24,7 +24,9 @@
 )
 
 # Outcomes after which the target certainly holds no memory of the attempt.
-CERTAIN_OUTCOMES = frozenset(('finished', 'not_run'))
+CERTAIN_OUTCOMES = frozenset(('finished', 'not_run', 'unused'))
+# Outcomes after which the other targets of a group hold nothing either.
+UNSENT_OUTCOMES = frozenset(('not_run', 'unused'))
 LOAD_INTERVAL_MS = 250
 
 
@@ -294,7 +296,7 @@
         self.admission.placer.grant_ended(grant)
         now_ms = self._state.now_ms
         # Targets of a group keep their segment until it is cancelled.
-        kept = len(grant.targets) > 1 and outcome != 'not_run'
+        kept = len(grant.targets) > 1 and outcome not in UNSENT_OUTCOMES
         for target in self._targets_of(grant):
             if outcome in CERTAIN_OUTCOMES and not kept:
                 target.free(grant.attempt_id, now_ms)
--- a/bergamotstream/sessions.py
+++ b/bergamotstream/sessions.py
@@ -174,8 +174,8 @@
             engine_priority=session.workspace.priority,
             started=True,
         )
-        session.may_have_run = True
         self._grants.hold(session, attempt)
+        session.may_have_run = True
         return self._grants.dispatch(session, resume=True)
 
     @components.handles(messages.GrantExpired)
@@ -217,8 +217,8 @@
     def started(self, event: events.AttemptStarted) -> components.Actions:
         """Note that the target accepted the attempt."""
         session = self._grants.sessions_by_attempt.get(event.attempt_id)
-        if session is not None:
-            session.may_have_run = True
+        if session is not None and session.attempt is not None:
+            session.attempt = session.attempt._replace(started=True)
         return []
 
     @components.handles(events.FirstToken)
@@ -227,7 +227,6 @@
         session = self._grants.sessions_by_attempt.get(event.attempt_id)
         if session is None or session.attempt is None:
             return []
-        session.may_have_run = True
         return self._grants.first_token(session, session.attempt)
 
     @components.handles(events.AttemptFinished)
@@ -237,7 +236,6 @@
         if session is None:
             return []
         session.offset = event.output_tokens
-        session.may_have_run = True
         return [
             *self._grants.end(session, 'finished'),
             *self._claiming.ran(session, event.answer),
@@ -252,9 +250,8 @@
             return []
         progressed = event.offset > session.offset
         session.offset = max(session.offset, event.offset)
-        session.may_have_run = True
         if event.kind == 'refused':
-            session.may_have_run = session.may_have_run_before
+            session.note_refusal()
         if event.kind == 'rejected':
             return self._fail_rejected(session)
         if event.kind in RESUMABLE and session.resumable:
@@ -368,7 +365,7 @@
         attempt = session.attempt
         if attempt is not None and self._asking.is_leased(attempt.asked_ms):
             return self._grants.dispatch(session)
-        produced = self._grants.end(session, 'not_run')
+        produced = self._grants.end(session, 'unused')
         if not session.repeatable:
             return [
                 *produced,
@@ -431,7 +428,7 @@
         run_state: records.RunState | None = None,
     ) -> components.Actions:
         """Give the final answer now and return what the request held."""
-        outcome = 'cancelled' if session.stage == 'running' else 'not_run'
+        outcome = 'cancelled' if session.stage == 'running' else 'unused'
         return [
             *self._asking.withdraw(session),
             *self._claiming.given_up(session),
@@ -450,7 +447,7 @@
         self, session: sessionstate.Session, answer: bytes
     ) -> components.Actions:
         return [
-            *self._grants.end(session, 'not_run'),
+            *self._grants.end(session, 'unused'),
             *self._close(session),
             actions.Count('answers', session.service.name),
             actions.FinishRequest(session.request.request_id, answer),
