--- a/bench/claims.py
+++ b/bench/claims.py
@@ -47,7 +47,7 @@
 class ClaimRun:
     """One owner, one store and claims that arrive at random."""
 
-    def __init__(self, rate: int, kv_ms: int) -> None:
+    def __init__(self, rate: int, kv_ms: int, batch_ms: int) -> None:
         """``rate`` is claims a second, ``kv_ms`` one way to the store."""
         self._rate = rate
         self._kv_ms = kv_ms
@@ -61,7 +61,15 @@
         self._keys = 0
         platform = settings.Platform(kv='', host_list='')
         self._core = core.HostCore(
-            settings.Settings('h1', 'z1', 'c1', '', '', platform),
+            settings.Settings(
+                'h1',
+                'z1',
+                'c1',
+                '',
+                '',
+                platform,
+                timing=settings.Timing(claim_batch_ms=batch_ms),
+            ),
             'i1',
             [claims.Claims],
         )
@@ -140,16 +148,21 @@
 
 
 def measure(
-    *, rates: tuple[int, ...] = (5, 20, 200), kv_ms: int = 2, seconds: int = 120
+    *,
+    rates: tuple[int, ...] = (5, 20, 200),
+    kv_ms: int = 2,
+    seconds: int = 120,
+    batch_ms: int = 20,
 ) -> None:
     """Print one line for each rate of claims.
 
     :param rates: Claims a second.
     :param kv_ms: One-way latency of the key-value service.
     :param seconds: Virtual duration of a run.
+    :param batch_ms: Shortest time between two segments.
     """
     for rate in rates:
-        figures = ClaimRun(rate, kv_ms).run(seconds)
+        figures = ClaimRun(rate, kv_ms, batch_ms).run(seconds)
         latencies = figures.latencies_ms
         shown = ' '.join(
             f'p{percentile}={latencies[len(latencies) * percentile // 100]}'
