Learn prefill speed by time for each token; keep more targets clear of long prompts

Cause 1: the learned speed was a mean of speeds, which a few short samples draw up. A busy target looked fast (22,000 tokens/s learned, 16,800 measured), got more requests and gave few samples to correct it: predictions were 72 ms (p50) too low with 16 or more attempts running. Cause 2: in partitions of 5 targets long prompts used up to 4. Cause 3: a cold target with a low learned speed was never chosen again, so it stayed cold (found by the test of warming up once the speeds were right). Ruled out: queueing at the owner (0 of 125 slow requests waited) and the choice of the partition.

--- a/bergamotstream/demand.py
+++ b/bergamotstream/demand.py
@@ -12,12 +12,12 @@
 
 # Time over which the demand is averaged.
 WINDOW_MS = 20_000
-# Targets kept clear of long prompts are loaded by the other prompts to the
-# first value while few long prompts wait, and to the second with a backlog,
-# when the others must share some targets with long prompts. Lower values make
-# short prompts hardly faster and long prompts wait much longer.
-CLEAR_LOAD = 0.8
-BACKLOG_LOAD = 1.2
+# Targets kept clear of long prompts: the demand of the other prompts in
+# targets plus this many times its square root, first while few long prompts
+# wait, second with a backlog. A few targets need more spare room than many for
+# the same wait. Source: square-root staffing, Halfin and Whitt, 1981.
+CLEAR_SPARE = 1.5
+BACKLOG_SPARE = 0.5
 # Waiting tokens of long prompts for each target at which the limit is widest.
 BACKLOG_TOKENS = 200_000
 MS_PER_S = 1_000
@@ -61,8 +61,9 @@
     ``others_targets`` is the demand of the other prompts in targets. The
     result is at least 1, and at most all but one of several targets.
     """
-    narrow = targets - math.ceil(others_targets / CLEAR_LOAD)
-    wide = targets - math.ceil(others_targets / BACKLOG_LOAD)
+    spare = math.sqrt(others_targets)
+    narrow = targets - math.ceil(others_targets + CLEAR_SPARE * spare)
+    wide = targets - math.ceil(others_targets + BACKLOG_SPARE * spare)
     narrow = max(narrow, targets // 4)
     backlog = waiting_long_tokens / (BACKLOG_TOKENS * max(targets, 1))
     limit = narrow + round(max(wide - narrow, 0) * min(backlog, 1))
--- a/bergamotstream/policies/predictive.py
+++ b/bergamotstream/policies/predictive.py
@@ -20,7 +20,7 @@
 # One prompt that is processed and one that waits keep an engine busy.
 MAX_AHEAD = 1
 # An idle cold target is given a short request after this time, else it would
-# stay cold for as long as warm ones suffice. Medium ones go there at once.
+# stay cold for as long as warm ones suffice. Medium ones go there earlier.
 IDLE_COLD_MS = 5_000
 
 
@@ -53,7 +53,10 @@
             if ahead.prefills > MAX_AHEAD or ahead.tokens > window:
                 continue
             predicted_ms = target.predicted_ttft_ms(need, ahead)
-            if _should_warm(target, need, now_ms):
+            if _is_long_idle(target, now_ms):
+                # Whatever its learned speed is, it must warm up.
+                predicted_ms = 0
+            elif _should_warm(target, need):
                 predicted_ms /= prediction.COLD_FACTOR
             rating = (predicted_ms, target.running, target.name)
             if best is None or rating < best:
@@ -61,12 +64,15 @@
         return chosen
 
 
-def _should_warm(
-    target: targetstate.TargetState, need: occupancy.Need, now_ms: int
-) -> bool:
-    """Tell whether a cold target should be chosen as if it were warm."""
+def _is_long_idle(target: targetstate.TargetState, now_ms: int) -> bool:
+    """Tell whether a cold target has waited long for a request."""
     if not target.cold_start.slow or target.running:
         return False
-    if need.length_class == 'medium':
-        return True
     return now_ms - target.idle_since_ms >= IDLE_COLD_MS
+
+
+def _should_warm(target: targetstate.TargetState, need: occupancy.Need) -> bool:
+    """Tell whether a cold target should be chosen as if it were warm."""
+    if not target.cold_start.slow or target.running:
+        return False
+    return need.length_class == 'medium'
--- a/bergamotstream/prediction.py
+++ b/bergamotstream/prediction.py
@@ -55,11 +55,12 @@
             self._prefill_samples += 1
             # The stated speed counts as one sample.
             weight = max(weight, 1 / (self._prefill_samples + 1))
-        self.prefill_tokens_per_s = _average(
-            self.prefill_tokens_per_s,
-            sample,
-            self._stated.prefill_tokens_per_s,
-            weight,
+        # The mean of the time for each token. A mean of speeds is drawn up by
+        # a few short samples, and a target that looks fast gets more work.
+        present = 1 / self.prefill_tokens_per_s
+        bounded = _bounded(sample, self._stated.prefill_tokens_per_s)
+        self.prefill_tokens_per_s = 1 / (
+            present + weight * (1 / bounded - present)
         )
 
     def learn_decode(self, tokens: int, duration_ms: int) -> None:
@@ -227,12 +228,10 @@
     return entry.priority
 
 
-def _average(
-    present: float,
-    sample: float,
-    stated: float,
-    weight: float = SAMPLE_WEIGHT,
-) -> float:
+def _bounded(sample: float, stated: float) -> float:
     low, high = stated * SLOWEST_FACTOR, stated * FASTEST_FACTOR
-    bounded = min(max(sample, low), high)
-    return present + weight * (bounded - present)
+    return min(max(sample, low), high)
+
+
+def _average(present: float, sample: float, stated: float) -> float:
+    return present + SAMPLE_WEIGHT * (_bounded(sample, stated) - present)
