--- a/demo/caller.py
+++ b/demo/caller.py
@@ -108,7 +108,8 @@
             try:
                 await self._send(url, body, collected)
             except (aiohttp.ClientError, OSError):
-                if body.get('idempotency_key') or attempt == MAX_TRIES:
+                # A key makes it safe to send a request again.
+                if attempt == MAX_TRIES:
                     raise
             wait_ms = collected.error.get('retry_after_ms', 0)
             if collected.done or (collected.error and not wait_ms):
