--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import collections
+import contextlib
 import pathlib
 import sys
 import tempfile
@@ -16,20 +17,21 @@
 import aiohttp
 import defopt
 
-from demo import caller, fleet, operators, processes, report, workload
+from demo import caller, faults, fleet, operators, processes, report, workload
 
 START_LIMIT_S = 30
 
 
 async def run_load(
-    planned: fleet.Fleet, http: aiohttp.ClientSession, requests: int
+    planned: fleet.Fleet,
+    http: aiohttp.ClientSession,
+    load: list[workload.PlannedRequest],
 ) -> list[caller.Outcome]:
     """Send all requests at their times and return their outcomes."""
     callers = caller.Caller(http, planned.hosts[0].caller_address)
     began_s = time.monotonic()
     tasks = [
-        callers.run_at(request, began_s + request.at_s)
-        for request in workload.plan_load(requests)
+        callers.run_at(request, began_s + request.at_s) for request in load
     ]
     return list(await asyncio.gather(*tasks))
 
@@ -59,40 +61,54 @@
     outcomes: list[caller.Outcome], executions: collections.Counter[str]
 ) -> list[str]:
     """Return the keys that ran twice, or ran although refused."""
-    faults = []
+    wrong = []
     for outcome in outcomes:
         count = executions[outcome.key] if outcome.key else 0
         wanted = {'answered': {1}, 'refused': {0}}.get(outcome.state, {0, 1})
         if outcome.key and count not in wanted:
-            faults.append(f'{outcome.key}: {outcome.state}, ran {count} times')
-    return faults
+            wrong.append(f'{outcome.key}: {outcome.state}, ran {count} times')
+    return wrong
 
 
 async def demonstrate(
-    requests: int, folder: pathlib.Path, children: processes.Processes
+    requests: int,
+    folder: pathlib.Path,
+    children: processes.Processes,
+    *,
+    with_faults: bool,
 ) -> bool:
     """Run everything; return whether every answer was whole and its own."""
     planned = fleet.plan_fleet()
     unlimited = aiohttp.TCPConnector(limit=0)
-    async with aiohttp.ClientSession(connector=unlimited) as http:
+    async with contextlib.AsyncExitStack() as cleanup:
+        http = await cleanup.enter_async_context(
+            aiohttp.ClientSession(connector=unlimited)
+        )
         async with asyncio.timeout(START_LIMIT_S):
             await fleet.start_platform(planned, children, http)
             await fleet.start_hosts(planned, children, folder, http)
             await operators.create_bundle(http, planned)
             await operators.wait_until_ready(http, planned)
         print(f'{len(planned.hosts)} hosts are ready; {requests} requests')
-        outcomes = await run_load(planned, http, requests)
+        tokens = workload.OUTPUT_TOKENS
+        if with_faults:
+            tokens = workload.LONG_OUTPUT_TOKENS
+            injecting = asyncio.create_task(
+                faults.inject(planned, children, http)
+            )
+            cleanup.callback(injecting.cancel)
+        load = workload.plan_load(requests, tokens)
+        outcomes = await run_load(planned, http, load)
         executions = await count_executions(planned, http)
     report.print_report(outcomes)
-    faults = check_executions(outcomes, executions)
-    crashed = children.ended()
-    for fault in (*faults, *(f'{name} has ended' for name in crashed)):
-        print(f'  {fault}')
+    wrong = check_executions(outcomes, executions)
+    wrong.extend(f'{name} has ended' for name in children.ended())
+    for line in wrong:
+        print(f'  {line}')
     names = [host.name for host in planned.hosts]
-    statuses = await children.stop(names)
+    statuses = await children.stop(children.running(names))
     print(f'graceful stop of the hosts: exit statuses {statuses}')
-    stopped = not any(statuses.values())
-    return stopped and not crashed and not faults and _all_whole(outcomes)
+    return not any(statuses.values()) and not wrong and _all_whole(outcomes)
 
 
 def _all_whole(outcomes: list[caller.Outcome]) -> bool:
@@ -100,12 +116,16 @@
     return 'answered' in states and not states & {'failed', 'wrong'}
 
 
-async def supervise(requests: int, limit_s: int, folder: pathlib.Path) -> bool:
+async def supervise(
+    requests: int, limit_s: int, folder: pathlib.Path, *, with_faults: bool
+) -> bool:
     """Stop all processes whatever happens."""
     children = processes.Processes(folder)
     try:
         async with asyncio.timeout(limit_s):
-            return await demonstrate(requests, folder, children)
+            return await demonstrate(
+                requests, folder, children, with_faults=with_faults
+            )
     except TimeoutError:
         print(f'not finished within {limit_s} s')
         for name in children.ended():
@@ -115,18 +135,27 @@
         await children.stop_all()
 
 
-def main(*, requests: int = 200, limit_s: int = 300, logs: str = '') -> None:
+def main(
+    *,
+    requests: int = 200,
+    limit_s: int = 300,
+    logs: str = '',
+    with_faults: bool = False,
+) -> None:
     """Run the demonstration.
 
     :param requests: count of requests to send
     :param limit_s: time limit of the whole demonstration in s
+    :param with_faults: break engines and kill a host meanwhile
     :param logs: folder for settings and logs; a temporary one by default
     """
     with tempfile.TemporaryDirectory() as temporary:
         folder = pathlib.Path(logs or temporary)
         folder.mkdir(parents=True, exist_ok=True)
         began_s = time.monotonic()
-        whole = asyncio.run(supervise(requests, limit_s, folder))
+        whole = asyncio.run(
+            supervise(requests, limit_s, folder, with_faults=with_faults)
+        )
         print(f'finished in {time.monotonic() - began_s:.1f} s')
     sys.exit(0 if whole else 1)
 
--- a/demo/processes.py
+++ b/demo/processes.py
@@ -62,6 +62,14 @@
             if child.returncode is not None
         ]
 
+    def kill(self, name: str) -> None:
+        """Kill a process as a crash would; it is then no longer ours."""
+        self._children.pop(name).kill()
+
+    def running(self, names: Sequence[str]) -> list[str]:
+        """Return those of ``names`` that were not killed."""
+        return [name for name in names if name in self._children]
+
     def log_tail(self, name: str) -> str:
         """Return the last lines that a process wrote."""
         lines = self._log_path(name).read_text().splitlines()
--- a/demo/workload.py
+++ b/demo/workload.py
@@ -15,6 +15,8 @@
 SEED = 20_260
 ARRIVALS_PER_S = 5.0
 OUTPUT_TOKENS = (5, 60)
+# Faults meet more open streams when answers are longer.
+LONG_OUTPUT_TOKENS = (50, 300)
 DEADLINE_MS = {'short': 20_000, 'medium': 30_000, 'long': 50_000}
 LONGEST_SHARE = 0.04
 MEDIUM_FROM = records.SHORT_PROMPT_TOKENS + 1
@@ -51,7 +53,9 @@
         return self.kind in {'lookup', 'transfer'}
 
 
-def plan_load(count: int) -> list[PlannedRequest]:
+def plan_load(
+    count: int, output_tokens: tuple[int, int] = OUTPUT_TOKENS
+) -> list[PlannedRequest]:
     """Return ``count`` requests in the order in which they are sent."""
     source = random.Random(SEED)
     at_s: float = 0
@@ -60,7 +64,10 @@
         at_s += source.expovariate(ARRIVALS_PER_S)
         kinds = tuple(SHARES)
         kind = source.choices(kinds, tuple(SHARES.values()))[0]
-        planned.append(_plan(source, number, at_s, kind))
+        request = _plan(source, number, at_s, kind)
+        if not request.plain:
+            request.body['max_output_tokens'] = source.randint(*output_tokens)
+        planned.append(request)
     return _with_longest(planned)
 
 
@@ -71,12 +78,11 @@
         'workspace': source.choice(WORKSPACES_BY_KIND[kind]),
         'service': fleet.MODEL_SERVICE,
         'prompt': f'request {number} of the demonstration, {kind}',
-        'max_output_tokens': source.randint(*OUTPUT_TOKENS),
+        'max_output_tokens': 1,
         'deadline_ms': DEADLINE_MS.get(kind, DEADLINE_MS['short']),
     }
     if kind in {'lookup', 'transfer'}:
         body['service'] = fleet.PLAIN_SERVICE
-        body['max_output_tokens'] = 1
     else:
         body['prompt_tokens'] = _prompt_tokens(source, kind)
     return PlannedRequest(number, at_s, kind, body)
