--- a/bergamotstream/assembly.py
+++ b/bergamotstream/assembly.py
@@ -14,6 +14,7 @@
     core,
     granting,
     inventory,
+    journal,
     membership,
     orders,
     ownership,
@@ -35,6 +36,7 @@
     stopping.Stopping,
     placement.Placement,
     sessions.Sessions,
+    journal.Journal,
 )
 
 
--- a/bergamotstream/bundles.py
+++ b/bergamotstream/bundles.py
@@ -214,6 +214,7 @@
             return []
         self._kept = bundle
         self.state.bundle = bundle
+        self.state.bundle_since_ms = self.state.now_ms
         return [
             actions.LogEvent('bundle_adopted', {'version': bundle.version}),
             actions.Raise(events.BundleChanged(bundle.version)),
--- a/bergamotstream/claims.py
+++ b/bergamotstream/claims.py
@@ -230,7 +230,7 @@
         produced: components.Actions = []
         for pending in batch:
             waited_ms = self.state.now_ms - pending.since_ms
-            produced.append(actions.Observe('claim_commit_ms', '', waited_ms))
+            produced.append(actions.Observe('claim_commit', '', waited_ms))
             produced.extend(
                 claimrules.answer_written(pending, written, DOWN_RETRY_MS)
             )
--- a/bergamotstream/exporters/json_format.py
+++ b/bergamotstream/exporters/json_format.py
@@ -12,7 +12,7 @@
 
 @exporters.register
 class JsonExporter(exporters.Exporter):
-    """Counters and summaries as lists of objects; no options."""
+    """Counters, gauges and summaries as lists of objects; no options."""
 
     name = 'json'
     content_type = 'application/json'
@@ -31,4 +31,10 @@
             }
             for series, summary in sorted(snapshot.summaries.items())
         ]
-        return json.dumps({'counters': counters, 'summaries': summaries})
+        gauges = [
+            {**series._asdict(), 'amount': amount}
+            for series, amount in sorted(snapshot.gauges.items())
+        ]
+        return json.dumps(
+            {'counters': counters, 'gauges': gauges, 'summaries': summaries}
+        )
--- a/bergamotstream/exporters/prometheus.py
+++ b/bergamotstream/exporters/prometheus.py
@@ -21,7 +21,11 @@
 
     def render(self, snapshot: metrics.Snapshot) -> str:
         """Return one line for each value."""
-        lines = [*_counter_lines(snapshot), *_summary_lines(snapshot)]
+        lines = [
+            *_counter_lines(snapshot),
+            *_gauge_lines(snapshot),
+            *_summary_lines(snapshot),
+        ]
         return '\n'.join([*lines, ''])
 
 
@@ -35,6 +39,16 @@
         yield f'{name}{_labels(series)} {count}'
 
 
+def _gauge_lines(snapshot: metrics.Snapshot) -> Iterator[str]:
+    declared = ''
+    for series, amount in sorted(snapshot.gauges.items()):
+        name = f'{PREFIX}{series.metric}'
+        if name != declared:
+            yield f'# TYPE {name} gauge'
+        declared = name
+        yield f'{name}{_labels(series)} {amount}'
+
+
 def _summary_lines(snapshot: metrics.Snapshot) -> Iterator[str]:
     declared = ''
     for series, summary in sorted(snapshot.summaries.items()):
--- a/bergamotstream/hostprocess.py
+++ b/bergamotstream/hostprocess.py
@@ -19,6 +19,7 @@
     core,
     engines,
     events,
+    gauges,
     hostlinks,
     hostlists,
     keyvalues,
@@ -42,6 +43,7 @@
     ) -> None:
         """``links`` put received messages into ``incoming``."""
         self.meters = metrics.Metrics()
+        self.meters.read_gauges = lambda: gauges.read_gauges(host_core.state)
         self._config = config
         self._core = host_core
         self._kv = kv
--- /dev/null
+++ b/bergamotstream/journal.py
@@ -0,0 +1,113 @@
+"""
+Journal
+~~~~~~~
+
+Log lines and counters of what changes in the cell: owners of partitions, live
+and leaving hosts, availability zones out of service and blame of requests.
+"""
+
+from collections.abc import Mapping
+from typing import Any, NamedTuple
+
+from bergamotstream import actions, components, events, state
+
+
+class Seen(NamedTuple):
+    """What was in force when the last lines were written."""
+
+    live: frozenset[str] = frozenset()
+    leaving: frozenset[str] = frozenset()
+    zones_out: frozenset[str] = frozenset()
+    targets_leaving: frozenset[str] = frozenset()
+    blame: Mapping[int, float] = {}
+
+
+# The log events of a name that enters or leaves each set of names.
+EVENTS_BY_FIELD = {
+    'live': ('host_live', 'host_silent'),
+    'leaving': ('host_leaving', 'host_returned'),
+    'zones_out': ('zone_out', 'zone_in'),
+    'targets_leaving': ('target_leaving', 'target_returned'),
+}
+
+
+class Journal(components.Component):
+    """Writes one line for each change; list it last."""
+
+    name = 'journal'
+
+    def __init__(self, shared: state.HostState) -> None:
+        """Start with nothing seen."""
+        super().__init__(shared)
+        self._seen = Seen()
+
+    @components.handles(events.PartitionAcquired)
+    def acquired(self, event: events.PartitionAcquired) -> components.Actions:
+        """Note that this host became the owner of a partition."""
+        return self._partition('partition_acquired', event.partition)
+
+    @components.handles(events.PartitionLost)
+    def lost(self, event: events.PartitionLost) -> components.Actions:
+        """Note that this host is no longer the owner of a partition."""
+        return self._partition('partition_lost', event.partition)
+
+    @components.handles(events.Tick)
+    def tick(self, event: events.Tick) -> components.Actions:
+        """Compare what is in force with what was seen."""
+        seen = self._look()
+        if seen == self._seen:
+            return []
+        produced: components.Actions = []
+        for field, (entered, left) in EVENTS_BY_FIELD.items():
+            now, before = getattr(seen, field), getattr(self._seen, field)
+            produced.extend(_name_lines(entered, now - before))
+            produced.extend(_name_lines(left, before - now))
+        produced.extend(self._blame_lines(seen.blame))
+        self._seen = seen
+        return produced
+
+    def _look(self) -> Seen:
+        bundle = self.state.bundle
+        # Without a bundle the last one is kept: nothing has returned.
+        zones_out, targets_leaving = (
+            (bundle.zones_out, bundle.targets_leaving)
+            if bundle
+            else (self._seen.zones_out, self._seen.targets_leaving)
+        )
+        return Seen(
+            frozenset(self.state.live_peers) - {self.state.host},
+            frozenset(self.state.leaving_hosts),
+            zones_out,
+            targets_leaving,
+            dict(self.state.own_blame_by_fingerprint),
+        )
+
+    def _partition(self, event: str, partition: str) -> components.Actions:
+        fields = {'partition': partition, 'host': self.state.host}
+        return [
+            actions.LogEvent(event, fields),
+            actions.Count(event, partition.split(':')[0]),
+        ]
+
+    def _blame_lines(self, blame: Mapping[int, float]) -> components.Actions:
+        limit = self.state.settings.limits.quarantine_after
+        produced: components.Actions = []
+        for fingerprint, score in blame.items():
+            if score == self._seen.blame.get(fingerprint):
+                continue
+            held = score >= limit
+            event = 'fingerprint_quarantined' if held else 'fingerprint_blamed'
+            produced.append(_blame_line(event, fingerprint, score))
+            produced.append(actions.Count(event))
+        for cleared in self._seen.blame.keys() - blame.keys():
+            produced.append(_blame_line('fingerprint_cleared', cleared, 0))
+        return produced
+
+
+def _name_lines(event: str, names: frozenset[str]) -> components.Actions:
+    return [actions.LogEvent(event, {'name': name}) for name in sorted(names)]
+
+
+def _blame_line(event: str, fingerprint: int, score: float) -> actions.LogEvent:
+    fields: dict[str, Any] = {'fingerprint': fingerprint, 'score': score}
+    return actions.LogEvent(event, fields)
--- a/bergamotstream/metrics.py
+++ b/bergamotstream/metrics.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+from collections.abc import Callable
 from typing import NamedTuple
 
 from hdrh import histogram
@@ -36,13 +37,15 @@
 
     counters: dict[Series, int]
     summaries: dict[Series, Summary]
+    gauges: dict[Series, int]
 
 
 class Metrics:
     """Metrics of one host."""
 
     def __init__(self) -> None:
-        """Start at zero."""
+        """Start at zero and without gauges."""
+        self.read_gauges: Callable[[], dict[Series, int]] = dict
         self._counters: collections.Counter[Series] = collections.Counter()
         self._histograms: dict[Series, histogram.HdrHistogram] = {}
 
@@ -66,7 +69,7 @@
             series: Summary(recorded.get_total_count(), quantiles(recorded))
             for series, recorded in self._histograms.items()
         }
-        return Snapshot(dict(self._counters), summaries)
+        return Snapshot(dict(self._counters), summaries, self.read_gauges())
 
 
 def quantiles(recorded: histogram.HdrHistogram) -> dict[float, int]:
--- a/bergamotstream/requestchecks.py
+++ b/bergamotstream/requestchecks.py
@@ -5,7 +5,7 @@
 Checks that a request can be admitted at all, before anything is reserved.
 """
 
-from bergamotstream import actions, components, records, state
+from bergamotstream import components, records, requestlog, state
 
 RETRY_LATER = frozenset(('overloaded', 'configuration_unknown', 'in_progress'))
 
@@ -42,12 +42,7 @@
     run_state: records.RunState = 'not_run'
     if code == 'in_progress':
         run_state = 'may_have_run'
-    return [
-        actions.Count('refusals', code),
-        actions.RefuseRequest(
-            request.request_id, code, run_state, retry_after_ms
-        ),
-    ]
+    return requestlog.refused(request, code, run_state, retry_after_ms)
 
 
 def _blame(shared: state.HostState, request: records.RequestSpec) -> float:
--- a/bergamotstream/sessions.py
+++ b/bergamotstream/sessions.py
@@ -10,6 +10,7 @@
 from bergamotstream import (
     actions,
     requestchecks,
+    requestlog,
     asking,
     heldgrants,
     charging,
@@ -66,7 +67,11 @@
         if code:
             return requestchecks.refuse(self.state, request, code)
         session = self._open(request, event.deadline_ms)
-        return [*self._charging.ask(session), *self._ask(session)]
+        return [
+            requestlog.received(session),
+            *self._charging.ask(session),
+            *self._ask(session),
+        ]
 
     @components.handles(events.ResumeReceived)
     def resume(self, event: events.ResumeReceived) -> components.Actions:
@@ -82,7 +87,10 @@
             return requestchecks.refuse(self.state, request, code)
         session = self._open(request, event.deadline_ms)
         session.offset = event.offset
-        produced = self._charging.ask(session)
+        produced = [
+            *requestlog.resumed(session, 'caller', self.state.now_ms),
+            *self._charging.ask(session),
+        ]
         if not session.repeatable:
             return [*produced, *self._ask(session)]
         return [*produced, *self._find(session)]
@@ -136,11 +144,13 @@
         if session is None:
             return []
         verdict = self._claiming.answered(session, message)
+        counted = actions.Count('claims', message.outcome)
         if verdict.dispatch:
-            return self._grants.dispatch(session)
+            return [counted, *self._grants.dispatch(session)]
         if verdict.recorded is not None:
-            return self._finish(session, verdict.recorded)
+            return [counted, *self._finish(session, verdict.recorded)]
         return [
+            counted,
             *verdict.produced,
             *self._refuse(
                 session, verdict.code, verdict.retry_after_ms, verdict.run_state
@@ -256,7 +266,10 @@
                 session.attempt = session.attempt._replace(
                     stalled_resumes=stalled
                 )
-                return self._grants.dispatch(session, resume=True)
+                return [
+                    *requestlog.resumed(session, event.kind, self.state.now_ms),
+                    *self._grants.dispatch(session, resume=True),
+                ]
         return self._retry(session, event.kind)
 
     @components.handles(events.Tick)
@@ -366,6 +379,7 @@
         self, session: sessionstate.Session, kind: str
     ) -> components.Actions:
         outcome = OUTCOMES_BY_FAILURE.get(kind, 'failed')
+        retried = requestlog.retried(session, kind, self.state.now_ms)
         produced = self._grants.end(session, outcome)
         if not session.repeatable:
             return [*produced, *self._fail_claimed(session)]
@@ -375,7 +389,7 @@
                 *produced,
                 *self._refuse(session, 'retries_exhausted', retry_ms),
             ]
-        produced.append(actions.Count('retries', kind))
+        produced.extend(retried)
         session.restart_asking()
         return [*produced, *self._ask(session)]
 
@@ -413,9 +427,8 @@
             *self._claiming.given_up(session),
             *self._grants.end(session, outcome),
             *self._close(session),
-            actions.Count('refusals', code),
-            actions.RefuseRequest(
-                session.request.request_id,
+            *requestlog.refused(
+                session.request,
                 code,
                 run_state or session.run_state,
                 retry_after_ms,
@@ -425,10 +438,11 @@
     def _finish(
         self, session: sessionstate.Session, answer: bytes
     ) -> components.Actions:
+        answered = requestlog.finished(session, self.state.now_ms)
         return [
             *self._grants.end(session, 'unused'),
             *self._close(session),
-            actions.Count('answers', session.service.name),
+            *answered,
             actions.FinishRequest(session.request.request_id, answer),
         ]
 
--- a/bergamotstream/state.py
+++ b/bergamotstream/state.py
@@ -35,6 +35,8 @@
         self.peers = peertable.PeerTable(config.host, incarnation)
         # Written by bundles.
         self.bundle: records.Bundle | None = None
+        # When the version in force came into force at this host.
+        self.bundle_since_ms = 0
         # Written by membership.
         self.hosts_by_name: dict[str, records.HostInfo] = {}
         self.targets_by_name: dict[str, records.TargetInfo] = {}
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -79,7 +79,9 @@
                 outcome = await callers.run(failurekit.request(number, kind, 5))
                 assert (outcome.state, outcome.detail) == ('answered', '')
                 status, body, retry_after = await _transfer(running, key)
-                assert (status, body['code']) == (503, 'claims_unavailable'), body
+                assert (status, body['code']) == (503, 'claims_unavailable'), (
+                    body
+                )
                 assert body['run_state'] == 'not_run'
                 assert int(retry_after) > 0
                 assert await _executions(running, key) == 0
