Let a signer read drafts, change one limit, and show partitions

A signer could not see what a draft changes, a change of one limit had to repeat the three others (and so silently overwrote a change of them), and partitions and leaving targets had no command. bergamotctl gets drafts, partitions, target-out and target-in; workspace-set changes the given fields only and names the missing ones for a new workspace; the audit trail shows times in UTC and the new values instead of paths only.

--- a/bergamotstream/adminclient.py
+++ b/bergamotstream/adminclient.py
@@ -5,8 +5,9 @@
 Sends operators' commands to a host over HTTP and turns its answers into text.
 """
 
+import datetime
 import json
-from collections.abc import Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from typing import Any
 
 import aiohttp
@@ -16,6 +17,7 @@
 Body = dict[str, Any]
 # Commands wait for several calls of a slow key-value service.
 TIMEOUT_S = 30
+MS_PER_S = 1_000
 
 
 class CommandFailed(Exception):
@@ -85,8 +87,8 @@
 
 def _lines(body: Body) -> Iterator[str]:
     for name, value in body.items():
-        if name == 'entries':
-            yield from map(_entry_line, value)
+        if name in LINES_BY_FIELD:
+            yield from map(LINES_BY_FIELD[name], value)
         elif isinstance(value, list):
             yield from (f'{name}: {_plain(each)}' for each in value)
         elif isinstance(value, dict):
@@ -107,13 +109,42 @@
     if entry['urgent']:
         signed = 'urgent, one signature'
     changes = entry['changes']
-    paths = (
+    described = (
         changes['paths']
         if isinstance(changes, dict)
-        else [change['path'] for change in changes]
+        else [_change(change) for change in changes]
     )
     return (
-        f'version {entry["version"]} at {entry["wall_ms"]}:'
+        f'version {entry["version"]} at {_moment(entry["wall_ms"])}:'
         + f' {entry["command"]} by {entry["author"]} ({signed}):'
-        + f' {", ".join(paths)}'
+        + f' {", ".join(described)}'
     )
+
+
+def _change(change: Body) -> str:
+    value = json.dumps(change['value'], sort_keys=True)
+    return f'{change["path"]}={value}'
+
+
+def _moment(wall_ms: int) -> str:
+    moment = datetime.datetime.fromtimestamp(
+        wall_ms / MS_PER_S, tz=datetime.UTC
+    )
+    return moment.isoformat(timespec='milliseconds')
+
+
+def _draft_line(draft: Body) -> str:
+    signed = draft['signed_by']
+    state = f'signed by {signed}' if signed else 'not signed'
+    return (
+        f'draft {draft["id"]} at {_moment(draft["wall_ms"])}:'
+        + f' by {draft["author"]} ({state})'
+        + f' for version {draft["base_version"]}:'
+        + f' {", ".join(map(_change, draft["changes"]))}'
+    )
+
+
+LINES_BY_FIELD: Mapping[str, Callable[[Body], str]] = {
+    'entries': _entry_line,
+    'drafts': _draft_line,
+}
--- a/bergamotstream/cmdline.py
+++ b/bergamotstream/cmdline.py
@@ -8,34 +8,30 @@
 status 1 and a message that names code and remedy if it was not carried out.
 """
 
-import asyncio
-import json as jsonlib
 import pathlib
 import sys
-from collections.abc import Sequence
-from typing import Any, Literal
+from typing import Literal
 
 import defopt
 
-from bergamotstream import adminclient
+from bergamotstream import adminclient, drafting
 
 DEFAULT_ADDRESS = '127.0.0.1:8080'
-# Stands for the version that is in force when the command runs.
-PRESENT_VERSION = -1
+PRESENT_VERSION = drafting.PRESENT_VERSION
 
 
 def workspace_set(
     name: str,
     *,
     author: str,
-    priority: int,
-    weight: float,
-    max_concurrent: int,
-    tokens_per_s: int,
+    priority: int | None = None,
+    weight: float | None = None,
+    max_concurrent: int | None = None,
+    tokens_per_s: int | None = None,
     base_version: int = PRESENT_VERSION,
     address: str = DEFAULT_ADDRESS,
 ) -> None:
-    """Draft a workspace with its priority and limits.
+    """Draft a new workspace, or a change of the given fields of one.
 
     :param name: Workspace.
     :param author: Who makes the change.
@@ -52,8 +48,8 @@
         'max_concurrent': max_concurrent,
         'tokens_per_s': tokens_per_s,
     }
-    change = {'path': f'workspaces/{name}', 'value': fields}
-    _draft([change], author, base_version, address)
+    changes = drafting.workspace_changes(name, fields, address)
+    _print(drafting.draft_changes(changes, author, base_version, address))
 
 
 def service_set(
@@ -73,9 +69,35 @@
     :param base_version: Version that the change starts from.
     :param address: Address of any live host.
     """
-    entry = {'kind': kind, **_parse_fields(fields)}
-    change = {'path': f'services/{name}', 'value': entry}
-    _draft([change], author, base_version, address)
+    entry = {'kind': kind, **drafting.parse_fields(fields)}
+    changes = [{'path': f'services/{name}', 'value': entry}]
+    _print(drafting.draft_changes(changes, author, base_version, address))
+
+
+def target_out(
+    name: str, *, author: str, address: str = DEFAULT_ADDRESS
+) -> None:
+    """Draft that a target leaves: it gets no new work.
+
+    :param name: Target.
+    :param author: Who makes the change.
+    :param address: Address of any live host.
+    """
+    changes = [{'path': f'targets/{name}', 'value': 'leaving'}]
+    _print(drafting.draft_changes(changes, author, PRESENT_VERSION, address))
+
+
+def target_in(
+    name: str, *, author: str, address: str = DEFAULT_ADDRESS
+) -> None:
+    """Draft that a leaving target returns.
+
+    :param name: Target.
+    :param author: Who makes the change.
+    :param address: Address of any live host.
+    """
+    changes = [{'path': f'targets/{name}', 'value': None}]
+    _print(drafting.draft_changes(changes, author, PRESENT_VERSION, address))
 
 
 def draft(
@@ -92,13 +114,17 @@
     :param base_version: Version that the change starts from.
     :param address: Address of any live host.
     """
-    try:
-        changes = jsonlib.loads(file.read_text(encoding='utf-8'))
-    except (OSError, ValueError) as fault:
-        raise adminclient.CommandFailed(
-            f'{file}: {fault}; give a JSON file with a list of changes'
-        ) from fault
-    _draft(changes, author, base_version, address)
+    changes = drafting.read_changes(file)
+    _print(drafting.draft_changes(changes, author, base_version, address))
+
+
+def drafts(*, json: bool = False, address: str = DEFAULT_ADDRESS) -> None:
+    """Show the drafts that are not in force yet, with their changes.
+
+    :param json: Print JSON.
+    :param address: Address of any live host.
+    """
+    _print(drafting.run_command(address, 'config.drafts'), json)
 
 
 def sign(draft_id: str, *, signer: str, address: str = DEFAULT_ADDRESS) -> None:
@@ -109,7 +135,7 @@
     :param address: Address of any live host.
     """
     arguments = {'draft': draft_id, 'signer': signer}
-    _print(_run(address, 'config.sign', arguments))
+    _print(drafting.run_command(address, 'config.sign', arguments))
 
 
 def roll(
@@ -122,7 +148,7 @@
     :param address: Address of any live host.
     """
     arguments = {'draft': draft_id, 'operator': operator}
-    _print(_run(address, 'config.roll', arguments))
+    _print(drafting.run_command(address, 'config.roll', arguments))
 
 
 def zone_out(
@@ -135,7 +161,7 @@
     :param address: Address of any live host.
     """
     arguments = {'zone': zone, 'operator': operator}
-    _print(_run(address, 'zone.out', arguments))
+    _print(drafting.run_command(address, 'zone.out', arguments))
 
 
 def zone_in(
@@ -148,7 +174,7 @@
     :param address: Address of any live host.
     """
     arguments = {'zone': zone, 'operator': operator}
-    _print(_run(address, 'zone.in', arguments))
+    _print(drafting.run_command(address, 'zone.in', arguments))
 
 
 def show_config(*, json: bool = False, address: str = DEFAULT_ADDRESS) -> None:
@@ -157,7 +183,7 @@
     :param json: Print JSON.
     :param address: Address of the host.
     """
-    _print(_run(address, 'config.show'), json)
+    _print(drafting.run_command(address, 'config.show'), json)
 
 
 def hosts(*, json: bool = False, address: str = DEFAULT_ADDRESS) -> None:
@@ -166,7 +192,7 @@
     :param json: Print JSON.
     :param address: Address of the host.
     """
-    _print(_run(address, 'hosts.show'), json)
+    _print(drafting.run_command(address, 'hosts.show'), json)
 
 
 def targets(*, json: bool = False, address: str = DEFAULT_ADDRESS) -> None:
@@ -175,7 +201,16 @@
     :param json: Print JSON.
     :param address: Address of the host.
     """
-    _print(_run(address, 'targets.show'), json)
+    _print(drafting.run_command(address, 'targets.show'), json)
+
+
+def partitions(*, json: bool = False, address: str = DEFAULT_ADDRESS) -> None:
+    """Show the owners of partitions that a host believes in.
+
+    :param json: Print JSON.
+    :param address: Address of the host.
+    """
+    _print(drafting.run_command(address, 'partitions.show'), json)
 
 
 def audit(
@@ -187,7 +222,7 @@
     :param json: Print JSON.
     :param address: Address of any live host.
     """
-    _print(_run(address, 'audit.show', {'limit': limit}), json)
+    _print(drafting.run_command(address, 'audit.show', {'limit': limit}), json)
 
 
 def order(
@@ -203,9 +238,9 @@
     :param fields: What it asks as name=value, for example model='"m2"'.
     :param address: Address of the owner of the target's partition.
     """
-    wanted = {'kind': kind, **_parse_fields(fields)}
+    wanted = {'kind': kind, **drafting.parse_fields(fields)}
     arguments = {'target': target, 'order': wanted}
-    _print(_run(address, 'target.order', arguments))
+    _print(drafting.run_command(address, 'target.order', arguments))
 
 
 def drain(*, address: str = DEFAULT_ADDRESS) -> None:
@@ -213,13 +248,16 @@
 
     :param address: Address of the host to stop.
     """
-    _print(_run(address, 'host.drain'))
+    _print(drafting.run_command(address, 'host.drain'))
 
 
 COMMANDS = (
     workspace_set,
     service_set,
+    target_out,
+    target_in,
     draft,
+    drafts,
     sign,
     roll,
     zone_out,
@@ -227,48 +265,13 @@
     show_config,
     hosts,
     targets,
+    partitions,
     audit,
     order,
     drain,
 )
 
 
-def _parse_fields(fields: Sequence[str]) -> dict[str, Any]:
-    parsed = {}
-    for field in fields:
-        name, _, text = field.partition('=')
-        try:
-            parsed[name] = jsonlib.loads(text)
-        except ValueError as fault:
-            raise adminclient.CommandFailed(
-                f'{field}: {fault}; write name=value with a JSON value'
-            ) from fault
-    return parsed
-
-
-def _draft(changes: Any, author: str, base_version: int, address: str) -> None:
-    if base_version == PRESENT_VERSION:
-        base_version = _present_version(address)
-    arguments = {
-        'author': author,
-        'base_version': base_version,
-        'changes': changes,
-    }
-    _print(_run(address, 'config.draft', arguments))
-
-
-def _present_version(address: str) -> int:
-    return _run(address, 'audit.show', {'limit': 1})['version']
-
-
-def _run(
-    address: str, command: str, arguments: dict[str, Any] | None = None
-) -> adminclient.Body:
-    return asyncio.run(
-        adminclient.send_command(address, command, arguments or {})
-    )
-
-
 def _print(body: adminclient.Body, as_json: bool = False) -> None:
     show = adminclient.as_json if as_json else adminclient.as_text
     print(show(body))
--- a/bergamotstream/configcommands.py
+++ b/bergamotstream/configcommands.py
@@ -52,6 +52,7 @@
         self._adopt = adopt
         self._flows_by_command: dict[str, Callable[..., CommandFlow]] = {
             'config.draft': self._draft,
+            'config.drafts': self._drafts,
             'config.sign': self._sign,
             'config.roll': self._roll,
             'audit.show': self._show_audit,
@@ -106,6 +107,11 @@
             'paths': bundlechanges.named_paths(draft['changes']),
         }
 
+    def _drafts(self, _arguments: Arguments) -> CommandFlow:
+        """List drafts, so that a signer reads what is to be signed."""
+        items = yield from kvflows.read_items(DRAFT_KEY, prefix=True)
+        return {'drafts': [json.loads(item.value) for item in items]}
+
     def _sign(self, arguments: Arguments) -> CommandFlow:
         signer = _person(arguments, 'signer')
         item = yield from _read_draft(arguments)
--- a/bergamotstream/heldgrants.py
+++ b/bergamotstream/heldgrants.py
@@ -44,7 +44,7 @@
         attempt = session.attempt
         if attempt is None:
             return []
-        session.note_dispatch()
+        session.note_dispatch(attempt.targets[-1].name)
         if not resume:
             attempt = attempt._replace(dispatched_ms=self._state.now_ms)
             session.attempt = attempt
--- a/bergamotstream/requestlog.py
+++ b/bergamotstream/requestlog.py
@@ -94,10 +94,9 @@
 def _identity(
     session: sessionstate.Session, now_ms: int
 ) -> dict[str, str | int]:
-    attempt = session.attempt
     return {
         'request': session.request.request_id,
         'workspace': session.request.workspace,
-        'target': attempt.targets[-1].name if attempt else '',
+        'target': session.last_target,
         'elapsed_ms': now_ms - session.received_ms,
     }
--- a/bergamotstream/sessionstate.py
+++ b/bergamotstream/sessionstate.py
@@ -76,6 +76,7 @@
         self.pending_finds: set[str] = set()
         self.may_have_run = False
         self._had_run = False
+        self.last_target = ''
         self.caller_gone_ms = 0
         self.ask_again_at_ms = 0
 
@@ -102,13 +103,14 @@
         """Tell whether a running attempt can be attached to again."""
         return self.repeatable and self.service.kind == 'model'
 
-    def note_dispatch(self) -> None:
-        """Note that a target may run the request from now on.
+    def note_dispatch(self, target: str) -> None:
+        """Note that ``target`` may run the request from now on.
 
         The target's confirmation may be handled after the message that ends
         the request, for example when the host was paused in between.
         """
         self.stage = 'running'
+        self.last_target = target
         self._had_run = self.may_have_run
         self.may_have_run = True
 
--- a/tests/test_cmdline.py
+++ b/tests/test_cmdline.py
@@ -69,12 +69,34 @@
     assert shown['workspaces']['ana']['tokens_per_s'] == 900
     assert 'zone_out=True' in await ctl('targets')
     trail = await ctl('audit')
-    assert 'config.roll by eva (signed by leo): workspaces/ana' in trail
+    assert 'config.roll by eva (signed by leo): workspaces/ana={' in trail
     assert 'zone.out by eva (urgent, one signature)' in trail
     await ctl('zone-in', 'rosario', '--operator=eva')
     assert 'config_version=3' in await ctl('hosts')
 
 
+async def test_a_signer_sees_the_draft_of_one_limit(ctl):
+    """Guards against a sign-off of changes that nobody could read."""
+    limits = ['-p', '1', '-w', '2', '-m', '4', '-t', '900']
+    with pytest.raises(SystemExit, match='create it with --priority, --weight'):
+        await ctl('workspace-set', 'ana', '--author=eva', '-m', '4')
+    drafted = await ctl('workspace-set', 'ana', '--author=eva', *limits)
+    await ctl('sign', draft_id(drafted), '--signer=leo')
+    await ctl('roll', draft_id(drafted), '--operator=eva')
+    await ctl('workspace-set', 'ana', '--author=eva', '-m', '8')
+    await ctl('target-out', 't1', '--author=eva')
+    shown = await ctl('drafts')
+    assert (
+        '(not signed) for version 1: workspaces/ana/max_concurrent=8' in shown
+    )
+    assert 'targets/t1="leaving"' in shown
+    with pytest.raises(SystemExit, match='nothing to change'):
+        await ctl('workspace-set', 'ana', '--author=eva')
+    with pytest.raises(SystemExit, match='no such entry to remove'):
+        await ctl('target-in', 't2', '--author=eva')
+    assert 'owned' in json.loads(await ctl('partitions', '--json'))
+
+
 async def test_errors_name_code_and_remedy(ctl, cluster):
     """Guards against a failed command that looks like a success."""
     with pytest.raises(SystemExit, match='invalid_bundle: zones/x y: must'):
--- a/tests/test_observability.py
+++ b/tests/test_observability.py
@@ -51,6 +51,7 @@
     for line in lines_of(produced):
         assert ' request=r1 ' in line
     assert 'code=deadline_passed run_state=not_run' in lines_of(produced)[-1]
+    assert ' target=asistente-rosario ' in lines_of(produced)[3]
     counted = corekit.actions_of(produced, actions.Count)
     assert actions.Count('retries', 'target_died') in counted
     assert actions.Count('refusals', 'deadline_passed') in counted
