--- a/bergamotstream/adminclient.py
+++ b/bergamotstream/adminclient.py
@@ -87,15 +87,21 @@
 
 def _lines(body: Body) -> Iterator[str]:
     for name, value in body.items():
-        if name in LINES_BY_FIELD:
-            yield from map(LINES_BY_FIELD[name], value)
-        elif isinstance(value, list):
-            yield from (f'{name}: {_plain(each)}' for each in value)
-        elif isinstance(value, dict):
-            for key, entry in sorted(value.items()):
-                yield f'{name}/{key}: {_plain(entry)}'
+        describe = LINES_BY_FIELD.get(name)
+        if describe is None:
+            yield from _field_lines(name, value)
         else:
-            yield f'{name}: {value}'
+            yield from map(describe, value)
+
+
+def _field_lines(name: str, value: Any) -> Iterator[str]:
+    if isinstance(value, list):
+        yield from (f'{name}: {_plain(each)}' for each in value)
+    elif isinstance(value, dict):
+        for key, entry in sorted(value.items()):
+            yield f'{name}/{key}: {_plain(entry)}'
+    else:
+        yield f'{name}: {value}'
 
 
 def _plain(value: Any) -> str:
