Send orders in the engine's terms; start the demonstration's weight store

bergamotctl order engine-2 load 'model="m2"' ended with "target_failed: engine-2: unknown_order". Cause: the client sent the core's own field "kind" along, which engines do not know; the core's tests use a double that accepts it. The client now leaves it out, so a read-back is an order without fields. Before: the new test of the engine client fails (the answer holds no model); after: it passes, and the command prints the engine's state.

The demonstration looked for a module standins.weights, which does not exist, and so never started the weight store; it is standins.weightstore. A command whose reader stops early (head) no longer ends with a traceback, and show-config before the first version says how to make one.

--- a/bergamotstream/bundles.py
+++ b/bergamotstream/bundles.py
@@ -134,7 +134,10 @@
     def _show(self, query_id: str) -> actions.AnswerAdmin:
         bundle = self.state.bundle
         if bundle is None:
-            fault = errors.ConfigurationUnknown()
+            fault = errors.ConfigurationUnknown(
+                'this host has read no version; if there is none yet, make'
+                + ' the first one with bergamotctl draft, sign and roll'
+            )
             return actions.AnswerAdmin(query_id, fault.code, _fault_body(fault))
         document = bundleformat.document_of(bundle)
         body = {'version': bundle.version, **document}
--- a/bergamotstream/cmdline.py
+++ b/bergamotstream/cmdline.py
@@ -17,6 +17,7 @@
 from bergamotstream import adminclient, drafting
 
 DEFAULT_ADDRESS = '127.0.0.1:8080'
+EXIT_BROKEN_PIPE = 141
 PRESENT_VERSION = drafting.PRESENT_VERSION
 
 
@@ -283,6 +284,10 @@
         defopt.run(COMMANDS, argv=argv)
     except adminclient.CommandFailed as fault:
         sys.exit(f'error: {fault}')
+    except BrokenPipeError:
+        # The reader, for example head, has seen enough.
+        sys.stderr.close()
+        sys.exit(EXIT_BROKEN_PIPE)
 
 
 if __name__ == '__main__':
--- a/bergamotstream/engines/model.py
+++ b/bergamotstream/engines/model.py
@@ -93,8 +93,13 @@
     async def order(
         self, address: str, fence: int, order: Mapping[str, Any]
     ) -> Mapping[str, Any]:
-        """Send an order and return ``status`` and ``state``."""
-        body = {'fence': fence, 'order': dict(order)}
+        """Send an order and return ``status`` and ``state``.
+
+        The kind is this side's; a target reads the fields, and an order
+        without fields reads its state back.
+        """
+        fields = {name: order[name] for name in order if name != 'kind'}
+        body = {'fence': fence, 'order': fields}
         return await self._call(f'http://{address}/v1/orders', body)
 
     async def _hold_segments(self, attempt: engines.Attempt) -> None:
--- a/demo/fleet.py
+++ b/demo/fleet.py
@@ -9,7 +9,6 @@
 import asyncio
 import pathlib
 from collections.abc import Mapping
-from importlib import util
 from typing import NamedTuple
 
 import aiohttp
@@ -33,8 +32,6 @@
 # hosts stop sooner.
 ADDRESS_KEEP_MS = 1_000
 
-WEIGHT_STORE_MODULE = 'standins.weights'
-
 SETTINGS_TEXT = """\
 host = "{host.name}"
 availability_zone = "{host.availability_zone}"
@@ -100,12 +97,10 @@
             'standins.hostlist',
             {'address': fleet.host_list, 'lag-ms': HOST_LIST_LAG_MS},
         ),
+        'weights': ('standins.weightstore', {'address': fleet.weight_store}),
         **{plain.name: _plain_command(plain) for plain in fleet.plains},
         **{engine.name: _engine_command(engine) for engine in fleet.engines},
     }
-    if util.find_spec(WEIGHT_STORE_MODULE) is not None:
-        options = {'address': fleet.weight_store}
-        commands['weights'] = (WEIGHT_STORE_MODULE, options)
     await asyncio.gather(
         *(
             children.start(name, module, options)
--- a/tests/test_engineclients.py
+++ b/tests/test_engineclients.py
@@ -219,3 +219,20 @@
     assert not app.visible()['hosts']
     time.advance(500)
     assert app.visible()['hosts'] == [{'name': 'h1'}]
+
+
+async def test_orders_reach_the_engine_in_its_own_terms():
+    """Guards against every order being refused as unknown."""
+    config = shellhelp.make_settings()
+    async with shellhelp.running_engine() as (_app, address):
+        async with attempts.new_session(config) as session:
+            client_type = engines.get_engine_by_kind('model')
+            client = client_type(session, config, [].append)
+            order = {'kind': 'load', 'model': 'm2'}
+            answer = await client.order(address, 1, order)
+            assert (answer['status'], answer['state']['model']) == (
+                'done',
+                'm2',
+            )
+            shown = await client.order(address, 1, {'kind': 'state'})
+            assert shown['state'] == answer['state']
