--- a/bergamotstream/settings.py
+++ b/bergamotstream/settings.py
@@ -8,55 +8,65 @@
 
 import pathlib
 import tomllib
-from typing import NamedTuple
+from typing import Annotated, NamedTuple
 
 import pydantic
 
 from bergamotstream import errors
 
+# The longest duration that a setting may have: one day.
+MAX_DURATION_MS = 86_400_000
+MAX_AMOUNT = 1_000_000_000
+
+Milliseconds = Annotated[int, pydantic.Field(ge=1, le=MAX_DURATION_MS)]
+Amount = Annotated[int, pydantic.Field(ge=1, le=MAX_AMOUNT)]
+Percent = Annotated[int, pydantic.Field(ge=0, le=100)]
+# Two requests that die together have 0.5 each; blame below that is no proof.
+Blame = Annotated[float, pydantic.Field(ge=0.5, le=100)]
+
 
 class Timing(NamedTuple):
     """Durations in milliseconds."""
 
-    tick_ms: int = 25
-    heartbeat_ms: int = 250
-    link_silent_ms: int = 750
-    owner_valid_ms: int = 1_000
-    takeover_ms: int = 1_500
-    member_removal_ms: int = 10_000
-    holdings_wait_ms: int = 500
-    grant_lease_ms: int = 3_000
-    grant_renew_ms: int = 1_000
-    ask_again_ms: int = 150
-    silent_ms: int = 1_000
-    claim_batch_ms: int = 20
-    claim_retention_ms: int = 600_000
-    claim_key_age_ms: int = 480_000
-    dispatch_window_ms: int = 1_000
-    kv_timeout_ms: int = 1_000
-    config_stale_limit_ms: int = 3_600_000
-    address_keep_ms: int = 5_000
-    order_window_ms: int = 2_000
-    host_list_ms: int = 1_000
-    load_poll_ms: int = 250
-    stop_limit_ms: int = 600_000
+    tick_ms: Milliseconds = 25
+    heartbeat_ms: Milliseconds = 250
+    link_silent_ms: Milliseconds = 750
+    owner_valid_ms: Milliseconds = 1_000
+    takeover_ms: Milliseconds = 1_500
+    member_removal_ms: Milliseconds = 10_000
+    holdings_wait_ms: Milliseconds = 500
+    grant_lease_ms: Milliseconds = 3_000
+    grant_renew_ms: Milliseconds = 1_000
+    ask_again_ms: Milliseconds = 150
+    silent_ms: Milliseconds = 1_000
+    claim_batch_ms: Milliseconds = 20
+    claim_retention_ms: Milliseconds = 600_000
+    claim_key_age_ms: Milliseconds = 480_000
+    dispatch_window_ms: Milliseconds = 1_000
+    kv_timeout_ms: Milliseconds = 1_000
+    config_stale_limit_ms: Milliseconds = 3_600_000
+    address_keep_ms: Milliseconds = 5_000
+    order_window_ms: Milliseconds = 2_000
+    host_list_ms: Milliseconds = 1_000
+    load_poll_ms: Milliseconds = 250
+    stop_limit_ms: Milliseconds = 600_000
 
 
 class Limits(NamedTuple):
     """Sizes and counts."""
 
-    body_bytes: int = 8_000_000
-    message_bytes: int = 262_144
-    stream_buffer_bytes: int = 262_144
-    claim_segment_bytes: int = 65_536
-    recorded_answer_bytes: int = 4_096
-    open_requests: int = 10_000
-    account_partitions: int = 16
-    claim_partitions: int = 1
-    retry_percent: int = 10
-    retry_burst: int = 10
-    quarantine_after: float = 2.0
-    cell_hosts: int = 8
+    body_bytes: Amount = 8_000_000
+    message_bytes: Amount = 262_144
+    stream_buffer_bytes: Amount = 262_144
+    claim_segment_bytes: Amount = 65_536
+    recorded_answer_bytes: Amount = 4_096
+    open_requests: Amount = 10_000
+    account_partitions: Amount = 16
+    claim_partitions: Amount = 1
+    retry_percent: Percent = 10
+    retry_burst: Amount = 10
+    quarantine_after: Blame = 2.0
+    cell_hosts: Amount = 8
 
 
 class Platform(NamedTuple):
--- a/bergamotstream/settingscheck.py
+++ b/bergamotstream/settingscheck.py
@@ -15,6 +15,8 @@
 
 ADDRESS_FIELDS = ('caller_address', 'peer_address')
 MAX_PORT = 65_535
+# Rates of two clocks may differ by 1%.
+CLOCK_DRIFT = 1.01
 
 
 def load_checked(path: str) -> settings.Settings:
@@ -43,6 +45,7 @@
     for field in ADDRESS_FIELDS:
         if field in tables and not _is_address(tables[field]):
             yield f'{field}: must be <IP>:<port from 1 to {MAX_PORT}>'
+    yield from _ownership_faults(tables.get('timing', {}))
     platform = tables.get('platform')
     if isinstance(platform, Mapping):
         yield from _name_faults(
@@ -53,6 +56,22 @@
     )
 
 
+def _ownership_faults(timing: Any) -> Iterator[str]:
+    """Two hosts could own a partition at once if this did not hold."""
+    if not isinstance(timing, Mapping):
+        return
+    defaults = settings.Timing()
+    valid_ms = timing.get('owner_valid_ms', defaults.owner_valid_ms)
+    takeover_ms = timing.get('takeover_ms', defaults.takeover_ms)
+    if not isinstance(valid_ms, int) or not isinstance(takeover_ms, int):
+        return
+    if valid_ms * CLOCK_DRIFT >= takeover_ms:
+        yield (
+            'timing.takeover_ms: must be more than owner_valid_ms'
+            + f' x {CLOCK_DRIFT}'
+        )
+
+
 def _name_faults(
     field: str, name: Any, look_up: Callable[[str], Any]
 ) -> Iterator[str]:
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -156,3 +156,19 @@
     assert caller.judge(request, collected)[0] == 'failed'
     outcome = caller.Outcome(request, 'wrong')
     assert report.length_label(outcome) == 'short'
+
+
+@pytest.mark.parametrize(
+    ('text', 'fault'),
+    [
+        ('[timing]\ntick_ms = 0', 'timing.tick_ms: Input should be greater'),
+        ('[limits]\nretry_percent = 101', 'limits.retry_percent: Input should'),
+        ('[timing]\ntakeover_ms = 1010', 'timing.takeover_ms: must be more'),
+    ],
+)
+def test_settings_out_of_range_are_refused(tmp_path, text, fault):
+    """Guards against two owners and against a daemon that spins."""
+    path = tmp_path / 'host.toml'
+    path.write_text(f'{VALID}{text}\n')
+    with pytest.raises(errors.InvalidSettings, match=fault):
+        settingscheck.load_checked(str(path))
