--- a/bergamotstream/linktasks.py
+++ b/bergamotstream/linktasks.py
@@ -19,6 +19,7 @@
     errors,
     events,
     framing,
+    logs,
     outbox,
     records,
     settings,
@@ -99,12 +100,12 @@
         """Log a fault once until the link works again."""
         if fault != self._last_fault:
             self._last_fault = fault
-            logging.warning(
-                'event=link_failed peer=%s address=%s fault=%s',
-                self._host.name,
-                self._host.peer_address,
-                fault,
-            )
+            fields = {
+                'peer': self._host.name,
+                'address': self._host.peer_address,
+                'fault': fault,
+            }
+            logging.warning('%s', logs.line('link_failed', fields))
 
 
 class ReceivingEnd:
