--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -122,7 +122,7 @@
     shape_of: Callable[[float], Shape],
     warm_ms: int = 0,
     window_ms: int = 1_000,
-    windows: int = 4,
+    windows: int = 6,
 ) -> None:
     """Measure one shape for each size and print the table."""
     rows = [
@@ -148,7 +148,7 @@
         (8, 12, 24, 48),
         lambda size: Shape(hosts=int(size)),
         window_ms=500,
-        windows=2,
+        windows=3,
     )
     sweep(
         'targets per host',
--- a/demo/processes.py
+++ b/demo/processes.py
@@ -62,6 +62,10 @@
             if child.returncode is not None
         ]
 
+    def pid(self, name: str) -> int:
+        """Return the process id of a child."""
+        return self._children[name].pid
+
     def log_tail(self, name: str) -> str:
         """Return the last lines that a process wrote."""
         lines = self._log_path(name).read_text().splitlines()
