Keep a moved request where it is; say "may have run" after a resume; order sets

Cause: loops over sets of partition names in accounts and ownership and of orphans in the checks; with PYTHONHASHSEED 0 and 2 the actions differed.

--- a/bergamotstream/accounts.py
+++ b/bergamotstream/accounts.py
@@ -150,7 +150,7 @@
             return produced
         self._reconcile_ms = self.state.now_ms + RECONCILE_MS
         self._drop_dead_holders()
-        for partition in self._busy_partitions():
+        for partition in sorted(self._busy_partitions()):
             produced.extend(self._query_members(partition))
         return produced
 
--- a/bergamotstream/admission.py
+++ b/bergamotstream/admission.py
@@ -269,7 +269,7 @@
             return 'no_target'
         if not self.placer.segments(waiting):
             return 'no_target'
-        if self._excludes_all(waiting):
+        if self._excludes_too_many(waiting):
             return 'no_target'
         fastest_ms = self.forecast.fastest_ms(waiting)
         waiting.latest_start_ms = waiting.deadline_ms - fastest_ms
@@ -277,9 +277,14 @@
             return 'deadline_unreachable'
         return ''
 
-    def _excludes_all(self, waiting: grants.Waiting) -> bool:
-        names = set(self._targets_by_name)
-        return bool(waiting.excluded) and names <= waiting.excluded
+    def _excludes_too_many(self, waiting: grants.Waiting) -> bool:
+        if not waiting.excluded:
+            return False
+        left = sum(
+            not target.leaving and name not in waiting.excluded
+            for name, target in self._targets_by_name.items()
+        )
+        return left < len(self.placer.segments(waiting))
 
     def _make_room(self) -> None:
         """Deny the newest request of the workspace that queued the most."""
--- a/bergamotstream/messages.py
+++ b/bergamotstream/messages.py
@@ -111,10 +111,14 @@
 
 
 class GrantExpired(NamedTuple):
-    """Tells the accepting host that a renewed grant is not known."""
+    """Tells the accepting host that it does not hold a renewed grant.
+
+    With ``moved`` another host has resumed the request.
+    """
 
     partition: str
     attempt_id: str
+    moved: bool = False
 
 
 class GrantProgress(NamedTuple):
--- a/bergamotstream/ownership.py
+++ b/bergamotstream/ownership.py
@@ -105,7 +105,7 @@
             limits.claim_partitions,
         )
         listed_ms = self._listed_ms_by_partition
-        listed_ms.update(dict.fromkeys(names, now_ms))
+        listed_ms.update(dict.fromkeys(sorted(names), now_ms))
         for name in listed_ms.keys() - names:
             if now_ms - listed_ms[name] > PARTITION_KEPT_MS:
                 listed_ms.pop(name)
--- a/bergamotstream/partitionowner.py
+++ b/bergamotstream/partitionowner.py
@@ -105,10 +105,14 @@
         """Queue a request, or repeat the answer that it has had."""
         request_id = message.request.request_id
         grant = self.table.of_request(request_id)
+        if grant is not None and grant.holder != asker:
+            # Another host has resumed the request; a paused one must not
+            # take it back.
+            self._deny_moved(request_id, asker, grant.expires_ms)
+            return
         if grant is not None:
             names = {target.name for target in grant.targets}
             if names.isdisjoint(message.excluded_targets):
-                grant.holder = asker
                 grant.asked_ms = message.sent_ms
                 grant.expires_ms = self._lease_end_ms()
                 self._out.append(grants.grant_reply(self.partition, grant))
@@ -116,6 +120,8 @@
             self._end_grant(grant, 'failed')
         queued = self.admission.waiting_by_request.get(request_id)
         if queued is not None:
+            if queued.asker != asker:
+                self._deny_moved(request_id, queued.asker, queued.deadline_ms)
             queued.asker = asker
             queued.asked_ms = message.sent_ms
             queued.excluded = frozenset(message.excluded_targets)
@@ -129,6 +135,11 @@
         if grant is not None:
             if grant.holder == sender:
                 grant.expires_ms = self._lease_end_ms()
+                return
+            moved = messages.GrantExpired(
+                self.partition, attempt_id, moved=True
+            )
+            self._out.append(actions.SendMessage(sender, moved))
             return
         if sender in self.adoption.answered or self.adoption.certain:
             expired = messages.GrantExpired(self.partition, attempt_id)
@@ -226,6 +237,14 @@
             load = self.admission.load()
             self._state.own_loads_by_partition[self.partition] = load
 
+    def _deny_moved(self, request_id: str, asker: str, until_ms: int) -> None:
+        retry_after_ms = max(until_ms - self._state.now_ms, 0)
+        self._out.append(
+            grants.denial(
+                self.partition, asker, request_id, 'in_progress', retry_after_ms
+            )
+        )
+
     def _grant(
         self, waiting: grants.Waiting, placement: assignments.Placement
     ) -> None:
--- a/bergamotstream/peer.capnp
+++ b/bergamotstream/peer.capnp
@@ -131,6 +131,7 @@
 struct GrantExpired {
   partition @0 :Text;
   attemptId @1 :Text;
+  moved @2 :Bool;
 }
 
 struct GrantProgress {
--- a/bergamotstream/requestchecks.py
+++ b/bergamotstream/requestchecks.py
@@ -32,15 +32,22 @@
 
 
 def refuse(
-    shared: state.HostState, request: records.RequestSpec, code: str
+    shared: state.HostState,
+    request: records.RequestSpec,
+    code: str,
+    *,
+    resumed: bool = False,
 ) -> components.Actions:
-    """Refuse a request that was not opened."""
+    """Refuse a request that was not opened here.
+
+    One that is ``resumed`` may have run at the host where it was before.
+    """
     retry_after_ms = 0
     if code in RETRY_LATER:
         retry_after_ms = shared.settings.timing.takeover_ms
     # A second copy of an open request says nothing about the first one.
     run_state: records.RunState = 'not_run'
-    if code == 'in_progress':
+    if resumed or code == 'in_progress':
         run_state = 'may_have_run'
     return requestlog.refused(request, code, run_state, retry_after_ms)
 
--- a/bergamotstream/sessions.py
+++ b/bergamotstream/sessions.py
@@ -84,9 +84,10 @@
             self.state, request, event.deadline_ms
         )
         if code:
-            return requestchecks.refuse(self.state, request, code)
+            return requestchecks.refuse(self.state, request, code, resumed=True)
         session = self._open(request, event.deadline_ms)
         session.offset = event.offset
+        session.may_have_run = True
         produced = [
             *requestlog.resumed(session, 'caller', self.state.now_ms),
             *self._charging.ask(session),
@@ -147,6 +148,8 @@
         verdict = self._claiming.answered(session, message)
         counted = actions.Count('claims', message.outcome)
         if verdict.dispatch:
+            # A claim that is confirmed now was not dispatched by any host.
+            session.may_have_run = False
             return [counted, *self._start(session)]
         if verdict.recorded is not None:
             return [counted, *self._finish(session, verdict.recorded)]
@@ -197,6 +200,9 @@
         if session is None:
             return []
         produced = self._grants.drop(session)
+        if message.moved:
+            session.may_have_run = True
+            return [*produced, *self._refuse(session, 'in_progress')]
         if session.caller_gone_ms:
             return [*produced, *self._refuse(session, 'caller_gone')]
         if not session.repeatable and session.stage == 'running':
@@ -439,9 +445,13 @@
         session: sessionstate.Session,
         code: str,
         retry_after_ms: int = 0,
-        run_state: records.RunState | None = None,
+        run_state: records.RunState = 'not_run',
     ) -> components.Actions:
         """Give the final answer now and return what the request held."""
+        if code == 'in_progress':
+            session.may_have_run = True
+        if run_state != 'ran':
+            run_state = session.worst_run_state(run_state)
         outcome = 'cancelled' if session.stage == 'running' else 'unused'
         return [
             *self._asking.withdraw(session),
@@ -451,7 +461,7 @@
             *requestlog.refused(
                 session.request,
                 code,
-                run_state or session.run_state,
+                run_state,
                 retry_after_ms,
             ),
         ]
--- a/bergamotstream/sessionstate.py
+++ b/bergamotstream/sessionstate.py
@@ -87,10 +87,9 @@
         """Tell whether the request may run more than once."""
         return not self.request.idempotency_key
 
-    @property
-    def run_state(self) -> records.RunState:
+    def worst_run_state(self, run_state: records.RunState) -> records.RunState:
         """Return what an error may truthfully say about execution."""
-        return 'may_have_run' if self.may_have_run else 'not_run'
+        return 'may_have_run' if self.may_have_run else run_state
 
     def remaining_ms(self, now_ms: int) -> int:
         """Return the time left until the deadline."""
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -290,6 +290,30 @@
     assert corekit.messages_of(produced, messages.GrantRequest)
 
 
+def test_resumed_order_is_not_said_to_be_not_run():
+    """Guards against "not run" for an order that ran at a host that died."""
+    host = corekit.Host()
+    request = corekit.make_request(service='mostrador', idempotency_key='1-k')
+    produced = host.send(events.ResumeReceived(request, 10_000, 0))
+    ask = corekit.messages_of(produced, messages.GrantRequest)[0]
+    charge(host, corekit.messages_of(produced, messages.ChargeRequest)[0])
+    asked = corekit.messages_of(grant(host, ask), messages.ClaimRequest)[0]
+    reply = messages.ClaimReply('claims:0', asked.claim_id, 'unavailable')
+    produced = host.receive(reply)
+    assert refusals(produced)[0].run_state == 'may_have_run'
+
+
+def test_request_that_moved_ends_at_the_paused_host():
+    """Guards against a paused host that takes its request back."""
+    host = corekit.Host()
+    running(host)
+    moved = messages.GrantExpired(corekit.PARTITION, 'a1', moved=True)
+    produced = host.receive(moved, 5_000)
+    assert refusals(produced)[0].code == 'in_progress'
+    assert refusals(produced)[0].run_state == 'may_have_run'
+    assert not corekit.messages_of(produced, messages.GrantRequest)
+
+
 def test_moved_grant_is_left_alone():
     """Guards against cancelling an attempt that moved to another host."""
     host = corekit.Host()
