--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -20,9 +20,12 @@
 from bench import capacitycell, capacityfit, capacityparts
 
 MS_PER_S = 1_000
+NS_PER_MS = 1_000_000
 # 10 ms of CPU time in a second are 1% of a core.
 NS_PER_S_PER_PERCENT = 10_000_000
 MIB = 1_048_576
+KINDS_SHOWN = 16
+OPERATOR_WINDOW_MS = 20_000
 COLUMNS = (
     'core %',
     'codec %',
@@ -140,6 +143,34 @@
     print(capacityfit.table(title, sizes, {'MiB': measured}), flush=True)
 
 
+def operator_costs(workspaces: float) -> Row:
+    """Return costs of a change at the host that operators use.
+
+    A change is a draft, its sign-off and its roll-out.
+    """
+    shape = Shape(hosts=2, workspaces=int(workspaces), changes=1)
+    cell = capacitycell.Cell(shape)
+    cell.run_until_ready(warm_ms=0)
+    cell.run_window(OPERATOR_WINDOW_MS)
+    meter = cell.hosts_by_name['operator'].meter
+    changes = OPERATOR_WINDOW_MS / MS_PER_S * shape.changes
+    asked_ns = meter.cpu_ns['AdminAsked'] + meter.cpu_ns['KvAnswered']
+    return (
+        asked_ns / NS_PER_MS / changes,
+        sum(meter.kv_calls.values()) / changes,
+        meter.kv_bytes / changes,
+    )
+
+
+def measure_operator() -> None:
+    """Vary the workspaces of the configuration that operators change."""
+    sizes = (10, 100, 1_000, 13_000)
+    rows = [operator_costs(size) for size in sizes]
+    names = ('CPU ms', 'KV calls', 'KV bytes')
+    columns = dict(zip(names, zip(*rows, strict=True), strict=True))
+    print(capacityfit.table('workspaces, one change', sizes, columns))
+
+
 def measure_hosts() -> None:
     """Vary the hosts of a cell; flat cells show why cells are needed."""
     sweep('hosts', (2, 3, 4, 6, 8), lambda size: Shape(hosts=int(size)))
@@ -234,6 +265,7 @@
         'hosts': measure_hosts,
         'configuration': measure_configuration,
         'requests': measure_requests,
+        'operator': measure_operator,
         'memory': measure_memory,
         'parts': capacityparts.measure,
     }
@@ -245,7 +277,7 @@
 def _largest(counter: collections.Counter[str], scale: float) -> str:
     return ' '.join(
         f'{name}={amount * scale:.3g}'
-        for name, amount in counter.most_common(6)
+        for name, amount in counter.most_common(KINDS_SHOWN)
     )
 
 
