Attach to an attempt that a dead host has dispatched

With a host killed during a prompt of 1,000,000 tokens, the caller repeats its request at another host and the owner gives the same grant again. The client now attaches to the running attempt, also to a held segment. A stream of a held segment that ends without its last event no longer counts as exported.

--- a/bergamotstream/engines/__init__.py
+++ b/bergamotstream/engines/__init__.py
@@ -33,9 +33,9 @@
 class AttemptFault(Exception):
     """An attempt ended early; ``kind`` is one of the core's kinds."""
 
-    def __init__(self, kind: events.FailureKind) -> None:
-        """Keep how the attempt failed."""
-        super().__init__(kind)
+    def __init__(self, kind: events.FailureKind, code: str = '') -> None:
+        """Keep how the attempt failed; ``code`` is what the target said."""
+        super().__init__(kind, code)
         self.kind = kind
 
 
--- a/bergamotstream/engines/model.py
+++ b/bergamotstream/engines/model.py
@@ -8,8 +8,9 @@
 """
 
 import asyncio
+import contextlib
 import json
-from collections.abc import AsyncIterator, Iterator, Mapping
+from collections.abc import AsyncGenerator, AsyncIterator, Iterator, Mapping
 from typing import Any
 
 import aiohttp
@@ -23,6 +24,7 @@
 ORDER_TIMEOUT = aiohttp.ClientTimeout(total=30)
 READ_BYTES = 65_536
 HTTP_OK = 200
+HTTP_CONFLICT = 409
 # An owner cancelled the attempt or the engine has restarted. Neither says
 # anything about the request, which may continue on another target.
 ENDED_ELSEWHERE = frozenset(('cancelled', 'unknown_attempt'))
@@ -104,14 +106,23 @@
         return await self._call(url, body, ORDER_TIMEOUT)
 
     async def _hold_segments(self, attempt: engines.Attempt) -> None:
+        # In order, because each segment attends to the ones before it.
+        waiting = list(attempt.dispatch.targets[:-1])
         done = 0
-        for target in attempt.dispatch.targets[:-1]:
+        while waiting:
+            target = waiting.pop(0)
             body = _segment(attempt, done, target.tokens)
-            url = f'http://{target.address}/v1/hold'
-            async for _ in self._events(url, body):
-                """Reads until the engine has exported the segment."""
+            await self._hold(f'http://{target.address}/v1/hold', body)
             done += target.tokens
 
+    async def _hold(self, url: str, body: Mapping[str, Any]) -> None:
+        """Return when the engine has exported the segment."""
+        async with contextlib.aclosing(self._events(url, body)) as received:
+            async for event in received:
+                if event.event == 'done':
+                    return
+        raise _unfinished()
+
     async def _generate(self, attempt: engines.Attempt) -> events.Event:
         dispatch = attempt.dispatch
         offset = attempt.sink.offset
@@ -120,8 +131,18 @@
         if dispatch.resume:
             url = f'{url}?resume={dispatch.attempt_id}&offset={offset}'
             body = {}
-        first = not (dispatch.resume and offset)
-        async for event in self._events(url, body, dispatch.attempt_id):
+        stream = self._events(url, body, dispatch.attempt_id)
+        async with contextlib.aclosing(stream) as received:
+            return await self._relay(attempt, received)
+
+    async def _relay(
+        self,
+        attempt: engines.Attempt,
+        received: AsyncIterator[eventstream.ServerEvent],
+    ) -> events.Event:
+        dispatch = attempt.dispatch
+        first = not (dispatch.resume and attempt.sink.offset)
+        async for event in received:
             if event.event == 'done':
                 return _finished(attempt, event.body)
             if first:
@@ -132,14 +153,18 @@
                 int(event.body['offset']),
                 (str(event.body['text']),),
             )
-        raise aiohttp.ClientPayloadError('stream ended without its end event')
+        raise _unfinished()
 
     async def _events(
         self, url: str, body: Mapping[str, Any], started: str = ''
-    ) -> AsyncIterator[eventstream.ServerEvent]:
-        """Yield the events of a stream up to ``done``."""
+    ) -> AsyncGenerator[eventstream.ServerEvent, None]:
+        """Yield the events of a stream."""
         decoder = eventstream.EventDecoder()
         response = await self._open(url, body)
+        if response.status == HTTP_CONFLICT:
+            # The attempt was dispatched by a host that has died since.
+            response.close()
+            response = await self._open(_attach_url(url, body), {})
         async with response:
             await _check_accepted(response)
             if started:
@@ -174,6 +199,17 @@
             return _object(await response.read())
 
 
+def _attach_url(url: str, body: Mapping[str, Any]) -> str:
+    """Return where to attach to an attempt that the engine runs already."""
+    base = url.rpartition('/')[0]
+    offset = body.get('offset', 0)
+    return f'{base}/generate?resume={body["attempt_id"]}&offset={offset}'
+
+
+def _unfinished() -> aiohttp.ClientError:
+    return aiohttp.ClientPayloadError('stream ended without its last event')
+
+
 def _object(received: bytes) -> dict[str, Any]:
     decoded = json.loads(received)
     if not isinstance(decoded, dict):
@@ -186,14 +222,18 @@
     if response.status == HTTP_OK:
         return
     body = _object(await response.read())
-    if body.get('not_run') is True:
-        raise engines.AttemptFault('refused')
-    raise engines.AttemptFault(_kind_of(body.get('code')))
+    raise _fault_of(body)
 
 
-def _kind_of(code: Any) -> events.FailureKind:
-    """Return how an attempt failed that the engine accepted."""
-    return 'lost' if code in ENDED_ELSEWHERE else 'rejected'
+def _fault_of(body: Mapping[str, Any]) -> engines.AttemptFault:
+    """Return how an attempt failed by what the engine says."""
+    code = str(body.get('code', ''))
+    if body.get('not_run') is True:
+        return engines.AttemptFault('refused', code)
+    kind: events.FailureKind = 'rejected'
+    if code in ENDED_ELSEWHERE:
+        kind = 'lost'
+    return engines.AttemptFault(kind, code)
 
 
 def _checked(
@@ -202,8 +242,7 @@
     """Yield events up to one by which the engine reports an error."""
     for event in received:
         if event.event == 'error':
-            code = event.body.get('code')
-            raise engines.AttemptFault(_kind_of(code))
+            raise _fault_of(event.body)
         yield event
 
 
--- a/standins/liveengine.py
+++ b/standins/liveengine.py
@@ -190,7 +190,9 @@
         old = [
             attempt_id
             for attempt_id, progress in self.progress_by_attempt.items()
-            if progress.ended and progress.ended_ms < limit_ms
+            if progress.ended
+            and progress.ended_ms < limit_ms
+            and attempt_id not in self.model.sequences_by_attempt
         ]
         for attempt_id in old:
             self.progress_by_attempt.pop(attempt_id)
--- a/tests/test_engineclients.py
+++ b/tests/test_engineclients.py
@@ -172,6 +172,25 @@
         assert not kinds_of(await run_attempt(address))
 
 
+async def test_attempt_that_already_runs_is_attached_to():
+    """Guards against a final error after the death of the first host.
+
+    The owner gives the same grant to the host where the caller repeats its
+    request, so the engine gets the same attempt a second time.
+    """
+    slow = shellhelp.FAST._replace(step_ms=5)
+    async with shellhelp.running_engine(slow) as (held_app, held):
+        async with shellhelp.running_engine(slow) as (_, address):
+            sinks = [ListSink(), ListSink()]
+            seen = await asyncio.gather(
+                *(run_attempt(address, sink=s, held=[held]) for s in sinks)
+            )
+        for sink, events_seen in zip(sinks, seen, strict=True):
+            assert not kinds_of(events_seen)
+            assert ''.join(sink.tokens) == answers.answer_text(7, TOKENS)
+        assert held_app.live.model.memory_used == 0
+
+
 async def test_attempt_that_its_owner_cancelled_is_lost():
     """Guards against a final error for a request that may continue.
 
