--- a/demo/caller.py
+++ b/demo/caller.py
@@ -21,6 +21,7 @@
 MAX_TRIES = 4
 MS_PER_S = 1_000
 HTTP_OK = 200
+BROKEN = {'code': 'connection_broken', 'run_state': 'may_have_run'}
 
 
 class Outcome(NamedTuple):
@@ -42,6 +43,7 @@
         self.text = ''
         self.first_at_s: float = 0
         self.error: dict[str, Any] = {}
+        self.errors: list[dict[str, Any]] = []
         self.done = False
 
     def add(self, event: eventstream.ServerEvent) -> None:
@@ -107,10 +109,16 @@
             attempt += 1
             try:
                 await self._send(url, body, collected)
+            except aiohttp.ClientConnectorError:
+                if attempt == MAX_TRIES:
+                    raise
             except (aiohttp.ClientError, OSError):
                 # A key makes it safe to send a request again.
                 if attempt == MAX_TRIES:
                     raise
+                collected.errors.append(BROKEN)
+            if collected.error:
+                collected.errors.append(collected.error)
             wait_ms = collected.error.get('retry_after_ms', 0)
             if collected.done or (collected.error and not wait_ms):
                 return
@@ -147,9 +155,12 @@
 ) -> tuple[str, str]:
     """Return the state of an answer and what is wrong with it."""
     if collected.error:
-        code = str(collected.error['code'])
-        not_run = collected.error['run_state'] == 'not_run'
-        return ('refused' if not_run else 'failed'), code
+        told = [
+            f'{error["code"]}/{error["run_state"]}'
+            for error in collected.errors
+        ]
+        not_run = all(text.endswith('/not_run') for text in told)
+        return ('refused' if not_run else 'failed'), ', '.join(told)
     if not collected.done:
         return 'failed', 'the stream ended early'
     wanted = _expected(request)
