--- a/demo/processes.py
+++ b/demo/processes.py
@@ -63,15 +63,23 @@
             if child.returncode is not None
         ]
 
+    def kill(self, name: str) -> None:
+        """Kill a process as a crash would; it is then no longer ours."""
+        self._children.pop(name).kill()
+
+    def running(self, names: Sequence[str]) -> list[str]:
+        """Return those of ``names`` that were not killed."""
+        return [name for name in names if name in self._children]
+
+    def pid(self, name: str) -> int:
+        """Return the process id of a child."""
+        return self._children[name].pid
+
     def log_tail(self, name: str) -> str:
         """Return the last lines that a process wrote."""
         lines = self._log_path(name).read_text().splitlines()
         return '\n'.join(lines[-LOG_TAIL_LINES:])
 
-    def kill(self, name: str) -> None:
-        """End a process at once, as a failing machine does."""
-        self._children[name].kill()
-
     def pause(self, name: str) -> None:
         """Pause a process until :meth:`resume`."""
         self._children[name].send_signal(signal.SIGSTOP)
