--- a/bench/checks.py
+++ b/bench/checks.py
@@ -191,7 +191,7 @@
                     present.add((target.name, attempt_id))
         self._orphan_since_ms = {
             orphan: self._orphan_since_ms.get(orphan, self.time.now_ms)
-            for orphan in present
+            for orphan in sorted(present)
         }
         for (name, attempt_id), since_ms in self._orphan_since_ms.items():
             if self.time.now_ms > since_ms + ORPHAN_LIMIT_MS:
