--- a/bench/storage.py
+++ b/bench/storage.py
@@ -99,15 +99,16 @@
 
     def _apply(self, operation: Operation) -> None:
         action = operation.action
+        status: events.KvStatus = 'ok'
         if self.mode == 'down':
             return
         if isinstance(action, actions.KvWatch):
             if not self._is_due(action):
                 self._watches.append(operation)
                 return
-            status, found = self._read(action.key)
+            found = self._item(action.key)
         elif isinstance(action, actions.KvRead):
-            status, found = self._read(action.key, prefix=action.prefix)
+            found = self._read(action)
         else:
             status, found = self._change(action)
         if self.mode != 'lose-answers':
@@ -117,17 +118,19 @@
         present = self.items_by_key.get(watch.key)
         return present is not None and present.revision > watch.after_revision
 
-    def _read(
-        self, key: str, *, prefix: bool = False
-    ) -> tuple[events.KvStatus, Items]:
-        if not prefix:
-            present = self.items_by_key.get(key)
-            return 'ok', (present,) if present else ()
-        return 'ok', tuple(
+    def _item(self, key: str) -> Items:
+        present = self.items_by_key.get(key)
+        return (present,) if present else ()
+
+    def _read(self, action: actions.KvRead) -> Items:
+        if not action.prefix:
+            return self._item(action.key)
+        found = tuple(
             self.items_by_key[name]
             for name in sorted(self.items_by_key)
-            if name.startswith(key)
+            if name.startswith(action.key) and name > action.after_key
         )
+        return found[: action.limit] if action.limit else found
 
     def _change(self, action: Any) -> tuple[events.KvStatus, Items]:
         if isinstance(action, actions.KvDelete):
