Keep claim logs, fencing numbers and targets apart by cell

Cause: the keys of claim logs and fencing numbers did not contain the cell and targets in the host list had none, so two cells would seal one log and grant work on each other's targets (found while docs/CAPACITY.md was written). Today's single cell is named by default and unchanged.

--- a/bergamotstream/claimformat.py
+++ b/bergamotstream/claimformat.py
@@ -61,14 +61,14 @@
     return entry.workspace, entry.key
 
 
-def segment_prefix(partition: str) -> str:
-    """Return the prefix of the segments of a partition."""
-    return f'claims/{partition}/'
+def segment_prefix(cell: str, partition: str) -> str:
+    """Return the prefix of the segments of a cell's partition."""
+    return f'claims/{cell}/{partition}/'
 
 
-def segment_key(partition: str, sequence: int) -> str:
+def segment_key(cell: str, partition: str, sequence: int) -> str:
     """Return the key of a segment; keys sort by sequence."""
-    return f'{segment_prefix(partition)}{sequence:0{SEQUENCE_DIGITS}}'
+    return f'{segment_prefix(cell, partition)}{sequence:0{SEQUENCE_DIGITS}}'
 
 
 def sequence_of(key: str) -> int:
--- a/bergamotstream/claimwriter.py
+++ b/bergamotstream/claimwriter.py
@@ -50,6 +50,7 @@
     ) -> None:
         """Start unloaded; run :meth:`load` first."""
         self.partition = partition
+        self._cell = config.cell
         self.index = self._empty_index(config)
         self.owned = True
         self.serving = False
@@ -174,7 +175,7 @@
         ascending pages miss none that is older than the page before.
         """
         self.index = self._empty_index(self._settings)
-        prefix = claimformat.segment_prefix(self.partition)
+        prefix = claimformat.segment_prefix(self._cell, self.partition)
         page = actions.KvRead('', prefix, prefix=True, limit=PAGE_SEGMENTS)
         while True:
             asked_ms = self._clock()
@@ -238,7 +239,7 @@
             kind, f'{incarnation}.{self._nonces}', entries
         )
         content = claimformat.encode_segment(segment, self._clock())
-        key = claimformat.segment_key(self.partition, sequence)
+        key = claimformat.segment_key(self._cell, self.partition, sequence)
         written = yield from self._create(key, content)
         if written is claimbatch.Written.YES:
             self._confirmed_ms = self._clock()
@@ -284,8 +285,8 @@
     ) -> Generator[kvflows.Step, kvflows.Answers, None]:
         action = actions.KvDelete(
             '',
-            claimformat.segment_key(self.partition, first),
-            claimformat.segment_key(self.partition, last + 1),
+            claimformat.segment_key(self._cell, self.partition, first),
+            claimformat.segment_key(self._cell, self.partition, last + 1),
         )
         # What stays undeleted is read back by the next owner and folded
         # again, which is harmless.
--- a/bergamotstream/fencing.py
+++ b/bergamotstream/fencing.py
@@ -3,7 +3,7 @@
 ~~~~~~~~~~~~~~~
 
 The right to send orders to the targets of one partition. The record
-``fence/<partition>`` in the key-value service holds a number that each new
+``fence/<cell>/<partition>`` in the key-value service holds a number that each new
 holder increments by compare-and-swap. A holder sends only within
 ``order_window_ms`` after it began its last confirmed renewal.
 """
@@ -37,6 +37,7 @@
     ) -> None:
         """Start without the right; ``nonce`` differs for each holder."""
         self.partition = partition
+        self._key = f'{KEY_PREFIX}{config.cell}/{partition}'
         self.number = 0
         self.lost = False
         self.busy = False
@@ -93,7 +94,7 @@
             )
 
     def _read(self) -> FenceFlow:
-        items = yield from kvflows.read_items(f'{KEY_PREFIX}{self.partition}')
+        items = yield from kvflows.read_items(self._key)
         if items:
             self._revision = items[0].revision
             self.number = json.loads(items[0].value)['number']
@@ -110,7 +111,7 @@
             }
         )
         answered = yield from kvflows.write_item(
-            f'{KEY_PREFIX}{self.partition}', content, self._revision
+            self._key, content, self._revision
         )
         if answered.status != 'ok':
             self.lost = True
--- a/bergamotstream/membership.py
+++ b/bergamotstream/membership.py
@@ -56,7 +56,9 @@
         self._keeper.listed_hosts = frozenset(listed)
         self.state.hosts_by_name = hosts_by_name
         self.state.targets_by_name = {
-            target.name: target for target in event.targets
+            target.name: target
+            for target in event.targets
+            if target.cell == cell
         }
         self._forget_unknown_hosts()
         self._refresh_hosts()
--- a/bergamotstream/records.py
+++ b/bergamotstream/records.py
@@ -16,6 +16,8 @@
 SHORT_PROMPT_TOKENS = 4_000
 MEDIUM_PROMPT_TOKENS = 32_000
 MAX_PROMPT_TOKENS = 1_000_000
+# The cell of hosts and targets whose cell the host list does not state.
+DEFAULT_CELL = 'cell-1'
 
 
 class HostInfo(NamedTuple):
@@ -26,7 +28,7 @@
     caller_address: str
     peer_address: str
     leaving: bool = False
-    cell: str = 'cell-1'
+    cell: str = DEFAULT_CELL
 
 
 class TargetInfo(NamedTuple):
@@ -37,6 +39,7 @@
     availability_zone: str
     address: str
     leaving: bool = False
+    cell: str = DEFAULT_CELL
 
 
 class CellRecord(NamedTuple):
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -12,6 +12,7 @@
 from tests import kvcluster
 
 PARTITION = 'claims:0'
+CELL = 'c1'
 HOSTS = ('h1', 'h2')
 
 
@@ -178,7 +179,7 @@
     claimant.acquire('h2')
     claimant.cluster.run(100)
     assert claimant.outcome('h2') == 'claimed'
-    prefix = claimformat.segment_prefix(PARTITION)
+    prefix = claimformat.segment_prefix(CELL, PARTITION)
     store = claimant.cluster.kv.store
     seals = store.between(f'{prefix}0', f'{prefix}{2:016}' + '\0')
     store.delete([item.key for item in seals])
@@ -193,7 +194,7 @@
         claimant.claim('h1', key=f'k{number}')
         cluster.run(50)
     cluster.run(claimlog.DELETE_AFTER_MS + 2_000)
-    prefix = claimformat.segment_prefix(PARTITION)
+    prefix = claimformat.segment_prefix(CELL, PARTITION)
     items = cluster.kv.store.between(prefix, f'{prefix}~')
     assert len(items) <= claimlog.FOLD_SEGMENTS + 3
     assert max(len(item.value) for item in items) <= 65_536
@@ -251,7 +252,7 @@
 
 def test_corrupt_segment_stops_the_partition(claimant):
     """Guards against an owner that serves without all entries."""
-    key = claimformat.segment_key(PARTITION, 1)
+    key = claimformat.segment_key(CELL, PARTITION, 1)
     claimant.cluster.kv.store.put(key, b'{"entries": 3}')
     claimant.acquire('h2')
     claimant.cluster.run(500)
@@ -309,7 +310,7 @@
         if 'unavailable' in outcomes:
             refused.add(claim_id)
     assert all(len(claimed) == 1 for claimed in claims_by_key.values())
-    prefix = claimformat.segment_prefix(PARTITION)
+    prefix = claimformat.segment_prefix(CELL, PARTITION)
     written = {
         entry.claim_id
         for item in cluster.kv.store.between(prefix, f'{prefix}~')
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -5,7 +5,7 @@
 import pytest
 from hypothesis import strategies
 
-from bergamotstream import components, events
+from bergamotstream import components, events, records
 
 HOSTS = 5
 TAKEOVER_LIMIT_MS = 3_000
@@ -234,6 +234,16 @@
     assert not cell.cores['h3'].state.owned_partitions
 
 
+def test_targets_of_another_cell_are_ignored():
+    """Guards against two cells that grant work on one target."""
+    cell = started(1)
+    ours = records.TargetInfo('t1', 'asistente', 'z', '127.0.0.1:1')
+    theirs = ours._replace(name='t2', cell='cell-2')
+    hosts = tuple(cell.listed.values())
+    cell.give('h0', events.HostListRead(hosts, (ours, theirs)))
+    assert list(cell.cores['h0'].state.targets_by_name) == ['t1']
+
+
 def test_kv_is_not_busy_while_it_is_down():
     """Guards against retries without a delay during an outage."""
     cell = cellfake.CellFake(1)
