--- /dev/null
+++ b/bergamotstream/sessionflow.py
@@ -0,0 +1,273 @@
+"""
+Session flow
+~~~~~~~~~~~~
+
+The steps of a request at the accepting host: charge and grant in parallel,
+claim where the request must not be repeated, dispatch, retry after a failure,
+final answer.
+"""
+
+from collections.abc import Iterator
+
+from bergamotstream import (
+    actions,
+    asking,
+    charging,
+    claiming,
+    components,
+    heldgrants,
+    messages,
+    records,
+    requestlog,
+    retries,
+    sessionstate,
+    state,
+    wakeups,
+)
+
+FIND_WAIT_MS = 300
+# A caller whose connection broke may resume its request within this time.
+CALLER_GRACE_MS = 3_000
+# What the owner learns from a failed attempt; other kinds are 'failed'.
+OUTCOMES_BY_FAILURE = {'refused': 'not_run', 'target_died': 'target_lost'}
+
+
+class SessionFlow:
+    """Steps of the open requests of one host."""
+
+    def __init__(self, shared: state.HostState) -> None:
+        """Start without open requests."""
+        self.state = shared
+        self.sessions_by_request: dict[str, sessionstate.Session] = {}
+        self.asking = asking.Asking(shared)
+        self.grants = heldgrants.HeldGrants(shared)
+        self.charging = charging.Charging(shared)
+        self.claiming = claiming.Claiming(shared)
+        self._budgets = retries.RetryBudgets(shared.settings.limits)
+        self._wakeups = wakeups.Wakeups()
+
+    def due(self) -> Iterator[sessionstate.Session]:
+        """Yield the open sessions that must be looked at now."""
+        for request_id in list(self._wakeups.due(self.state.now_ms)):
+            session = self.sessions_by_request.get(request_id)
+            if session is not None:
+                yield session
+
+    def open(
+        self, request: records.RequestSpec, deadline_ms: int
+    ) -> sessionstate.Session:
+        """Open a session; the request has been checked."""
+        bundle = self.state.bundle
+        if bundle is None:
+            raise AssertionError('admission checks the bundle first')
+        session = sessionstate.Session(
+            request,
+            bundle.workspaces_by_name[request.workspace],
+            bundle.services_by_name[request.service],
+            self.state.now_ms,
+            deadline_ms,
+        )
+        self.sessions_by_request[request.request_id] = session
+        self.state.open_requests = len(self.sessions_by_request)
+        self._budgets.earn(request.workspace)
+        self.wake(session, session.deadline_at_ms)
+        return session
+
+    def wake(self, session: sessionstate.Session, due_ms: int) -> None:
+        """Look at a session again at ``due_ms``."""
+        self._wakeups.add(due_ms, session.request.request_id)
+
+    def wake_up(self, session: sessionstate.Session) -> components.Actions:
+        """Handle a deadline or an unanswered question."""
+        now_ms = self.state.now_ms
+        if session.remaining_ms(now_ms) <= 0:
+            return self.refuse(session, 'deadline_passed')
+        if self._abandoned_by_caller(session):
+            return self.refuse(session, 'caller_gone')
+        if session.stage == 'running':
+            return []
+        self.wake(session, now_ms + self.state.settings.timing.ask_again_ms)
+        if session.stage == 'finding':
+            return self.start_anew(session)
+        if session.stage == 'claiming':
+            return self._wait_for_claim(session)
+        produced = self.charging.ask_again(session)
+        if session.attempt is None:
+            return [*produced, *self.ask(session, again=True)]
+        return [*produced, *self.advance(session)]
+
+    def _abandoned_by_caller(self, session: sessionstate.Session) -> bool:
+        gone_ms = session.caller_gone_ms
+        if not gone_ms or self.state.now_ms < gone_ms + CALLER_GRACE_MS:
+            return False
+        return session.repeatable or session.stage == 'asking'
+
+    def ask(
+        self, session: sessionstate.Session, *, again: bool = False
+    ) -> components.Actions:
+        """Ask for a grant, or refuse the request if no partition can."""
+        try:
+            if again:
+                return self.asking.ask_again(session)
+            produced = self.asking.ask(session)
+        except asking.Refused as refused:
+            return self.refuse(session, refused.code, refused.retry_after_ms)
+        self.wake(session, session.ask_again_at_ms)
+        return produced
+
+    def denied(
+        self, session: sessionstate.Session, message: messages.GrantReply
+    ) -> components.Actions:
+        """Ask elsewhere after a denial, or refuse the request."""
+        try:
+            produced = self.asking.denied(session, message)
+        except asking.Refused as refused:
+            return self.refuse(session, refused.code, refused.retry_after_ms)
+        self.wake(session, session.ask_again_at_ms)
+        return produced
+
+    def advance(self, session: sessionstate.Session) -> components.Actions:
+        """Claim or dispatch once both the grant and the charge are there."""
+        charged = session.charge_state in {'granted', 'local'}
+        if not charged or session.attempt is None:
+            return []
+        if session.stage != 'asking':
+            return []
+        if session.repeatable:
+            return self.start(session)
+        session.stage = 'claiming'
+        self.wake(session, self.state.now_ms)
+        return self.claiming.ask(session)
+
+    def start(self, session: sessionstate.Session) -> components.Actions:
+        """Dispatch unless the grant has grown old while it was held."""
+        attempt = session.attempt
+        if attempt is not None and self.asking.is_leased(attempt.asked_ms):
+            return self.grants.dispatch(session)
+        produced = self.grants.end(session, 'unused')
+        if not session.repeatable:
+            return [
+                *produced,
+                *self.claiming.abandoned(session),
+                *self.refuse(session, 'claims_unavailable'),
+            ]
+        session.restart_asking()
+        return [*produced, *self.ask(session)]
+
+    def _wait_for_claim(
+        self, session: sessionstate.Session
+    ) -> components.Actions:
+        if not self.claiming.overdue(session):
+            return self.claiming.ask_again(session)
+        retry_after_ms = self.state.settings.timing.takeover_ms
+        return self.refuse(session, 'claims_unavailable', retry_after_ms)
+
+    def retry(
+        self, session: sessionstate.Session, kind: str
+    ) -> components.Actions:
+        """Try again elsewhere, or give up."""
+        outcome = OUTCOMES_BY_FAILURE.get(kind, 'failed')
+        retried = requestlog.retried(session, kind, self.state.now_ms)
+        produced = self.grants.end(session, outcome)
+        if not session.repeatable:
+            return [*produced, *self._fail_claimed(session)]
+        if not self._budgets.try_spend(session.request.workspace):
+            retry_ms = self.state.settings.timing.takeover_ms
+            return [
+                *produced,
+                *self.refuse(session, 'retries_exhausted', retry_ms),
+            ]
+        produced.extend(retried)
+        session.restart_asking()
+        return [*produced, *self.ask(session)]
+
+    def _fail_claimed(
+        self, session: sessionstate.Session
+    ) -> components.Actions:
+        """End a request whose only dispatch has failed."""
+        if session.may_have_run:
+            return self.refuse(session, 'outcome_unknown')
+        return [
+            *self.claiming.abandoned(session),
+            *self.refuse(session, 'target_failed'),
+        ]
+
+    def fail_rejected(
+        self, session: sessionstate.Session
+    ) -> components.Actions:
+        """End a request that the target ran and rejected."""
+        return [
+            *self.grants.end(session, 'finished'),
+            *self.claiming.ran(session, b''),
+            *self.refuse(session, 'target_failed', run_state='ran'),
+        ]
+
+    def refuse(
+        self,
+        session: sessionstate.Session,
+        code: str,
+        retry_after_ms: int = 0,
+        run_state: records.RunState = 'not_run',
+    ) -> components.Actions:
+        """Give the final answer now and return what the request held."""
+        if code == 'in_progress':
+            session.may_have_run = True
+        if run_state != 'ran':
+            run_state = session.worst_run_state(run_state)
+        outcome = 'cancelled' if session.stage == 'running' else 'unused'
+        return [
+            *self.asking.withdraw(session),
+            *self.claiming.given_up(session),
+            *self.grants.end(session, outcome),
+            *self._close(session),
+            *requestlog.refused(
+                session.request,
+                code,
+                run_state,
+                retry_after_ms,
+            ),
+        ]
+
+    def finish(
+        self, session: sessionstate.Session, answer: bytes
+    ) -> components.Actions:
+        """End a request successfully."""
+        answered = requestlog.finished(session, self.state.now_ms)
+        return [
+            *self.grants.end(session, 'unused'),
+            *self._close(session),
+            *answered,
+            actions.FinishRequest(session.request.request_id, answer),
+        ]
+
+    def _close(self, session: sessionstate.Session) -> components.Actions:
+        self.sessions_by_request.pop(session.request.request_id, None)
+        self.state.open_requests = len(self.sessions_by_request)
+        return self.charging.release(session)
+
+    def reattach(
+        self, session: sessionstate.Session, offset: int
+    ) -> components.Actions:
+        """Attach a caller that resumes its open request."""
+        session.caller_gone_ms = 0
+        if session.stage != 'running' or not session.resumable:
+            return []
+        session.offset = offset
+        return self.grants.dispatch(session, resume=True)
+
+    def find(self, session: sessionstate.Session) -> components.Actions:
+        """Ask the owners whether the request already runs."""
+        session.stage = 'finding'
+        self.wake(session, self.state.now_ms + FIND_WAIT_MS)
+        known = self.asking.choice.partitions_of(session.service.name)
+        asked = self.grants.find(session, known)
+        return asked if asked else self.start_anew(session)
+
+    def start_anew(self, session: sessionstate.Session) -> components.Actions:
+        """Run a resumed request from its beginning."""
+        session.stage = 'asking'
+        produced: components.Actions = []
+        if session.offset:
+            session.offset = 0
+            produced.append(actions.RestartAnswer(session.request.request_id))
+        return [*produced, *self.ask(session)]
