--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -63,6 +63,7 @@
         self.ttft_ms: int | None = None
         self.done_ms: int | None = None
         self.codes: list[str] = []
+        self.retry_after_ms: int | None = None
         self.lost = 0
         self.repeats = 0
 
@@ -202,6 +203,7 @@
         call = self.calls[reply.request_id]
         if not reply.granted:
             call.codes.append(reply.code)
+            call.retry_after_ms = reply.retry_after_ms
             return
         if call.reply == reply:
             call.repeats += 1
--- a/bergamotstream/admission.py
+++ b/bergamotstream/admission.py
@@ -28,6 +28,8 @@
 MAX_QUEUED = 2_000
 RETRY_MS = 500
 MIN_RETRY_MS = 100
+# Coming back later does not help after these codes.
+FINAL_CODES = frozenset(('request_quarantined', 'prompt_too_long'))
 # Suspects that are considered in one pass; one may have to wait for another.
 SUSPECTS_AT_ONCE = 16
 OVERTAKING_AT_ONCE = 8
@@ -135,13 +137,16 @@
         """Answer a request with an error code."""
         request_id = waiting.request.request_id
         self.withdraw(request_id)
+        retry_after_ms = max(retry_ms, MIN_RETRY_MS)
+        if code in FINAL_CODES:
+            retry_after_ms = 0
         self._denials.append(
             grants.denial(
                 self.partition,
                 waiting.asker,
                 request_id,
                 code,
-                max(retry_ms, MIN_RETRY_MS),
+                retry_after_ms,
             )
         )
 
--- a/tests/test_granting.py
+++ b/tests/test_granting.py
@@ -208,6 +208,7 @@
     world.run_until(MINUTE_MS)
     assert len(crashes) == 2
     assert poison[-1].codes == ['request_quarantined']
+    assert poison[-1].retry_after_ms == 0
     assert set(world.core.state.own_blame_by_fingerprint) == {666}
 
 
