--- a/bergamotstream/sessionflow.py
+++ b/bergamotstream/sessionflow.py
@@ -122,6 +122,9 @@
         try:
             produced = self.asking.denied(session, message)
         except asking.Refused as refused:
+            if refused.code == 'in_progress' and session.is_fresh:
+                # The caller sent the request again after its host died.
+                return self.find(session)
             return self.refuse(session, refused.code, refused.retry_after_ms)
         self.wake(session, session.ask_again_at_ms)
         return produced
--- a/bergamotstream/sessionstate.py
+++ b/bergamotstream/sessionstate.py
@@ -119,6 +119,15 @@
         """Note that the last dispatch certainly did not run."""
         self.may_have_run = self._had_run
 
+    @property
+    def is_fresh(self) -> bool:
+        """Tell whether this host has not dispatched the request yet.
+
+        Only then may it attach to an attempt that runs elsewhere; a host
+        that was paused must not take back what has moved.
+        """
+        return self.resumable and not self.may_have_run
+
     def restart_asking(self) -> None:
         """Return to asking for a grant."""
         self.ask = None
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -314,6 +314,22 @@
     assert not corekit.messages_of(produced, messages.GrantRequest)
 
 
+def test_request_sent_again_attaches_to_its_running_attempt():
+    """Guards against a caller that must wait for the lease of a dead host."""
+    host = corekit.Host()
+    _charges, asks = start(host)
+    denial = messages.GrantReply(
+        asks[0].partition, 'r1', granted=False, code='in_progress'
+    )
+    produced = host.receive(denial)
+    assert corekit.messages_of(produced, messages.FindRequest)
+    found = messages.FindReply(
+        asks[0].partition, 'r1', True, 'a9', (TARGET,), 5_000
+    )
+    resumed = corekit.actions_of(host.receive(found), actions.Dispatch)[0]
+    assert (resumed.attempt_id, resumed.offset) == ('a9', 0)
+
+
 def test_moved_grant_is_left_alone():
     """Guards against cancelling an attempt that moved to another host."""
     host = corekit.Host()
