--- a/bench/hosts.py
+++ b/bench/hosts.py
@@ -33,8 +33,11 @@
         self.core = core
         self.alive = True
         self.frozen = False
+        # Ended by a fault, not by a planned stop.
+        self.crashed = False
         self.changed_ms = self.time.now_ms
         self.stop_asked_ms: int | None = None
+        self.stopped = False
         self.assemblers_by_request: dict[str, relay.StreamAssembler] = {}
         self.calls_by_request: dict[str, Any] = {}
         self._queued: list[Callable[[], None]] = []
@@ -61,6 +64,7 @@
 
     def kill(self) -> None:
         """End the process and break its connections."""
+        self.crashed = self.alive and not self.stopped
         self.alive = False
         self.changed_ms = self.time.now_ms
         for call in tuple(self.calls_by_request.values()):
@@ -192,6 +196,7 @@
     def do_stopprocess(self, action: actions.StopProcess) -> None:
         """End the process after a planned stop."""
         self.world.checks.process_stopped(self)
+        self.stopped = True
         self.world.kill_host(self.name)
 
     def _end(self, request_id: str, outcome: str, action: Any) -> None:
