--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -0,0 +1,6 @@
+"""
+Measurements
+~~~~~~~~~~~~
+
+Measurements and scenarios in virtual time.
+"""
--- a/bench/scenario/__init__.py
+++ b/bench/scenario/__init__.py
@@ -0,0 +1,6 @@
+"""
+Scenarios
+~~~~~~~~~
+
+A small language for scripted failures; see docs/scenarios.md.
+"""
--- a/demo/__init__.py
+++ b/demo/__init__.py
@@ -0,0 +1,6 @@
+"""
+Demonstration
+~~~~~~~~~~~~~
+
+Separate processes on loopback with a seeded load.
+"""
