--- a/bench/shapes.py
+++ b/bench/shapes.py
@@ -99,7 +99,6 @@
     shape: Shape, host: records.HostInfo, seed: int, policy: str
 ) -> settings.Settings:
     """Return the settings of a host's daemon."""
-    peers = (entry.peer_address for entry in hosts(shape))
     return settings.Settings(
         host=host.name,
         availability_zone=host.availability_zone,
@@ -107,7 +106,6 @@
         caller_address=host.caller_address,
         peer_address=host.peer_address,
         platform=settings.Platform(kv=KV, host_list='hosts'),
-        peers=tuple(peer for peer in peers if peer != host.peer_address),
         policy=policy,
         seed=seed,
     )
--- a/bergamotstream/settings.py
+++ b/bergamotstream/settings.py
@@ -81,8 +81,7 @@
 class Settings(NamedTuple):
     """Settings of one daemon.
 
-    ``peers`` are peer addresses to ask when the key-value service is down at
-    the start. ``seed`` makes tie-breaking choices repeatable.
+    ``seed`` makes tie-breaking choices repeatable.
     """
 
     host: str
@@ -91,7 +90,6 @@
     caller_address: str
     peer_address: str
     platform: Platform
-    peers: tuple[str, ...] = ()
     policy: str = 'predictive'
     seed: int = 1
     timing: Timing = Timing()
--- a/demo/fleet.py
+++ b/demo/fleet.py
@@ -38,7 +38,6 @@
 cell = "{host.cell}"
 caller_address = "{host.caller_address}"
 peer_address = "{host.peer_address}"
-peers = {peers}
 
 [platform]
 kv = "http://{kv}"
@@ -181,10 +180,8 @@
 
 
 def _settings_text(host: records.HostInfo, fleet: Fleet) -> str:
-    peers = [peer.peer_address for peer in fleet.hosts if peer != host]
     return SETTINGS_TEXT.format(
         host=host,
-        peers=peers,
         kv=fleet.kv,
         host_list=fleet.host_list,
         weight_store=f'http://{fleet.weight_store}',
--- a/scripts/venv.sh
+++ b/scripts/venv.sh
@@ -1,10 +1,10 @@
 #!/usr/bin/env bash
-# Creates .venv with the pinned packages if it is missing or out of date.
+# Creates or updates .venv when the pinned packages or the project file changed.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-stamp=.venv/constraints.stamp
-if ! cmp -s constraints.txt "$stamp"; then
+stamp=.venv/inputs.stamp
+if ! cat constraints.txt pyproject.toml | cmp -s - "$stamp"; then
   python3 -m venv .venv
   .venv/bin/pip install --quiet --constraint constraints.txt --editable '.[dev]'
-  cp constraints.txt "$stamp"
+  cat constraints.txt pyproject.toml > "$stamp"
 fi
