--- a/bench/capacitycell.py
+++ b/bench/capacitycell.py
@@ -33,6 +33,7 @@
 FRAME_HEADER_BYTES = 4
 MESSAGE_MS = 2
 KV_MS = 2
+CELL = 'cell-0001'
 READY_MS = 6_000
 LIMIT_BYTES = settings.Limits().message_bytes
 
@@ -172,7 +173,7 @@
         self.kv = kvstore.VirtualKv()
         capacityload.store_bundle(self.kv, shape.workspaces, MODELS, PLAIN)
         self._infos = [
-            _host_info(number, 'cell-0001') for number in range(shape.hosts)
+            _host_info(number, CELL) for number in range(shape.hosts)
         ]
         self._targets = _target_infos(int(shape.hosts * shape.targets_per_host))
         self.running_by_target: dict[str, dict[str, bool]] = (
@@ -288,6 +289,7 @@
             service=services[number % len(services)],
             availability_zone=ZONES[number // len(services) % len(ZONES)],
             address=f'10.1.{number // 250}.{number % 250}:9000',
+            cell=CELL,
         )
         for number in range(count)
     ]
--- a/bergamotstream/accounts.py
+++ b/bergamotstream/accounts.py
@@ -140,7 +140,7 @@
 
     @components.handles(events.Tick)
     def tick(self, event: events.Tick) -> components.Actions:
-        """Answer charges that waited for adoption; reconcile from time to time."""
+        """Answer charges that waited for adoption, and reconcile."""
         produced: components.Actions = []
         waiting = self._waiting
         self._waiting = []
--- a/bergamotstream/audit.py
+++ b/bergamotstream/audit.py
@@ -7,8 +7,9 @@
 it put in force. Entries form a hash chain (SHA-256), so that a changed or
 missing entry is noticed.
 
-The head holds the last 64 entries at least. When it holds 96, the oldest 32 move
-to the page ``config/audit/<first version>``; each page names the page before it.
+The head holds the last 64 entries at least. When it holds 96, the oldest 32
+move to the page ``config/audit/<first version>``; each page names the page
+before it.
 """
 
 import hashlib
--- a/bergamotstream/fencing.py
+++ b/bergamotstream/fencing.py
@@ -3,8 +3,8 @@
 ~~~~~~~~~~~~~~~
 
 The right to send orders to the targets of one partition. The record
-``fence/<cell>/<partition>`` in the key-value service holds a number that each new
-holder increments by compare-and-swap. A holder sends only within
+``fence/<cell>/<partition>`` in the key-value service holds a number that each
+new holder increments by compare-and-swap. A holder sends only within
 ``order_window_ms`` after it began its last confirmed renewal.
 """
 
--- a/bergamotstream/requestlog.py
+++ b/bergamotstream/requestlog.py
@@ -41,11 +41,7 @@
     session: sessionstate.Session, kind: str, now_ms: int
 ) -> list[actions.Action]:
     """Return the line and the counter of a retry after a failed attempt."""
-    fields = {
-        **_identity(session, now_ms),
-        'kind': kind,
-        'offset': session.offset,
-    }
+    fields = _progress(session, kind, now_ms)
     return [
         actions.LogEvent('request_retried', fields),
         actions.Count('retries', kind),
@@ -56,11 +52,7 @@
     session: sessionstate.Session, kind: str, now_ms: int
 ) -> list[actions.Action]:
     """Return the line and the counter of a stream that is attached again."""
-    fields = {
-        **_identity(session, now_ms),
-        'kind': kind,
-        'offset': session.offset,
-    }
+    fields = _progress(session, kind, now_ms)
     return [
         actions.LogEvent('request_resumed', fields),
         actions.Count('resumes', kind),
@@ -100,3 +92,13 @@
         'target': session.last_target,
         'elapsed_ms': now_ms - session.received_ms,
     }
+
+
+def _progress(
+    session: sessionstate.Session, kind: str, now_ms: int
+) -> dict[str, object]:
+    return {
+        **_identity(session, now_ms),
+        'kind': kind,
+        'offset': session.offset,
+    }
--- a/bergamotstream/targetstate.py
+++ b/bergamotstream/targetstate.py
@@ -105,8 +105,9 @@
     ) -> float:
         """Return the predicted time to first token of a new attempt.
 
-        Call :meth:`drain` before; ``ahead`` saves counting again. A step of a less urgent prefill that has
-        begun must end first. A cold target is slower by a fixed factor.
+        Call :meth:`drain` before; ``ahead`` saves counting again. A step of a
+        less urgent prefill that has begun must end first. A cold target is
+        slower by a fixed factor.
         """
         if self.service.kind == 'plain':
             return self.speeds.call_ms * (1 + self.running / self.slots)
--- a/standins/kvstore.py
+++ b/standins/kvstore.py
@@ -149,7 +149,8 @@
     """Performs the core's key-value actions on a store without I/O.
 
     ``down`` refuses everything. ``lose_answers`` performs writes and answers
-    ``unknown``, for keys with ``lose_prefix``. Pending watches are answered by :meth:`due_watches`.
+    ``unknown``, for keys with ``lose_prefix``. Pending
+    watches are answered by :meth:`due_watches`.
     """
 
     def __init__(self, store: KvStore | None = None) -> None:
