Review only the partitions that support this host

Cause: each ownership review (10/s) looked at every partition times every member: 14,000 evaluations in 5 s of a cell of 8, most for partitions of other hosts. Each peer's heartbeat now carries an index of the partitions as whose owner it supports this host. Ruled out: a slower review, which would lengthen takeover.

--- a/bergamotstream/ownership.py
+++ b/bergamotstream/ownership.py
@@ -8,6 +8,7 @@
 """
 
 import collections
+import itertools
 from collections.abc import Iterator
 
 from bergamotstream import (
@@ -27,6 +28,8 @@
 # that a host list with gaps does not make a member forget its support.
 PARTITION_KEPT_MS = 10_000
 FOREVER_MS = 2**62
+
+Views = tuple[peertable.PeerView, ...]
 # Longest delay until silence of a peer or the end of a wait is noticed.
 REVIEW_MS = 100
 
@@ -132,41 +135,54 @@
         return [actions.Raise(change) for change in changes]
 
     def _rights(self) -> Iterator[tuple[str, int]]:
-        for name in self._listed_ms_by_partition:
-            yield name, self._valid_until_ms(name)
-
-    def _valid_until_ms(self, name: str) -> int:
-        """Return when the support of a majority expires."""
+        """Yield the partitions that a majority supports, with the expiry."""
         record = self.state.record
         if record is None or self.state.reported_epoch != record.epoch:
-            return peertable.NEVER_MS
+            return
         if self.state.host not in record.members:
-            return peertable.NEVER_MS
-        if name in self.state.votes.released:
-            return peertable.NEVER_MS
-        confirmed_ms = sorted(self._confirmed_ms(name, record), reverse=True)
+            return
+        views = tuple(self._views_of_epoch(record))
         needed = cellrecord.majority(record)
-        if len(confirmed_ms) < needed:
-            return peertable.NEVER_MS
         valid_ms = self.state.settings.timing.owner_valid_ms
-        return confirmed_ms[needed - 1] + valid_ms
+        for name in self._supported(views):
+            confirmed_ms = sorted(self._confirmed_ms(name, views), reverse=True)
+            if len(confirmed_ms) >= needed:
+                yield name, confirmed_ms[needed - 1] + valid_ms
+
+    def _supported(self, views: Views) -> list[str]:
+        """Return the listed partitions as whose owner any member supports us.
+
+        Most partitions belong to other hosts, so this saves most of the work.
+        """
+        votes = self.state.votes
+        supported = set(
+            itertools.chain.from_iterable(view.own for view in views)
+        )
+        supported.update(
+            name
+            for name, host in votes.supports.items()
+            if host == self.state.host
+        )
+        supported.difference_update(votes.released)
+        return [
+            name for name in self._listed_ms_by_partition if name in supported
+        ]
 
-    def _confirmed_ms(self, name: str, record: records.CellRecord) -> list[int]:
+    def _confirmed_ms(self, name: str, views: Views) -> list[int]:
         """Return when each supporter last confirmed to hear this host.
 
         A supporter that heard a release may have moved on since, so it
         counts only once it confirms a heartbeat sent after the release.
         """
-        host = self.state.host
         released_ms = self._voter.released_ms_by_partition.get(
             name, peertable.NEVER_MS
         )
         confirmed_ms = [
             view.echoed_ms
-            for view in self._views_of_epoch(record)
-            if view.supports.get(name) == host and view.echoed_ms > released_ms
+            for view in views
+            if name in view.own and view.echoed_ms > released_ms
         ]
-        if self.state.votes.supports.get(name) == host:
+        if self.state.votes.supports.get(name) == self.state.host:
             confirmed_ms.append(FOREVER_MS)
         return confirmed_ms
 
--- a/bergamotstream/peertable.py
+++ b/bergamotstream/peertable.py
@@ -21,7 +21,8 @@
     """A peer's newest heartbeat.
 
     ``echoed_ms`` is the own clock reading of the newest own heartbeat that
-    the peer had received when it wrote this one.
+    the peer had received when it wrote this one. ``own`` names the partitions
+    as whose owner the peer supports this host.
     """
 
     heartbeat: messages.Heartbeat
@@ -29,6 +30,7 @@
     echoed_ms: int
     supports: Mapping[str, str]
     released: frozenset[str]
+    own: frozenset[str]
 
 
 class PeerTable:
@@ -73,12 +75,19 @@
             self._echoed_ms(heartbeat),
             {entry.partition: entry.host for entry in heartbeat.supports},
             frozenset(heartbeat.released),
+            frozenset(
+                entry.partition
+                for entry in heartbeat.supports
+                if entry.host == self._host
+            ),
         )
         if heartbeat.repeats_votes:
             if known is None or not _is_repeated(known.heartbeat, heartbeat):
                 return False
             view = view._replace(
-                supports=known.supports, released=known.released
+                supports=known.supports,
+                released=known.released,
+                own=known.own,
             )
         self.views_by_host[sender] = view
         return True
--- a/bergamotstream/votes.py
+++ b/bergamotstream/votes.py
@@ -168,7 +168,7 @@
         if self.state.votes.supports.get(name) == host:
             return True
         views = self.state.peers.views_by_host.values()
-        return any(view.supports.get(name) == host for view in views)
+        return any(name in view.own for view in views)
 
     def _first_eligible(self, name: str) -> str:
         for host in self._ranks[name]:
