Wait for a claims owner within the window; tighten the check of planned stops

The check of invariant 9 left out every order refused as claims_unavailable, so a stop of a claims owner could have hidden there. A claim without a known owner was refused at once; it is now repeated within the dispatch window, because a release leaves a partition without an owner for 25 to 55 ms.

--- a/bench/checks.py
+++ b/bench/checks.py
@@ -17,6 +17,7 @@
 # The rates of the clocks of two hosts differ by at most 1%.
 DRIFT_PARTS = 100
 # A lease expires after 3 s, a takeover takes 2 s, and a report lags by 0.75 s.
+KV_RECOVERY_MS = 5_000
 ORPHAN_LIMIT_MS = 10_000
 # Nobody can know that a target has gone cold before its lagging report
 # (0.5 s), polled every 0.25 s, has arrived.
@@ -89,12 +90,23 @@
             if self._has_run(call):
                 self.report(6, request_id)
         # A request that crashes its targets is quarantined, and an order is
-        # rejected while the key-value service is down, stop or not.
+        # rejected while the key-value service is faulty, stop or not.
         expected = request_id in self.world.poisons
-        expected = expected or call.code == 'claims_unavailable'
+        if call.code == 'claims_unavailable':
+            expected = expected or self._kv_was_faulty(call.sent_ms)
         if call.outcome != 'finished' and not expected:
             self._check_interrupted(call)
 
+    def _kv_was_faulty(self, since_ms: int) -> bool:
+        """Tell whether the key-value service was faulty from then on.
+
+        Owners need a moment after a fault to read their logs back.
+        """
+        kv = self.world.storage
+        if kv.mode != 'up' or kv.slow_ms:
+            return True
+        return kv.changed_ms + KV_RECOVERY_MS > since_ms
+
     def _check_interrupted(self, call: Any) -> None:
         for name in call.hosts_used:
             host = self.world.hosts_by_name.get(name)
--- a/bench/storage.py
+++ b/bench/storage.py
@@ -41,6 +41,10 @@
         self.answer('unavailable' if read else 'unknown')
 
 
+# Before the start of every run.
+NEVER_MS = -60_000
+
+
 class Storage:
     """Holds items and answers the operations of hosts.
 
@@ -56,7 +60,7 @@
         self.links = links
         self.mode = 'up'
         self.slow_ms = 0
-        self.changed_ms = 0
+        self.changed_ms = NEVER_MS
         self.operations = 0
         self.items_by_key: dict[str, records.KvItem] = {}
         self._revision = 0
--- a/bergamotstream/claiming.py
+++ b/bergamotstream/claiming.py
@@ -168,17 +168,10 @@
             key_age_ms=request.key_age_ms,
             body_digest=request.body_digest,
         )
+        # Without an owner the claim is repeated until its window has passed;
+        # a planned stop leaves a partition without one for a moment.
         owner = self._state.owner_of(claim.partition)
-        if owner:
-            return [actions.SendMessage(owner, message)]
-        unavailable = messages.ClaimReply(
-            claim.partition,
-            claim.claim_id,
-            'unavailable',
-            retry_after_ms=self._state.settings.timing.takeover_ms,
-        )
-        # Goes through the same path as an answer from an owner.
-        return [actions.SendMessage(self._state.host, unavailable)]
+        return [actions.SendMessage(owner, message)] if owner else []
 
     def _confirmed(
         self, session: sessionstate.Session, claim: sessionstate.Claim
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -223,6 +223,26 @@
     assert refusals(produced)[0].run_state == 'may_have_run'
 
 
+def test_claim_waits_for_an_owner_within_its_window():
+    """Guards against refusing orders while a claims owner hands over."""
+    host = corekit.Host()
+    host.core.state.owners_by_partition.pop('claims:0')
+    produced = running(host, service='mostrador', idempotency_key='1-k')
+    assert not refusals(produced)
+    host.core.state.owners_by_partition['claims:0'] = corekit.OWNER
+    produced = host.send(events.Tick(), 200)
+    assert corekit.messages_of(produced, messages.ClaimRequest)
+    host.core.state.owners_by_partition.pop('claims:0')
+    ended = [
+        refusal
+        for _ in range(10)
+        for refusal in refusals(host.send(events.Tick(), 100))
+    ]
+    assert [(each.code, each.run_state) for each in ended] == [
+        ('claims_unavailable', 'not_run')
+    ]
+
+
 def test_late_claim_is_abandoned():
     """Guards against a dispatch by a host that froze after its claim."""
     host = corekit.Host()
