Test real hosts while the key-value service is killed

Guards against hosts that stop routing when KV is gone: short requests and lookups are answered, non-repeatable calls are refused as not run.

--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -91,6 +91,26 @@
         assert await _executions(running, key) == 1
 
 
+async def test_a_killed_key_value_service_leaves_routing_alone(tmp_path):
+    """Guards against hosts that stop serving when KV is gone for good."""
+    async with failurekit.running_fleet(tmp_path) as running:
+        callers = running.caller(0, 1, 2)
+        running.children.kill('kv')
+        kinds = ('short', 'lookup', 'transfer') * 3
+        outcomes = await asyncio.gather(
+            *(
+                callers.run(failurekit.request(each, kind, 20))
+                for each, kind in enumerate(kinds)
+            )
+        )
+    for outcome in outcomes:
+        if outcome.request.kind == 'transfer':
+            assert outcome.state == 'refused', outcome
+            assert 'claims_unavailable/not_run' in outcome.detail, outcome
+        else:
+            assert outcome.state == 'answered', outcome
+
+
 async def test_a_silent_engine_connection_is_replaced(tmp_path):
     """Guards against answers that wait for ever or miss a token."""
     async with failurekit.running_fleet(tmp_path) as running:
