State the block size of prefix hashes once; drop unused fields

The size stood in four modules of the package although all hosts must agree on it; it is now in records.py. The exporter's loops over counters and gauges were the same but for a suffix. Three fields were written and never read.

--- a/bench/capacityload.py
+++ b/bench/capacityload.py
@@ -76,7 +76,6 @@
         self._shape = shape
         self._numbers = itertools.count()
         self._running = host.cell.running_by_target
-        self._deadline_spent_ms = 0
         if shape.requests and host.info.cell == 'cell-0001':
             host.cell.time.call_at(LOAD_START_MS, self._arrive)
 
--- a/bergamotstream/asking.py
+++ b/bergamotstream/asking.py
@@ -59,7 +59,6 @@
         session.ask = sessionstate.Ask(
             partition=partition,
             owner=self._state.owner_of(partition),
-            first_ms=now_ms,
             last_ms=now_ms,
             interval_ms=self._timing.ask_again_ms,
         )
--- a/bergamotstream/engines/model.py
+++ b/bergamotstream/engines/model.py
@@ -18,7 +18,6 @@
 
 from bergamotstream import engines, events, eventstream, records
 
-BLOCK_TOKENS = 512
 CALL_TIMEOUT = aiohttp.ClientTimeout(total=2)
 # Loading weights takes much longer than other calls.
 ORDER_TIMEOUT = aiohttp.ClientTimeout(total=30)
@@ -284,6 +283,6 @@
 def _hashes(
     attempt: engines.Attempt, start: int, tokens: int
 ) -> tuple[int, ...]:
-    first = start // BLOCK_TOKENS
-    last = (start + tokens) // BLOCK_TOKENS
+    first = start // records.BLOCK_TOKENS
+    last = (start + tokens) // records.BLOCK_TOKENS
     return attempt.request.prefix_hashes[first:last]
--- a/bergamotstream/exporters/prometheus.py
+++ b/bergamotstream/exporters/prometheus.py
@@ -5,7 +5,7 @@
 Text exposition format, version 0.0.4.
 """
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 
 from bergamotstream import exporters, metrics
 
@@ -22,29 +22,22 @@
     def render(self, snapshot: metrics.Snapshot) -> str:
         """Return one line for each value."""
         lines = [
-            *_counter_lines(snapshot),
-            *_gauge_lines(snapshot),
+            *_value_lines(snapshot.counters, 'counter', '_total'),
+            *_value_lines(snapshot.gauges, 'gauge', ''),
             *_summary_lines(snapshot),
         ]
         return '\n'.join([*lines, ''])
 
 
-def _counter_lines(snapshot: metrics.Snapshot) -> Iterator[str]:
+def _value_lines(
+    values_by_series: Mapping[metrics.Series, int], kind: str, suffix: str
+) -> Iterator[str]:
+    """Yield counters or gauges, each metric with its type first."""
     declared = ''
-    for series, count in sorted(snapshot.counters.items()):
-        name = f'{PREFIX}{series.metric}_total'
+    for series, amount in sorted(values_by_series.items()):
+        name = f'{PREFIX}{series.metric}{suffix}'
         if name != declared:
-            yield f'# TYPE {name} counter'
-        declared = name
-        yield f'{name}{_labels(series)} {count}'
-
-
-def _gauge_lines(snapshot: metrics.Snapshot) -> Iterator[str]:
-    declared = ''
-    for series, amount in sorted(snapshot.gauges.items()):
-        name = f'{PREFIX}{series.metric}'
-        if name != declared:
-            yield f'# TYPE {name} gauge'
+            yield f'# TYPE {name} {kind}'
         declared = name
         yield f'{name}{_labels(series)} {amount}'
 
--- a/bergamotstream/forecast.py
+++ b/bergamotstream/forecast.py
@@ -98,7 +98,7 @@
         request = waiting.request
         # Targets of a group prefill one after another; cached blocks may be
         # skipped.
-        cached = len(request.prefix_hashes) * prediction.BLOCK_TOKENS
+        cached = len(request.prefix_hashes) * records.BLOCK_TOKENS
         uncached = max(request.prompt_tokens - cached, 0)
         prefill_ms = self._placer.best.prefill_ms(uncached)
         return prefill_ms + self.decode_ms(waiting)
--- a/bergamotstream/grants.py
+++ b/bergamotstream/grants.py
@@ -31,7 +31,6 @@
         self.asked_ms = message.sent_ms
         self.priority = message.priority
         self.excluded = frozenset(message.excluded_targets)
-        self.queued_ms = now_ms
         self.deadline_ms = now_ms + message.remaining_ms
         self.latest_start_ms = float(self.deadline_ms)
         self.length_class = records.length_class(message.request.prompt_tokens)
--- a/bergamotstream/partitionchoice.py
+++ b/bergamotstream/partitionchoice.py
@@ -14,7 +14,6 @@
 
 CROSS_ZONE_MS = 10
 MS_PER_S = 1_000
-BLOCK_TOKENS = 512
 MAX_REMEMBERED_PREFIXES = 8_192
 
 
@@ -135,7 +134,7 @@
         blocks = len(request.prefix_hashes)
         for block_hash in reversed(request.prefix_hashes):
             if self._partition_by_prefix.get(block_hash) == partition:
-                return blocks * BLOCK_TOKENS
+                return blocks * records.BLOCK_TOKENS
             blocks -= 1
         return 0
 
--- a/bergamotstream/prediction.py
+++ b/bergamotstream/prediction.py
@@ -22,8 +22,6 @@
 # Prompt tokens that engines process in one uninterruptible step. Source:
 # chunked prefill, Agrawal et al., "Sarathi-Serve", 2024.
 CHUNK_TOKENS = 2_048
-# Tokens covered by one prefix hash.
-BLOCK_TOKENS = 512
 # A prefill that should have ended is counted with this rest.
 OVERDUE_TOKENS = 512
 # How much slower an engine is while it warms up.
--- a/bergamotstream/records.py
+++ b/bergamotstream/records.py
@@ -16,6 +16,8 @@
 SHORT_PROMPT_TOKENS = 4_000
 MEDIUM_PROMPT_TOKENS = 32_000
 MAX_PROMPT_TOKENS = 1_000_000
+# Tokens covered by one prefix hash; all hosts must use the same value.
+BLOCK_TOKENS = 512
 # The cell of hosts and targets whose cell the host list does not state.
 DEFAULT_CELL = 'cell-1'
 
--- a/bergamotstream/sessionstate.py
+++ b/bergamotstream/sessionstate.py
@@ -42,7 +42,6 @@
 
     partition: str
     owner: str
-    first_ms: int
     last_ms: int
     interval_ms: int
 
--- a/bergamotstream/targetstate.py
+++ b/bergamotstream/targetstate.py
@@ -98,7 +98,7 @@
         if not need.prefix_hashes:
             return 0
         blocks = self.prefixes.matching_blocks(need.prefix_hashes)
-        return blocks * prediction.BLOCK_TOKENS
+        return blocks * records.BLOCK_TOKENS
 
     def predicted_ttft_ms(
         self, need: occupancy.Need, ahead: prediction.Ahead | None = None
--- a/bergamotstream/tokenizing.py
+++ b/bergamotstream/tokenizing.py
@@ -9,9 +9,10 @@
 
 import xxhash
 
+from bergamotstream import records
+
 BYTES_PER_TOKEN = 4
-BLOCK_TOKENS = 512
-BLOCK_BYTES = BLOCK_TOKENS * BYTES_PER_TOKEN
+BLOCK_BYTES = records.BLOCK_TOKENS * BYTES_PER_TOKEN
 
 
 def count_tokens(prompt: str) -> int:
@@ -32,7 +33,9 @@
     """
     hashes = []
     digest = xxhash.xxh64()
-    for block in _blocks(prompt.encode(), prompt_tokens // BLOCK_TOKENS):
+    for block in _blocks(
+        prompt.encode(), prompt_tokens // records.BLOCK_TOKENS
+    ):
         digest.update(block)
         hashes.append(digest.intdigest())
     return tuple(hashes)
