--- a/bergamotstream/forwarding/crashblame.py
+++ b/bergamotstream/forwarding/crashblame.py
@@ -49,7 +49,8 @@
             for suspicion in self._suspicions_by_target.pop(target_id, [])
             if suspicion.at_ms > now_ms - CONFIRM_MS
         ]
-        for fingerprint in {suspicion.fingerprint for suspicion in recent}:
+        fingerprints = {suspicion.fingerprint for suspicion in recent}
+        for fingerprint in fingerprints:
             self._crashes_by_fingerprint[fingerprint] += 1
             self._blamed_ms_by_fingerprint[fingerprint] = now_ms
         return len(recent)
--- a/bergamotstream/forwarding/dispatch.py
+++ b/bergamotstream/forwarding/dispatch.py
@@ -6,6 +6,7 @@
 target's own. What goes wrong is told by whether the request may have run.
 """
 
+import asyncio
 from typing import Final, NamedTuple, TypeAlias
 
 import aiohttp
@@ -19,6 +20,8 @@
 UNAVAILABLE: Final = 503
 OK_CLASS: Final = 2
 STATUSES_IN_CLASS: Final = 100
+# The connection has ended already when this wait begins.
+ENDING_TIMEOUT_S: Final = 0.5
 # Largest answer that is kept to be sent as a whole.
 MAX_WHOLE_BYTES: Final = 8_388_608
 
@@ -139,10 +142,12 @@
 async def read_whole(answer: Answer) -> WholeAnswer:
     """Read a complete answer; raises ``TargetBroken``."""
     received = bytearray()
+    ending = ending_of(answer)
     try:
         async for chunk in answer.content.iter_any():
             received += chunk
             _check_length(received)
+        await check_ending(ending)
     except READ_FAULTS as broken:
         answer.close()
         raise TargetBroken(repr(broken)) from broken
@@ -154,6 +159,39 @@
     )
 
 
+class Ending(NamedTuple):
+    """How an answer ends: at its stated length, or with its connection."""
+
+    framed: bool
+    # Set when the connection is lost; ``None`` if that was before.
+    closed: asyncio.Future[None] | None
+
+
+def ending_of(answer: Answer) -> Ending:
+    """Return how an answer ends; call it before the answer is read."""
+    framed = (
+        'Content-Length' in answer.headers
+        or 'Transfer-Encoding' in answer.headers
+    )
+    connection = answer.connection
+    protocol = connection.protocol if connection else None
+    return Ending(framed, protocol.closed if protocol else None)
+
+
+async def check_ending(ending: Ending) -> None:
+    """Raise ``ClientConnectionError`` if the connection was reset.
+
+    The library takes an answer without a length as complete however its
+    connection ends, while a reset one may lack bytes.
+    """
+    if ending.framed:
+        return
+    if ending.closed is None:
+        raise aiohttp.ClientConnectionError('the ending was not seen')
+    async with asyncio.timeout(ENDING_TIMEOUT_S):
+        await asyncio.shield(ending.closed)
+
+
 def close(answer: Answer) -> None:
     """Give the connection back if all of a success has been read.
 
--- a/bergamotstream/forwarding/ingress.py
+++ b/bergamotstream/forwarding/ingress.py
@@ -287,6 +287,7 @@
         """Relay a stream event by event; raises ``TargetBroken``."""
         headers = callerformat.answer_headers(answer.headers)
         splitter = relaying.EventSplitter()
+        ending = dispatch.ending_of(answer)
         last_ms = 0
         try:
             async for chunk in answer.content.iter_any():
@@ -305,6 +306,7 @@
                     served.last_event_id = (
                         event.event_id or served.last_event_id
                     )
+            await dispatch.check_ending(ending)
         except dispatch.READ_FAULTS as broken:
             raise dispatch.TargetBroken(repr(broken)) from broken
         response = await served.answer.write(
