Test forwarding with the store stand-in and scripted targets

The store stand-in speaks the published calls; targets are scripted byte by byte. Found by the tests: the end of an unframed answer was never seen, because a protocol of the HTTP library without queued data counts as false, so each such answer was refused (502). It is compared with None now.

--- a/bergamotstream/forwarding/dispatch.py
+++ b/bergamotstream/forwarding/dispatch.py
@@ -174,8 +174,9 @@
         or 'Transfer-Encoding' in answer.headers
     )
     connection = answer.connection
-    protocol = connection.protocol if connection else None
-    return Ending(framed, protocol.closed if protocol else None)
+    if connection is None or connection.protocol is None:
+        return Ending(framed, None)
+    return Ending(framed, connection.protocol.closed)
 
 
 async def check_ending(ending: Ending) -> None:
--- /dev/null
+++ b/tests/platformkit.py
@@ -0,0 +1,383 @@
+"""Builds settings, documents and a small system on loopback for tests."""
+
+import asyncio
+import contextlib
+import json
+import random
+import socket
+import struct
+from typing import NamedTuple
+
+import aiohttp
+
+from bergamotstream import clock
+from bergamotstream.forwarding import (
+    exchangerecords,
+    fleetrecords,
+    hostdaemon,
+    hostsettings,
+    scheduler,
+)
+from bergamotstream.platform import callerformat, decoding, store
+from standins import platformstore, serving
+
+HOST_NAME = 'api.example'
+KEY = 'key-1'
+STAMP = 'Bergamotstream-Server-Stamp'
+NOT_RUN = 'Bergamotstream-Not-Executed'
+ATTEMPT = 'Bergamotstream-Attempt-Id'
+ENGINE = {
+    'slots': 8,
+    'kv_tokens': 450_000,
+    'stride': 46,
+    'step_ms': 0.925,
+    'per_seq_ms': 0.00966,
+    'context_per_k': 0.00254,
+    'read_per_s': 256_000.0,
+    'pairs_per_m': 0.0917,
+    'chunk': 2048,
+    'usual': {'prompt': 13_000, 'answer': 1_540},
+}
+
+
+def free_port():
+    """Return a port that nothing listens on."""
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        return probe.getsockname()[1]
+
+
+def address():
+    """Return a free loopback address."""
+    return f'127.0.0.1:{free_port()}'
+
+
+def make_settings(store_address='127.0.0.1:1', name='host-1', **bounds):
+    """Return settings of one host."""
+    stated = {
+        'stop_grace_ms': 8_000,
+        'target_drain_ms': 2_000,
+        'retry_ratio': 0.2,
+        'retry_window_ms': 10_000,
+        'retry_slack': 100,
+        'address_ttl_max_s': 5,
+        'hold_max_ms': 20_000,
+    }
+    port = free_port()
+    return hostsettings.HostSettings(
+        name=name,
+        ip='127.0.0.1',
+        zone='rosario',
+        zones=('rosario', 'parana'),
+        caller_address=address(),
+        readiness_address=address(),
+        directory_address=address(),
+        peer_ports=(port, port),
+        store=hostsettings.StoreSettings(store_address, 1_048_576, 1_000),
+        bounds=hostsettings.Bounds(**(stated | bounds)),
+    )
+
+
+def route(name, prefix, kind, **changes):
+    """Return a route as the operators write it."""
+    return {
+        'name': name,
+        'host': HOST_NAME,
+        'prefix': prefix,
+        'kind': kind,
+        'timeout_ms': 1_000,
+        'goal_ms': 300,
+        'priority': 1,
+        'service': 'plain',
+        'attempts': 2,
+        'public': False,
+    } | changes
+
+
+def configuration_document(version=1, **changes):
+    """Return ``op/config`` with a route of each kind."""
+    body = {
+        'version': version,
+        'routes': [
+            route('lookup', '/lookup/', 'idempotent'),
+            route('order', '/order/', 'non_idempotent', attempts=1),
+            route(
+                'chat',
+                '/chat/',
+                'streaming',
+                service='model',
+                resumable=True,
+                gap_target_ms=200,
+                timeout_ms=2_000,
+            ),
+        ],
+        'services': [
+            {'name': 'plain', 'health_path': '/h', 'max_conns': 50},
+            {
+                'name': 'model',
+                'health_path': '/h',
+                'max_conns': 50,
+                'cold_per_s': 36.0,
+                'engine': ENGINE,
+            },
+        ],
+        'limits': {'max_header_bytes': 16_384, 'max_body_bytes': 10_000},
+        'tenants': [{'name': 'small', 'api_keys': [KEY], 'priority': 0}],
+    }
+    return json.dumps(body | changes).encode()
+
+
+def target_document(target_address, **changes):
+    """Return the entry of a target."""
+    body = {
+        'service': 'plain',
+        'address': target_address,
+        'zone': 'rosario',
+        'version': 'v1',
+        'slots': 6,
+        'state': 'ready',
+        'cold_left_ms': 0,
+        'seq': 1,
+        'born': 1_000,
+    }
+    return json.dumps(body | changes).encode()
+
+
+def make_scheduler(targets=4, service='model', seed=1, name='host-1'):
+    """Return a scheduler that knows a configuration and some targets."""
+    core = scheduler.Scheduler(make_settings(name=name), random.Random(seed))
+    items = [store.Item('op/config', 1, configuration_document())]
+    for number in range(targets):
+        document = target_document(
+            f'10.0.0.{number + 1}:80', service=service, slots=8
+        )
+        items.append(store.Item(f'servers/t{number}', 2 + number, document))
+    core.view.replace_all(store.Page(tuple(items), 100), 0)
+    return core
+
+
+def make_request(path='/chat/1', prompt=5_000, answer=1_600, **headers):
+    """Return a caller's request."""
+    given = {
+        'Host': HOST_NAME,
+        'Api-Key': KEY,
+        ATTEMPT: 'a1',
+        'Bergamotstream-Token-Counts': f'{prompt},{answer}',
+        'Bergamotstream-Deadline-Ms': '10000',
+    }
+    pairs = aiohttp.multipart.CIMultiDict(given)
+    for header, text in headers.items():
+        pairs[header.replace('_', '-')] = text
+    return callerformat.read_request(
+        'POST', path, aiohttp.multipart.CIMultiDictProxy(pairs)
+    )
+
+
+def make_job(core, now_ms=0, **request) -> exchangerecords.Job:
+    """Return an admitted job."""
+    return core.admit(make_request(**request), now_ms)
+
+
+def engine_profile() -> fleetrecords.EngineProfile:
+    """Return the profile of the engines."""
+    decoded = decoding.configuration(configuration_document())
+    return decoded.services_by_name['model'].engine
+
+
+class Received(NamedTuple):
+    """A request as a target got it."""
+
+    head: str
+    headers: dict[str, str]
+    body: bytes
+
+
+class RawTarget:
+    """Target whose answers are written byte by byte by the test.
+
+    ``behave`` is called with each request and the stream writer.
+    """
+
+    def __init__(self, behave):
+        self.received: list[Received] = []
+        self.connections = 0
+        self.closed_by_host = 0
+        self._behave = behave
+        self._server = None
+        self.address = ''
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f'127.0.0.1:{port}'
+
+    async def stop(self):
+        self._server.close()
+
+    async def _serve(self, reader, writer):
+        self.connections += 1
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            while not writer.is_closing():
+                request = await _read_request(reader)
+                self.received.append(request)
+                behaving = asyncio.ensure_future(self._behave(request, writer))
+                await behaving
+        self.closed_by_host += 1
+        writer.close()
+
+
+async def _read_request(reader):
+    head = (await reader.readuntil(b'\r\n\r\n')).decode()
+    first, *lines = head.strip().split('\r\n')
+    headers = dict(line.split(': ', 1) for line in lines)
+    length = int(headers.get('Content-Length', 0))
+    return Received(first, headers, await reader.readexactly(length))
+
+
+def answer(request, body=b'done', status='200 OK', extra=''):
+    """Return the bytes of a whole answer with a stamp."""
+    attempt_id = request.headers.get(ATTEMPT, '')
+    return (
+        f'HTTP/1.1 {status}\r\n{ATTEMPT}: {attempt_id}\r\n'
+        f'{STAMP}: s.1\r\nContent-Length: {len(body)}\r\n{extra}\r\n'
+    ).encode() + body
+
+
+def stream_head(request, extra='Transfer-Encoding: chunked\r\n'):
+    """Return the head of a streamed answer."""
+    attempt_id = request.headers.get(ATTEMPT, '')
+    return (
+        f'HTTP/1.1 200 OK\r\n{ATTEMPT}: {attempt_id}\r\n{STAMP}: s.1\r\n'
+        f'Content-Type: text/event-stream\r\n{extra}\r\n'
+    ).encode()
+
+
+def chunk(data):
+    """Return one chunk of a streamed answer."""
+    return f'{len(data):x}\r\n'.encode() + data + b'\r\n'
+
+
+def reset(writer):
+    """Close a connection with a reset instead of an orderly end."""
+    opened = writer.get_extra_info('socket')
+    linger = struct.pack('ii', 1, 0)
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+
+
+def event(number):
+    """Return one event."""
+    return f'id: {number}\ndata: token-{number}\n\n'.encode()
+
+
+class System:
+    """A store, hosts in this process and a caller."""
+
+    def __init__(self):
+        self.store = platformstore.PlatformStore(
+            serving.parse_address(address())
+        )
+        self.settings = []
+        self.daemons = []
+        self._runs = []
+
+    async def start(self, hosts=1, document=None):
+        """Start the store with a configuration, then the hosts."""
+        await self.store.start()
+        await self.store.put('op/config', document or configuration_document())
+        store_address = '{0}:{1}'.format(*self.store._listener._address)
+        for number in range(hosts):
+            settings = make_settings(
+                store_address, f'host-{number}', stop_grace_ms=1_700
+            )
+            self.settings.append(settings)
+            daemon = hostdaemon.HostDaemon(settings)
+            self.daemons.append(daemon)
+            self._runs.append(asyncio.ensure_future(daemon.run()))
+        for settings in self.settings:
+            await self.until_ready(settings)
+
+    async def until_ready(self, settings):
+        """Wait until a host serves."""
+        for _ in range(100):
+            if (
+                await self.get_status(settings.readiness_address, '/ready')
+                == 200
+            ):
+                return
+            await asyncio.sleep(0.05)
+        raise AssertionError('host is not ready')
+
+    async def add_target(self, name, target, **changes):
+        """List a target and wait until all hosts know it."""
+        await self.store.put(
+            f'servers/{name}', target_document(target.address, **changes)
+        )
+        await self.until(
+            lambda: all(
+                name in daemon._core.view.targets_by_id
+                for daemon in self.daemons
+            )
+        )
+
+    async def until(self, condition, limit_s=4.0):
+        """Wait until ``condition`` holds."""
+        end_ms = clock.Clock().now_ms() + limit_s * 1_000
+        while not condition():
+            assert clock.Clock().now_ms() < end_ms, 'condition does not hold'
+            await asyncio.sleep(0.02)
+
+    async def get_status(self, host_address, path):
+        """Return the status of a GET, 0 without a connection."""
+        try:
+            async with aiohttp.ClientSession() as session:
+                async with session.get(f'http://{host_address}{path}') as got:
+                    return got.status
+        except aiohttp.ClientError:
+            return 0
+
+    async def call(self, path, body=b'', host=0, method='POST', **headers):
+        """Send a request as a caller; return status, headers and body."""
+        given = {
+            'Host': HOST_NAME,
+            'Api-Key': KEY,
+            ATTEMPT: 'a1',
+            'Bergamotstream-Deadline-Ms': '5000',
+            'Bergamotstream-Token-Counts': '1000,500',
+        }
+        given |= {key.replace('_', '-'): text for key, text in headers.items()}
+        url = f'http://{self.settings[host].caller_address}{path}'
+        async with aiohttp.ClientSession() as session:
+            async with session.request(
+                method, url, data=body or None, headers=given
+            ) as got:
+                return got.status, got.headers, await got.read()
+
+    async def stop(self):
+        """End everything."""
+        for run in self._runs:
+            run.cancel()
+        await asyncio.gather(*self._runs, return_exceptions=True)
+        await self.store.stop()
+
+
+@contextlib.asynccontextmanager
+async def running_system(hosts=1, document=None):
+    """Yield a started system."""
+    system = System()
+    await system.start(hosts, document)
+    try:
+        yield system
+    finally:
+        await system.stop()
+
+
+@contextlib.asynccontextmanager
+async def raw_target(behave):
+    """Yield a started target."""
+    target = RawTarget(behave)
+    await target.start()
+    try:
+        yield target
+    finally:
+        await target.stop()
--- /dev/null
+++ b/tests/test_forwarding.py
@@ -0,0 +1,369 @@
+"""Requests through real hosts, the store stand-in and scripted targets."""
+
+import asyncio
+
+import aiohttp
+import pytest
+
+from tests import platformkit as kit
+
+
+async def answer_plain(request, writer):
+    writer.write(kit.answer(request))
+    await writer.drain()
+
+
+async def test_request_is_forwarded_unchanged():
+    """Guards against changed paths, bodies and identity headers."""
+    async with (
+        kit.running_system() as system,
+        kit.raw_target(answer_plain) as target,
+    ):
+        await system.add_target('t1', target)
+        path = '/lookup/a%2Fb/../c?x=1&y=%20'
+        url = 'http://{0}'.format(system.settings[0].caller_address)
+        reader, writer = await asyncio.open_connection(
+            *url.removeprefix('http://').split(':')
+        )
+        writer.write(
+            f'POST {path} HTTP/1.1\r\nHost: {kit.HOST_NAME}\r\n'
+            f'Api-Key: {kit.KEY}\r\n{kit.ATTEMPT}: a7\r\n'
+            'Bergamotstream-Tenant: other\r\nX-Own: 1\r\n'
+            'Connection: X-Own, Bergamotstream-Model\r\n'
+            'Bergamotstream-Model: m\r\n'
+            'Bergamotstream-Deadline-Ms: 900\r\n'
+            'Content-Length: 4\r\n\r\nbody'.encode()
+        )
+        head = await reader.readuntil(b'\r\n\r\n')
+        assert b' 200 ' in head.splitlines()[0]
+        got = target.received[0]
+        assert got.head == f'POST {path} HTTP/1.1'
+        assert got.body == b'body'
+        assert got.headers['Bergamotstream-Tenant'] == 'small'
+        assert got.headers['Bergamotstream-Model'] == 'm'
+        assert got.headers['Bergamotstream-Expect-Instance'] == 't1'
+        assert 0 < int(got.headers['Bergamotstream-Deadline-Ms']) <= 900
+        assert 'Api-Key' not in got.headers
+        assert 'X-Own' not in got.headers
+        writer.close()
+
+
+async def test_unknown_routes_and_keys_are_refused():
+    """Guards against serving what the configuration does not allow."""
+    async with kit.running_system() as system:
+        assert (await system.call('/none/1'))[0] == 404
+        assert (await system.call('/lookup/1', Api_Key='wrong'))[0] == 401
+        assert (await system.call('/lookup/1', body=b'x' * 20_000))[0] == 413
+
+
+async def test_no_target_is_refused_at_once_with_a_time_to_come_back():
+    """Guards against holding a request that cannot be served."""
+    async with kit.running_system() as system:
+        started = asyncio.get_running_loop().time()
+        status, headers, _ = await system.call('/lookup/1')
+        assert status == 503
+        assert float(headers['Retry-After']) > 0
+        assert asyncio.get_running_loop().time() - started < 0.5
+
+
+async def test_order_that_may_have_run_is_not_sent_again():
+    """Guards against an order that runs twice or is called not run."""
+
+    async def reset(request, writer):
+        writer.transport.abort()
+
+    async with (
+        kit.running_system() as system,
+        kit.raw_target(reset) as broken,
+        kit.raw_target(reset) as other,
+    ):
+        await system.add_target('t1', broken)
+        await system.add_target('t2', other)
+        status, _, _ = await system.call('/order/1')
+        assert status == 502
+        assert len(broken.received) + len(other.received) == 1
+
+
+async def test_order_that_was_shed_is_called_not_run():
+    """Guards against a refusal without a time to come back."""
+
+    async def shed(request, writer):
+        writer.write(
+            kit.answer(request, b'', '503 Busy', f'{kit.NOT_RUN}: 1\r\n')
+        )
+
+    async with (
+        kit.running_system() as system,
+        kit.raw_target(shed) as target,
+    ):
+        await system.add_target('t1', target)
+        status, headers, _ = await system.call('/order/1')
+        assert status == 503
+        assert float(headers['Retry-After']) > 0
+        assert kit.STAMP not in headers
+
+
+async def test_lookup_goes_to_a_second_target():
+    """Guards against a failed lookup that another target could answer."""
+
+    async def fail(request, writer):
+        writer.write(kit.answer(request, b'no', '500 Error'))
+
+    async with (
+        kit.running_system() as system,
+        kit.raw_target(fail) as failing,
+    ):
+        await system.add_target('t1', failing)
+        status, headers, body = await system.call('/lookup/1')
+        assert (status, body) == (500, b'no')
+        assert headers[kit.STAMP] == 's.1'
+        async with kit.raw_target(answer_plain) as good:
+            await system.add_target('t2', good)
+            for _ in range(6):
+                assert (await system.call('/lookup/1'))[0] == 200
+
+
+@pytest.mark.parametrize('path', ['/lookup/1', '/order/1', '/chat/1'])
+async def test_silent_target_is_answered_for_at_the_time_out(path):
+    """Guards against a request held past its route's time-out."""
+
+    async def hang(request, writer):
+        await asyncio.sleep(30)
+
+    async with (
+        kit.running_system() as system,
+        kit.raw_target(hang) as target,
+    ):
+        service = 'model' if 'chat' in path else 'plain'
+        await system.add_target('t1', target, service=service)
+        started = asyncio.get_running_loop().time()
+        status, _, _ = await system.call(path)
+        took = asyncio.get_running_loop().time() - started
+        assert status == 504
+        limit = 2.0 if 'chat' in path else 1.0
+        assert limit - 0.2 < took < limit + 0.25
+
+
+async def test_target_is_told_when_the_caller_leaves():
+    """Guards against work for a caller that has gone."""
+    started = asyncio.Event()
+
+    async def hang(request, writer):
+        started.set()
+        await asyncio.sleep(0.6)
+        writer.write(b'x')
+        await writer.drain()
+
+    async with (
+        kit.running_system() as system,
+        kit.raw_target(hang) as target,
+    ):
+        await system.add_target('t1', target)
+        call = asyncio.ensure_future(system.call('/lookup/1'))
+        await started.wait()
+        call.cancel()
+        await system.until(lambda: target.closed_by_host == 1, 2)
+        await asyncio.sleep(0.1)
+        assert len(target.received) == 1
+
+
+async def test_extra_answer_reaches_no_other_request():
+    """Guards against an answer that belongs to another request."""
+
+    async def answer_twice(request, writer):
+        writer.write(kit.answer(request, request.headers[kit.ATTEMPT].encode()))
+        writer.write(kit.answer(request, b'extra'))
+
+    async with (
+        kit.running_system() as system,
+        kit.raw_target(answer_twice) as target,
+    ):
+        await system.add_target('t1', target)
+        for number in range(5):
+            status, _, body = await system.call(
+                '/lookup/1', Bergamotstream_Attempt_Id=f'a{number}'
+            )
+            assert status in {200, 502}
+            assert status == 502 or body == f'a{number}'.encode()
+
+
+@pytest.mark.parametrize('fault', ['short', 'reset', 'no_stamp'])
+async def test_incomplete_answer_is_never_a_success(fault):
+    """Guards against a body that lacks bytes, or one without a stamp."""
+
+    async def behave(request, writer):
+        whole = kit.answer(request, b'0123456789')
+        if fault == 'short':
+            writer.write(whole[:-3])
+        if fault == 'reset':
+            head = kit.stream_head(request, 'Connection: close\r\n')
+            writer.write(head + b'0123')
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            kit.reset(writer)
+            return
+        if fault == 'no_stamp':
+            writer.write(whole.replace(kit.STAMP.encode(), b'X-None'))
+        await writer.drain()
+        writer.close()
+
+    async with (
+        kit.running_system() as system,
+        kit.raw_target(behave) as target,
+    ):
+        await system.add_target('t1', target)
+        status, headers, _ = await system.call('/lookup/1')
+        assert status == 502
+        assert kit.STAMP not in headers
+
+
+async def test_answer_without_a_length_is_whole_when_it_ends_cleanly():
+    """Guards against refusing a correct answer of an older target."""
+
+    async def behave(request, writer):
+        writer.write(kit.stream_head(request, '') + b'0123')
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        writer.close()
+
+    async with (
+        kit.running_system() as system,
+        kit.raw_target(behave) as target,
+    ):
+        await system.add_target('t1', target)
+        status, _, body = await system.call('/lookup/1')
+        assert (status, body) == (200, b'0123')
+
+
+async def test_stream_goes_on_at_another_target():
+    """Guards against an event that is lost, doubled or joined."""
+
+    async def serve(request, writer):
+        first = int(request.headers.get('Last-Event-Id', 0)) + 1
+        writer.write(kit.stream_head(request))
+        for number in range(first, 7):
+            if first == 1 and number == 4:
+                # Breaks off in the middle of an event.
+                writer.write(kit.chunk(kit.event(number)[:9]))
+                await writer.drain()
+                await asyncio.sleep(0.05)
+                writer.transport.abort()
+                return
+            writer.write(kit.chunk(kit.event(number)))
+        writer.write(b'0\r\n\r\n')
+
+    async with (
+        kit.running_system() as system,
+        kit.raw_target(serve) as one,
+        kit.raw_target(serve) as two,
+    ):
+        await system.add_target('t1', one, service='model')
+        await system.add_target('t2', two, service='model')
+        status, _, body = await system.call('/chat/1')
+        assert status == 200
+        assert body == b''.join(kit.event(number) for number in range(1, 7))
+        assert len(one.received) + len(two.received) == 2
+
+
+async def test_stream_that_cannot_go_on_looks_incomplete():
+    """Guards against a stream that ends as complete before its last event."""
+
+    async def serve(request, writer):
+        writer.write(kit.stream_head(request) + kit.chunk(kit.event(1)))
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        writer.transport.abort()
+
+    async with (
+        kit.running_system() as system,
+        kit.raw_target(serve) as target,
+    ):
+        await system.add_target('t1', target, service='model')
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await system.call('/chat/1')
+
+
+async def test_unreachable_target_is_passed_over():
+    """Guards against an order that fails although nothing was sent."""
+    async with (
+        kit.running_system() as system,
+        kit.raw_target(answer_plain) as good,
+        kit.raw_target(answer_plain) as gone,
+    ):
+        await system.add_target('t1', gone)
+        await system.add_target('t2', good)
+        await gone.stop()
+        for number in range(4):
+            assert (await system.call(f'/order/{number}'))[0] == 200
+
+
+async def test_host_that_the_store_refuses_learns_from_its_peer():
+    """Guards against an old configuration on a host without the store."""
+    async with kit.running_system(hosts=2) as system:
+        first, second = (daemon._core.view for daemon in system.daemons)
+        await system.until(
+            lambda: all(daemon._peers.live_peers() for daemon in system.daemons)
+        )
+
+        async def refuse(*_):
+            raise kit.store.StoreUnavailable('refused')
+
+        watches = [
+            task
+            for task in system.daemons[1]._tasks
+            if 'StoreWatch' in repr(task.get_coro())
+        ]
+        watches[0].cancel()
+        await system.store.put(
+            'op/config', kit.configuration_document(version=9, routes=[])
+        )
+        await system.until(lambda: first.configuration.version == 9)
+        await system.until(lambda: second.configuration.version == 9, 1.5)
+
+
+async def test_stop_leaves_the_directory_and_ends_open_requests():
+    """Guards against a planned stop that cuts a request."""
+
+    async def slow(request, writer):
+        await asyncio.sleep(0.3)
+        writer.write(kit.answer(request))
+
+    async with (
+        kit.running_system(hosts=2) as system,
+        kit.raw_target(slow) as target,
+    ):
+        await system.add_target('t1', target)
+        call = asyncio.ensure_future(system.call('/lookup/1'))
+        await system.until(lambda: target.received)
+        system.daemons[0].request_stop()
+        status, headers, _ = await call
+        assert status == 200
+        assert headers.get('Connection', '').lower() == 'close'
+        stopping = system.settings[0]
+        assert await system.get_status(
+            stopping.readiness_address, '/ready'
+        ) in {0, 503}
+        await system.until(
+            lambda: (
+                stopping.name not in system.daemons[1]._core.view.hosts_by_name
+            )
+        )
+
+
+async def test_host_without_a_configuration_does_not_deny():
+    """Guards against 401, 403 or 404 from a host that knows nothing."""
+    system = kit.System()
+    await system.store.start()
+    settings = kit.make_settings(
+        '{0}:{1}'.format(*system.store._listener._address)
+    )
+    daemon = kit.hostdaemon.HostDaemon(settings)
+    run = asyncio.ensure_future(daemon.run())
+    system.settings.append(settings)
+    await asyncio.sleep(0.2)
+    status, headers, _ = await system.call('/lookup/1')
+    assert status == 503
+    assert 'Retry-After' in headers
+    assert await system.get_status(settings.readiness_address, '/ready') == 503
+    run.cancel()
+    await system.stop()
