--- a/bergamotstream/forwarding/outcomes.py
+++ b/bergamotstream/forwarding/outcomes.py
@@ -219,7 +219,7 @@
             pause_ms=served.longest_pause_ms,
             goal_ms=job.route.goal_ms,
             pause_goal_ms=job.route.pause_goal_ms,
-            prompt=job.request.prompt_tokens,
+            prompt_tokens=job.request.prompt_tokens,
             sent=served.sent,
             last_event=served.last_event_id,
         )
--- a/bergamotstream/forwarding/placement.py
+++ b/bergamotstream/forwarding/placement.py
@@ -39,8 +39,16 @@
 OTHER_ZONE_COST: Final = 0.005
 PART_COST: Final = 0.004
 OVERDUE_COST: Final = 0.05
-# Slots that packing leaves free for requests that other hosts place at once.
-FREE_SLOTS: Final = 2
+# Hosts that place at the same moment may choose the same target, and a request
+# without a slot waits until an answer ends. The expected loss, as a part of
+# the value, by the slots that are left after this request.
+SLOT_RISKS: Final = (0.12, 0.04)
+FREE_SLOTS: Final = len(SLOT_RISKS)
+# Candidates whose costs differ by less than this part of the value are taken
+# at random, so that hosts spread.
+TIE_COST: Final = 0.012
+# A smaller part costs a helper's attention and gains only milliseconds.
+MIN_PART_TOKENS: Final = 6_144
 # Part of a target's memory that may be planned for.
 MEMORY_SHARE: Final = 0.93
 # Without room a request of another caller is preempted, and read again.
@@ -70,6 +78,8 @@
     # Probability that a request fails there.
     failing: float
     same_zone: bool
+    # Random number from 0 to 1 that decides between equal candidates.
+    tie: float
 
 
 class Part(NamedTuple):
@@ -103,13 +113,13 @@
     return min(candidates, key=_plain_order, default=None)
 
 
-def _plain_order(candidate: Candidate) -> tuple[float, bool, str]:
+def _plain_order(candidate: Candidate) -> tuple[float, bool, float]:
     busy = candidate.load.requests / candidate.entry.slots
     expected = (busy + 1) * candidate.slowness
     return (
         expected + candidate.failing * 2,
         not candidate.same_zone,
-        candidate.entry.target_id,
+        candidate.tie,
     )
 
 
@@ -121,7 +131,7 @@
     """Return the placement that loses the least value."""
     placements = []
     for count in PART_COUNTS:
-        if count > 1 and not _may_split(profile, need, count):
+        if count > 1 and need.prompt_tokens < count * MIN_PART_TOKENS:
             break
         placed = _place(profile, need, candidates, count)
         if placed is not None:
@@ -129,12 +139,6 @@
     return min(placements, key=operator.attrgetter('cost'), default=None)
 
 
-def _may_split(
-    profile: fleetrecords.EngineProfile, need: Need, count: int
-) -> bool:
-    return need.prompt_tokens >= count * profile.chunk_tokens
-
-
 def _place(
     profile: fleetrecords.EngineProfile,
     need: Need,
@@ -225,7 +229,7 @@
     first_token_ms = (
         NETWORK_MS + pass_ms * PASS_LEFT + queue_ms + part_ms + pass_ms
     )
-    cost = need.value * candidate.failing
+    cost = need.value * (candidate.failing + TIE_COST * candidate.tie)
     cost += _damage(load, pass_ms + queue_ms, part_ms)
     if not candidate.same_zone:
         cost += need.value * OTHER_ZONE_COST
@@ -270,7 +274,9 @@
     if load.memory_tokens + tokens > profile.memory_tokens * MEMORY_SHARE:
         cost += need.value * NO_ROOM_COST
     packed = min(load.requests, profile.slots - FREE_SLOTS) / profile.slots
-    return cost - need.value * PACKING_GAIN * packed
+    left = max(profile.slots - load.requests - 1, 0)
+    risk = SLOT_RISKS[left] if left < FREE_SLOTS else 0
+    return cost + need.value * (risk - PACKING_GAIN * packed)
 
 
 def _lateness(need: Need, first_token_ms: float) -> float:
--- a/bergamotstream/forwarding/scheduler.py
+++ b/bergamotstream/forwarding/scheduler.py
@@ -217,6 +217,7 @@
                 note.slowness,
                 note.failing,
                 entry.zone == self._config.zone,
+                self._chance.random(),
             )
 
     def _may_use(
@@ -238,7 +239,6 @@
         candidates: list[placement.Candidate],
         now_ms: int,
     ) -> exchangerecords.Assignment:
-        self._chance.shuffle(candidates)
         chosen = placement.choose_plain(candidates)
         if chosen is None:
             raise errors.NoTarget(job.service.name)
