--- a/bergamotstream/forwarding/placement.py
+++ b/bergamotstream/forwarding/placement.py
@@ -35,7 +35,7 @@
 # Half a pass is left on average when a request arrives.
 PASS_LEFT: Final = 0.5
 # Preferences among targets that make nothing late, as parts of the value.
-PACKING_GAIN: Final = 0.03
+PACKING_GAIN: Final = 0.06
 OTHER_ZONE_COST: Final = 0.005
 PART_COST: Final = 0.004
 OVERDUE_COST: Final = 0.05
--- /dev/null
+++ b/tests/test_fleetview.py
@@ -0,0 +1,173 @@
+"""What a host believes of the fleet, from good and bad items."""
+
+import json
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from bergamotstream.forwarding import fleetview, peerfetch, peerformat
+from bergamotstream.platform import decoding, store
+from bergamotstream import errors
+from tests import platformkit as kit
+
+
+def target(number, revision, **changes):
+    document = kit.target_document(f'10.0.0.{number}:80', **changes)
+    return store.Item(f'servers/t{number}', revision, document)
+
+
+def apply(view, *items, now_ms=0, revision=0):
+    newest = revision or max(item.revision for item in items)
+    return view.apply_changes(store.Page(items, newest), now_ms)
+
+
+def configuration(version, revision):
+    document = kit.configuration_document(version=version)
+    return store.Item('op/config', revision, document)
+
+
+def test_configuration_never_goes_back():
+    """Guards against an older version from a stale reader or peer."""
+    view = fleetview.FleetView()
+    apply(view, configuration(7, 10))
+    apply(view, configuration(5, 9))
+    apply(view, configuration(5, 12))
+    assert view.configuration.version == 7
+
+
+def test_unreadable_configuration_keeps_the_known_one():
+    """Guards against a host without routes after a bad document."""
+    view = fleetview.FleetView()
+    apply(view, configuration(7, 10))
+    apply(view, store.Item('op/config', 11, b'{"version": 8}'))
+    assert view.configuration.version == 7
+
+
+def test_late_write_does_not_revive_a_deleted_target():
+    """Guards against an entry that arrives after its deletion."""
+    view = fleetview.FleetView()
+    apply(view, target(1, 5))
+    apply(view, store.Item('servers/t1', 8, None))
+    apply(view, target(1, 6), revision=9)
+    assert not view.targets_by_id
+
+
+def test_entries_that_lapsed_in_an_outage_are_kept_for_a_while():
+    """Guards against a fleet without targets after the store's return."""
+    view = fleetview.FleetView()
+    apply(view, target(1, 5), target(2, 6))
+    view.note_store_return(1_000)
+    apply(
+        view,
+        store.Item('servers/t1', 8, None),
+        store.Item('servers/t2', 8, None),
+        now_ms=1_000,
+    )
+    assert set(view.targets_by_id) == {'t1', 't2'}
+    apply(view, target(2, 9), now_ms=2_000)
+    view.drop_lapsed(3_300)
+    assert set(view.targets_by_id) == {'t2'}
+
+
+def test_deletion_in_steady_state_counts_at_once():
+    """Guards against requests to a target that left without a word."""
+    view = fleetview.FleetView()
+    apply(view, target(1, 5))
+    changes = apply(view, store.Item('servers/t1', 8, None), now_ms=10)
+    assert not view.targets_by_id
+    assert changes[0].outcome == 'gone'
+
+
+def test_complete_reading_deletes_what_it_lacks():
+    """Guards against targets that left while the history was lost."""
+    view = fleetview.FleetView()
+    apply(view, target(1, 5), target(2, 6))
+    view.replace_all(store.Page((target(2, 6),), 9), 0)
+    assert set(view.targets_by_id) == {'t2'}
+    view.replace_all(store.Page((target(1, 5),), 7), 0)
+    assert set(view.targets_by_id) == {'t2'}
+
+
+def test_restart_under_the_same_id_is_noticed():
+    """Guards against state of a target that started again."""
+    view = fleetview.FleetView()
+    apply(view, target(1, 5))
+    changes = apply(view, target(1, 6, born=2_000))
+    assert changes[0].outcome == 'restarted'
+
+
+@pytest.mark.parametrize(
+    'changes',
+    [
+        {'service': 5},
+        {'state': 'warming'},
+        {'slots': True},
+        {'slots': 0},
+        {'address': '10.0.0.1'},
+        {'address': '10.0.0.999:80'},
+        {'address': 'host:80'},
+        {'cold_left_ms': -1},
+        {'born': 1.5},
+        {'zone': ''},
+    ],
+)
+def test_forged_entry_names_no_target(changes):
+    """Guards against entries of other writers."""
+    view = fleetview.FleetView()
+    apply(view, target(1, 5))
+    apply(view, target(1, 6, **changes))
+    assert not view.targets_by_id
+
+
+@hypothesis.given(strategies.binary(max_size=80))
+def test_any_bytes_are_refused_as_entries(document):
+    """Guards against a crash by bytes of another writer."""
+    for decode in (decoding.target_entry, decoding.host_entry):
+        with pytest.raises(decoding.Undecodable):
+            decode('t1', document)
+    with pytest.raises(decoding.Undecodable):
+        decoding.configuration(document)
+    with pytest.raises(errors.InvalidMessage):
+        peerformat.decode(document + b'\xff\xff', 0)
+    with pytest.raises(ValueError):
+        peerfetch.decode_page(b'x' + document)
+
+
+JSON = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.floats(allow_nan=False)
+    | strategies.text(max_size=12),
+    lambda inner: (
+        strategies.lists(inner, max_size=3)
+        | strategies.dictionaries(strategies.text(max_size=8), inner)
+    ),
+    max_leaves=8,
+)
+
+
+@hypothesis.given(
+    strategies.dictionaries(
+        strategies.sampled_from(
+            ['service', 'address', 'zone', 'slots', 'state', 'born']
+        ),
+        JSON,
+    )
+)
+def test_any_fields_are_decoded_or_refused(fields):
+    """Guards against a crash by fields of another type."""
+    body = json.loads(kit.target_document('10.0.0.1:80')) | fields
+    try:
+        entry = decoding.target_entry('t1', json.dumps(body).encode())
+    except decoding.Undecodable:
+        return
+    assert isinstance(entry.slots, int)
+    assert entry.service
+
+
+def test_items_go_to_a_peer_unchanged():
+    """Guards against a peer that learns something else."""
+    page = store.Page((target(1, 5), configuration(7, 6)), 9)
+    assert peerfetch.decode_page(peerfetch.encode_page(page)) == page
--- /dev/null
+++ b/tests/test_forwardingcore.py
@@ -0,0 +1,286 @@
+"""Budgets, commitments, health, blame, routes, streams and the log."""
+
+import os
+import random
+
+import pytest
+
+from bergamotstream import clock, errors
+from bergamotstream.forwarding import (
+    coldlimits,
+    commitments,
+    crashblame,
+    directory,
+    eventlog,
+    fleetrecords,
+    peerformat,
+    relaying,
+    retrybudget,
+    routing,
+    targethealth,
+)
+from bergamotstream.platform import bootsettings, decoding
+from tests import platformkit as kit
+
+
+def commitment(target_id='t1', placed_ms=0, read_ms=100.0, **changes):
+    return commitments.Commitment(
+        target_id=target_id,
+        placed_ms=placed_ms,
+        read_ms=read_ms,
+        writes=True,
+        writing=False,
+        pause_goal_ms=200,
+        context_tokens=6_000,
+        memory_tokens=6_000,
+        value=1.5,
+    )._replace(**changes)
+
+
+def test_budget_of_all_hosts_stays_within_the_bound():
+    """Guards against hosts that together retry more than allowed."""
+    settings = kit.make_settings()
+    hosts = [retrybudget.RetryBudget(settings.bounds) for _ in range(7)]
+    taken = 0
+    for number, budget in enumerate(hosts):
+        budget.note_hosts(7)
+        for at_ms in range(100):
+            budget.note_request('model', at_ms)
+        taken += sum(budget.take('model', 100) for _ in range(500))
+    bound = settings.bounds.retry_ratio * 700 + settings.bounds.retry_slack
+    assert 0 < taken <= bound
+
+
+def test_budget_slides():
+    """Guards against a budget that is full again at a window's border."""
+    budget = retrybudget.RetryBudget(kit.make_settings().bounds)
+    first = sum(budget.take('plain', at_ms) for at_ms in range(100))
+    assert sum(budget.take('plain', 9_900) for _ in range(50)) == 0
+    assert budget.take('plain', 10_050)
+    assert first > 0
+
+
+def test_cold_target_gets_its_rate_from_all_hosts():
+    """Guards against a cold target that several hosts flood."""
+    service = decoding.configuration(
+        kit.configuration_document()
+    ).services_by_name['model']
+    entry = decoding.target_entry(
+        't1', kit.target_document('10.0.0.1:80', cold_left_ms=3_000)
+    )
+    sent = 0
+    for _ in range(6):
+        limits = coldlimits.ColdLimits()
+        limits.note_entry(entry, 0)
+        for at_ms in range(0, 1_000, 10):
+            if limits.may_send('t1', service, at_ms):
+                limits.note_sent('t1', at_ms)
+                sent += 1
+    assert sent <= service.cold_requests_per_s
+    assert limits.may_send('t1', service, 5_000)
+
+
+def test_reading_of_all_hosts_adds_up():
+    """Guards against two hosts that place on the same target."""
+    table = commitments.CommitmentTable()
+    own = table.add(commitment())
+    peer = commitments.PeerState(1, 1, 0, (commitment(),))
+    assert table.hear_peer('host-2', peer)
+    load = table.loads(0)['t1']
+    assert (load.requests, load.read_ms) == (2, 200)
+    assert table.loads(150)['t1'].read_ms == pytest.approx(50)
+    table.update(own, read_ms=0.0, writing=True)
+    assert table.loads(0)['t1'].writers == 1
+    table.remove(own)
+    assert table.loads(0)['t1'].requests == 1
+
+
+def test_peer_messages_out_of_order_and_silence():
+    """Guards against an older state, and against work of a dead host."""
+    table = commitments.CommitmentTable()
+    table.hear_peer('h2', commitments.PeerState(1, 5, 0, (commitment(),)))
+    assert not table.hear_peer('h2', commitments.PeerState(1, 4, 0, ()))
+    assert table.hear_peer('h2', commitments.PeerState(2, 1, 50, ()))
+    table.hear_peer('h2', commitments.PeerState(2, 2, 60, (commitment(),)))
+    assert table.forget_silent(2_560) == []
+    assert table.forget_silent(2_561) == ['h2']
+    assert not table.loads(2_561)
+
+
+def test_peer_state_survives_the_wire():
+    """Guards against a field that is lost between hosts."""
+    entry = fleetrecords.HostEntry('h1', 'z', '1.1.1.1:1', '1.1.1.1:2', 77)
+    state = peerformat.HostState(
+        entry,
+        3,
+        True,
+        99,
+        (commitment(placed_ms=40, memory_tokens=11),),
+        (targethealth.TargetNote('t1', 0.5, 2.0),),
+        ((2**63, 2),),
+    )
+    assert peerformat.decode(peerformat.encode(state, 100), 100) == state
+
+
+def test_failing_target_gets_work_again_without_a_probe():
+    """Guards against a target that stays out for ever."""
+    health = targethealth.TargetHealth()
+    for _ in range(3):
+        health.note_failure('t1', 0)
+    assert health.note_of('t1', 0).failing > 0.5
+    assert health.note_of('t1', 20_000).failing < 0.05
+    until_ms = health.note_unreachable('t1', 0)
+    assert not health.is_reachable('t1', until_ms - 1)
+    assert health.is_reachable('t1', until_ms)
+    assert health.note_unreachable('t1', until_ms) - until_ms > until_ms
+
+
+def test_what_peers_learned_counts_until_it_fades():
+    """Guards against each host learning of a slow target by itself."""
+    health = targethealth.TargetHealth()
+    health.hear_peer([targethealth.TargetNote('t1', 0.6, 4)], 0)
+    assert health.note_of('t1', 0).slowness == 4
+    assert health.note_of('t1', 30_000).slowness < 1.1
+
+
+def test_request_that_crashes_targets_is_refused_on_all_hosts():
+    """Guards against a request that crashes one target after the other."""
+    blame = crashblame.CrashBlame()
+    blame.suspect('t1', 42, 0)
+    assert blame.confirm('t1', 100) == 1
+    assert not blame.is_refused(42)
+    blame.hear_peer('h2', {42: 1})
+    assert blame.is_refused(42)
+
+
+def test_broken_connection_of_a_live_target_is_no_crash():
+    """Guards against refusing a request that only met a bad connection."""
+    blame = crashblame.CrashBlame()
+    for at_ms in range(3):
+        blame.suspect('t1', 42, at_ms)
+    blame.clear_target('t1', 10)
+    blame.confirm('t1', 20)
+    assert not blame.is_refused(42)
+
+
+@pytest.mark.parametrize(
+    ('path', 'name'),
+    [('/a/b/c', 'deep'), ('/a/b', 'short'), ('/a/', 'short')],
+)
+def test_longest_prefix_wins(path, name):
+    """Guards against a request on another route's service."""
+    routes = [
+        kit.route('short', '/a/', 'idempotent'),
+        kit.route('deep', '/a/b/', 'idempotent'),
+    ]
+    configuration = decoding.configuration(
+        kit.configuration_document(routes=routes)
+    )
+    found = routing.find_route(configuration, kit.HOST_NAME, path)
+    assert found.name == name
+
+
+@pytest.mark.parametrize('path', ['/a', '/b/', '', '*', '/A/b'])
+def test_other_paths_have_no_route(path):
+    """Guards against a prefix that matches part of a name."""
+    routes = [kit.route('short', '/a/', 'idempotent')]
+    configuration = decoding.configuration(
+        kit.configuration_document(routes=routes)
+    )
+    with pytest.raises(errors.UnknownRoute):
+        routing.find_route(configuration, kit.HOST_NAME, path)
+
+
+def test_keys_of_public_and_other_routes():
+    """Guards against access without a key, and against a wrong workspace."""
+    configuration = decoding.configuration(kit.configuration_document())
+    route = next(iter(configuration.routes_by_place.values()))
+    found = routing.find_workspace(configuration, route, [kit.KEY])
+    assert found.name == 'small'
+    for keys in ([], ['wrong'], [kit.KEY, kit.KEY]):
+        with pytest.raises(errors.UnknownKey):
+            routing.find_workspace(configuration, route, keys)
+    public = route._replace(public=True)
+    assert routing.find_workspace(configuration, public, []) is None
+
+
+def test_shares_of_services_follow_their_weights():
+    """Guards against a split that sends all to one service."""
+    shares = (fleetrecords.Share('a', 90), fleetrecords.Share('b', 10))
+    configuration = decoding.configuration(kit.configuration_document())
+    route = next(iter(configuration.routes_by_place.values()))
+    route = route._replace(shares=shares)
+    chance = random.Random(1)
+    chosen = [routing.choose_service(route, chance) for _ in range(1_000)]
+    assert 50 < chosen.count('b') < 160
+
+
+@pytest.mark.parametrize('size', [1, 2, 7, 1_000])
+def test_events_are_split_at_any_border(size):
+    """Guards against events that are joined or torn."""
+    encoded = b''.join(kit.event(number) for number in range(1, 6))
+    encoded += b'id: 6\r\ndata: x\r\n\r\n' + b'id: 7\nda'
+    splitter = relaying.EventSplitter()
+    found = [
+        event
+        for start in range(0, len(encoded), size)
+        for event in splitter.feed(encoded[start : start + size])
+    ]
+    assert [event.event_id for event in found] == list('123456')
+    assert b''.join(event.encoded for event in found) + splitter.rest == encoded
+
+
+def make_state(name, ready=True):
+    entry = fleetrecords.HostEntry(name, 'z', f'{name}:1', f'{name}:2', 1)
+    return peerformat.HostState(entry, 1, ready, 0, (), (), ())
+
+
+def test_directory_names_ready_hosts_that_are_heard():
+    """Guards against naming a dead or stopping host."""
+    own = make_state('h1').entry
+    registered = [make_state(name).entry for name in ('h1', 'h2', 'h3', 'h4')]
+    heard = [make_state('h2'), make_state('h3', ready=False)]
+    assert directory.addresses(own, True, registered, heard) == ['h1:1', 'h2:1']
+    assert directory.addresses(own, False, registered, heard) == ['h2:1']
+    alone = directory.addresses(own, True, registered, [])
+    assert alone == ['h1:1', 'h2:1', 'h3:1', 'h4:1']
+    assert directory.addresses(own, False, [], []) == ['h1:1']
+
+
+def test_settings_faults_name_the_field():
+    """Guards against a host that starts with half of its settings."""
+    with pytest.raises(errors.InvalidSettings, match='node_name'):
+        bootsettings.decode({})
+    tables = {'node_name': 'h', 'ip': '1.1.1.1', 'zone': 'z', 'zones': {}}
+    with pytest.raises(errors.InvalidSettings, match=r'listen\.front'):
+        bootsettings.decode(tables | {'listen': {'front': 5}})
+
+
+def test_log_does_not_wait_for_its_reader():
+    """Guards against a host that stands still with its log's reader."""
+    reader, writer = os.pipe()
+    handler = eventlog.PipeHandler(writer)
+    record = eventlog.logging.LogRecord(
+        'x', 20, __file__, 1, 'x' * 1_000, (), None
+    )
+    for _ in range(1_000):
+        handler.emit(record)
+    assert handler.dropped > 0
+    os.close(reader)
+    os.close(writer)
+
+
+def test_log_lines_of_one_kind_are_capped(monkeypatch):
+    """Guards against a log that grows with the load."""
+    lines = []
+    monkeypatch.setattr(
+        eventlog.logs, 'write', lambda event, fields: lines.append(event)
+    )
+    now = clock.ManualClock(5_000)
+    log = eventlog.EventLog(now)
+    for _ in range(1_000):
+        log.write('placed')
+    assert len(lines) == eventlog.LINES_PER_S
+    now.advance(1_000)
+    log.write('placed')
+    assert lines[-2:] == ['left_out', 'placed']
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,152 @@
+"""Replays loads through the decisions on placement."""
+
+import random
+
+import pytest
+
+from bergamotstream import errors
+from bergamotstream.forwarding import commitments, placement
+from tests import platformkit as kit
+
+PROFILE = kit.engine_profile()
+
+
+def make_candidate(number, **load):
+    """Return an idle target, or one with the given load."""
+    entry = kit.decoding.target_entry(
+        f't{number}', kit.target_document(f'10.0.0.{number + 1}:80')
+    )
+    return placement.Candidate(
+        entry, commitments.IDLE._replace(**load), 1, 0, True, 0.5
+    )
+
+
+def busy(number, streams, **load):
+    """Return a target that writes short answers at risk."""
+    given = {
+        'requests': streams,
+        'writers': streams,
+        'context_tokens': streams * 6_000,
+        'memory_tokens': streams * 6_000,
+        'at_risk': ((200, 1.3),) * streams,
+    }
+    return make_candidate(number, **(given | load))
+
+
+def need(prompt=5_000, answer=1_600, goal=300, pause=200, left=10_000):
+    value = (prompt + 10 * answer) / 16_000
+    return placement.Need(prompt, answer, goal, pause, left, value)
+
+
+LONG = need(prompt=210_000, goal=3_000, pause=800)
+
+
+def targets_of(placed):
+    return [part.entry.target_id for part in placed.parts]
+
+
+def test_short_streams_are_packed():
+    """Guards against short answers on all targets, which leaves none for
+    long prompts."""
+    fleet = [busy(0, 4), make_candidate(1), make_candidate(2)]
+    placed = placement.choose_engines(PROFILE, need(), fleet)
+    assert targets_of(placed) == ['t0']
+
+
+def test_packing_leaves_the_last_slots():
+    """Guards against a ninth request on eight slots when hosts collide."""
+    fleet = [busy(0, 6), make_candidate(1)]
+    placed = placement.choose_engines(PROFILE, need(), fleet)
+    assert targets_of(placed) == ['t1']
+
+
+def test_long_prompt_goes_where_no_answer_is_at_risk():
+    """Guards against a long read that makes short answers late."""
+    fleet = [busy(number, 3) for number in range(8)]
+    fleet += [make_candidate(number) for number in range(8, 16)]
+    placed = placement.choose_engines(PROFILE, LONG, fleet)
+    assert not set(targets_of(placed)) & {f't{n}' for n in range(8)}
+    assert placed.first_token_ms < 3_000
+
+
+def test_long_prompt_is_split_when_one_target_would_be_late():
+    """Guards against a first token after its goal on idle targets."""
+    prompt = need(prompt=400_000, goal=3_000, pause=800)
+    fleet = [make_candidate(number) for number in range(16)]
+    placed = placement.choose_engines(PROFILE, prompt, fleet)
+    assert len(placed.parts) >= 4
+    assert placed.first_token_ms < 3_000
+
+
+def test_medium_prompt_beside_short_streams_makes_no_pause():
+    """Guards against a part that delays a pass beyond the pause goal."""
+    fleet = [busy(number, 3) for number in range(16)]
+    medium = need(prompt=45_000, goal=1_500, pause=500)
+    placed = placement.choose_engines(PROFILE, medium, fleet)
+    write_pass_ms = 50
+    for part in placed.parts:
+        assert write_pass_ms + part.read_ms < 200
+
+
+def test_prompt_beyond_one_memory_is_held_by_several():
+    """Guards against refusing prompts up to a million tokens."""
+    prompt = need(prompt=1_000_000, answer=800, goal=3_000, left=15_000)
+    fleet = [make_candidate(number) for number in range(16)]
+    placed = placement.choose_engines(PROFILE, prompt, fleet)
+    held = [part.held_tokens for part in placed.parts]
+    assert sum(held) == 1_000_800
+    assert max(held) <= 450_000
+    assert [tokens for tokens in held if tokens] == held[:3]
+
+
+def test_prompt_beyond_all_memory_is_not_placed():
+    """Guards against sending what no target can hold."""
+    prompt = need(prompt=1_000_000, left=60_000)
+    fleet = [make_candidate(number) for number in range(2)]
+    assert placement.choose_engines(PROFILE, prompt, fleet) is None
+
+
+def test_failing_and_slow_targets_are_avoided():
+    """Guards against a target that fails while its health check is good."""
+    good = make_candidate(2)
+    failing = make_candidate(0)._replace(failing=0.4)
+    slow = make_candidate(1)._replace(slowness=8)
+    placed = placement.choose_engines(PROFILE, need(), [failing, slow, good])
+    assert targets_of(placed) == ['t2']
+    assert placement.choose_plain([failing, slow, good]) is good
+
+
+def test_burst_of_short_requests_keeps_all_first_tokens():
+    """Replays 44 short requests a second over six hosts' shared view."""
+    core = kit.make_scheduler(targets=16)
+    chance = random.Random(3)
+    live = []
+    late = 0
+    for now_ms in range(0, 6_000, 23):
+        for ended in [entry for entry in live if entry[0] <= now_ms]:
+            core.release(ended[1])
+            live.remove(ended)
+        job = kit.make_job(core, now_ms, prompt=chance.randint(600, 12_000))
+        assignment = core.place(job, (), now_ms)
+        core.start_writing(assignment)
+        live.append((now_ms + chance.randint(900, 3_000), assignment))
+        late += assignment.forecast_ms > 300
+    assert not late
+    loads = core.table.loads(6_000).values()
+    assert max(load.requests for load in loads) <= PROFILE.slots
+
+
+def test_request_that_cannot_make_its_deadline_is_refused_at_once():
+    """Guards against holding a request to its deadline."""
+    core = kit.make_scheduler(targets=1)
+    job = kit.make_job(core, prompt=400_000, path='/chat/1')
+    with pytest.raises(errors.DeadlineUnreachable) as refused:
+        core.place(job, (), 0)
+    assert refused.value.retry_after_ms > 0
+    assert not core.table.loads(0)
+
+
+def test_times_to_come_back_are_spread():
+    """Guards against refused requests that all return together."""
+    core = kit.make_scheduler()
+    assert len({core.retry_after_ms() for _ in range(50)}) > 20
