Weigh coming requests against long parts, refuse what is hopeless, rest full targets

Short requests were then sent to targets on which they waited beyond the 2 s after which callers leave, and a target that answered 503 got 59 to 71 requests in a second. A long part now costs what the urgent requests that keep arriving lose; a request whose forecast exceeds its caller's patience is refused at once; a target that refused rests for 300 ms; slowness is learned from the median pause and no longer from first tokens, which are late when hosts collide.

--- a/bergamotstream/forwarding/exchange.py
+++ b/bergamotstream/forwarding/exchange.py
@@ -36,3 +36,4 @@
         self.forecast_ms = float(0)
         self.first_byte_ms = 0
         self.longest_pause_ms = 0
+        self.recent_pauses_ms: list[int] = []
--- a/bergamotstream/forwarding/fleetrecords.py
+++ b/bergamotstream/forwarding/fleetrecords.py
@@ -70,6 +70,7 @@
     # For pairs of a token and an earlier one.
     read_ms_per_million_pairs: float
     chunk_tokens: int
+    usual_prompt_tokens: int
     usual_answer_tokens: int
 
 
--- a/bergamotstream/forwarding/outcomes.py
+++ b/bergamotstream/forwarding/outcomes.py
@@ -7,6 +7,8 @@
 """
 
 import functools
+import statistics
+from typing import Final
 
 from bergamotstream import clock, metrics
 from bergamotstream.forwarding import (
@@ -19,6 +21,10 @@
 )
 
 
+# Pauses between events from which a target's pace is learned.
+PACE_SAMPLES: Final = 5
+
+
 class Outcomes:
     """Notes of one host."""
 
@@ -66,13 +72,6 @@
         now_ms = self._clock.now_ms()
         self._core.start_writing(assignment)
         served.first_byte_ms = served.first_byte_ms or now_ms
-        if not assignment.helpers:
-            self._core.health.note_speed(
-                assignment.target.target_id,
-                waited_ms,
-                assignment.forecast_ms,
-                now_ms,
-            )
         kind = served.job.route.name
         error_ms = abs(waited_ms - round(assignment.forecast_ms))
         self._meters.observe('forecast_error', kind, error_ms)
@@ -85,12 +84,35 @@
     ) -> None:
         """Note the time between two events."""
         served.longest_pause_ms = max(served.longest_pause_ms, pause_ms)
+        served.recent_pauses_ms.append(pause_ms)
+        if len(served.recent_pauses_ms) == PACE_SAMPLES:
+            self._learn_pace(served, assignment)
         goal_ms = served.job.route.pause_goal_ms
         if goal_ms and pause_ms > goal_ms:
             # A late answer cannot become late again.
             first = assignment.commitment_ids[0]
             self._core.table.update(first, pause_goal_ms=0)
 
+    def _learn_pace(
+        self,
+        served: exchange.Exchange,
+        assignment: exchangerecords.Assignment,
+    ) -> None:
+        """Compare the median pause with that of a full target.
+
+        A single long pause comes from a long prompt beside the answer, and a
+        late first token from work that other hosts placed at the same time.
+        """
+        usual_ms = scheduler.usual_pause_ms(served.job.service)
+        median_ms = statistics.median(served.recent_pauses_ms)
+        served.recent_pauses_ms.clear()
+        self._core.health.note_speed(
+            assignment.target.target_id,
+            median_ms,
+            usual_ms,
+            self._clock.now_ms(),
+        )
+
     def success(
         self,
         served: exchange.Exchange,
@@ -154,6 +176,8 @@
         served.tried.add(at_fault.target_id)
         if fault.status == dispatch.MISDIRECTED:
             self._core.health.note_unreachable(at_fault.target_id, now_ms)
+        else:
+            self._core.health.note_full(at_fault.target_id, now_ms)
         self._meters.count('target_refusals', str(fault.status))
         self._log.write(
             'target_refused',
--- a/bergamotstream/forwarding/placement.py
+++ b/bergamotstream/forwarding/placement.py
@@ -51,6 +51,12 @@
 MIN_PART_TOKENS: Final = 6_144
 # Part of a target's memory that may be planned for.
 MEMORY_SHARE: Final = 0.93
+# Nothing is refused for its cost while fewer slots than this are taken.
+BUSY_SHARE: Final = 0.5
+# A part that takes longer delays the first token of an urgent request too far.
+LONG_PART_MS: Final = 120.0
+# Urgent streams vary; so many times their present number must find a place.
+STREAM_MARGIN: Final = 1.3
 # Without room a request of another caller is preempted, and read again.
 NO_ROOM_COST: Final = 0.5
 PART_COUNTS: Final = (1, 2, 3, 4, 6, 8, 12, 16)
@@ -123,6 +129,16 @@
     )
 
 
+def is_busy(candidates: Sequence[Candidate]) -> bool:
+    """Tell whether half of the slots are taken, or reading waits."""
+    slots = sum(candidate.entry.slots for candidate in candidates)
+    requests = sum(candidate.load.requests for candidate in candidates)
+    waiting = sum(candidate.load.read_ms for candidate in candidates)
+    return requests >= slots * BUSY_SHARE or waiting >= LONG_PART_MS * len(
+        candidates
+    )
+
+
 def choose_engines(
     profile: fleetrecords.EngineProfile,
     need: Need,
@@ -177,6 +193,8 @@
         for option in options
     )
     cost = delay_costs + _lateness(need, first_token_ms)
+    if part_ms > LONG_PART_MS:
+        cost += _future_loss(profile, candidates, options, part_ms)
     return Placement(
         tuple(
             Part(
@@ -191,6 +209,43 @@
     )
 
 
+def _future_loss(
+    profile: fleetrecords.EngineProfile,
+    candidates: Sequence[Candidate],
+    chosen: Sequence[_Option],
+    part_ms: float,
+) -> float:
+    """Return the value of coming answers that find no target in time.
+
+    While the parts are read, urgent requests keep arriving as they do now.
+    They find a place on the targets that stay open; if these are too few for
+    the streams that run now, a part of the requests that arrive is late.
+    """
+    urgent = [
+        value
+        for candidate in candidates
+        for pause_goal_ms, value in candidate.load.at_risk
+        if pause_goal_ms < part_ms
+    ]
+    if not urgent:
+        return 0
+    closed = {option.candidate.entry.target_id for option in chosen}
+    open_slots = sum(
+        profile.slots - FREE_SLOTS
+        for candidate in candidates
+        if candidate.entry.target_id not in closed
+        and candidate.load.read_ms < LONG_PART_MS
+    )
+    missing = max(1 - open_slots / (len(urgent) * STREAM_MARGIN), 0)
+    stream_ms = enginemodel.write_ms(
+        profile,
+        profile.usual_answer_tokens,
+        profile.slots,
+        profile.slots * profile.usual_prompt_tokens,
+    )
+    return LATE_LOSS * missing * sum(urgent) * part_ms / stream_ms
+
+
 def _held_tokens(
     profile: fleetrecords.EngineProfile,
     need: Need,
--- a/bergamotstream/forwarding/scheduler.py
+++ b/bergamotstream/forwarding/scheduler.py
@@ -42,6 +42,13 @@
 RETRY_AFTER_MS: Final = (400, 1_600)
 # Time to come back while no target is listed or no configuration is known.
 UNAVAILABLE_RETRY_MS: Final = (800, 1_600)
+# How much reading between token steps lengthens the passes of a full target.
+READING_ALLOWANCE: Final = 1.5
+# Callers give a stream up after a gap of the longest of these. Source: the
+# platform's protocol for requests.
+LEAST_PATIENCE_MS: Final = 2_000
+GOALS_OF_PATIENCE: Final = 4
+PAUSES_OF_PATIENCE: Final = 8
 # Time to come back to another host.
 LEAVING_RETRY_MS: Final = 50
 # An answer that must be given at the end of a request's time takes this long.
@@ -134,12 +141,17 @@
             )
         if job.need is None or job.service.engine is None:
             return self._place_plain(job, candidates, now_ms)
-        need = job.need._replace(left_ms=job.end_ms - now_ms)
+        end_ms = min(job.end_ms, job.arrived_ms + _patience_ms(job.route))
+        need = job.need._replace(left_ms=end_ms - now_ms)
         placed = placement.choose_engines(job.service.engine, need, candidates)
         if placed is None or placed.first_token_ms >= need.left_ms:
             raise errors.DeadlineUnreachable(
                 job.service.name, retry_after_ms=self._spread(RETRY_AFTER_MS)
             )
+        if placed.cost >= need.value and placement.is_busy(candidates):
+            raise errors.Overloaded(
+                job.service.name, retry_after_ms=self._spread(RETRY_AFTER_MS)
+            )
         return self._commit(job, placed, now_ms)
 
     def may_send_again(
@@ -297,6 +309,15 @@
     return digest.intdigest()
 
 
+def _patience_ms(route: fleetrecords.Route) -> int:
+    """Return after which silence callers give a stream up."""
+    return max(
+        LEAST_PATIENCE_MS,
+        route.goal_ms * GOALS_OF_PATIENCE,
+        route.pause_goal_ms * PAUSES_OF_PATIENCE,
+    )
+
+
 def _need_of(
     route: fleetrecords.Route,
     service: fleetrecords.Service,
@@ -338,6 +359,18 @@
     )
 
 
+def usual_pause_ms(service: fleetrecords.Service) -> float:
+    """Return the longest usual time between events of a full target."""
+    engine = service.engine
+    if engine is None:
+        return 0
+    context_tokens = engine.slots * (
+        engine.usual_prompt_tokens + engine.usual_answer_tokens
+    )
+    pass_ms = enginemodel.write_pass_ms(engine, engine.slots, context_tokens)
+    return pass_ms * READING_ALLOWANCE
+
+
 def expected_ms(job: exchangerecords.Job) -> float:
     """Return about how long the whole answer takes on a busy target."""
     if job.need is None or job.service.engine is None:
--- a/bergamotstream/forwarding/targethealth.py
+++ b/bergamotstream/forwarding/targethealth.py
@@ -21,6 +21,8 @@
 # each time in a row.
 FIRST_PAUSE_MS: Final = 500
 LONGEST_PAUSE_MS: Final = 6_000
+# About five passes of an engine, in which answers end.
+FULL_PAUSE_MS: Final = 300
 # Less than this is not worth telling peers.
 NOTABLE_FAILING: Final = 0.15
 NOTABLE_SLOWNESS: Final = 1.3
@@ -78,6 +80,14 @@
         )
         return now_ms + pause_ms
 
+    def note_full(self, target_id: str, now_ms: int) -> None:
+        """Leave a target out that had no room, until its load is known."""
+        known = self._faded(target_id, now_ms)
+        until_ms = max(known.unreachable_until_ms, now_ms + FULL_PAUSE_MS)
+        self._learned_by_id[target_id] = known._replace(
+            unreachable_until_ms=until_ms
+        )
+
     def note_speed(
         self, target_id: str, seen_ms: float, forecast_ms: float, now_ms: int
     ) -> None:
--- a/bergamotstream/platform/decoding.py
+++ b/bergamotstream/platform/decoding.py
@@ -22,7 +22,8 @@
 # Used for a configuration without limits; the platform's own examples.
 DEFAULT_HEADER_BYTES: Final = 16_384
 DEFAULT_BODY_BYTES: Final = 4_194_304
-# Used for an engine that states no usual length of its answers.
+# Used for an engine that states no usual lengths.
+DEFAULT_PROMPT_TOKENS: Final = 8_192
 DEFAULT_ANSWER_TOKENS: Final = 1_024
 
 
@@ -115,6 +116,7 @@
         read_tokens_per_ms=float(entry['read_per_s']) / MS_PER_S,
         read_ms_per_million_pairs=float(entry['pairs_per_m']),
         chunk_tokens=int(entry['chunk']),
+        usual_prompt_tokens=int(usual.get('prompt') or DEFAULT_PROMPT_TOKENS),
         usual_answer_tokens=int(usual.get('answer') or DEFAULT_ANSWER_TOKENS),
     )
 
