Let an overloaded request wait for a place within its goal; start faster

After all hosts lost power, a host refused requests for the 25 ms until its first reading of the store, and said that it was ready up to 0.2 s later. Answers whose prompt is still being read count as at risk now: eight requests on one target after a restart each caused pauses of 220 ms. Found by a test: the cost of a first token after the deadline was smaller than that of a late one, so a hopeless placement could win. Ruled out: packet loss.

--- a/bergamotstream/forwarding/commitments.py
+++ b/bergamotstream/forwarding/commitments.py
@@ -46,7 +46,8 @@
     context_tokens: int
     # Memory of all requests and of what is reserved.
     memory_tokens: int
-    # Pause goal and value of the answers that a pause can still make late.
+    # Pause goal and value of the answers that a pause can still make late,
+    # also of those whose prompt is read in the same pass.
     at_risk: tuple[tuple[int, float], ...]
 
 
@@ -142,7 +143,7 @@
         memory_tokens=sum(entry.memory_tokens for entry in listed),
         at_risk=tuple(
             (entry.pause_goal_ms, entry.value)
-            for entry in writing
+            for entry in requests
             if entry.pause_goal_ms
         ),
     )
--- a/bergamotstream/forwarding/hostdaemon.py
+++ b/bergamotstream/forwarding/hostdaemon.py
@@ -71,6 +71,7 @@
             self._entry, self._core, self._log, self._clock
         )
         self._stop_asked = asyncio.Event()
+        self._configured = asyncio.Event()
         self._runners: list[web.ServerRunner] = []
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -80,17 +81,17 @@
         kept = connections.open_session(reuse=True)
         fresh = connections.open_session(reuse=False)
         async with kept, fresh:
-            entrance = ingress.Ingress(
-                ingress.Surroundings(
-                    self._core,
-                    dispatch.Dispatcher(kept, fresh),
-                    reservations.Reservations(kept, self._log),
-                    self._peers,
-                    self._log,
-                    self._clock,
-                    self._meters,
-                )
+            parts = ingress.Surroundings(
+                self._core,
+                dispatch.Dispatcher(kept, fresh),
+                reservations.Reservations(kept, self._log),
+                self._peers,
+                self._log,
+                self._clock,
+                self._meters,
             )
+            self._configured = parts.configured
+            entrance = ingress.Ingress(parts)
             client = store.StoreClient(self._config.store, kept)
             registration = storetasks.Registration(
                 client, self._entry, self._log
@@ -109,7 +110,7 @@
                 peerfetch.PeerFetch(
                     kept, self._peers, self._core, self._log, self._clock
                 ).run(self._report),
-                self._keep_house(entrance),
+                self._keep_house(),
             )
             await self._stop_asked.wait()
             await self._stop(entrance, registration)
@@ -175,6 +176,7 @@
                 self._note_target(name, change.outcome, now_ms)
         if changes:
             self._peers.note_change()
+            self._check_readiness()
         hosts = len(self._core.view.hosts_by_name)
         self._core.budget.note_hosts(hosts)
         self._core.cold.note_hosts(hosts)
@@ -189,20 +191,20 @@
         else:
             self._core.cold.note_entry(entry, now_ms)
 
-    async def _keep_house(self, entrance: ingress.Ingress) -> None:
+    async def _keep_house(self) -> None:
         """Do what depends on time alone."""
         while True:
             await asyncio.sleep(HOUSEKEEPING_S)
             self._report(self._core.view.drop_lapsed(self._clock.now_ms()))
-            ready = self._is_ready(entrance)
-            if ready != self._peers.ready:
-                self._peers.ready = ready
-                self._peers.note_change()
-                self._log.write('readiness', ready=ready)
 
-    def _is_ready(self, entrance: ingress.Ingress) -> bool:
+    def _check_readiness(self) -> None:
+        """Become ready with the first configuration; a stop ends it."""
         known = self._core.view.configuration is not None
-        return known and entrance.stop_at_ms is None
+        if not known or self._configured.is_set():
+            return
+        self._configured.set()
+        self._peers.ready = not self._stop_asked.is_set()
+        self._log.write('readiness', ready=self._peers.ready)
 
     async def _stop(
         self,
--- a/bergamotstream/forwarding/ingress.py
+++ b/bergamotstream/forwarding/ingress.py
@@ -31,6 +31,11 @@
 from bergamotstream.platform import callerformat
 
 MS_PER_S: Final = 1_000
+# Longer, the store is away and the caller should use another host.
+CONFIGURATION_WAIT_S: Final = 0.25
+# Time between two looks for a place for a request that waits: about a pass of
+# an engine.
+PLACE_AGAIN_S: Final = 0.05
 # Tries that end before anything is sent are repeated this often.
 MAX_UNSENT: Final = 4
 
@@ -64,6 +69,8 @@
         self.log = log
         self.clock = time_source
         self.meters = meters
+        # Set once a configuration is known.
+        self.configured = asyncio.Event()
 
 
 class Ingress:
@@ -112,6 +119,7 @@
         self, request: web.BaseRequest, facts: exchangerecords.CallerRequest
     ) -> exchange.Exchange:
         """Read and admit a request; raises ``ServiceError``."""
+        await self._wait_for_configuration()
         now_ms = self._clock.now_ms()
         job = self._core.admit(facts, now_ms)
         body = await self._read_body(request)
@@ -121,6 +129,12 @@
         self._core.check_stop(job, self.stop_at_ms, now_ms)
         return exchange.Exchange(job, body, calleranswer.CallerAnswer(request))
 
+    async def _wait_for_configuration(self) -> None:
+        """Wait for the first reading of the store, which takes some 30 ms."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(CONFIGURATION_WAIT_S):
+                await self._parts.configured.wait()
+
     async def _read_body(self, request: web.BaseRequest) -> bytes:
         configuration = self._core.view.configuration
         if configuration is None:
@@ -191,8 +205,7 @@
         self, served: exchange.Exchange
     ) -> web.StreamResponse:
         """Serve by one target; raises ``TRY_FAULTS``."""
-        now_ms = self._clock.now_ms()
-        assignment = self._core.place(served.job, served.tried, now_ms)
+        assignment = await self._place(served)
         self._outcomes.placed(served, assignment)
         self._parts.peers.note_change()
         with contextlib.ExitStack() as stack:
@@ -204,6 +217,19 @@
                 self._outcomes.fault(fault, served, assignment)
                 raise
 
+    async def _place(
+        self, served: exchange.Exchange
+    ) -> exchangerecords.Assignment:
+        """Place a try, after a wait if the scheduler allows one."""
+        while True:
+            now_ms = self._clock.now_ms()
+            try:
+                return self._core.place(served.job, served.tried, now_ms)
+            except errors.Overloaded:
+                if not self._core.may_wait(served.job, now_ms):
+                    raise
+            await asyncio.sleep(PLACE_AGAIN_S)
+
     async def _reserve_and_send(
         self,
         served: exchange.Exchange,
--- a/bergamotstream/forwarding/placement.py
+++ b/bergamotstream/forwarding/placement.py
@@ -39,6 +39,9 @@
 OTHER_ZONE_COST: Final = 0.005
 PART_COST: Final = 0.004
 OVERDUE_COST: Final = 0.05
+MAX_GOAL_RATIO: Final = 4.0
+# More than a late answer with all preferences can cost.
+UNSERVED_COST: Final = 1.0
 # Hosts that place at the same moment may choose the same target, and a request
 # without a slot waits until an answer ends. The expected loss, as a part of
 # the value, by the slots that are left after this request.
@@ -337,8 +340,9 @@
 def _lateness(need: Need, first_token_ms: float) -> float:
     """Return the expected loss for a first token after ``first_token_ms``."""
     if first_token_ms >= need.left_ms:
-        return need.value
+        return need.value * UNSERVED_COST
     goal_ms = need.goal_ms * GOAL_MARGIN
     ratio = first_token_ms / goal_ms
     overdue = min(max((ratio - 1) / (1 / GOAL_MARGIN - GOAL_MARGIN), 0), 1)
-    return need.value * (LATE_LOSS * overdue + OVERDUE_COST * ratio)
+    preference = OVERDUE_COST * min(ratio, MAX_GOAL_RATIO)
+    return need.value * (LATE_LOSS * overdue + preference)
--- a/bergamotstream/forwarding/scheduler.py
+++ b/bergamotstream/forwarding/scheduler.py
@@ -44,6 +44,8 @@
 UNAVAILABLE_RETRY_MS: Final = (800, 1_600)
 # How much reading between token steps lengthens the passes of a full target.
 READING_ALLOWANCE: Final = 1.5
+# Part of a route's goal for which a request waits for a place.
+WAIT_GOALS: Final = 0.7
 # Callers give a stream up after a gap of the longest of these. Source: the
 # platform's protocol for requests.
 LEAST_PATIENCE_MS: Final = 2_000
@@ -131,7 +133,8 @@
     ) -> exchangerecords.Assignment:
         """Choose the target of one try and commit the work to it.
 
-        Raises ``NoTarget`` or ``DeadlineUnreachable``.
+        Raises ``NoTarget``, or ``Overloaded`` for a request that cannot be
+        served in time or that would make more value late than it has.
         """
         candidates = list(self._candidates(job, excluded, now_ms))
         if not candidates:
@@ -145,7 +148,7 @@
         need = job.need._replace(left_ms=end_ms - now_ms)
         placed = placement.choose_engines(job.service.engine, need, candidates)
         if placed is None or placed.first_token_ms >= need.left_ms:
-            raise errors.DeadlineUnreachable(
+            raise errors.Overloaded(
                 job.service.name, retry_after_ms=self._spread(RETRY_AFTER_MS)
             )
         if placed.cost >= need.value and placement.is_busy(candidates):
@@ -154,6 +157,15 @@
             )
         return self._commit(job, placed, now_ms)
 
+    def may_wait(self, job: exchangerecords.Job, now_ms: int) -> bool:
+        """Tell whether an overloaded job may wait for a place.
+
+        Load that this answers: long prompts come in bursts of seconds, and a
+        caller comes back only once. A place within the goal still earns the
+        full value, so waiting longer is of no use to the caller.
+        """
+        return now_ms - job.arrived_ms < job.route.goal_ms * WAIT_GOALS
+
     def may_send_again(
         self, job: exchangerecords.Job, sent: int, now_ms: int
     ) -> bool:
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -363,7 +363,7 @@
     await asyncio.sleep(0.2)
     status, headers, _ = await system.call('/lookup/1')
     assert status == 503
-    assert 'Retry-After' in headers
+    assert float(headers['Retry-After']) > 0
     assert await system.get_status(settings.readiness_address, '/ready') == 503
     run.cancel()
     await system.stop()
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -140,12 +140,38 @@
     """Guards against holding a request to its deadline."""
     core = kit.make_scheduler(targets=1)
     job = kit.make_job(core, prompt=400_000, path='/chat/1')
-    with pytest.raises(errors.DeadlineUnreachable) as refused:
+    with pytest.raises(errors.Overloaded) as refused:
         core.place(job, (), 0)
     assert refused.value.retry_after_ms > 0
     assert not core.table.loads(0)
 
 
+def test_waiting_for_a_place_ends_before_the_goal():
+    """Guards against a request that is held although it will be late."""
+    core = kit.make_scheduler()
+    job = kit.make_job(core, 1_000)
+    assert core.may_wait(job, 1_100)
+    assert not core.may_wait(job, 1_000 + job.route.goal_ms)
+
+
+def test_prompt_that_harms_more_than_it_is_worth_is_refused():
+    """Replays a prompt of a million tokens among a burst of short streams."""
+    core = kit.make_scheduler(targets=12)
+    for _ in range(60):
+        short = core.place(kit.make_job(core), (), 0)
+        core.start_writing(short)
+    giant = kit.make_job(core, prompt=1_000_000)
+    giant = giant._replace(end_ms=15_000)
+    with pytest.raises(errors.Overloaded):
+        core.place(giant, (), 0)
+    idle = kit.make_scheduler(targets=16)
+    job = kit.make_job(idle, prompt=1_000_000)
+    goal = job.route._replace(goal_ms=3_000, pause_goal_ms=800)
+    wanted = job.need._replace(goal_ms=3_000, pause_goal_ms=800)
+    job = job._replace(end_ms=15_000, route=goal, need=wanted)
+    assert idle.place(job, (), 0).reservations
+
+
 def test_times_to_come_back_are_spread():
     """Guards against refused requests that all return together."""
     core = kit.make_scheduler()
