End a stopping host once it has no open request

Addresses of the directory are kept for 1 s in place of 2 s, a host ends 3.2 s after the signal if nothing is open, and it is back before the next ones stop.

--- a/bergamotstream/forwarding/directory.py
+++ b/bergamotstream/forwarding/directory.py
@@ -10,8 +10,9 @@
 
 from bergamotstream.forwarding import fleetrecords, peerformat
 
-# Callers ask again after this time; a host that dies is named that long.
-ADDRESS_TTL_S: Final = 2
+# Callers ask again after this time, some of them after three times as long. A
+# host that stops takes all requests for 2.7 s, so that few come after that.
+ADDRESS_TTL_S: Final = 1
 # Callers use at most so many addresses of an answer.
 MAX_ADDRESSES: Final = 64
 
--- a/bergamotstream/forwarding/hostdaemon.py
+++ b/bergamotstream/forwarding/hostdaemon.py
@@ -43,6 +43,8 @@
 MAX_FIELD_BYTES: Final = 32_768
 # A host that stops takes requests that end this long before its grace period.
 STOP_MARGIN_MS: Final = 1_200
+# By then callers have got a new answer of the directory.
+LEAST_STOP_MS: Final = 3_200
 # Time before the end of the grace period at which what is still open is cut.
 EXIT_MARGIN_MS: Final = 400
 # Time for the servers to close their connections.
@@ -226,8 +228,8 @@
     ) -> None:
         """Leave the directory, then serve until the callers are gone.
 
-        Callers keep an answer of the directory for a while, so the host goes
-        on serving to the end of its grace period.
+        Callers keep an answer of the directory for a while. A host that then
+        has no open request ends, so that it is back before the next ones stop.
         """
         self._log.write('stopping', open_requests=entrance.open_requests)
         asked_ms = self._clock.now_ms()
@@ -237,12 +239,9 @@
         self._peers.ready = False
         self._peers.send_now()
         await registration.withdraw()
-        while self._clock.now_ms() < end_ms:
-            await asyncio.sleep(STOP_CHECK_S)
-        while (
-            entrance.open_requests
-            and self._clock.now_ms() < kill_ms - EXIT_MARGIN_MS
-        ):
+        exit_ms = kill_ms - EXIT_MARGIN_MS
+        await asyncio.sleep(min(LEAST_STOP_MS, exit_ms - asked_ms) / MS_PER_S)
+        while entrance.open_requests and self._clock.now_ms() < exit_ms:
             await asyncio.sleep(STOP_CHECK_S)
         for task in self._tasks:
             task.cancel()
--- a/bergamotstream/forwarding/scheduler.py
+++ b/bergamotstream/forwarding/scheduler.py
@@ -47,7 +47,7 @@
 # Answers to requests that come within 3 s after the signal may be cut at the
 # end of the grace period; source: the platform's rules. Less the delay of the
 # network.
-TAKEN_AFTER_STOP_MS: Final = 2_500
+TAKEN_AFTER_STOP_MS: Final = 2_700
 # Part of a route's goal for which a request waits for a place.
 WAIT_GOALS: Final = 0.7
 # Callers give a stream up after a gap of the longest of these. Source: the
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -350,6 +350,27 @@
         )
 
 
+async def test_stopping_host_ends_without_open_requests():
+    """Guards against hosts that are all stopping at the same time.
+
+    mix 159338078608 of parana-mazas: six hosts got SIGTERM one second apart
+    and each served to the end of its grace period of 8 s.
+    """
+    system = kit.System()
+    await system.store.start()
+    await system.store.put('op/config', kit.configuration_document())
+    settings = kit.make_settings(
+        '{0}:{1}'.format(*system.store._listener._address)
+    )
+    daemon = kit.hostdaemon.HostDaemon(settings)
+    run = asyncio.ensure_future(daemon.run())
+    await system.until_ready(settings)
+    daemon.request_stop()
+    async with asyncio.timeout(4.5):
+        await run
+    await system.stop()
+
+
 async def test_host_without_a_configuration_does_not_deny():
     """Guards against 401, 403 or 404 from a host that knows nothing."""
     system = kit.System()
