--- a/bergamotstream/cmdline.py
+++ b/bergamotstream/cmdline.py
@@ -14,7 +14,7 @@
 
 import defopt
 
-from bergamotstream import adminclient, drafting
+from bergamotstream import adminclient, drafting, explaining
 
 DEFAULT_ADDRESS = '127.0.0.1:8080'
 EXIT_BROKEN_PIPE = 141
@@ -252,7 +252,35 @@
     _print(drafting.run_command(address, 'host.drain'))
 
 
+def explain(request_id: str, *logs: str, as_json: bool = False) -> None:
+    """Say what became of a request, from the logs of hosts.
+
+    :param request_id: Id of the caller's attempt.
+    :param logs: Log files.
+    :param as_json: Print JSON instead of text.
+    """
+    lines: list[str] = []
+    for log in logs:
+        try:
+            lines.extend(pathlib.Path(log).read_text().splitlines())
+        except (OSError, UnicodeDecodeError) as fault:
+            raise adminclient.CommandFailed(
+                f'{log}: {fault}; name a log file that can be read'
+            ) from fault
+    explanation = explaining.explain(lines, request_id)
+    if not explanation.lines:
+        raise adminclient.CommandFailed(explanation.meaning)
+    body = {
+        'meaning': explanation.meaning,
+        'lines': [
+            {'event': line.event, **line.fields} for line in explanation.lines
+        ],
+    }
+    _print(body, as_json)
+
+
 COMMANDS = (
+    explain,
     workspace_set,
     service_set,
     target_out,
--- /dev/null
+++ b/bergamotstream/explaining.py
@@ -0,0 +1,100 @@
+"""
+Explaining
+~~~~~~~~~~
+
+Finds the lines of one request in a log and says what became of it.
+"""
+
+import shlex
+from collections.abc import Iterable, Mapping
+from typing import Final, NamedTuple
+
+# Outcomes of hosts on the users' platform, with what to look at next.
+_MEANINGS_BY_OUTCOME: Final[Mapping[str, str]] = {
+    'served': 'the whole answer was passed on',
+    'caller_gone': 'the caller closed its connection or gave up',
+    'deadline_passed': 'no answer by the deadline or the route time-out',
+    'no_target': 'no target could take it; detail counts the reasons',
+    'overloaded': 'no place within the time allowed; it has not run',
+    'configuration_unknown': 'the host had not read a configuration yet',
+    'host_leaving': 'the host was stopping and could not end it in time',
+    'unknown_key': 'the key was not in the configuration of that revision',
+    'unknown_route': 'no route had this host name and path',
+    'request_blamed': 'it has crashed targets before',
+    'target_failed': 'its target broke off and it could not be repeated',
+}
+_CUT_PREFIX: Final = 'cut_'
+_STATUS_PREFIX: Final = 'status_'
+
+
+class LogLine(NamedTuple):
+    """One structured line."""
+
+    event: str
+    fields: Mapping[str, str]
+
+
+class Explanation(NamedTuple):
+    """The lines of one request and their meaning."""
+
+    lines: tuple[LogLine, ...]
+    meaning: str
+
+
+def explain(lines: Iterable[str], request_id: str) -> Explanation:
+    """Return what a log tells of a request, in the order of the log."""
+    found = [
+        parsed
+        for line in lines
+        if request_id in line
+        and (parsed := parse(line)).fields.get('id') == request_id
+    ]
+    return Explanation(tuple(found), _meaning(found))
+
+
+def parse(line: str) -> LogLine:
+    """Return the fields of a line; text before ``event=`` is left out."""
+    start = line.find('event=')
+    if start < 0:
+        return LogLine('', {})
+    try:
+        words = shlex.split(line[start:])
+    except ValueError:
+        words = line[start:].split()
+    pairs = [word.partition('=') for word in words]
+    fields = {name: text for name, separator, text in pairs if separator}
+    return LogLine(fields.pop('event', ''), fields)
+
+
+def _meaning(found: list[LogLine]) -> str:
+    if not found:
+        return 'no line has this id: ask for the logs of the other hosts'
+    last = found[-1]
+    outcome = last.fields.get('outcome') or last.fields.get('reason', '')
+    if outcome.startswith(_CUT_PREFIX):
+        cause = outcome.removeprefix(_CUT_PREFIX)
+        return f'the answer was broken off: {_outcome_meaning(cause)}'
+    if outcome == 'served':
+        return _served_meaning(last.fields)
+    return _outcome_meaning(outcome)
+
+
+def _outcome_meaning(outcome: str) -> str:
+    if outcome.startswith(_STATUS_PREFIX):
+        status = outcome.removeprefix(_STATUS_PREFIX)
+        return f'the answer of the target with status {status} was passed on'
+    return _MEANINGS_BY_OUTCOME.get(outcome, 'no outcome yet, it is open')
+
+
+def _served_meaning(fields: Mapping[str, str]) -> str:
+    meaning = _MEANINGS_BY_OUTCOME['served']
+    if _exceeds(fields, 'first_ms', 'goal_ms'):
+        return f'{meaning}, but its first token was late'
+    if _exceeds(fields, 'pause_ms', 'pause_goal_ms'):
+        return f'{meaning}, but a pause was longer than its goal'
+    return f'{meaning} in time'
+
+
+def _exceeds(fields: Mapping[str, str], seen: str, goal: str) -> bool:
+    goal_ms = int(fields.get(goal, 0))
+    return bool(goal_ms) and int(fields.get(seen, 0)) > goal_ms
--- a/bergamotstream/forwarding/ingress.py
+++ b/bergamotstream/forwarding/ingress.py
@@ -348,7 +348,7 @@
     ) -> web.StreamResponse:
         """Give the final answer of a request that is not served."""
         if served.answer.begun:
-            self._outcomes.ended(served, f'cut_{error.code}')
+            self._outcomes.ended(served, f'cut_{error.code}', error.detail)
             return served.answer.cut()
         if served.failure is not None:
             return self._give_whole(served, served.failure)
@@ -356,7 +356,7 @@
             error.run_state = 'may_have_run'
         if served.may_have_run and error.status == dispatch.UNAVAILABLE:
             error = errors.TargetFailed(run_state='may_have_run')
-        self._outcomes.ended(served, error.code)
+        self._outcomes.ended(served, error.code, error.detail)
         return calleranswer.refusal(error, served.job.request.attempt_id)
 
     def _refuse(
--- a/bergamotstream/forwarding/outcomes.py
+++ b/bergamotstream/forwarding/outcomes.py
@@ -225,7 +225,9 @@
             targets=','.join(holders),
         )
 
-    def ended(self, served: exchange.Exchange, outcome: str) -> None:
+    def ended(
+        self, served: exchange.Exchange, outcome: str, detail: str = ''
+    ) -> None:
         """Note the final answer of a request."""
         job = served.job
         took_ms = self._clock.now_ms() - job.arrived_ms
@@ -237,6 +239,8 @@
             id=job.request.attempt_id,
             route=job.route.name,
             outcome=outcome,
+            detail=detail,
+            revision=self._core.view.revision,
             took_ms=took_ms,
             first_ms=first_ms - job.arrived_ms if first_ms else -1,
             forecast_ms=round(served.forecast_ms),
--- a/bergamotstream/forwarding/scheduler.py
+++ b/bergamotstream/forwarding/scheduler.py
@@ -154,7 +154,7 @@
         candidates = list(self._candidates(job, excluded, now_ms))
         if not candidates:
             raise errors.NoTarget(
-                job.service.name,
+                self._why_no_target(job, excluded, now_ms),
                 retry_after_ms=self._spread(UNAVAILABLE_RETRY_MS),
             )
         if job.need is None or job.service.engine is None:
@@ -163,12 +163,15 @@
         need = job.need._replace(left_ms=end_ms - now_ms)
         placed = placement.choose_engines(job.service.engine, need, candidates)
         if placed is None or placed.first_token_ms >= need.left_ms:
+            forecast = round(placed.first_token_ms) if placed else -1
             raise errors.Overloaded(
-                job.service.name, retry_after_ms=self._spread(RETRY_AFTER_MS)
+                f'forecast_ms={forecast} left_ms={need.left_ms}',
+                retry_after_ms=self._spread(RETRY_AFTER_MS),
             )
         if placed.cost >= need.value and placement.is_busy(candidates):
             raise errors.Overloaded(
-                job.service.name, retry_after_ms=self._spread(RETRY_AFTER_MS)
+                f'cost={placed.cost:.2f} value={need.value:.2f}',
+                retry_after_ms=self._spread(RETRY_AFTER_MS),
             )
         return self._commit(job, placed, now_ms)
 
@@ -272,6 +275,31 @@
             and self.cold.may_send(target_id, job.service, now_ms)
         )
 
+    def _why_no_target(
+        self, job: exchangerecords.Job, excluded: Collection[str], now_ms: int
+    ) -> str:
+        """Return how many targets of the service there are and why not."""
+        listed = [
+            entry
+            for entry in self.view.targets_by_id.values()
+            if entry.service == job.service.name
+        ]
+        out = sum(entry.zone in self.view.zones_out for entry in listed)
+        unreachable = sum(
+            not self.health.is_reachable(entry.target_id, now_ms)
+            for entry in listed
+        )
+        return ' '.join(
+            (
+                f'service={job.service.name}',
+                f'listed={len(listed)}',
+                f'leaving={sum(entry.leaving for entry in listed)}',
+                f'zone_out={out}',
+                f'unreachable={unreachable}',
+                f'tried={len(excluded)}',
+            )
+        )
+
     def _place_plain(
         self,
         job: exchangerecords.Job,
--- /dev/null
+++ b/tests/test_explaining.py
@@ -0,0 +1,46 @@
+"""What operators read from the log of a host."""
+
+import pytest
+
+from bergamotstream import cmdline, explaining
+
+LOG = """
+  1.0 h1 event=placed id=a1 target=t1 forecast_ms=90 revision=7
+  1.2 h1 event=target_broken id=a1 target=t1 fault="reset by 'peer'" last_event=3
+  1.3 h1 event=ended id=a1 outcome=cut_deadline_passed detail="" revision=7
+event=ended id=a2 outcome=served first_ms=80 goal_ms=300 pause_ms=260 pause_goal_ms=200
+event=ended id=a3 outcome=no_target detail="listed=3 zone_out=1" revision=7
+event=refused id=a4 reason=unknown_key detail="1 keys" revision=7
+event=ended id=a5 outcome=status_500
+event=ended id=a6 outcome=served first_ms=400 goal_ms=300
+""".strip()
+
+
+@pytest.mark.parametrize(
+    ('request_id', 'meaning'),
+    [
+        ('a1', 'broken off: no answer by the deadline'),
+        ('a2', 'a pause was longer than its goal'),
+        ('a3', 'no target could take it'),
+        ('a4', 'not in the configuration'),
+        ('a5', 'status 500'),
+        ('a6', 'first token was late'),
+    ],
+)
+def test_outcome_of_a_request_is_explained(request_id, meaning):
+    """Guards against a failed request that the log does not explain."""
+    explanation = explaining.explain(LOG.splitlines(), request_id)
+    assert meaning in explanation.meaning
+    assert all(line.fields['id'] == request_id for line in explanation.lines)
+
+
+def test_command_reads_files(tmp_path, capsys):
+    """Guards against a command that fails without a message."""
+    log = tmp_path / 'host.log'
+    log.write_text(LOG)
+    cmdline.main(['explain', 'a1', str(log)])
+    assert 'target_broken' in capsys.readouterr().out
+    with pytest.raises(SystemExit, match='no line has this id'):
+        cmdline.main(['explain', 'zz', str(log)])
+    with pytest.raises(SystemExit, match='can be read'):
+        cmdline.main(['explain', 'a1', str(tmp_path / 'none')])
