--- a/bergamotstream/forwarding/hostdaemon.py
+++ b/bergamotstream/forwarding/hostdaemon.py
@@ -96,8 +96,8 @@
                 self._log,
                 self._clock,
                 self._meters,
+                self._configured,
             )
-            self._configured = parts.configured
             entrance = ingress.Ingress(parts)
             client = store.StoreClient(self._config.store, kept)
             registration = storetasks.Registration(
--- a/bergamotstream/forwarding/ingress.py
+++ b/bergamotstream/forwarding/ingress.py
@@ -10,7 +10,7 @@
 import asyncio
 import contextlib
 import functools
-from typing import Final
+from typing import Final, NamedTuple
 
 from aiohttp import web
 
@@ -48,29 +48,18 @@
 )
 
 
-class Surroundings:
+class Surroundings(NamedTuple):
     """What requests are served with."""
 
-    def __init__(
-        self,
-        core: scheduler.Scheduler,
-        dispatcher: dispatch.Dispatcher,
-        holder: reservations.Reservations,
-        peers: peerexchange.PeerExchange,
-        log: eventlog.EventLog,
-        time_source: clock.Clock,
-        meters: metrics.Metrics,
-    ) -> None:
-        """Keep the parts that all requests share."""
-        self.core = core
-        self.dispatcher = dispatcher
-        self.holder = holder
-        self.peers = peers
-        self.log = log
-        self.clock = time_source
-        self.meters = meters
-        # Set once a configuration is known.
-        self.configured = asyncio.Event()
+    core: scheduler.Scheduler
+    dispatcher: dispatch.Dispatcher
+    holder: reservations.Reservations
+    peers: peerexchange.PeerExchange
+    log: eventlog.EventLog
+    clock: clock.Clock
+    meters: metrics.Metrics
+    # Set once a configuration is known.
+    configured: asyncio.Event
 
 
 class Ingress:
--- a/bergamotstream/forwarding/scheduler.py
+++ b/bergamotstream/forwarding/scheduler.py
@@ -113,7 +113,7 @@
             route=route,
             service=service,
             workspace=workspace,
-            priority=self._rank(route, workspace, request),
+            priority=_rank(route, workspace, request),
             fingerprint=0,
             need=_need_of(route, service, request, left_ms),
             arrived_ms=now_ms,
@@ -229,18 +229,6 @@
             )
         return service
 
-    def _rank(
-        self,
-        route: fleetrecords.Route,
-        workspace: fleetrecords.Workspace | None,
-        request: exchangerecords.CallerRequest,
-    ) -> int:
-        size = sum(
-            request.prompt_tokens >= limit for limit in LONG_PROMPT_TOKENS
-        )
-        priority = routing.priority_of(route, workspace)
-        return priority * RANKS_PER_PRIORITY + size
-
     def _candidates(
         self,
         job: exchangerecords.Job,
@@ -356,6 +344,17 @@
         return self._chance.randint(*bounds_ms)
 
 
+def _rank(
+    route: fleetrecords.Route,
+    workspace: fleetrecords.Workspace | None,
+    request: exchangerecords.CallerRequest,
+) -> int:
+    """Return the priority on the wire: the operators' first, then the size."""
+    size = sum(request.prompt_tokens >= limit for limit in LONG_PROMPT_TOKENS)
+    priority = routing.priority_of(route, workspace)
+    return priority * RANKS_PER_PRIORITY + size
+
+
 def fingerprint_of(request: exchangerecords.CallerRequest, body: bytes) -> int:
     """Return the same number for the same request of the same caller."""
     digest = xxhash.xxh3_64(body)
