--- a/tests/test_forwardingcore.py
+++ b/tests/test_forwardingcore.py
@@ -3,7 +3,10 @@
 import os
 import random
 
+import hypothesis
+import multidict
 import pytest
+from hypothesis import strategies
 
 from bergamotstream import clock, errors
 from bergamotstream.forwarding import (
@@ -20,7 +23,12 @@
     routing,
     targethealth,
 )
-from bergamotstream.platform import bootsettings, decoding
+from bergamotstream.platform import (
+    bootsettings,
+    callerformat,
+    decoding,
+    names,
+)
 from tests import platformkit as kit
 
 
@@ -307,3 +315,50 @@
     now.advance(1_000)
     log.write('placed')
     assert lines[-2:] == ['left_out', 'placed']
+
+
+HEADERS = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from(
+            [
+                'Host',
+                'Api-Key',
+                'Connection',
+                'Content-Length',
+                'Last-Event-Id',
+                'Bergamotstream-Token-Counts',
+                'Bergamotstream-Deadline-Ms',
+                'Bergamotstream-Length-Hint',
+                'Bergamotstream-Tenant',
+                'Bergamotstream-Helpers',
+                'Bergamotstream-Model',
+            ]
+        ),
+        strategies.text(max_size=20),
+    ),
+    max_size=12,
+)
+
+
+@hypothesis.given(strategies.text(max_size=30), HEADERS)
+def test_any_headers_are_read_without_a_fault(target, pairs):
+    """Guards against a crash, or a header that only the system may set."""
+    headers = multidict.CIMultiDictProxy(multidict.CIMultiDict(pairs))
+    request = callerformat.read_request('POST', target, headers)
+    passed_on = {name.lower() for name, _ in request.headers}
+    assert not passed_on & names.SYSTEM_HEADERS
+    assert not passed_on & names.CONNECTION_HEADERS
+    assert request.prompt_tokens >= 0
+    models = [text for name, text in pairs if name == 'Bergamotstream-Model']
+    kept = [text for name, text in request.headers if name.endswith('Model')]
+    assert kept == models
+
+
+@hypothesis.given(strategies.lists(strategies.binary(max_size=30)))
+def test_any_bytes_are_relayed_whole(chunks):
+    """Guards against bytes of a stream that are lost or doubled."""
+    splitter = relaying.EventSplitter()
+    passed_on = b''.join(
+        event.encoded for chunk in chunks for event in splitter.feed(chunk)
+    )
+    assert passed_on + splitter.rest == b''.join(chunks)
