Share one sliding window; remove names that nothing uses

Found in the last read of the change: the retry budget and the cold limits each had the same sliding window, the check of another try stood twice in ingress, and six wire names, one error, one constant and one method had no user. Behaviour is unchanged.

--- a/bergamotstream/forwarding/coldlimits.py
+++ b/bergamotstream/forwarding/coldlimits.py
@@ -6,10 +6,9 @@
 holds for all hosts together, so each host uses an equal part of it.
 """
 
-import collections
 from typing import Final
 
-from bergamotstream.forwarding import fleetrecords
+from bergamotstream.forwarding import fleetrecords, slidingwindows
 
 WINDOW_MS: Final = 1_000
 # Hosts that share the limit while the others are not known.
@@ -26,7 +25,7 @@
         """Start without cold targets."""
         self._most_hosts = LEAST_HOSTS
         self._cold_until_ms_by_id: dict[str, int] = {}
-        self._sent_by_id: dict[str, collections.deque[int]] = {}
+        self._sent_by_id = slidingwindows.SlidingWindows(WINDOW_MS)
 
     def note_hosts(self, count: int) -> None:
         """Divide by the most hosts seen."""
@@ -43,7 +42,7 @@
     def forget(self, target_id: str) -> None:
         """Drop a target that left."""
         self._cold_until_ms_by_id.pop(target_id, None)
-        self._sent_by_id.pop(target_id, None)
+        self._sent_by_id.forget(target_id)
 
     def is_cold(self, target_id: str, now_ms: int) -> bool:
         """Tell whether the target is taken to be cold."""
@@ -58,14 +57,8 @@
         if not self.is_cold(target_id, now_ms):
             return True
         allowed = max(service.cold_requests_per_s / self._most_hosts, 1)
-        return len(self._window(target_id, now_ms)) + 1 <= allowed
+        return self._sent_by_id.count(target_id, now_ms) + 1 <= allowed
 
     def note_sent(self, target_id: str, now_ms: int) -> None:
         """Count a request, also to a target that is not cold yet."""
-        self._window(target_id, now_ms).append(now_ms)
-
-    def _window(self, target_id: str, now_ms: int) -> collections.deque[int]:
-        sent = self._sent_by_id.setdefault(target_id, collections.deque())
-        while sent and sent[0] <= now_ms - WINDOW_MS:
-            sent.popleft()
-        return sent
+        self._sent_by_id.add(target_id, now_ms)
--- a/bergamotstream/forwarding/ingress.py
+++ b/bergamotstream/forwarding/ingress.py
@@ -169,9 +169,7 @@
     def _may_send_again(
         self, fault: dispatch.TargetRefused, served: exchange.Exchange
     ) -> bool:
-        return self._core.may_send_again(
-            served.job, served.sent, self._clock.now_ms()
-        )
+        return self._has_try_left(served)
 
     @_may_try_again.register
     def _may_repeat(
@@ -180,6 +178,9 @@
         repeat = served.job.route.repeat
         if repeat is fleetrecords.Repeat.ONLY_IF_NOT_RUN:
             return False
+        return self._has_try_left(served)
+
+    def _has_try_left(self, served: exchange.Exchange) -> bool:
         return self._core.may_send_again(
             served.job, served.sent, self._clock.now_ms()
         )
--- a/bergamotstream/forwarding/targethealth.py
+++ b/bergamotstream/forwarding/targethealth.py
@@ -8,7 +8,7 @@
 """
 
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 from typing import Final, NamedTuple
 
 # Weight of one outcome in the moving averages.
@@ -137,13 +137,6 @@
                 )
         return notes
 
-    def forget_missing(self, present: Mapping[str, object]) -> None:
-        """Drop what was learned of targets that are no longer listed."""
-        known = {*self._learned_by_id, *self._peer_notes_by_id}
-        for target_id in known:
-            if target_id not in present:
-                self.forget(target_id)
-
     def _faded(self, target_id: str, now_ms: int) -> _Learned:
         known = self._learned_by_id.get(target_id, _Learned(at_ms=now_ms))
         left = _left_after(now_ms - known.at_ms)
--- a/bergamotstream/platform/names.py
+++ b/bergamotstream/platform/names.py
@@ -8,16 +8,13 @@
 ATTEMPT_ID = 'Bergamotstream-Attempt-Id'
 DEADLINE_MS = 'Bergamotstream-Deadline-Ms'
 LAST_EVENT_ID = 'Last-Event-Id'
-MODEL = 'Bergamotstream-Model'
 TOKEN_COUNTS = 'Bergamotstream-Token-Counts'
-PROMPT_PREFIX = 'Bergamotstream-Prompt-Prefix'
 LENGTH_HINT = 'Bergamotstream-Length-Hint'
 API_KEY = 'Api-Key'
 RETRY_AFTER = 'Retry-After'
 # Proof of origin that each answer of a target carries.
 STAMP = 'Bergamotstream-Server-Stamp'
 NOT_EXECUTED = 'Bergamotstream-Not-Executed'
-INSTANCE_LOAD = 'Bergamotstream-Instance-Load'
 AT_SERVER = 'At-Server'
 # Set by the system on requests to targets.
 EXPECT_INSTANCE = 'Bergamotstream-Expect-Instance'
@@ -62,17 +59,13 @@
 READY_PATH = '/ready'
 RESOLVE_PATH = '/resolve'
 ORDER_PATH = '/order'
-# Query field of an address query: the availability zone of the caller.
-QUERY_ZONE = 'zone'
 
 CONFIG_KEY = 'op/config'
 ZONES_OUT_PREFIX = 'op/evacuate/'
-OPERATOR_PREFIX = 'op/'
 TARGETS_PREFIX = 'servers/'
 HOSTS_PREFIX = 'bergamotstream/hosts/'
 
 KIND_IDEMPOTENT = 'idempotent'
-KIND_ONCE = 'non_idempotent'
 KIND_STREAMING = 'streaming'
 STATE_READY = 'ready'
 STATE_DRAINING = 'draining'
--- a/bergamotstream/platform/store.py
+++ b/bergamotstream/platform/store.py
@@ -24,7 +24,6 @@
 OK: Final = 200
 NOT_FOUND: Final = 404
 HISTORY_GONE: Final = 410
-CONDITION_FAILED: Final = 412
 
 
 class StoreUnavailable(ConnectionError):
@@ -39,10 +38,6 @@
     """The lease has ended with its keys."""
 
 
-class ConditionFailed(LookupError):
-    """A key was not at the expected revision."""
-
-
 class Item(NamedTuple):
     """A key at one revision; ``document`` is ``None`` after its deletion."""
 
