--- a/bergamotstream/forwarding/exchangerecords.py
+++ b/bergamotstream/forwarding/exchangerecords.py
@@ -67,6 +67,8 @@
     reservations: tuple[Reservation, ...]
     # Forecast time to the first byte of the answer.
     forecast_ms: float
+    # Reading of each part, on a target that keeps to its profile.
+    read_ms: float
     # Expected loss of value by this placement.
     cost: float
     placed_ms: int
--- a/bergamotstream/forwarding/outcomes.py
+++ b/bergamotstream/forwarding/outcomes.py
@@ -54,8 +54,11 @@
             'placed',
             id=served.job.request.attempt_id,
             target=assignment.target.target_id,
-            helpers=len(assignment.helpers),
+            helpers=','.join(
+                helper.target_id for helper in assignment.helpers
+            ),
             reserved=len(assignment.reservations),
+            read_ms=round(assignment.read_ms),
             forecast_ms=round(assignment.forecast_ms),
             cost=round(assignment.cost, 3),
             revision=self._core.view.revision,
--- a/bergamotstream/forwarding/scheduler.py
+++ b/bergamotstream/forwarding/scheduler.py
@@ -331,6 +331,7 @@
             helpers=tuple(helpers),
             reservations=tuple(self._reservations(job, placed)),
             forecast_ms=placed.first_token_ms,
+            read_ms=placed.parts[0].read_ms,
             cost=placed.cost,
             placed_ms=now_ms,
             commitment_ids=ids,
