Count callers that give up; refuse a harmful prompt from less reading on

Change: a request whose caller gives up loses its late value as well, and a prompt that harms more than it earns is refused from 100 ms of reading on.

--- a/bergamotstream/forwarding/commitments.py
+++ b/bergamotstream/forwarding/commitments.py
@@ -31,8 +31,10 @@
     read_ms: float
     # One part of a prompt that several targets read.
     is_part: bool
-    # Time after the placement at which the first token is late.
+    # Times after the placement at which the first token is late, and at which
+    # the caller gives up.
     goal_ms: int
+    patience_ms: int
     # False for a helper, which reads and writes nothing.
     writes: bool
     writing: bool
@@ -52,9 +54,11 @@
     left_ms: float
     # Time until it is done if nothing goes before it.
     finish_ms: float
-    # Age of the placement, and the age at which the first token is late.
+    # Age of the placement, and the ages at which the first token is late and
+    # at which the caller gives up.
     age_ms: int
     goal_ms: int
+    patience_ms: int
     value: float
 
 
@@ -200,5 +204,6 @@
                 finish_ms=finish_ms,
                 age_ms=now_ms - entry.placed_ms,
                 goal_ms=entry.goal_ms,
+                patience_ms=entry.patience_ms,
                 value=entry.value,
             )
--- a/bergamotstream/forwarding/peers.capnp
+++ b/bergamotstream/forwarding/peers.capnp
@@ -33,6 +33,8 @@
   isPart @10 :Bool;
   # Time after the placement at which the first token is late.
   goalMs @11 :Int32;
+  # Time after the placement at which the caller gives up.
+  patienceMs @12 :Int32;
 }
 
 struct TargetNote {
--- a/bergamotstream/forwarding/placement.py
+++ b/bergamotstream/forwarding/placement.py
@@ -30,6 +30,9 @@
 # Part of an answer's value that is lost when it is late; on both sites of the
 # users' sheets a late answer earns a quarter.
 LATE_LOSS: Final = 0.75
+# Further part that is lost when the caller gives up: what a late answer earns,
+# and as much again for what was read in vain.
+GIVEN_UP_LOSS: Final = 0.5
 # A forecast is used as if the goal were this much shorter, since passes are
 # uneven and the network adds its delay.
 GOAL_MARGIN: Final = 0.75
@@ -58,7 +61,7 @@
 # Nothing is refused for the harm it does while fewer slots than this are taken
 # and each target has less reading to do, on average.
 BUSY_SHARE: Final = 0.5
-BUSY_READ_MS: Final = 300.0
+BUSY_READ_MS: Final = 100.0
 # A part that takes longer delays the first token of an urgent request too far.
 LONG_PART_MS: Final = 120.0
 # Reading by all targets from which on it counts that they are occupied; the
@@ -378,14 +381,19 @@
     loss_by_request = {}
     for read in load.reading:
         done_ms = read.age_ms + read.finish_ms
-        before = _overdue(done_ms, read.goal_ms)
-        after = _overdue(done_ms + part_ms, read.goal_ms)
-        loss_by_request[read.request] = (
-            LATE_LOSS * read.value * (after - before)
-        )
+        before = _expected_loss(read, done_ms)
+        after = _expected_loss(read, done_ms + part_ms)
+        loss_by_request[read.request] = read.value * (after - before)
     return loss_by_request
 
 
+def _expected_loss(read: commitments.WaitingRead, done_ms: float) -> float:
+    """Return the part of a value that is lost if a read ends then."""
+    late = _overdue(done_ms, read.goal_ms)
+    given_up = _overdue(done_ms, read.patience_ms)
+    return LATE_LOSS * late + GIVEN_UP_LOSS * given_up
+
+
 def _damage(
     load: commitments.TargetLoad, before_ms: float, part_ms: float
 ) -> float:
--- a/bergamotstream/forwarding/scheduler.py
+++ b/bergamotstream/forwarding/scheduler.py
@@ -149,8 +149,7 @@
             )
         if job.need is None or job.service.engine is None:
             return self._place_plain(job, candidates, now_ms)
-        end_ms = min(job.end_ms, job.arrived_ms + _patience_ms(job.route))
-        need = job.need._replace(left_ms=end_ms - now_ms)
+        need = job.need._replace(left_ms=_patience_end_ms(job) - now_ms)
         placed = placement.choose_engines(job.service.engine, need, candidates)
         if placed is None:
             raise self._overloaded(f'no_place left_ms={need.left_ms}')
@@ -396,6 +395,11 @@
     )
 
 
+def _patience_end_ms(job: exchangerecords.Job) -> int:
+    """Return when the caller gives up without a first token."""
+    return min(job.end_ms, job.arrived_ms + _patience_ms(job.route))
+
+
 def _need_of(
     route: fleetrecords.Route,
     service: fleetrecords.Service,
@@ -431,6 +435,7 @@
             read_ms=part.read_ms,
             is_part=len(placed.parts) > 1,
             goal_ms=job.arrived_ms + job.route.goal_ms - now_ms,
+            patience_ms=_patience_end_ms(job) - now_ms,
             writes=position == 0,
             writing=need is None,
             pause_goal_ms=need.pause_goal_ms if need else 0,
--- a/tests/test_forwardingcore.py
+++ b/tests/test_forwardingcore.py
@@ -40,6 +40,7 @@
         read_ms=read_ms,
         is_part=False,
         goal_ms=300,
+        patience_ms=2_000,
         writes=True,
         writing=False,
         pause_goal_ms=200,
