--- a/bergamotstream/forwarding/hostdaemon.py
+++ b/bergamotstream/forwarding/hostdaemon.py
@@ -10,13 +10,12 @@
 import json
 import random
 import signal
-import sys
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any, Final
 
 from aiohttp import web
 
-from bergamotstream import clock, errors, exporters, metrics
+from bergamotstream import clock, exporters, metrics
 from bergamotstream.forwarding import (
     connections,
     directory,
@@ -26,6 +25,7 @@
     fleetview,
     hostsettings,
     ingress,
+    listening,
     peerexchange,
     peerfetch,
     readers,
@@ -33,9 +33,8 @@
     scheduler,
     storetasks,
 )
-from bergamotstream.platform import bootsettings, names, store
+from bergamotstream.platform import names, store
 
-EXIT_INVALID_SETTINGS: Final = 2
 # Idle connections of callers are kept for this long; the operators' limits
 # for callers are shorter.
 CALLER_IDLE_S: Final = 75.0
@@ -59,19 +58,23 @@
 class HostDaemon:
     """One entry host."""
 
-    def __init__(self, config: hostsettings.HostSettings) -> None:
+    def __init__(
+        self,
+        config: hostsettings.HostSettings,
+        listeners: listening.Listeners,
+    ) -> None:
         """Build the parts that need no event loop."""
         self._config = config
+        self._listeners = listeners
         self._clock = clock.Clock()
         self._log = eventlog.EventLog(self._clock)
         self._meters = metrics.Metrics()
         self._core = scheduler.Scheduler(config, random.Random())
-        first_port = config.peer_ports[0]
         self._entry = fleetrecords.HostEntry(
             config.name,
             config.zone,
             config.caller_address,
-            f'{config.ip}:{first_port}',
+            config.peer_address,
             self._clock.wall_ms(),
         )
         self._peers = peerexchange.PeerExchange(
@@ -158,9 +161,7 @@
             server, handle_signals=False, shutdown_timeout=CLOSE_TIMEOUT_S
         )
         await runner.setup()
-        ip, _, port = address.rpartition(':')
-        site = web.TCPSite(runner, ip, int(port), backlog=1024)
-        await site.start()
+        await web.SockSite(runner, self._listeners[address]).start()
         self._runners.append(runner)
 
     def _start_tasks(self, *running: Coroutine[Any, Any, None]) -> None:
@@ -287,9 +288,11 @@
         return web.Response(status=404)
 
 
-async def serve(config: hostsettings.HostSettings) -> None:
+async def serve(
+    config: hostsettings.HostSettings, listeners: listening.Listeners
+) -> None:
     """Serve until SIGTERM or SIGINT."""
-    daemon = HostDaemon(config)
+    daemon = HostDaemon(config, listeners)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, daemon.request_stop)
@@ -297,16 +300,9 @@
     await daemon.run()
 
 
-def main() -> None:
-    """Run an entry host with the settings that the platform hands over."""
+def run(
+    config: hostsettings.HostSettings, listeners: listening.Listeners
+) -> None:
+    """Run an entry host until it is stopped."""
     eventlog.install_handler()
-    try:
-        config = bootsettings.load(bootsettings.settings_path())
-    except errors.InvalidSettings as fault:
-        sys.stderr.write(f'{fault.detail}\n{fault.remedy}\n')
-        sys.exit(EXIT_INVALID_SETTINGS)
-    asyncio.run(serve(config))
-
-
-if __name__ == '__main__':
-    main()
+    asyncio.run(serve(config, listeners))
--- a/bergamotstream/forwarding/hostsettings.py
+++ b/bergamotstream/forwarding/hostsettings.py
@@ -43,3 +43,8 @@
     peer_ports: tuple[int, int]
     store: StoreSettings
     bounds: Bounds
+
+    @property
+    def peer_address(self) -> str:
+        """Return the address for other hosts."""
+        return f'{self.ip}:{self.peer_ports[0]}'
--- a/bergamotstream/forwarding/storetasks.py
+++ b/bergamotstream/forwarding/storetasks.py
@@ -21,6 +21,8 @@
 LOOK_AGAIN_S: Final = 0.2
 FIRST_PAUSE_S: Final = 0.1
 LONGEST_PAUSE_S: Final = 0.8
+# Until a host has read the store once it can serve nobody.
+LONGEST_FIRST_PAUSE_S: Final = 0.2
 # Failures that last this long are an outage, during which entries may lapse.
 OUTAGE_MS: Final = 1_000
 LEASE_MS: Final = 3_000
@@ -69,7 +71,7 @@
             except store.StoreUnavailable as fault:
                 self._note_failure(fault)
                 await asyncio.sleep(pause_s)
-                pause_s = min(pause_s * 2, LONGEST_PAUSE_S)
+                pause_s = min(pause_s * 2, self._longest_pause_s())
                 continue
             pause_s = FIRST_PAUSE_S
 
@@ -85,6 +87,9 @@
         self._note_success()
         self._report(self._view.apply_changes(page, self._clock.now_ms()))
 
+    def _longest_pause_s(self) -> float:
+        return LONGEST_PAUSE_S if self._complete else LONGEST_FIRST_PAUSE_S
+
     def _note_failure(self, fault: store.StoreUnavailable) -> None:
         if self._failing_since_ms is None:
             self._failing_since_ms = self._clock.now_ms()
--- a/tests/platformkit.py
+++ b/tests/platformkit.py
@@ -16,6 +16,7 @@
     fleetrecords,
     hostdaemon,
     hostsettings,
+    listening,
     scheduler,
 )
 from bergamotstream.platform import callerformat, decoding, store
@@ -78,6 +79,11 @@
     )
 
 
+def make_daemon(settings):
+    """Return a host that listens already."""
+    return hostdaemon.HostDaemon(settings, listening.open_listeners(settings))
+
+
 def route(name, prefix, kind, **changes):
     """Return a route as the operators write it."""
     return {
@@ -291,7 +297,7 @@
                 store_address, f'host-{number}', stop_grace_ms=1_700
             )
             self.settings.append(settings)
-            daemon = hostdaemon.HostDaemon(settings)
+            daemon = make_daemon(settings)
             self.daemons.append(daemon)
             self._runs.append(asyncio.ensure_future(daemon.run()))
         for settings in self.settings:
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -362,7 +362,7 @@
     settings = kit.make_settings(
         '{0}:{1}'.format(*system.store._listener._address)
     )
-    daemon = kit.hostdaemon.HostDaemon(settings)
+    daemon = kit.make_daemon(settings)
     run = asyncio.ensure_future(daemon.run())
     await system.until_ready(settings)
     daemon.request_stop()
@@ -378,7 +378,7 @@
     settings = kit.make_settings(
         '{0}:{1}'.format(*system.store._listener._address)
     )
-    daemon = kit.hostdaemon.HostDaemon(settings)
+    daemon = kit.make_daemon(settings)
     run = asyncio.ensure_future(daemon.run())
     system.settings.append(settings)
     await asyncio.sleep(0.2)
--- a/tests/test_hostprocess.py
+++ b/tests/test_hostprocess.py
@@ -66,7 +66,7 @@
         environment = os.environ | {'BERGAMOTSTREAM_BOOT': str(self.settings)}
         with self.log.open('ab') as log:
             self.process = subprocess.Popen(
-                [sys.executable, '-m', 'bergamotstream.forwarding.hostdaemon'],
+                [sys.executable, '-m', 'bergamotstream.forwarding'],
                 cwd=ROOT,
                 env=environment,
                 stdout=log,
