Find a lost opening packet of a call to the store within 0.3 s

A host that knows nothing also waited 250 ms before it asked a peer. Test: a full listen queue, which drops opening packets; it failed with 1.0 s.

--- a/bergamotstream/forwarding/peerfetch.py
+++ b/bergamotstream/forwarding/peerfetch.py
@@ -87,7 +87,9 @@
         now_ms = self._clock.now_ms()
         if self._behind_since_ms is None:
             self._behind_since_ms = now_ms
-        if now_ms - self._behind_since_ms < BEHIND_MS:
+        behind_ms = now_ms - self._behind_since_ms
+        # A host that knows nothing can serve nobody meanwhile.
+        if known and behind_ms < BEHIND_MS:
             return None
         return newest
 
@@ -97,7 +99,9 @@
         before = self._core.view.revision
         address = peer.entry.peer_address
         url = f'http://{address}{ITEMS_PATH}?after={before}'
-        limit = aiohttp.ClientTimeout(total=FETCH_TIMEOUT_S)
+        limit = aiohttp.ClientTimeout(
+            total=FETCH_TIMEOUT_S, sock_connect=store.CONNECT_TIMEOUT_S
+        )
         try:
             async with self._session.get(url, timeout=limit) as response:
                 news = decode(await response.read())
--- a/bergamotstream/platform/store.py
+++ b/bergamotstream/platform/store.py
@@ -18,6 +18,9 @@
 
 # The store answers in 4 ms; a call that takes this long has been lost.
 CALL_TIMEOUT_S: Final = 1.0
+# The system repeats a lost opening packet only after a second, while a path
+# that was cut may be open again by then.
+CONNECT_TIMEOUT_S: Final = 0.3
 # How much longer than the wait the answer of a watch may take.
 WATCH_MARGIN_S: Final = 0.7
 MS_PER_S: Final = 1_000
@@ -148,7 +151,9 @@
     ) -> tuple[int, Mapping[str, Any]]:
         """Make a call; raises ``StoreUnavailable`` for other answers."""
         url = yarl.URL(self._origin + path).with_query(query)
-        limit = aiohttp.ClientTimeout(total=timeout_s)
+        limit = aiohttp.ClientTimeout(
+            total=timeout_s, sock_connect=CONNECT_TIMEOUT_S
+        )
         try:
             async with self._session.request(
                 method, url, json=body, timeout=limit
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -1,10 +1,13 @@
 """Requests through real hosts, the store stand-in and scripted targets."""
 
 import asyncio
+import socket
 
 import aiohttp
 import pytest
 
+from bergamotstream.forwarding import connections, listening
+from bergamotstream.platform import store
 from tests import platformkit as kit
 
 
@@ -388,3 +391,40 @@
     assert await system.get_status(settings.readiness_address, '/ready') == 503
     run.cancel()
     await system.stop()
+
+
+async def test_lost_opening_packet_does_not_hold_a_call_to_the_store():
+    """Guards against a second without the store after a short cut.
+
+    scale-1 of aviso-nevado: two hosts that started in a cut of the network
+    knew no configuration until 1 s after its end.
+    """
+    with socket.socket() as full:
+        full.bind(('127.0.0.1', 0))
+        full.listen(0)
+        port = full.getsockname()[1]
+        waiting = [socket.socket() for _ in range(3)]
+        for opened in waiting:
+            # A full queue drops opening packets, as a cut does.
+            opened.setblocking(False)
+            opened.connect_ex(('127.0.0.1', port))
+        async with connections.open_session(reuse=True) as session:
+            client = store.StoreClient(
+                kit.make_settings(f'127.0.0.1:{port}').store, session
+            )
+            async with asyncio.timeout(store.CALL_TIMEOUT_S / 2):
+                with pytest.raises(store.StoreUnavailable):
+                    await client.read_all('')
+        for opened in waiting:
+            opened.close()
+
+
+def test_caller_may_connect_before_the_host_serves():
+    """Guards against refused connections while the libraries are imported."""
+    settings = kit.make_settings()
+    listeners = listening.open_listeners(settings)
+    ip, _, port = settings.caller_address.rpartition(':')
+    with socket.create_connection((ip, int(port)), timeout=1):
+        assert settings.caller_address in listeners
+    for listener in listeners.values():
+        listener.close()
