--- a/bergamotstream/forwarding/__main__.py
+++ b/bergamotstream/forwarding/__main__.py
@@ -2,36 +2,35 @@
 Start of a host
 ~~~~~~~~~~~~~~~
 
-Runs an entry host: ``python3 -m bergamotstream.forwarding``. The sockets are
-opened before the libraries are imported, which takes most of a start.
+Runs an entry host: ``python3 -S -m bergamotstream.forwarding``. Sockets are
+opened before settings are read and libraries are imported, which takes most of
+a start. Without ``-S`` the interpreter first looks for packages of the system,
+none of which a host uses.
 """
 
 import importlib
 import os
-import sys
-from typing import Final
 
-from bergamotstream import errors
 from bergamotstream.forwarding import listening
-from bergamotstream.platform import bootsettings
 
-EXIT_INVALID_SETTINGS: Final = 2
+# Addresses to listen on at once, from the deploy file.
+LISTEN_VARIABLE = 'BERGAMOTSTREAM_LISTEN'
 # Hosts use no TLS. Without this the HTTP library reads all certificates of the
 # system when it is imported, a third of the time of a start.
-NO_CERTIFICATES: Final = {'SSL_CERT_FILE': os.devnull}
+NO_CERTIFICATES = {'SSL_CERT_FILE': os.devnull}
 
 
 def main() -> None:
     """Run an entry host with the settings that the platform hands over."""
-    try:
-        config = bootsettings.load(bootsettings.settings_path())
-    except errors.InvalidSettings as fault:
-        sys.stderr.write(f'{fault.detail}\n{fault.remedy}\n')
-        sys.exit(EXIT_INVALID_SETTINGS)
-    listeners = listening.open_listeners(config)
+    addresses = os.environ.get(LISTEN_VARIABLE, '').split(',')
+    listeners = {
+        address: listening.open_listener(address)
+        for address in addresses
+        if address
+    }
     os.environ.update(NO_CERTIFICATES)
     hostdaemon = importlib.import_module('bergamotstream.forwarding.hostdaemon')
-    hostdaemon.run(config, listeners)
+    hostdaemon.main(listeners)
 
 
 if __name__ == '__main__':
--- a/bergamotstream/forwarding/hostdaemon.py
+++ b/bergamotstream/forwarding/hostdaemon.py
@@ -10,12 +10,13 @@
 import json
 import random
 import signal
+import sys
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any, Final
 
 from aiohttp import web
 
-from bergamotstream import clock, exporters, metrics
+from bergamotstream import clock, errors, exporters, metrics
 from bergamotstream.forwarding import (
     connections,
     directory,
@@ -33,8 +34,9 @@
     scheduler,
     storetasks,
 )
-from bergamotstream.platform import names, store
+from bergamotstream.platform import bootsettings, names, store
 
+EXIT_INVALID_SETTINGS: Final = 2
 # Idle connections of callers are kept for this long; the operators' limits
 # for callers are shorter.
 CALLER_IDLE_S: Final = 75.0
@@ -161,7 +163,10 @@
             server, handle_signals=False, shutdown_timeout=CLOSE_TIMEOUT_S
         )
         await runner.setup()
-        await web.SockSite(runner, self._listeners[address]).start()
+        listener = self._listeners.get(address)
+        if listener is None:
+            listener = listening.open_listener(address)
+        await web.SockSite(runner, listener).start()
         self._runners.append(runner)
 
     def _start_tasks(self, *running: Coroutine[Any, Any, None]) -> None:
@@ -300,9 +305,15 @@
     await daemon.run()
 
 
-def run(
-    config: hostsettings.HostSettings, listeners: listening.Listeners
-) -> None:
-    """Run an entry host until it is stopped."""
+def main(listeners: listening.Listeners) -> None:
+    """Run an entry host; ``listeners`` are open already.
+
+    Ends the process with ``EXIT_INVALID_SETTINGS`` for wrong settings.
+    """
     eventlog.install_handler()
+    try:
+        config = bootsettings.load(bootsettings.settings_path())
+    except errors.InvalidSettings as fault:
+        sys.stderr.write(f'{fault.detail}\n{fault.remedy}\n')
+        sys.exit(EXIT_INVALID_SETTINGS)
     asyncio.run(serve(config, listeners))
