--- a/tests/platformkit.py
+++ b/tests/platformkit.py
@@ -16,7 +16,6 @@
     fleetrecords,
     hostdaemon,
     hostsettings,
-    listening,
     scheduler,
 )
 from bergamotstream.platform import callerformat, decoding, store
@@ -81,7 +80,7 @@
 
 def make_daemon(settings):
     """Return a host that listens already."""
-    return hostdaemon.HostDaemon(settings, listening.open_listeners(settings))
+    return hostdaemon.HostDaemon(settings, {})
 
 
 def route(name, prefix, kind, **changes):
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -421,10 +421,8 @@
 
 def test_caller_may_connect_before_the_host_serves():
     """Guards against refused connections while the libraries are imported."""
-    settings = kit.make_settings()
-    listeners = listening.open_listeners(settings)
-    ip, _, port = settings.caller_address.rpartition(':')
-    with socket.create_connection((ip, int(port)), timeout=1):
-        assert settings.caller_address in listeners
-    for listener in listeners.values():
-        listener.close()
+    address = kit.address()
+    ip, _, port = address.rpartition(':')
+    with listening.open_listener(address):
+        with socket.create_connection((ip, int(port)), timeout=1) as opened:
+            assert opened.getpeername() == (ip, int(port))
--- a/tests/test_hostprocess.py
+++ b/tests/test_hostprocess.py
@@ -63,7 +63,10 @@
         self.process = None
 
     def start(self):
-        environment = os.environ | {'BERGAMOTSTREAM_BOOT': str(self.settings)}
+        environment = os.environ | {
+            'BERGAMOTSTREAM_BOOT': str(self.settings),
+            'BERGAMOTSTREAM_LISTEN': f'{self.caller},{self.directory}',
+        }
         with self.log.open('ab') as log:
             self.process = subprocess.Popen(
                 [sys.executable, '-m', 'bergamotstream.forwarding'],
