Go on at another target when one is silent for 0.6 of the caller's patience

A target that hung was also never noted as failing. Test: a target that hangs before and within its answer; both failed with the caller's time-out.

--- a/bergamotstream/forwarding/dispatch.py
+++ b/bergamotstream/forwarding/dispatch.py
@@ -53,6 +53,10 @@
     """No usable answer came; the request may have run."""
 
 
+class TargetSilent(TargetBroken):
+    """Nothing came for long, and another target may go on."""
+
+
 Answer: TypeAlias = aiohttp.ClientResponse
 # What reading an answer may raise.
 READ_FAULTS: Final = (aiohttp.ClientError, OSError, ValueError)
--- a/bergamotstream/forwarding/ingress.py
+++ b/bergamotstream/forwarding/ingress.py
@@ -10,7 +10,8 @@
 import asyncio
 import contextlib
 import functools
-from typing import Final, NamedTuple
+from collections.abc import Coroutine
+from typing import Any, Final, NamedTuple, TypeVar
 
 from aiohttp import web
 
@@ -40,6 +41,8 @@
 # have gone at once, with their zone.
 MAX_UNSENT: Final = 8
 
+Received = TypeVar('Received')
+
 # What ends one try of a request without an answer.
 TRY_FAULTS: Final = (
     dispatch.TargetUnreachable,
@@ -184,6 +187,13 @@
             return False
         return self._has_try_left(served)
 
+    @_may_try_again.register
+    def _may_resume(
+        self, fault: dispatch.TargetSilent, served: exchange.Exchange
+    ) -> bool:
+        # Decided before the silent target was given up.
+        return True
+
     def _has_try_left(self, served: exchange.Exchange) -> bool:
         return self._core.may_send_again(
             served.job, served.sent, self._clock.now_ms()
@@ -243,16 +253,17 @@
         ran_before = served.may_have_run
         served.may_have_run = True
         left_ms = served.job.end_ms - self._clock.now_ms()
-        try:
-            answer = await self._parts.dispatcher.send(
-                dispatch.Try(
-                    served.job,
-                    served.body,
-                    assignment,
-                    left_ms,
-                    served.last_event_id,
-                )
+        sending = self._parts.dispatcher.send(
+            dispatch.Try(
+                served.job,
+                served.body,
+                assignment,
+                left_ms,
+                served.last_event_id,
             )
+        )
+        try:
+            answer = await self._unless_silent(served, served.sent + 1, sending)
         except dispatch.TargetUnreachable:
             served.may_have_run = ran_before
             raise
@@ -266,6 +277,35 @@
         served.sent += 1
         return answer
 
+    async def _unless_silent(
+        self,
+        served: exchange.Exchange,
+        sent: int,
+        coming: Coroutine[Any, Any, Received],
+    ) -> Received:
+        """Return what comes from the last of ``sent`` targets.
+
+        Raises ``TargetSilent`` if nothing does and another target may be
+        tried; otherwise the target has all the time that is left.
+        """
+        waiting = asyncio.ensure_future(coming)
+        with contextlib.ExitStack() as stack:
+            stack.callback(waiting.cancel)
+            limit_ms = self._core.silence_limit_ms(
+                served.job, self._clock.now_ms()
+            )
+            if limit_ms is not None:
+                await asyncio.wait((waiting,), timeout=limit_ms / MS_PER_S)
+                if not waiting.done() and self._may_leave(served, sent):
+                    raise dispatch.TargetSilent(f'silent for {limit_ms} ms')
+            return await waiting
+
+    def _may_leave(self, served: exchange.Exchange, sent: int) -> bool:
+        now_ms = self._clock.now_ms()
+        return self._core.has_target(
+            served.job, served.tried, now_ms
+        ) and self._core.may_send_again(served.job, sent, now_ms)
+
     async def _take_answer(
         self,
         served: exchange.Exchange,
@@ -274,7 +314,9 @@
     ) -> web.StreamResponse:
         if dispatch.is_success(answer.status) and served.job.route.streaming:
             return await self._relay(served, assignment, answer)
-        whole = await dispatch.read_whole(answer)
+        whole = await self._unless_silent(
+            served, served.sent, dispatch.read_whole(answer)
+        )
         if dispatch.is_success(whole.status):
             self._outcomes.success(served, assignment)
             return self._give_whole(served, whole)
@@ -309,7 +351,12 @@
         ending = dispatch.ending_of(answer)
         last_ms = 0
         try:
-            async for chunk in answer.content.iter_any():
+            while True:
+                chunk = await self._unless_silent(
+                    served, served.sent, answer.content.readany()
+                )
+                if not chunk:
+                    break
                 now_ms = self._clock.now_ms()
                 if last_ms:
                     self._outcomes.pause(served, assignment, now_ms - last_ms)
--- a/bergamotstream/forwarding/scheduler.py
+++ b/bergamotstream/forwarding/scheduler.py
@@ -55,6 +55,9 @@
 LEAST_PATIENCE_MS: Final = 2_000
 GOALS_OF_PATIENCE: Final = 4
 PAUSES_OF_PATIENCE: Final = 8
+# Part of a caller's patience after which a silent target is given up; what is
+# left is enough for a first event from another one.
+SILENT_PART: Final = 0.6
 # Part of the hinted length that an answer often has; the hint is right at the
 # median only.
 HINT_TOLERANCE: Final = 0.5
@@ -186,6 +189,27 @@
             return False
         return self.budget.take(job.service.name, now_ms)
 
+    def has_target(
+        self, job: exchangerecords.Job, excluded: Collection[str], now_ms: int
+    ) -> bool:
+        """Tell whether a target is left for one more try."""
+        return any(True for _ in self._candidates(job, excluded, now_ms))
+
+    def silence_limit_ms(
+        self, job: exchangerecords.Job, now_ms: int
+    ) -> int | None:
+        """Return the silence of a target after which another one is tried.
+
+        ``None`` for a request that may run only once. Load that this answers:
+        targets that hang or vanish with their connections open, whose
+        requests would be lost when their callers give up.
+        """
+        if job.route.repeat is fleetrecords.Repeat.ONLY_IF_NOT_RUN:
+            return None
+        if job.need is None:
+            return round((job.end_ms - now_ms) * SILENT_PART)
+        return round(_patience_ms(job.route) * SILENT_PART)
+
     def retry_after_ms(self) -> int:
         """Return a time to come back for a request that has not run."""
         return self._spread(RETRY_AFTER_MS)
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -147,6 +147,50 @@
         assert limit - 0.2 < took < limit + 0.25
 
 
+@pytest.mark.parametrize('begun', [0, 2])
+async def test_stream_of_a_silent_target_goes_on_at_another(begun):
+    """Guards against callers that give up on a target that hangs.
+
+    scale-1 of aviso-nevado: seven streams stopped without a reset, and their
+    callers left after two seconds.
+    """
+
+    async def hang(request, writer):
+        writer.write(stream_begin(request, begun))
+        await asyncio.sleep(30)
+
+    async def go_on(request, writer):
+        first = int(request.headers.get('Last-Event-Id') or 0) + 1
+        writer.write(kit.stream_head(request))
+        for number in range(first, 5):
+            writer.write(kit.chunk(kit.event(number)))
+        writer.write(b'0\r\n\r\n')
+
+    async with (
+        kit.running_system() as system,
+        kit.raw_target(hang) as silent,
+        kit.raw_target(go_on) as other,
+    ):
+        await system.add_target('t1', silent, service='model')
+        calling = asyncio.ensure_future(system.call('/chat/1'))
+        await system.until(lambda: silent.received)
+        await system.add_target('t2', other, service='model')
+        started = asyncio.get_running_loop().time()
+        status, _, body = await calling
+        took = asyncio.get_running_loop().time() - started
+        assert status == 200
+        assert body == b''.join(kit.event(number) for number in range(1, 5))
+        assert took < 1.6
+
+
+def stream_begin(request, events):
+    """Return the first bytes of a stream; none without an event."""
+    if not events:
+        return b''
+    listed = (kit.chunk(kit.event(number + 1)) for number in range(events))
+    return kit.stream_head(request) + b''.join(listed)
+
+
 async def test_target_is_told_when_the_caller_leaves():
     """Guards against work for a caller that has gone."""
     started = asyncio.Event()
