Refuse long headers; name other hosts in each answer of a large directory

Cause: the operators' limit for headers was read and not kept; a directory of more than 64 hosts named the same 64, so that 19 of 83 hosts had no callers. Settings that were decoded and never used are no longer read. Tests: 17 KB of headers get 431; twenty answers name all of 83 hosts.

--- a/bench/placements.py
+++ b/bench/placements.py
@@ -21,8 +21,6 @@
 
 SERVICE: Final = fleetrecords.Service(
     name='model',
-    health_path='/',
-    max_connections=300,
     cold_requests_per_s=0,
     engine=fleetrecords.EngineProfile(
         slots=8,
--- a/bergamotstream/errors.py
+++ b/bergamotstream/errors.py
@@ -88,6 +88,9 @@
 PromptTooLong = _declare(
     'prompt_too_long', 413, 'send at most 1000000 prompt tokens'
 )
+HeadersTooLarge = _declare(
+    'headers_too_large', 431, 'send shorter headers, below the stated limit'
+)
 BodyTooLarge = _declare('body_too_large', 413, 'send a body of at most 8 MB')
 DeadlinePassed = _declare(
     'deadline_passed', 504, 'allow more time and send it as a new request'
--- a/bergamotstream/forwarding/directory.py
+++ b/bergamotstream/forwarding/directory.py
@@ -5,6 +5,7 @@
 Tells callers which hosts to use.
 """
 
+import random
 from collections.abc import Iterable
 from typing import Final
 
@@ -22,6 +23,7 @@
     own_ready: bool,
     registered: Iterable[fleetrecords.HostEntry],
     peers: Iterable[peerformat.HostState],
+    chance: random.Random,
 ) -> list[str]:
     """Return the addresses of the hosts that serve callers.
 
@@ -39,4 +41,6 @@
         ]
     if own_ready or not named:
         named.append(own.caller_address)
-    return sorted(set(named))[:MAX_ADDRESSES]
+    # In a larger system each answer names other ones, so that all have work.
+    listed = sorted(set(named))
+    return chance.sample(listed, min(len(listed), MAX_ADDRESSES))
--- a/bergamotstream/forwarding/fleetrecords.py
+++ b/bergamotstream/forwarding/fleetrecords.py
@@ -78,8 +78,6 @@
     """A group of targets that do the same work."""
 
     name: str
-    health_path: str
-    max_connections: int
     # Requests a second that a target bears after its start; 0: no limit.
     cold_requests_per_s: float
     engine: EngineProfile | None
--- a/bergamotstream/forwarding/hostdaemon.py
+++ b/bergamotstream/forwarding/hostdaemon.py
@@ -71,7 +71,8 @@
         self._clock = clock.Clock()
         self._log = eventlog.EventLog(self._clock)
         self._meters = metrics.Metrics()
-        self._core = scheduler.Scheduler(config, random.Random())
+        self._chance = random.Random()
+        self._core = scheduler.Scheduler(config, self._chance)
         self._entry = fleetrecords.HostEntry(
             config.name,
             config.zone,
@@ -270,6 +271,7 @@
             self._peers.ready,
             self._core.view.hosts_by_name.values(),
             self._peers.live_peers(),
+            self._chance,
         )
         body = {'addresses': listed, 'ttl_s': directory.ADDRESS_TTL_S}
         return web.Response(
--- a/bergamotstream/forwarding/hostsettings.py
+++ b/bergamotstream/forwarding/hostsettings.py
@@ -13,20 +13,15 @@
     """The platform's store."""
 
     address: str
-    value_bytes: int
-    lease_min_ms: int
 
 
 class Bounds(NamedTuple):
     """Limits that the operators hold the system to."""
 
     stop_grace_ms: int
-    target_drain_ms: int
     retry_ratio: float
     retry_window_ms: int
     retry_slack: int
-    address_ttl_max_s: int
-    hold_max_ms: int
 
 
 class HostSettings(NamedTuple):
@@ -35,7 +30,6 @@
     name: str
     ip: str
     zone: str
-    zones: tuple[str, ...]
     caller_address: str
     readiness_address: str
     directory_address: str
--- a/bergamotstream/forwarding/ingress.py
+++ b/bergamotstream/forwarding/ingress.py
@@ -32,6 +32,8 @@
 from bergamotstream.platform import callerformat
 
 MS_PER_S: Final = 1_000
+# Colon, space and line end of a header.
+FIELD_FRAMING: Final = 4
 # Longer, the store is away and the caller should use another host.
 CONFIGURATION_WAIT_S: Final = 0.25
 # Time between two looks for a place for a request that waits: about a pass of
@@ -115,6 +117,7 @@
         await self._wait_for_configuration()
         now_ms = self._clock.now_ms()
         job = self._core.admit(facts, now_ms)
+        self._check_headers(request)
         body = await self._read_body(request)
         fingerprint = scheduler.fingerprint_of(facts, body)
         self._core.check_blame(fingerprint)
@@ -128,6 +131,15 @@
             async with asyncio.timeout(CONFIGURATION_WAIT_S):
                 await self._parts.configured.wait()
 
+    def _check_headers(self, request: web.BaseRequest) -> None:
+        configuration = self._core.view.configuration
+        size = sum(
+            len(name) + len(field) + FIELD_FRAMING
+            for name, field in request.raw_headers
+        )
+        if configuration and size > configuration.limits.max_header_bytes:
+            raise errors.HeadersTooLarge(f'{size} bytes')
+
     async def _read_body(self, request: web.BaseRequest) -> bytes:
         configuration = self._core.view.configuration
         if configuration is None:
--- a/bergamotstream/platform/bootsettings.py
+++ b/bergamotstream/platform/bootsettings.py
@@ -43,7 +43,6 @@
         name=reader.text('node_name'),
         ip=reader.text('ip'),
         zone=reader.text('zone'),
-        zones=tuple(reader.table('zones')),
         caller_address=reader.text('listen', 'front'),
         readiness_address=reader.text('listen', 'readiness'),
         directory_address=reader.text('listen', 'directory'),
@@ -56,20 +55,15 @@
 def _store(reader: '_Reader') -> hostsettings.StoreSettings:
     return hostsettings.StoreSettings(
         address=reader.text('platform', 'address'),
-        value_bytes=reader.whole('platform', 'value_bytes'),
-        lease_min_ms=reader.whole('platform', 'ttl_min_ms'),
     )
 
 
 def _bounds(reader: '_Reader') -> hostsettings.Bounds:
     return hostsettings.Bounds(
         stop_grace_ms=reader.whole('bounds', 'grace_s') * MS_PER_S,
-        target_drain_ms=reader.whole('bounds', 'drain_ms'),
         retry_ratio=reader.number('bounds', 'budget_ratio'),
         retry_window_ms=reader.whole('bounds', 'budget_window_s') * MS_PER_S,
         retry_slack=reader.whole('bounds', 'budget_slack'),
-        address_ttl_max_s=reader.whole('bounds', 'ttl_max_s'),
-        hold_max_ms=reader.whole('bounds', 'hold_max_ms'),
     )
 
 
@@ -88,10 +82,6 @@
     def number(self, *path: str) -> float:
         return float(self._checked((int, float), path))
 
-    def table(self, *path: str) -> Mapping[str, Any]:
-        found: Mapping[str, Any] = self._checked(dict, path)
-        return found
-
     def ports(self, *path: str) -> tuple[int, int]:
         found = self._checked(list, path)
         if len(found) != 2:
--- a/bergamotstream/platform/decoding.py
+++ b/bergamotstream/platform/decoding.py
@@ -97,8 +97,6 @@
     engine = entry.get('engine')
     return fleetrecords.Service(
         name=entry['name'],
-        health_path=str(entry.get('health_path', '')),
-        max_connections=int(entry.get('max_conns', 0)),
         cold_requests_per_s=float(entry.get('cold_per_s', 0)),
         engine=_engine(engine) if engine else None,
     )
--- a/tests/platformkit.py
+++ b/tests/platformkit.py
@@ -56,24 +56,20 @@
     """Return settings of one host."""
     stated = {
         'stop_grace_ms': 8_000,
-        'target_drain_ms': 2_000,
         'retry_ratio': 0.2,
         'retry_window_ms': 10_000,
         'retry_slack': 100,
-        'address_ttl_max_s': 5,
-        'hold_max_ms': 20_000,
     }
     port = free_port()
     return hostsettings.HostSettings(
         name=name,
         ip='127.0.0.1',
         zone='rosario',
-        zones=('rosario', 'parana'),
         caller_address=address(),
         readiness_address=address(),
         directory_address=address(),
         peer_ports=(port, port),
-        store=hostsettings.StoreSettings(store_address, 1_048_576, 1_000),
+        store=hostsettings.StoreSettings(store_address),
         bounds=hostsettings.Bounds(**(stated | bounds)),
     )
 
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -106,6 +106,19 @@
         assert kit.STAMP not in headers
 
 
+async def test_headers_over_the_limit_are_refused():
+    """Guards against headers that targets would not take."""
+    async with (
+        kit.running_system() as system,
+        kit.raw_target(answer_plain) as target,
+    ):
+        await system.add_target('t1', target)
+        status, _, _ = await system.call('/lookup/1', X_Long='x' * 17_000)
+        assert status == 431
+        assert (await system.call('/lookup/1', X_Long='x' * 9_000))[0] == 200
+        assert len(target.received) == 1
+
+
 async def test_lookup_goes_to_a_second_target():
     """Guards against a failed lookup that another target could answer."""
 
--- a/tests/test_forwardingcore.py
+++ b/tests/test_forwardingcore.py
@@ -257,11 +257,31 @@
     own = make_state('h1').entry
     registered = [make_state(name).entry for name in ('h1', 'h2', 'h3', 'h4')]
     heard = [make_state('h2'), make_state('h3', ready=False)]
-    assert directory.addresses(own, True, registered, heard) == ['h1:1', 'h2:1']
-    assert directory.addresses(own, False, registered, heard) == ['h2:1']
-    alone = directory.addresses(own, True, registered, [])
+    assert named(own, True, registered, heard) == ['h1:1', 'h2:1']
+    assert named(own, False, registered, heard) == ['h2:1']
+    alone = named(own, True, registered, [])
     assert alone == ['h1:1', 'h2:1', 'h3:1', 'h4:1']
-    assert directory.addresses(own, False, [], []) == ['h1:1']
+    assert named(own, False, [], []) == ['h1:1']
+
+
+def named(*about):
+    """Return what a directory answers, in order."""
+    return sorted(directory.addresses(*about, random.Random(1)))
+
+
+def test_answers_of_a_large_directory_name_all_hosts_in_turn():
+    """Guards against hosts that no caller is ever sent to."""
+    registered = [
+        fleetrecords.HostEntry(f'h{n}', 'z', f'10.0.0.{n}:1', 'p', 1)
+        for n in range(83)
+    ]
+    chance = random.Random(5)
+    answers = [
+        directory.addresses(registered[0], True, registered, [], chance)
+        for _ in range(20)
+    ]
+    assert {len(answer) for answer in answers} == {directory.MAX_ADDRESSES}
+    assert len(set().union(*answers)) == 83
 
 
 def test_a_few_hosts_watch_the_store():
