--- a/bergamotstream/forwarding/dispatch.py
+++ b/bergamotstream/forwarding/dispatch.py
@@ -187,8 +187,9 @@
         or 'Transfer-Encoding' in answer.headers
     )
     connection = answer.connection
-    if connection is None or connection.protocol is None:
+    if framed or connection is None or connection.protocol is None:
         return Ending(framed, None)
+    # Asking for this future makes the library report each lost connection.
     return Ending(framed, connection.protocol.closed)
 
 
--- /dev/null
+++ b/tests/hostprocesskit.py
@@ -0,0 +1,99 @@
+"""Entry hosts as processes of their own."""
+
+import asyncio
+import json
+import os
+import pathlib
+import subprocess
+import sys
+
+import aiohttp
+
+from tests import platformkit as kit
+
+ROOT = pathlib.Path(__file__).parent.parent
+# A dead host may be named for so long: contact_ms and 3 s.
+NAMED_LIMIT_S = 6.0
+SETTINGS = """
+node_name = "{name}"
+ip = "127.0.0.1"
+zone = "rosario"
+internal_ports = [{peer_port}, {peer_port}]
+[listen]
+front = "{caller}"
+readiness = "{readiness}"
+directory = "{directory}"
+[bounds]
+grace_s = 8
+budget_ratio = 0.2
+budget_window_s = 10
+budget_slack = 100
+[platform]
+address = "{store}"
+"""
+
+
+class HostProcess:
+    """One host as a process of its own."""
+
+    def __init__(self, folder, name, store_address):
+        self.name = name
+        self.caller, self.readiness, self.directory = (
+            kit.address() for _ in range(3)
+        )
+        self.settings = folder / f'{name}.toml'
+        self.settings.write_text(
+            SETTINGS.format(
+                name=name,
+                peer_port=kit.free_port(),
+                caller=self.caller,
+                readiness=self.readiness,
+                directory=self.directory,
+                store=store_address,
+            )
+        )
+        self.log = folder / f'{name}.log'
+        self.process = None
+
+    def start(self):
+        environment = os.environ | {
+            'BERGAMOTSTREAM_BOOT': str(self.settings),
+            'BERGAMOTSTREAM_LISTEN': f'{self.caller},{self.directory}',
+        }
+        with self.log.open('ab') as log:
+            self.process = subprocess.Popen(
+                [
+                    sys.executable,
+                    # SIGABRT then tells where a host hangs.
+                    *('-X', 'faulthandler'),
+                    *('-m', 'bergamotstream.forwarding'),
+                ],
+                cwd=ROOT,
+                env=environment,
+                stdout=log,
+                stderr=log,
+            )
+
+    def signal(self, number):
+        self.process.send_signal(number)
+
+    def is_running(self):
+        return self.process is not None and self.process.poll() is None
+
+    async def named(self):
+        """Return the addresses that this host's directory names."""
+        url = f'http://{self.directory}/resolve?name=x&zone=rosario'
+        try:
+            async with aiohttp.ClientSession() as session:
+                async with session.get(url) as got:
+                    body = json.loads(await got.read())
+                    return body['addresses']
+        except aiohttp.ClientError:
+            return []
+
+
+async def until(condition, limit_s=NAMED_LIMIT_S):
+    """Wait until a coroutine function returns true."""
+    async with asyncio.timeout(limit_s):
+        while not await condition():
+            await asyncio.sleep(0.1)
