--- a/bergamotstream/forwarding/ingress.py
+++ b/bergamotstream/forwarding/ingress.py
@@ -283,7 +283,8 @@
             raise
         except dispatch.TargetRefused as refused:
             served.may_have_run = ran_before
-            served.sent += not refused.misdirected
+            if not refused.misdirected:
+                served.sent += 1
             raise
         except dispatch.TargetBroken:
             served.sent += 1
--- a/bergamotstream/forwarding/placement.py
+++ b/bergamotstream/forwarding/placement.py
@@ -131,7 +131,7 @@
 
     # Decides between candidates: all that is expected to be lost.
     cost: float
-    # The loss without what is late to be read, here or elsewhere.
+    # The loss apart from late first tokens, its own and those of others.
     own_cost: float
     # What the streams that the target writes lose.
     harm: float
--- a/tests/platformkit.py
+++ b/tests/platformkit.py
@@ -75,7 +75,7 @@
 
 
 def make_daemon(settings):
-    """Return a host that listens already."""
+    """Return a host that opens its own sockets."""
     return hostdaemon.HostDaemon(settings, {})
 
 
--- a/tests/test_placementloads.py
+++ b/tests/test_placementloads.py
@@ -56,3 +56,16 @@
     plain = line.replace('prompt_tokens=4000', 'prompt_tokens=0')
     rows = placementload.from_log([line, plain, 'built in 3 s\n'], 2, 20)
     assert rows == [placementload.HEADER, '1000,300,4000,920']
+
+
+def test_result_is_drawn(tmp_path):
+    """Guards against a tool whose drawing fails after a long replay."""
+    drawing = tmp_path / 'out.svg'
+    placements.main(
+        LOADS / 'parana-mazas-scale-1.csv',
+        policies=('shared', 'one_placer'),
+        seeds=(1,),
+        change=('placement.TIE_COST=0.012',),
+        plot=drawing,
+    )
+    assert '<svg' in drawing.read_text()
