--- a/bench/placementworld.py
+++ b/bench/placementworld.py
@@ -103,7 +103,11 @@
 
 
 class World:
-    """Plays one load; ``sharing`` tells how hosts know of each other."""
+    """Plays one load.
+
+    ``place_delay_ms`` is added to each placement; without
+    ``shares_placements`` a host knows only its own.
+    """
 
     def __init__(self, fleet: Fleet, place_delay_ms: int = 0) -> None:
         """Build idle hosts and engines."""
