Do not blame a target for a caller that has left

The fault of the caller's connection counted as one of the target's, so the target was noted as failing and the request was sent to another one; at the end of a stream it came out as a raw trace. Change: writing to a caller raises CallerGone, which ends the request. Test: fails on the code before (two targets got the request).

--- a/bergamotstream/forwarding/calleranswer.py
+++ b/bergamotstream/forwarding/calleranswer.py
@@ -18,6 +18,13 @@
 MS_PER_S: Final = 1_000
 
 
+class CallerGone(Exception):
+    """The caller's connection has closed.
+
+    It is no ``OSError``, as which faults of a target's connection count.
+    """
+
+
 class CallerAnswer:
     """The streamed answer on one connection."""
 
@@ -37,13 +44,32 @@
         headers: multidict.CIMultiDict[str],
         encoded: bytes,
     ) -> web.StreamResponse:
-        """Write bytes; ``status`` and ``headers`` are used the first time."""
-        if self._response is None:
-            self._response = web.StreamResponse(status=status, headers=headers)
-            await self._response.prepare(self._request)
+        """Write bytes; ``status`` and ``headers`` are used the first time.
+
+        Raises :class:`CallerGone`.
+        """
+        response = self._response
+        if response is None:
+            response = web.StreamResponse(status=status, headers=headers)
+            self._response = response
+        try:
+            await self._send(response, encoded)
+        except ConnectionError as fault:
+            raise CallerGone(repr(fault)) from fault
+        return response
+
+    async def end(self, response: web.StreamResponse) -> None:
+        """End a whole answer; raises :class:`CallerGone`."""
+        try:
+            await response.write_eof()
+        except ConnectionError as fault:
+            raise CallerGone(repr(fault)) from fault
+
+    async def _send(self, response: web.StreamResponse, encoded: bytes) -> None:
+        if not response.prepared:
+            await response.prepare(self._request)
         if encoded:
-            await self._response.write(encoded)
-        return self._response
+            await response.write(encoded)
 
     def cut(self) -> web.StreamResponse:
         """Break off the connection in the middle of the answer."""
--- a/bergamotstream/forwarding/ingress.py
+++ b/bergamotstream/forwarding/ingress.py
@@ -106,6 +106,9 @@
             return self._refuse(request, facts, error)
         try:
             return await self._serve_in_time(served)
+        except calleranswer.CallerGone as gone:
+            self._outcomes.ended(served, 'caller_gone', str(gone))
+            return served.answer.cut()
         except asyncio.CancelledError:
             self._outcomes.ended(served, 'caller_gone')
             raise
@@ -393,7 +396,7 @@
         response = await served.answer.write(
             answer.status, headers, splitter.rest
         )
-        await response.write_eof()
+        await served.answer.end(response)
         dispatch.close(answer)
         self._outcomes.success(served, assignment)
         self._outcomes.ended(served, 'served')
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -4,6 +4,7 @@
 import socket
 
 import aiohttp
+import aiohttp.web
 import pytest
 
 from bergamotstream.forwarding import connections, listening
@@ -204,6 +205,32 @@
     return kit.stream_head(request) + b''.join(listed)
 
 
+async def test_caller_that_left_is_not_the_fault_of_the_target(monkeypatch):
+    """Guards against a second target for a caller that has gone.
+
+    Soak, seed 2: a host that had been stopped for a second wrote to callers
+    that had left, blamed the target and sent their requests again.
+    """
+
+    async def left(response, encoded):
+        raise aiohttp.ClientConnectionResetError('Cannot write')
+
+    async def stream(request, writer):
+        writer.write(stream_begin(request, 3) + b'0\r\n\r\n')
+
+    monkeypatch.setattr(aiohttp.web.StreamResponse, 'write', left)
+    async with (
+        kit.running_system() as system,
+        kit.raw_target(stream) as first,
+        kit.raw_target(stream) as second,
+    ):
+        await system.add_target('t1', first, service='model')
+        await system.add_target('t2', second, service='model')
+        with pytest.raises(aiohttp.ClientError):
+            await system.call('/chat/1')
+        assert len(first.received) + len(second.received) == 1
+
+
 async def test_target_is_told_when_the_caller_leaves():
     """Guards against work for a caller that has gone."""
     started = asyncio.Event()
