Use one copy of what the platform path had twice

Read again as a whole. The behaviour is the same. - Two limits divided by the most hosts seen, each with its own constant and counter: one base class, sharedlimits.SharedLimit. - calleranswer.CallerGone repeated errors.CallerGone, which now serves both. - Addresses were split by hand in hostdaemon and peerexchange, beside framing.split_address. listening keeps its own line, as imports delay it. - has_target summed the load of all targets to ask whether one is usable. - Callers' patience and the value of written tokens were copied into bench; it calls the scheduler. What is left to read was summed in two places.

--- a/bench/placementload.py
+++ b/bench/placementload.py
@@ -11,6 +11,8 @@
 from collections.abc import Iterable, Iterator
 from typing import Final, NamedTuple
 
+from bergamotstream.forwarding import scheduler
+
 FIELD: Final = re.compile(r'(\w+)=("[^"]*"|\S+)')
 LINE: Final = re.compile(r'\s*(-?\d+\.\d+) (\S+) event=ended ')
 MS_PER_S: Final = 1_000
@@ -57,7 +59,8 @@
     @property
     def size(self) -> float:
         """Return what the request is worth against the mean of its kind."""
-        tokens = self.prompt_tokens + 10 * self.answer_tokens
+        written = self.answer_tokens * scheduler.WRITTEN_TOKEN_VALUE
+        tokens = self.prompt_tokens + written
         share = tokens / self.kind.mean_tokens
         times = LEAST_SHARE + (1 - LEAST_SHARE) * share
         return min(times, MOST_TIMES)
--- a/bench/placementworld.py
+++ b/bench/placementworld.py
@@ -29,10 +29,6 @@
 MS_PER_S: Final = 1_000
 # Callers come back once after a refusal.
 MAX_ATTEMPTS: Final = 2
-# Callers give a stream up after a gap of the longest of these.
-LEAST_PATIENCE_MS: Final = 2_000
-GOALS_OF_PATIENCE: Final = 4
-PAUSES_OF_PATIENCE: Final = 8
 HINT_SPREAD: Final = 0.5
 
 
@@ -193,7 +189,7 @@
         opened.forecast_ms = assignment.forecast_ms
         self._open_by_attempt[opened.attempt_id] = opened
         self._share(opened.host)
-        patience_ms = _patience_ms(opened.arrival.kind)
+        patience_ms = scheduler.patience_ms(_route(opened.arrival.kind))
         self.time.call_after(
             patience_ms, self._give_up, opened, opened.attempt_id
         )
@@ -270,7 +266,7 @@
             opened.pause_ms = max(opened.pause_ms, pause_ms)
             if pause_ms > opened.arrival.kind.pause_goal_ms:
                 self._forget_pause_goal(opened)
-            if pause_ms > _patience_ms(opened.arrival.kind):
+            if pause_ms > scheduler.patience_ms(_route(opened.arrival.kind)):
                 self._end(opened, served=False)
         opened.last_ms = now_ms
 
@@ -329,14 +325,6 @@
     }
 
 
-def _patience_ms(kind: placementload.Kind) -> int:
-    return max(
-        LEAST_PATIENCE_MS,
-        kind.goal_ms * GOALS_OF_PATIENCE,
-        kind.pause_goal_ms * PAUSES_OF_PATIENCE,
-    )
-
-
 def _profile(service: fleetrecords.Service) -> fleetrecords.EngineProfile:
     if service.engine is None:
         raise ValueError(f'{service.name} has no engines')
--- a/bergamotstream/forwarding/calleranswer.py
+++ b/bergamotstream/forwarding/calleranswer.py
@@ -18,13 +18,6 @@
 MS_PER_S: Final = 1_000
 
 
-class CallerGone(Exception):
-    """The caller's connection has closed.
-
-    It is no ``OSError``, as which faults of a target's connection count.
-    """
-
-
 class CallerAnswer:
     """The streamed answer on one connection."""
 
@@ -46,7 +39,7 @@
     ) -> web.StreamResponse:
         """Write bytes; ``status`` and ``headers`` are used the first time.
 
-        Raises :class:`CallerGone`.
+        Raises ``CallerGone``.
         """
         response = self._response
         if response is None:
@@ -55,15 +48,15 @@
         try:
             await self._send(response, encoded)
         except ConnectionError as fault:
-            raise CallerGone(repr(fault)) from fault
+            raise errors.CallerGone(repr(fault)) from fault
         return response
 
     async def end(self, response: web.StreamResponse) -> None:
-        """End a whole answer; raises :class:`CallerGone`."""
+        """End a whole answer; raises ``CallerGone``."""
         try:
             await response.write_eof()
         except ConnectionError as fault:
-            raise CallerGone(repr(fault)) from fault
+            raise errors.CallerGone(repr(fault)) from fault
 
     async def _send(self, response: web.StreamResponse, encoded: bytes) -> None:
         if not response.prepared:
--- a/bergamotstream/forwarding/coldlimits.py
+++ b/bergamotstream/forwarding/coldlimits.py
@@ -8,29 +8,27 @@
 
 from typing import Final
 
-from bergamotstream.forwarding import fleetrecords, slidingwindows
+from bergamotstream.forwarding import (
+    fleetrecords,
+    sharedlimits,
+    slidingwindows,
+)
 
 WINDOW_MS: Final = 1_000
-# Hosts that share the limit while the others are not known.
-LEAST_HOSTS: Final = 6
 # Time for which an entry may be behind its target; source: the platform's
 # service discovery, about one heartbeat.
 ENTRY_LAG_MS: Final = 1_200
 
 
-class ColdLimits:
+class ColdLimits(sharedlimits.SharedLimit):
     """Cold targets and what this host has sent to them."""
 
     def __init__(self) -> None:
         """Start without cold targets."""
-        self._most_hosts = LEAST_HOSTS
+        super().__init__()
         self._cold_until_ms_by_id: dict[str, int] = {}
         self._sent_by_id = slidingwindows.SlidingWindows(WINDOW_MS)
 
-    def note_hosts(self, count: int) -> None:
-        """Divide by the most hosts seen."""
-        self._most_hosts = max(self._most_hosts, count)
-
     def note_entry(self, entry: fleetrecords.TargetEntry, now_ms: int) -> None:
         """Use what a target states of its start."""
         if entry.cold_ms:
@@ -56,7 +54,7 @@
             return True
         if not self.is_cold(target_id, now_ms):
             return True
-        allowed = max(service.cold_requests_per_s / self._most_hosts, 1)
+        allowed = max(self._part_of(service.cold_requests_per_s), 1)
         return self._sent_by_id.count(target_id, now_ms) + 1 <= allowed
 
     def note_sent(self, target_id: str, now_ms: int) -> None:
--- a/bergamotstream/forwarding/hostdaemon.py
+++ b/bergamotstream/forwarding/hostdaemon.py
@@ -16,7 +16,7 @@
 
 from aiohttp import web
 
-from bergamotstream import clock, errors, exporters, metrics
+from bergamotstream import clock, errors, exporters, framing, metrics
 from bergamotstream.forwarding import (
     connections,
     directory,
@@ -140,9 +140,9 @@
 
     async def _open_servers(self, entrance: ingress.Ingress) -> None:
         loop = asyncio.get_running_loop()
-        ip, _, port = self._entry.peer_address.rpartition(':')
         await loop.create_datagram_endpoint(
-            lambda: self._peers, local_addr=(ip, int(port))
+            lambda: self._peers,
+            local_addr=framing.split_address(self._entry.peer_address),
         )
         await self._serve(self._entry.peer_address, self._answer_peer)
         await self._serve(self._config.readiness_address, self._answer_ready)
--- a/bergamotstream/forwarding/ingress.py
+++ b/bergamotstream/forwarding/ingress.py
@@ -106,9 +106,6 @@
             return self._refuse(request, facts, error)
         try:
             return await self._serve_in_time(served)
-        except calleranswer.CallerGone as gone:
-            self._outcomes.ended(served, 'caller_gone', str(gone))
-            return served.answer.cut()
         except asyncio.CancelledError:
             self._outcomes.ended(served, 'caller_gone')
             raise
@@ -163,6 +160,9 @@
                 return await self._serve_tries(served)
         except TimeoutError:
             return self._fail(served, errors.DeadlinePassed())
+        except errors.CallerGone as gone:
+            self._outcomes.ended(served, gone.code, gone.detail)
+            return served.answer.cut()
         except errors.ServiceError as error:
             return self._fail(served, error)
 
--- a/bergamotstream/forwarding/peerexchange.py
+++ b/bergamotstream/forwarding/peerexchange.py
@@ -11,7 +11,7 @@
 from collections.abc import Iterable
 from typing import Any, Final, cast
 
-from bergamotstream import clock, errors
+from bergamotstream import clock, errors, framing
 from bergamotstream.forwarding import (
     commitments,
     eventlog,
@@ -105,8 +105,7 @@
         self._sequence += 1
         message = peerformat.encode(self._state(now_ms), now_ms)
         for address in self._peer_addresses():
-            ip, _, port = address.rpartition(':')
-            self._transport.sendto(message, (ip, int(port)))
+            self._transport.sendto(message, framing.split_address(address))
 
     def live_peers(self) -> list[peerformat.HostState]:
         """Return the peers that were heard lately."""
--- a/bergamotstream/forwarding/placement.py
+++ b/bergamotstream/forwarding/placement.py
@@ -160,9 +160,15 @@
     """Tell whether half of the slots are taken, or much is to be read."""
     slots = sum(candidate.entry.slots for candidate in candidates)
     requests = sum(candidate.load.requests for candidate in candidates)
-    waiting = sum(candidate.load.read_ms for candidate in candidates)
     enough_reading = BUSY_READ_MS * len(candidates)
-    return requests >= slots * BUSY_SHARE or waiting >= enough_reading
+    return (
+        requests >= slots * BUSY_SHARE
+        or _unread_ms(candidates) >= enough_reading
+    )
+
+
+def _unread_ms(candidates: Sequence[Candidate]) -> float:
+    return sum(candidate.load.read_ms for candidate in candidates)
 
 
 def choose_engines(
@@ -265,8 +271,7 @@
     long ones. Such a prompt takes 50 s of engines, in which ten usual long
     prompts are read that are worth more together.
     """
-    waiting_ms = sum(candidate.load.read_ms for candidate in candidates)
-    scarcity = waiting_ms / len(candidates) / SCARCE_READ_MS
+    scarcity = _unread_ms(candidates) / len(candidates) / SCARCE_READ_MS
     return read_ms * READ_VALUE_PER_MS * min(scarcity, 1)
 
 
--- a/bergamotstream/forwarding/retrybudget.py
+++ b/bergamotstream/forwarding/retrybudget.py
@@ -10,30 +10,28 @@
 
 from typing import Final
 
-from bergamotstream.forwarding import hostsettings, slidingwindows
+from bergamotstream.forwarding import (
+    hostsettings,
+    sharedlimits,
+    slidingwindows,
+)
 
 # Part of the budget that is used; the rest covers hosts that are not known
 # yet and requests at the border of a window.
 SAFE_SHARE: Final = 0.7
-# Hosts that share the fixed number while the others are not known.
-LEAST_HOSTS: Final = 6
 
 
-class RetryBudget:
+class RetryBudget(sharedlimits.SharedLimit):
     """Budget of one host, kept for each service."""
 
     def __init__(self, bounds: hostsettings.Bounds) -> None:
         """Start with nothing sent."""
+        super().__init__()
         self._bounds = bounds
-        self._most_hosts = LEAST_HOSTS
         window_ms = bounds.retry_window_ms
         self._requests_by_service = slidingwindows.SlidingWindows(window_ms)
         self._retries_by_service = slidingwindows.SlidingWindows(window_ms)
 
-    def note_hosts(self, count: int) -> None:
-        """Divide by the most hosts seen; hosts out of sight still retry."""
-        self._most_hosts = max(self._most_hosts, count)
-
     def note_request(self, service: str, now_ms: int) -> None:
         """Count a request of a caller."""
         self._requests_by_service.add(service, now_ms)
@@ -44,7 +42,7 @@
         retries = self._retries_by_service.count(service, now_ms)
         allowed = SAFE_SHARE * (
             requests * self._bounds.retry_ratio
-            + self._bounds.retry_slack / self._most_hosts
+            + self._part_of(self._bounds.retry_slack)
         )
         if retries + 1 > allowed:
             return False
--- a/bergamotstream/forwarding/scheduler.py
+++ b/bergamotstream/forwarding/scheduler.py
@@ -195,7 +195,8 @@
         self, job: exchangerecords.Job, excluded: Collection[str], now_ms: int
     ) -> bool:
         """Tell whether a target is left for one more try."""
-        return any(True for _ in self._candidates(job, excluded, now_ms))
+        usable = self._usable_targets(job, excluded, now_ms)
+        return next(usable, None) is not None
 
     def silence_limit_ms(
         self, job: exchangerecords.Job, now_ms: int
@@ -210,7 +211,7 @@
             return None
         if job.need is None:
             return round((job.end_ms - now_ms) * SILENT_PART)
-        return round(_patience_ms(job.route) * SILENT_PART)
+        return round(patience_ms(job.route) * SILENT_PART)
 
     def retry_after_ms(self) -> int:
         """Return a time to come back for a request that has not run."""
@@ -256,10 +257,8 @@
         now_ms: int,
     ) -> Iterator[placement.Candidate]:
         loads = self.table.loads(now_ms)
-        for entry in self.view.targets_by_id.values():
+        for entry in self._usable_targets(job, excluded, now_ms):
             target_id = entry.target_id
-            if target_id in excluded or not self._may_use(job, entry, now_ms):
-                continue
             note = self.health.note_of(target_id, now_ms)
             yield placement.Candidate(
                 entry,
@@ -270,6 +269,15 @@
                 self._chance.random(),
             )
 
+    def _usable_targets(
+        self, job: exchangerecords.Job, excluded: Collection[str], now_ms: int
+    ) -> Iterator[fleetrecords.TargetEntry]:
+        for entry in self.view.targets_by_id.values():
+            if entry.target_id not in excluded and self._may_use(
+                job, entry, now_ms
+            ):
+                yield entry
+
     def _may_use(
         self,
         job: exchangerecords.Job,
@@ -412,7 +420,7 @@
     return digest.intdigest()
 
 
-def _patience_ms(route: fleetrecords.Route) -> int:
+def patience_ms(route: fleetrecords.Route) -> int:
     """Return after which silence callers give a stream up."""
     return max(
         LEAST_PATIENCE_MS,
@@ -423,7 +431,7 @@
 
 def _patience_end_ms(job: exchangerecords.Job) -> int:
     """Return when the caller gives up without a first token."""
-    return min(job.end_ms, job.arrived_ms + _patience_ms(job.route))
+    return min(job.end_ms, job.arrived_ms + patience_ms(job.route))
 
 
 def _need_of(
@@ -461,7 +469,7 @@
             read_ms=part.read_ms,
             is_part=len(placed.parts) > 1,
             goal_ms=job.arrived_ms + job.route.goal_ms - now_ms,
-            patience_ms=min(_patience_ms(job.route), job.end_ms - now_ms),
+            patience_ms=min(patience_ms(job.route), job.end_ms - now_ms),
             writes=position == 0,
             writing=need is None,
             pause_goal_ms=need.pause_goal_ms if need else 0,
