Log the fingerprint of requests and what becomes of crash suspicions

placed, target_broken and ended name the fingerprint; placed and target_broken also the start of the target, so that two runs under one id can be told apart. New lines: crash_confirmed with its evidence, the age of the suspicion and whether it was counted; suspicion_cleared; peer_crashes when the counts of a peer change. request_blamed shows the counts behind it. No decision changes.

--- a/bergamotstream/forwarding/crashblame.py
+++ b/bergamotstream/forwarding/crashblame.py
@@ -25,6 +25,22 @@
     at_ms: int
 
 
+class Crashes(NamedTuple):
+    """Crashes under one request, by the host that counted them."""
+
+    own: int
+    reported: int
+
+
+class Verdict(NamedTuple):
+    """What became of a suspicion once its target had crashed."""
+
+    fingerprint: int
+    age_ms: int
+    # False if the suspicion was too old to be counted as a crash.
+    counted: bool
+
+
 class CrashBlame:
     """Counts crashes by the fingerprint of the request that ran."""
 
@@ -42,35 +58,51 @@
         listed = self._suspicions_by_target.setdefault(target_id, [])
         listed.append(_Suspicion(fingerprint, now_ms))
 
-    def confirm(self, target_id: str, now_ms: int) -> int:
-        """Count the suspicions of a target that crashed; return how many."""
-        recent = [
-            suspicion
+    def confirm(self, target_id: str, now_ms: int) -> list[Verdict]:
+        """Count the suspicions of a target that crashed; return them."""
+        verdicts = [
+            Verdict(
+                suspicion.fingerprint,
+                now_ms - suspicion.at_ms,
+                counted=suspicion.at_ms > now_ms - CONFIRM_MS,
+            )
             for suspicion in self._suspicions_by_target.pop(target_id, [])
-            if suspicion.at_ms > now_ms - CONFIRM_MS
         ]
-        fingerprints = {suspicion.fingerprint for suspicion in recent}
-        for fingerprint in fingerprints:
+        counted = {
+            verdict.fingerprint for verdict in verdicts if verdict.counted
+        }
+        for fingerprint in counted:
             self._crashes_by_fingerprint[fingerprint] += 1
             self._blamed_ms_by_fingerprint[fingerprint] = now_ms
-        return len(recent)
+        return verdicts
+
+    def clear_target(self, target_id: str, placed_ms: int) -> list[int]:
+        """Drop suspicions up to the placement of a request that was served.
 
-    def clear_target(self, target_id: str, placed_ms: int) -> None:
-        """Drop suspicions up to the placement of a request that was served."""
+        Returns the fingerprints of the dropped suspicions.
+        """
         listed = self._suspicions_by_target.get(target_id)
-        if listed:
-            self._suspicions_by_target[target_id] = [
-                suspicion for suspicion in listed if suspicion.at_ms > placed_ms
-            ]
+        if not listed:
+            return []
+        self._suspicions_by_target[target_id] = [
+            suspicion for suspicion in listed if suspicion.at_ms > placed_ms
+        ]
+        return [
+            suspicion.fingerprint
+            for suspicion in listed
+            if suspicion.at_ms <= placed_ms
+        ]
 
     def clear(self, fingerprint: int) -> None:
         """Drop the crashes of a request that was served."""
         self._crashes_by_fingerprint.pop(fingerprint, None)
         self._blamed_ms_by_fingerprint.pop(fingerprint, None)
 
-    def update_peer(self, name: str, crashes: Mapping[int, int]) -> None:
-        """Replace the crash counts of a peer."""
+    def update_peer(self, name: str, crashes: Mapping[int, int]) -> bool:
+        """Replace the crash counts of a peer; return whether they changed."""
+        known = self._counts_by_peer.get(name, {})
         self._counts_by_peer[name] = crashes
+        return known != crashes
 
     def own_counts(self, now_ms: int) -> Iterable[tuple[int, int]]:
         """Return the fingerprints and crash counts of this host."""
@@ -80,11 +112,15 @@
                 self.clear(fingerprint)
         return self._crashes_by_fingerprint.items()
 
-    def is_refused(self, fingerprint: int) -> bool:
-        """Tell whether the request has crashed too many targets."""
+    def crashes_of(self, fingerprint: int) -> Crashes:
+        """Return the crashes under a request that the hosts have counted."""
         reported = sum(
             crashes.get(fingerprint, 0)
             for crashes in self._counts_by_peer.values()
         )
         own = self._crashes_by_fingerprint.get(fingerprint, 0)
-        return own + reported >= REFUSE_AFTER
+        return Crashes(own, reported)
+
+    def is_refused(self, fingerprint: int) -> bool:
+        """Tell whether the request has crashed too many targets."""
+        return sum(self.crashes_of(fingerprint)) >= REFUSE_AFTER
--- a/bergamotstream/forwarding/eventlog.py
+++ b/bergamotstream/forwarding/eventlog.py
@@ -87,6 +87,11 @@
         logs.write(event, stamped)
 
 
+def hex_of(fingerprint: int) -> str:
+    """Return a fingerprint as it is logged."""
+    return f'{fingerprint:016x}'
+
+
 def install_handler() -> PipeHandler:
     """Send all lines of the process to standard output; return the handler."""
     handler = PipeHandler()
--- a/bergamotstream/forwarding/hostdaemon.py
+++ b/bergamotstream/forwarding/hostdaemon.py
@@ -27,6 +27,7 @@
     hostsettings,
     ingress,
     listensockets,
+    outcomes,
     peerexchange,
     peerfetch,
     reservations,
@@ -81,6 +82,9 @@
             config.peer_address,
             self._clock.wall_ms(),
         )
+        self._outcomes = outcomes.OutcomeRecorder(
+            self._core, self._log, self._clock, self._meters
+        )
         self._peers = peerexchange.PeerExchange(
             self._entry, self._core, self._log, self._clock
         )
@@ -103,6 +107,7 @@
                 self._log,
                 self._clock,
                 self._meters,
+                self._outcomes,
                 self._configured,
             )
             caller_ingress = ingress.Ingress(dependencies)
@@ -207,7 +212,7 @@
     def _update_target(self, target_id: str, outcome: str, now_ms: int) -> None:
         entry = self._core.view.targets_by_id.get(target_id)
         if outcome in {'gone', 'restarted', 'lapsed'}:
-            self._core.blame.confirm(target_id, now_ms)
+            self._outcomes.record_crash(target_id, outcome)
             self._core.health.forget(target_id)
         if entry is None:
             self._core.cold.forget(target_id)
--- a/bergamotstream/forwarding/ingress.py
+++ b/bergamotstream/forwarding/ingress.py
@@ -66,6 +66,7 @@
     log: eventlog.EventLog
     clock: clock.Clock
     meters: metrics.Metrics
+    outcomes: outcomes.OutcomeRecorder
     # Set once a configuration is known.
     configured: asyncio.Event
 
@@ -80,12 +81,7 @@
         self._dependencies = dependencies
         self._core = dependencies.core
         self._clock = dependencies.clock
-        self._outcomes = outcomes.OutcomeRecorder(
-            dependencies.core,
-            dependencies.log,
-            dependencies.clock,
-            dependencies.meters,
-        )
+        self._outcomes = dependencies.outcomes
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Serve one request."""
--- a/bergamotstream/forwarding/outcomes.py
+++ b/bergamotstream/forwarding/outcomes.py
@@ -53,7 +53,9 @@
         self._log.write(
             'placed',
             id=served.job.request.attempt_id,
+            fingerprint=eventlog.hex_of(served.job.fingerprint),
             target=assignment.target.target_id,
+            started_ms=assignment.target.started_ms,
             helpers=','.join(helper.target_id for helper in assignment.helpers),
             reserved=len(assignment.reservations),
             read_ms=round(assignment.prefill_ms),
@@ -124,7 +126,16 @@
         target_id = assignment.target.target_id
         self._core.health.record_success(target_id, self._clock.now_ms())
         self._core.blame.clear(served.job.fingerprint)
-        self._core.blame.clear_target(target_id, served.job.arrived_ms)
+        cleared = self._core.blame.clear_target(
+            target_id, served.job.arrived_ms
+        )
+        for fingerprint in cleared:
+            self._log.write(
+                'suspicion_cleared',
+                id=served.job.request.attempt_id,
+                target=target_id,
+                fingerprint=eventlog.hex_of(fingerprint),
+            )
 
     def record_failure(self, assignment: exchangerecords.Assignment) -> None:
         """Record an error response from the target itself."""
@@ -161,8 +172,24 @@
             target=target_id,
             fault=fault,
             pause_ms=until_ms - now_ms,
-            blamed=self._core.blame.confirm(target_id, now_ms),
         )
+        self.record_crash(target_id, 'unreachable')
+
+    def record_crash(self, target_id: str, evidence: str) -> None:
+        """Blame the requests that ran on a target for its crash."""
+        verdicts = self._core.blame.confirm(target_id, self._clock.now_ms())
+        for verdict in verdicts:
+            outcome = 'counted' if verdict.counted else 'too_old'
+            self._meters.count('crash_suspicions', outcome)
+            self._log.write(
+                'crash_confirmed',
+                target=target_id,
+                evidence=evidence,
+                fingerprint=eventlog.hex_of(verdict.fingerprint),
+                age_ms=verdict.age_ms,
+                outcome=outcome,
+                **self._core.blame.crashes_of(verdict.fingerprint)._asdict(),
+            )
 
     @record_fault.register
     def _refused(
@@ -208,6 +235,8 @@
             'target_broken',
             id=served.job.request.attempt_id,
             target=target_id,
+            fingerprint=eventlog.hex_of(served.job.fingerprint),
+            started_ms=assignment.target.started_ms,
             fault=fault,
             last_event=served.last_event_id,
         )
@@ -241,6 +270,7 @@
         self._log.write(
             'ended',
             id=job.request.attempt_id,
+            fingerprint=eventlog.hex_of(job.fingerprint),
             route=job.route.name,
             outcome=outcome,
             detail=detail,
--- a/bergamotstream/forwarding/peerexchange.py
+++ b/bergamotstream/forwarding/peerexchange.py
@@ -160,7 +160,15 @@
             self.schedule_send()
         self.peers_by_name[name] = state
         self._core.health.update_peer(state.health_estimates, now_ms)
-        self._core.blame.update_peer(name, dict(state.crash_counts))
+        counts = dict(state.crash_counts)
+        if self._core.blame.update_peer(name, counts):
+            self._log.write(
+                'peer_crashes',
+                peer=name,
+                incarnation=state.entry.incarnation,
+                fingerprints=','.join(map(eventlog.hex_of, counts)),
+                crashes=sum(counts.values()),
+            )
 
     def _expire_silent_peers(self) -> None:
         for name in self._core.table.remove_silent_peers(self._clock.now_ms()):
--- a/bergamotstream/forwarding/scheduler.py
+++ b/bergamotstream/forwarding/scheduler.py
@@ -117,7 +117,10 @@
     def check_blame(self, fingerprint: int) -> None:
         """Raise ``RequestBlamed`` for a request that crashes targets."""
         if self.blame.is_refused(fingerprint):
+            crashes = self.blame.crashes_of(fingerprint)
             raise errors.RequestBlamed(
+                f'fingerprint={fingerprint:016x}'
+                f' own={crashes.own} reported={crashes.reported}',
                 retry_after_ms=crashblame.BLAME_MS,
             )
 
--- a/tests/test_forwardingcore.py
+++ b/tests/test_forwardingcore.py
@@ -167,7 +167,7 @@
     """Guards against a request that crashes one target after another."""
     blame = crashblame.CrashBlame()
     blame.suspect('t1', 42, 0)
-    assert blame.confirm('t1', 100) == 1
+    assert len(blame.confirm('t1', 100)) == 1
     assert not blame.is_refused(42)
     blame.update_peer('h2', {42: 1})
     assert blame.is_refused(42)
