--- /dev/null
+++ b/tests/crashkit.py
@@ -0,0 +1,347 @@
+"""Hosts, targets that a request crashes, and a store, in virtual time."""
+
+import asyncio
+import random
+from typing import NamedTuple
+
+import aiohttp
+
+from bergamotstream import clock, errors, metrics
+from bergamotstream.forwarding import (
+    dispatch,
+    eventlog,
+    fleetrecords,
+    ingress,
+    outcomes,
+    peerexchange,
+    requeststate,
+    scheduler,
+)
+from bergamotstream.platform import store
+from tests import platformkit as kit
+
+# The operators' bounds: after a request has crashed this many targets, it may
+# reach this many more, not counting those within CONTACT_MS.
+CRASHES = 3
+MAX_LATER_SENDS = 3
+CONTACT_MS = 3_000
+STEP_MS = 50
+EXCHANGE_INTERVAL_MS = 150
+LAPSE_MS = 3 * 1_200
+RESTART_MS = 4_000
+
+
+class Target(NamedTuple):
+    """One run of a target."""
+
+    target_id: str
+    address: str
+    born: int
+    is_up: bool = True
+    ended_ms: int = 0
+
+
+class Load(NamedTuple):
+    """Requests of callers."""
+
+    # Each interval, the crashing request comes to one host, and an ordinary
+    # one to each host.
+    crashing_interval_ms: int = 1_000
+    ordinary_interval_ms: int = 150
+    path: str = '/lookup/666'
+
+
+class Sent(NamedTuple):
+    """A crashing request that reached a target."""
+
+    at_ms: int
+    target_id: str
+    # Whether the operators' bound covers it: its host and the store had been
+    # without faults for CONTACT_MS.
+    in_contact: bool
+
+
+class Store:
+    """Items by revision; hosts apply them unless the store is away."""
+
+    def __init__(self):
+        self.revision = 0
+        self.items_by_key = {}
+        self.log = []
+        self.away = False
+
+    def put(self, key, document):
+        self.revision += 1
+        item = store.Item(key, self.revision, document)
+        if document is None:
+            self.items_by_key.pop(key, None)
+        else:
+            self.items_by_key[key] = item
+        self.log.append(item)
+
+
+class Host:
+    """The decisions of one host, without its sockets."""
+
+    def __init__(self, fleet, name):
+        self.name = name
+        self.fleet = fleet
+        self.cut_ms = -CONTACT_MS
+        self.is_cut = False
+        self.started_ms = fleet.clock.now_ms()
+        self.core = scheduler.Scheduler(
+            kit.make_settings(name=name), random.Random(fleet.rng.random())
+        )
+        self.log = eventlog.EventLog(fleet.clock)
+        entry = fleetrecords.HostEntry(
+            name, 'z', f'{name}:1', f'{name}:2', self.started_ms
+        )
+        self.peers = peerexchange.PeerExchange(
+            entry, self.core, self.log, fleet.clock
+        )
+        meters = metrics.Metrics()
+        self.outcomes = outcomes.OutcomeRecorder(
+            self.core, self.log, fleet.clock, meters
+        )
+        self.ingress = ingress.Ingress(
+            ingress.Dependencies(
+                self.core,
+                self,
+                _NoReservations(),
+                self.peers,
+                self.log,
+                fleet.clock,
+                meters,
+                self.outcomes,
+                None,
+            )
+        )
+        self._away_since_ms = None
+
+    async def send(self, outgoing):
+        """Stand in for the dispatcher."""
+        self.fleet.deliver(outgoing, self)
+
+    def read_store(self):
+        """Apply the items of the store as the watch does."""
+        now_ms = self.fleet.clock.now_ms()
+        if self.fleet.store.away:
+            if self._away_since_ms is None:
+                self._away_since_ms = now_ms
+            return
+        view = self.core.view
+        view.store_answered_ms = now_ms
+        if self._away_since_ms is not None:
+            view.hold_after_reconnect(now_ms)
+            self._away_since_ms = None
+        if not view.revision:
+            items = tuple(self.fleet.store.items_by_key.values())
+            page = store.Page(items, self.fleet.store.revision)
+            changes = view.replace_all(page, now_ms)
+        else:
+            items = tuple(
+                item
+                for item in self.fleet.store.log
+                if item.revision > view.revision
+            )
+            page = store.Page(items, self.fleet.store.revision)
+            changes = view.apply_changes(page, now_ms)
+        self._report([*changes, *view.drop_lapsed(now_ms)])
+
+    def _report(self, changes):
+        for change in changes:
+            kind, _, name = change.subject.partition(':')
+            ended = change.outcome in {'gone', 'restarted', 'lapsed'}
+            if kind == 'target' and ended:
+                self.outcomes.record_crash(name, change.outcome)
+                self.core.health.forget(name)
+
+    def exchange(self, others):
+        """Send the state to all peers."""
+        self.peers._sequence += 1
+        now_ms = self.fleet.clock.now_ms()
+        state = self.peers._state(now_ms)
+        message = peerexchange.peerformat.encode(state, now_ms)
+        for other in others:
+            if other is not self and not (self.is_cut or other.is_cut):
+                other.peers.datagram_received(message, self.name)
+
+    async def call(self, path, body, attempt_id):
+        """Send a request; return the code of its failure."""
+        request = kit.make_request(path, **{kit.ATTEMPT: attempt_id})
+        now_ms = self.fleet.clock.now_ms()
+        job = self.core.admit(request, now_ms)
+        fingerprint = scheduler.fingerprint_of(request, body)
+        job = job._replace(fingerprint=fingerprint)
+        state = requeststate.RequestState(job, body, None)
+        try:
+            self.core.check_blame(fingerprint)
+            await self.ingress._serve_with_retries(state)
+        except errors.ServiceError as error:
+            return error.code
+        except asyncio.CancelledError:
+            return 'caller_gone'
+
+    def serve_ordinary(self, attempt_id):
+        """Serve a request that crashes nothing."""
+        request = kit.make_request('/lookup/9', **{kit.ATTEMPT: attempt_id})
+        now_ms = self.fleet.clock.now_ms()
+        job = self.core.admit(request, now_ms)
+        job = job._replace(fingerprint=hash(attempt_id) & 0xFFFF_FFFF)
+        state = requeststate.RequestState(job, b'', None)
+        try:
+            assignment = self.core.place(job, (), now_ms)
+        except errors.ServiceError:
+            return
+        self.outcomes.record_placement(state, assignment)
+        self.core.release(assignment)
+        fault = self.fleet.fault_of(assignment.target)
+        if fault is None:
+            self.outcomes.record_success(state, assignment)
+        else:
+            self.outcomes.record_fault(fault, state, assignment)
+
+
+class _NoReservations:
+    def held(self, reservations):
+        return _Nothing()
+
+
+class _Nothing:
+    async def __aenter__(self):
+        return None
+
+    async def __aexit__(self, *fault):
+        return None
+
+
+class Fleet:
+    """Hosts before targets; one request crashes each target that runs it."""
+
+    def __init__(self, hosts=4, targets=12, seed=1, same_id=False, **load):
+        self.clock = clock.ManualClock(1_000_000)
+        self.rng = random.Random(seed)
+        self.store = Store()
+        self.sent = []
+        self.codes = []
+        # The last time at which the store was away.
+        self.store_away_ms = -CONTACT_MS
+        self._same_id = same_id
+        self._load = Load(**load)
+        self._calls = 0
+        self._crashes_silently = False
+        self.store.put('op/config', kit.configuration_document())
+        self.targets_by_address = {}
+        for number in range(targets):
+            target = Target(f't{number}', f'10.0.0.{number + 1}:80', number + 1)
+            self._start_target(target)
+        self.hosts_by_name = {}
+        for number in range(hosts):
+            self.start_host(f'h{number}')
+
+    def start_host(self, name):
+        """Start a host, or replace its process."""
+        host = Host(self, name)
+        self.hosts_by_name[name] = host
+        host.read_store()
+
+    def crash_silently(self):
+        """Leave connections open at a crash; the caller disconnects."""
+        self._crashes_silently = True
+
+    def fault_of(self, entry):
+        """Return what a request to an entry meets, ``None`` for success."""
+        target = self.targets_by_address[entry.address]
+        if not target.is_up:
+            return dispatch.TargetUnreachable(
+                aiohttp.ClientConnectorError(None, ConnectionRefusedError())
+            )
+        if target.target_id != entry.target_id:
+            return dispatch.TargetRefused(421, '')
+        return None
+
+    def deliver(self, outgoing, host):
+        """Crash the target that the request reaches."""
+        entry = outgoing.assignment.target
+        fault = self.fault_of(entry)
+        if fault is not None:
+            raise fault
+        now_ms = self.clock.now_ms()
+        self.sent.append(
+            Sent(now_ms, entry.target_id, self._is_in_contact(host))
+        )
+        self.targets_by_address[entry.address] = self.targets_by_address[
+            entry.address
+        ]._replace(is_up=False, ended_ms=now_ms)
+        if self._crashes_silently:
+            raise asyncio.CancelledError
+        raise dispatch.TargetBroken('connection reset')
+
+    async def run(self, duration_ms):
+        """Advance the time; the request comes again at any host."""
+        end_ms = self.clock.now_ms() + duration_ms
+        while self.clock.now_ms() < end_ms:
+            self.clock.advance(STEP_MS)
+            await self._step(self.clock.now_ms())
+
+    async def _step(self, now_ms):
+        if self.store.away:
+            self.store_away_ms = now_ms
+        self._move_targets(now_ms)
+        hosts = list(self.hosts_by_name.values())
+        for host in hosts:
+            host.cut_ms = now_ms if host.is_cut else host.cut_ms
+            host.read_store()
+        if not now_ms % EXCHANGE_INTERVAL_MS:
+            for host in hosts:
+                host.exchange(hosts)
+        if not now_ms % self._load.ordinary_interval_ms:
+            for host in hosts:
+                self._calls += 1
+                host.serve_ordinary(f'o{self._calls}')
+        if not now_ms % self._load.crashing_interval_ms:
+            await self._call_crashing(self.rng.choice(hosts))
+
+    async def _call_crashing(self, host):
+        self._calls += 1
+        code = await host.call(self._load.path, b'crash', f'p{self._calls}')
+        self.codes.append(code)
+
+    def _move_targets(self, now_ms):
+        for target in tuple(self.targets_by_address.values()):
+            if target.is_up:
+                continue
+            ended_for_ms = now_ms - target.ended_ms
+            if ended_for_ms >= RESTART_MS:
+                name = target.target_id
+                if not self._same_id:
+                    name = f'{name.partition("-")[0]}-{now_ms}'
+                self._start_target(Target(name, target.address, now_ms))
+                self._remove_entry(target, unless=name)
+            elif ended_for_ms >= LAPSE_MS and not self._same_id:
+                self._remove_entry(target)
+
+    def _remove_entry(self, target, unless=''):
+        key = f'servers/{target.target_id}'
+        if target.target_id != unless and key in self.store.items_by_key:
+            self.store.put(key, None)
+
+    def _start_target(self, target):
+        self.targets_by_address[target.address] = target
+        document = kit.target_document(target.address, born=target.born)
+        self.store.put(f'servers/{target.target_id}', document)
+
+    def later_sends(self):
+        """Return the sends that count against the operators' bound."""
+        if len(self.sent) < CRASHES:
+            return []
+        counted_from_ms = self.sent[CRASHES - 1].at_ms + CONTACT_MS
+        return [
+            sent
+            for sent in self.sent[CRASHES:]
+            if sent.at_ms > counted_from_ms and sent.in_contact
+        ]
+
+    def _is_in_contact(self, host):
+        faulty_ms = max(self.store_away_ms, host.started_ms, host.cut_ms)
+        return self.clock.now_ms() - faulty_ms > CONTACT_MS
