Keep the blame of crashing requests when hosts end

Cause: the crashes were known only to the process that had counted them. A host sent its own counts, its peers replaced them by the empty ones of its next process, and a host that started knew nothing until it counted itself. Each restart therefore cost more targets than the operators allow.

--- a/bergamotstream/forwarding/fleetview.py
+++ b/bergamotstream/forwarding/fleetview.py
@@ -140,6 +140,7 @@
             (protocol.ZONES_OUT_PREFIX, self._apply_zone_out),
             (protocol.TARGETS_PREFIX, self._apply_target),
             (protocol.HOSTS_PREFIX, self._apply_host),
+            (protocol.BLAMED_PREFIX, self._apply_blamed),
         )
 
     def _is_known(self, item: store.Item) -> bool:
@@ -272,6 +273,13 @@
             return
         yield Change(f'host:{name}', 'registered', item.revision)
 
+    def _apply_blamed(
+        self, item: store.Item, rest: str, now_ms: int
+    ) -> Iterator[Change]:
+        """Report a blamed request; hosts forget it by themselves."""
+        if item.document is not None:
+            yield Change(f'blamed:{rest}', 'recorded', item.revision)
+
 
 def _target_outcome(
     known: fleetrecords.TargetEntry | None, entry: fleetrecords.TargetEntry
--- a/bergamotstream/forwarding/hostdaemon.py
+++ b/bergamotstream/forwarding/hostdaemon.py
@@ -18,6 +18,7 @@
 
 from bergamotstream import clock, errors, exporters, framing, metrics
 from bergamotstream.forwarding import (
+    blamerecords,
     connections,
     directory,
     dispatch,
@@ -130,6 +131,13 @@
                 peerfetch.PeerFetch(
                     pooled, self._peers, self._core, self._log, self._clock
                 ).run(self._handle_changes),
+                blamerecords.BlameRecords(
+                    client,
+                    self._core.view,
+                    self._core.blame,
+                    self._log,
+                    self._clock,
+                ).run(),
                 self._drop_lapsed_targets(),
             )
             await self._stop_requested.wait()
@@ -197,6 +205,8 @@
             kind, _, name = change.subject.partition(':')
             if kind == 'target':
                 self._update_target(name, change.outcome, now_ms)
+            elif kind == 'blamed':
+                self._outcomes.record_blamed(name)
         if changes:
             self._peers.schedule_delayed_send()
             self._check_readiness()
--- a/bergamotstream/forwarding/ingress.py
+++ b/bergamotstream/forwarding/ingress.py
@@ -122,7 +122,7 @@
         self._check_headers(request)
         body = await self._read_body(request)
         fingerprint = scheduler.fingerprint_of(caller_request, body)
-        self._core.check_blame(fingerprint)
+        self._core.check_blame(fingerprint, now_ms)
         job = job._replace(fingerprint=fingerprint)
         self._core.check_shutdown(job, self.stop, now_ms)
         return requeststate.RequestState(
--- a/bergamotstream/forwarding/outcomes.py
+++ b/bergamotstream/forwarding/outcomes.py
@@ -12,6 +12,7 @@
 
 from bergamotstream import clock, metrics
 from bergamotstream.forwarding import (
+    crashblame,
     dispatch,
     eventlog,
     exchangerecords,
@@ -19,7 +20,7 @@
     reservations,
     scheduler,
 )
-
+from bergamotstream.platform import documents
 
 # Inter-event gaps per sample of a target's speed.
 GAP_SAMPLES: Final = 5
@@ -191,6 +192,21 @@
                 **self._core.blame.crashes_of(verdict.fingerprint)._asdict(),
             )
 
+    def record_blamed(self, fingerprint_text: str) -> None:
+        """Refuse the request of a record in the store."""
+        try:
+            fingerprint = documents.decode_blamed_key(fingerprint_text)
+        except documents.Undecodable as fault:
+            self._log.write('blame_unreadable', fault=fault)
+            return
+        entry = crashblame.Blamed(fingerprint, 0)
+        for added in self._core.blame.blame((entry,), self._clock.now_ms()):
+            self._log.write(
+                'blame_learned',
+                fingerprint=eventlog.hex_of(added),
+                source='store',
+            )
+
     @record_fault.register
     def _refused(
         self,
--- a/bergamotstream/forwarding/peerexchange.py
+++ b/bergamotstream/forwarding/peerexchange.py
@@ -14,6 +14,7 @@
 from bergamotstream import clock, errors, framing
 from bergamotstream.forwarding import (
     commitments,
+    crashblame,
     eventlog,
     fleetrecords,
     peerformat,
@@ -126,6 +127,9 @@
             health_estimates=tuple(self._core.health.own_estimates(now_ms)),
             crash_counts=tuple(self._core.blame.own_counts(now_ms)),
             store_answered_ms=self._core.view.store_answered_ms,
+            blamed_requests=tuple(
+                self._core.blame.blamed(now_ms)[: crashblame.MAX_SHARED]
+            ),
         )
 
     def _peer_addresses(self) -> Iterable[str]:
@@ -160,15 +164,26 @@
             self.schedule_send()
         self.peers_by_name[name] = state
         self._core.health.update_peer(state.health_estimates, now_ms)
+        self._apply_blame(state, now_ms)
+
+    def _apply_blame(self, state: peerformat.HostState, now_ms: int) -> None:
+        blame, name = self._core.blame, state.entry.name
         counts = dict(state.crash_counts)
-        if self._core.blame.update_peer(name, counts):
+        process = crashblame.PeerProcess(name, state.entry.incarnation)
+        if blame.update_peer(process, counts, now_ms):
             self._log.write(
                 'peer_crashes',
                 peer=name,
-                incarnation=state.entry.incarnation,
+                incarnation=process.incarnation,
                 fingerprints=','.join(map(eventlog.hex_of, counts)),
                 crashes=sum(counts.values()),
             )
+        for fingerprint in blame.blame(state.blamed_requests, now_ms):
+            self._log.write(
+                'blame_learned',
+                fingerprint=eventlog.hex_of(fingerprint),
+                source=name,
+            )
 
     def _expire_silent_peers(self) -> None:
         for name in self._core.table.remove_silent_peers(self._clock.now_ms()):
--- a/bergamotstream/forwarding/peerformat.py
+++ b/bergamotstream/forwarding/peerformat.py
@@ -14,6 +14,7 @@
 from bergamotstream import errors
 from bergamotstream.forwarding import (
     commitments,
+    crashblame,
     fleetrecords,
     targethealth,
 )
@@ -35,6 +36,7 @@
     crash_counts: tuple[tuple[int, int], ...]
     # When the store last answered the sender.
     store_answered_ms: int
+    blamed_requests: tuple[crashblame.Blamed, ...] = ()
 
 
 def encode(state: HostState, now_ms: int) -> bytes:
@@ -65,6 +67,10 @@
             {'fingerprint': fingerprint, 'crashes': crashes}
             for fingerprint, crashes in state.crash_counts
         ],
+        blamed=[
+            {'fingerprint': entry.fingerprint, 'ageMs': entry.age_ms}
+            for entry in state.blamed_requests
+        ],
     )
     encoded: bytes = message.to_bytes_packed()
     return encoded
@@ -104,6 +110,10 @@
             (entry.fingerprint, entry.crashes) for entry in message.crashes
         ),
         store_answered_ms=now_ms - message.storeAgeMs,
+        blamed_requests=tuple(
+            crashblame.Blamed(entry.fingerprint, entry.ageMs)
+            for entry in message.blamed
+        ),
     )
 
 
--- a/bergamotstream/forwarding/peers.capnp
+++ b/bergamotstream/forwarding/peers.capnp
@@ -16,6 +16,7 @@
   crashes @10 :List(CrashCount);
   # Time since the store last answered this host.
   storeAgeMs @11 :UInt32;
+  blamed @12 :List(BlamedRequest);
 }
 
 struct Commitment {
@@ -45,6 +46,14 @@
   refusingMs @3 :UInt32;
 }
 
+# A request that all hosts refuse, as it crashes targets.
+struct BlamedRequest {
+  fingerprint @0 :UInt64;
+  # Time since it was last received.
+  ageMs @1 :UInt32;
+}
+
+# Crashes that the sender has counted.
 struct CrashCount {
   fingerprint @0 :UInt64;
   crashes @1 :UInt32;
--- a/bergamotstream/forwarding/scheduler.py
+++ b/bergamotstream/forwarding/scheduler.py
@@ -114,9 +114,9 @@
         self.budget.record_request(service.name, now_ms)
         return make_job(request, route, service, workspace, now_ms)
 
-    def check_blame(self, fingerprint: int) -> None:
+    def check_blame(self, fingerprint: int, now_ms: int) -> None:
         """Raise ``RequestBlamed`` for a request that crashes targets."""
-        if self.blame.is_refused(fingerprint):
+        if self.blame.is_refused(fingerprint, now_ms):
             crashes = self.blame.crashes_of(fingerprint)
             raise errors.RequestBlamed(
                 f'fingerprint={fingerprint:016x}'
--- a/bergamotstream/forwarding/storetasks.py
+++ b/bergamotstream/forwarding/storetasks.py
@@ -157,10 +157,9 @@
             await self._client.renew_lease(self._lease)
             return
         lease = await self._client.open_lease(LEASE_TTL_MS)
-        await self._client.put(
-            protocol.HOSTS_PREFIX + self._entry.name,
-            documents.encode_host_entry(self._entry),
-            lease,
+        key = protocol.HOSTS_PREFIX + self._entry.name
+        await self._client.put_all(
+            {key: documents.encode_host_entry(self._entry)}, lease
         )
         self._lease = lease
         self._log.write('registered', lease=lease)
--- a/bergamotstream/platform/documents.py
+++ b/bergamotstream/platform/documents.py
@@ -222,3 +222,19 @@
         'incarnation': entry.incarnation,
     }
     return json.dumps(body).encode()
+
+
+def blamed_key(fingerprint: int) -> str:
+    """Return the key of the record of a blamed request."""
+    return f'{protocol.BLAMED_PREFIX}{fingerprint:016x}'
+
+
+def decode_blamed_key(rest: str) -> int:
+    """Return the fingerprint of a blamed request.
+
+    ``rest`` is its key without the prefix; raises :class:`Undecodable`.
+    """
+    try:
+        return int(rest, base=16)
+    except ValueError as fault:
+        raise Undecodable(f'blamed request: {fault}') from fault
--- a/bergamotstream/platform/protocol.py
+++ b/bergamotstream/platform/protocol.py
@@ -69,6 +69,7 @@
 ZONES_OUT_PREFIX = 'op/evacuate/'
 TARGETS_PREFIX = 'servers/'
 HOSTS_PREFIX = 'bergamotstream/hosts/'
+BLAMED_PREFIX = 'bergamotstream/blamed/'
 
 KIND_IDEMPOTENT = 'idempotent'
 KIND_STREAMING = 'streaming'
--- a/bergamotstream/platform/store.py
+++ b/bergamotstream/platform/store.py
@@ -123,17 +123,22 @@
             'DELETE', f'/kv-lease-end/{lease}', expected=(OK, NOT_FOUND)
         )
 
-    async def put(self, key: str, document: bytes, lease: int) -> None:
-        """Write a key unconditionally; raises ``LeaseGone``."""
-        encoded = base64.b64encode(document).decode()
+    async def put_all(
+        self, documents_by_key: Mapping[str, bytes], lease: int
+    ) -> None:
+        """Write keys unconditionally under a lease; raises ``LeaseGone``."""
+        writes = [
+            {
+                'key': key,
+                'value': base64.b64encode(document).decode(),
+                'lease': lease,
+            }
+            for key, document in documents_by_key.items()
+        ]
         status, _ = await self._call(
             'POST',
             '/kv-txn',
-            {
-                'expected': [],
-                'writes': [{'key': key, 'value': encoded, 'lease': lease}],
-                'deletes': [],
-            },
+            {'expected': [], 'writes': writes, 'deletes': []},
             expected=(OK, NOT_FOUND),
         )
         if status == NOT_FOUND:
--- a/tests/crashkit.py
+++ b/tests/crashkit.py
@@ -8,6 +8,7 @@
 
 from bergamotstream import clock, errors, metrics
 from bergamotstream.forwarding import (
+    blamerecords,
     dispatch,
     eventlog,
     fleetrecords,
@@ -27,6 +28,7 @@
 CONTACT_MS = 3_000
 STEP_MS = 50
 EXCHANGE_INTERVAL_MS = 150
+RECORD_INTERVAL_MS = 250
 LAPSE_MS = 3 * 1_200
 RESTART_MS = 4_000
 
@@ -116,8 +118,26 @@
                 None,
             )
         )
+        self.records = blamerecords.BlameRecords(
+            self,
+            self.core.view,
+            self.core.blame,
+            self.log,
+            fleet.clock,
+        )
         self._away_since_ms = None
 
+    async def open_lease(self, ttl_ms):
+        """Stand in for the client of the store."""
+        if self.fleet.store.away:
+            raise store.StoreUnavailable('away')
+        return 1
+
+    async def put_all(self, documents_by_key, lease):
+        """Write records, which do not expire here."""
+        for key, document in documents_by_key.items():
+            self.fleet.store.put(key, document)
+
     async def send(self, outgoing):
         """Stand in for the dispatcher."""
         self.fleet.deliver(outgoing, self)
@@ -151,6 +171,8 @@
     def _report(self, changes):
         for change in changes:
             kind, _, name = change.subject.partition(':')
+            if kind == 'blamed':
+                self.outcomes.record_blamed(name)
             ended = change.outcome in {'gone', 'restarted', 'lapsed'}
             if kind == 'target' and ended:
                 self.outcomes.record_crash(name, change.outcome)
@@ -175,7 +197,7 @@
         job = job._replace(fingerprint=fingerprint)
         state = requeststate.RequestState(job, body, None)
         try:
-            self.core.check_blame(fingerprint)
+            self.core.check_blame(fingerprint, now_ms)
             await self.ingress._serve_with_retries(state)
         except errors.ServiceError as error:
             return error.code
@@ -295,6 +317,9 @@
         if not now_ms % EXCHANGE_INTERVAL_MS:
             for host in hosts:
                 host.exchange(hosts)
+        if not now_ms % RECORD_INTERVAL_MS:
+            for host in hosts:
+                await host.records.write_missing()
         if not now_ms % self._load.ordinary_interval_ms:
             for host in hosts:
                 self._calls += 1
--- a/tests/platformkit.py
+++ b/tests/platformkit.py
@@ -282,23 +282,25 @@
         )
         self.settings = []
         self.daemons = []
-        self._daemon_tasks = []
+        self.daemon_tasks = []
 
     async def start(self, hosts=1, document=None):
         """Start the store with a configuration, then the hosts."""
         await self.store.start()
         await self.store.put('op/config', document or configuration_document())
+        async with asyncio.TaskGroup() as starting:
+            for number in range(hosts):
+                starting.create_task(self.start_host(f'host-{number}'))
+
+    async def start_host(self, name):
+        """Start a host and wait until it serves."""
         store_address = '{0}:{1}'.format(*self.store._listener._address)
-        for number in range(hosts):
-            settings = make_settings(
-                store_address, f'host-{number}', stop_grace_ms=1_700
-            )
-            self.settings.append(settings)
-            daemon = make_daemon(settings)
-            self.daemons.append(daemon)
-            self._daemon_tasks.append(asyncio.ensure_future(daemon.run()))
-        for settings in self.settings:
-            await self.until_ready(settings)
+        settings = make_settings(store_address, name, stop_grace_ms=1_700)
+        self.settings.append(settings)
+        daemon = make_daemon(settings)
+        self.daemons.append(daemon)
+        self.daemon_tasks.append(asyncio.ensure_future(daemon.run()))
+        await self.until_ready(settings)
 
     async def until_ready(self, settings):
         """Wait until a host serves."""
@@ -362,9 +364,9 @@
 
     async def stop(self):
         """Stop the hosts and the store."""
-        for task in self._daemon_tasks:
+        for task in self.daemon_tasks:
             task.cancel()
-        await asyncio.gather(*self._daemon_tasks, return_exceptions=True)
+        await asyncio.gather(*self.daemon_tasks, return_exceptions=True)
         await self.store.stop()
 
 
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -7,8 +7,9 @@
 import aiohttp.web
 import pytest
 
-from bergamotstream.forwarding import connections, listensockets
-from bergamotstream.platform import store
+from bergamotstream import clock
+from bergamotstream.forwarding import connections, crashblame, listensockets
+from bergamotstream.platform import documents, store
 from tests import platformkit as kit
 
 
@@ -408,6 +409,21 @@
         await system.until(lambda: second.configuration.version == 9, 1.5)
 
 
+async def test_host_that_starts_alone_reads_the_blame_records():
+    """Guards against blame that ends with the last host that knew of it."""
+    async with kit.running_system() as system:
+        blamed = crashblame.Blamed(42, 0)
+        system.daemons[0]._core.blame.blame([blamed], clock.Clock().now_ms())
+        key = documents.blamed_key(42)
+        await system.until(lambda: key in system.store.kv.items_by_key)
+        first_task = system.daemon_tasks[0]
+        first_task.cancel()
+        await asyncio.wait([first_task])
+        await system.start_host('host-1')
+        now_ms = clock.Clock().now_ms()
+        assert system.daemons[1]._core.blame.is_refused(42, now_ms)
+
+
 async def test_stop_withdraws_from_the_directory_and_drains_requests():
     """Guards against a graceful shutdown that aborts a request."""
 
--- a/tests/test_forwardingcore.py
+++ b/tests/test_forwardingcore.py
@@ -133,6 +133,7 @@
         (targethealth.HealthEstimate('t1', 0.5, 2.0),),
         ((2**63, 2),),
         60,
+        (crashblame.Blamed(2**64 - 1, 70),),
     )
     decoded = peerformat.decode(peerformat.encode(state, 100), 100)
     assert (
@@ -168,9 +169,9 @@
     blame = crashblame.CrashBlame()
     blame.suspect('t1', 42, 0)
     assert len(blame.confirm('t1', 100)) == 1
-    assert not blame.is_refused(42)
-    blame.update_peer('h2', {42: 1})
-    assert blame.is_refused(42)
+    assert not blame.is_refused(42, 100)
+    blame.update_peer(crashblame.PeerProcess('h2', 1), {42: 1}, 100)
+    assert blame.is_refused(42, 100)
 
 
 def test_broken_connection_of_a_live_target_is_no_crash():
@@ -180,7 +181,7 @@
         blame.suspect('t1', 42, at_ms)
     blame.clear_target('t1', 10)
     blame.confirm('t1', 20)
-    assert not blame.is_refused(42)
+    assert not blame.is_refused(42, 20)
 
 
 @pytest.mark.parametrize(
