Blame a crashing request for as long as it is received

Crash counts ended 60 s after the last crash, so a request that came all the time crashed two to four more targets each minute.

--- a/bergamotstream/forwarding/crashblame.py
+++ b/bergamotstream/forwarding/crashblame.py
@@ -195,7 +195,10 @@
     def is_refused(self, fingerprint: int, now_ms: int) -> bool:
         """Tell whether a request that was received now is blamed."""
         received_ms = self._received_ms_by_blamed.get(fingerprint)
-        return received_ms is not None and received_ms > now_ms - BLAME_MS
+        if received_ms is None or received_ms <= now_ms - BLAME_MS:
+            return False
+        self._received_ms_by_blamed[fingerprint] = now_ms
+        return True
 
     def _blame_counted(self, fingerprints: Iterable[int], now_ms: int) -> None:
         for fingerprint in fingerprints:
