Count each crashed target once and spare requests that are served

Identical requests of one caller have one fingerprint. Hosts added up plain counts, so two hosts that had one such request each on the same target blamed it for one crash, and since the blame lasts while the request comes, a common lookup would never have been served again.

A crash is now named by the fingerprint and the run of its target, a hash of id and start, so that reports of several hosts about one target count once. A host that has served a request which a peer blames tells so for 5 s, and the others lift the blame.

--- a/bergamotstream/forwarding/crashblame.py
+++ b/bergamotstream/forwarding/crashblame.py
@@ -9,11 +9,19 @@
 
 Blame outlives the hosts that counted. Each host keeps the counts of peers that
 have ended and sends all blamed requests, and the store has a record of each.
+
+Callers may send identical requests, which have one fingerprint. A crashed
+target counts once for all of them, and a success of one clears the others.
 """
 
 import collections
-from collections.abc import Iterable, Mapping
-from typing import Final, NamedTuple
+import itertools
+from collections.abc import Iterable
+from typing import Any, Final, NamedTuple
+
+import xxhash
+
+from bergamotstream.forwarding import fleetrecords
 
 # Crashes after which a request is refused; the operators count three.
 REFUSE_AFTER: Final = 2
@@ -25,18 +33,23 @@
 CONFIRM_MS: Final = 6_000
 # Maximum blamed requests in a message to peers; the latest ones are sent.
 MAX_SHARED: Final = 64
+# Maximum requests whose success is remembered.
+MAX_SERVED: Final = 8_192
+# Time for which peers are told that a request they blame was served.
+DISPUTE_MS: Final = 5_000
 
 
-class _Suspicion(NamedTuple):
-    fingerprint: int
-    at_ms: int
+class Crash(NamedTuple):
+    """A run of a target that crashed under a request."""
 
+    fingerprint: int
+    # Hash of the target's id and start, the same on all hosts.
+    run: int
 
-class Crashes(NamedTuple):
-    """Crashes under one request, by the host that counted them."""
 
-    own: int
-    reported: int
+class _Suspicion(NamedTuple):
+    crash: Crash
+    at_ms: int
 
 
 class Verdict(NamedTuple):
@@ -62,8 +75,17 @@
     incarnation: int
 
 
-class _Reported(NamedTuple):
-    crashes: Mapping[int, int]
+class Report(NamedTuple):
+    """What the process of a host tells its peers."""
+
+    crashes: frozenset[Crash] = frozenset()
+    blamed: tuple[Blamed, ...] = ()
+    # Fingerprints that a peer blames and that were served here.
+    served: tuple[int, ...] = ()
+
+
+class _Heard(NamedTuple):
+    crashes: frozenset[Crash]
     at_ms: int
 
 
@@ -73,36 +95,40 @@
     def __init__(self) -> None:
         """Start without suspicions."""
         self._suspicions_by_target: dict[str, list[_Suspicion]] = {}
-        self._crashes_by_fingerprint: collections.Counter[int] = (
-            collections.Counter()
-        )
-        self._counted_ms_by_fingerprint: dict[int, int] = {}
-        self._reported_by_process: dict[PeerProcess, _Reported] = {}
+        self._counted_ms_by_crash: dict[Crash, int] = {}
+        self._heard_by_process: dict[PeerProcess, _Heard] = {}
         self._received_ms_by_blamed: dict[int, int] = {}
+        self._served_ms_by_fingerprint: collections.OrderedDict[int, int] = (
+            collections.OrderedDict()
+        )
+        self._disputed_ms_by_fingerprint: dict[int, int] = {}
 
-    def suspect(self, target_id: str, fingerprint: int, now_ms: int) -> None:
+    def suspect(
+        self, target: fleetrecords.TargetEntry, fingerprint: int, now_ms: int
+    ) -> None:
         """Record a request whose target broke the connection."""
-        listed = self._suspicions_by_target.setdefault(target_id, [])
-        listed.append(_Suspicion(fingerprint, now_ms))
+        listed = self._suspicions_by_target.setdefault(target.target_id, [])
+        crash = Crash(fingerprint, _run_of(target))
+        listed.append(_Suspicion(crash, now_ms))
 
     def confirm(self, target_id: str, now_ms: int) -> list[Verdict]:
         """Count the suspicions of a target that crashed; return them."""
-        verdicts = [
+        suspicions = self._suspicions_by_target.pop(target_id, [])
+        recent = {
+            suspicion.crash
+            for suspicion in suspicions
+            if suspicion.at_ms > now_ms - CONFIRM_MS
+        }
+        self._counted_ms_by_crash |= dict.fromkeys(recent, now_ms)
+        self._blame_counted(recent, now_ms)
+        return [
             Verdict(
-                suspicion.fingerprint,
+                suspicion.crash.fingerprint,
                 now_ms - suspicion.at_ms,
-                counted=suspicion.at_ms > now_ms - CONFIRM_MS,
+                counted=suspicion.crash in recent,
             )
-            for suspicion in self._suspicions_by_target.pop(target_id, [])
+            for suspicion in suspicions
         ]
-        counted = {
-            verdict.fingerprint for verdict in verdicts if verdict.counted
-        }
-        for fingerprint in counted:
-            self._crashes_by_fingerprint[fingerprint] += 1
-            self._counted_ms_by_fingerprint[fingerprint] = now_ms
-        self._blame_counted(counted, now_ms)
-        return verdicts
 
     def clear_target(self, target_id: str, placed_ms: int) -> list[int]:
         """Drop suspicions up to the placement of a request that was served.
@@ -116,54 +142,50 @@
             suspicion for suspicion in listed if suspicion.at_ms > placed_ms
         ]
         return [
-            suspicion.fingerprint
+            suspicion.crash.fingerprint
             for suspicion in listed
             if suspicion.at_ms <= placed_ms
         ]
 
-    def clear(self, fingerprint: int) -> None:
-        """Drop the crashes of a request that was served."""
-        self._crashes_by_fingerprint.pop(fingerprint, None)
-        self._counted_ms_by_fingerprint.pop(fingerprint, None)
-        self._received_ms_by_blamed.pop(fingerprint, None)
+    def record_served(self, fingerprint: int, now_ms: int) -> None:
+        """Lift the blame of a request; it is not blamed for ``BLAME_MS``."""
+        if self._lift_blame(fingerprint, now_ms):
+            self._disputed_ms_by_fingerprint[fingerprint] = now_ms
 
-    def update_peer(
-        self, process: PeerProcess, crashes: Mapping[int, int], now_ms: int
-    ) -> bool:
-        """Replace the counts of a peer's process; return if they changed.
+    def apply_report(
+        self, process: PeerProcess, report: Report, now_ms: int
+    ) -> list[int]:
+        """Apply the report of a peer's process; return new blamed requests.
 
-        The counts of its earlier processes are kept for ``BLAME_MS``.
+        The crashes of its earlier processes are kept for ``BLAME_MS``.
         """
-        known = self._reported_by_process.get(process)
-        if not crashes and known is None:
-            return False
-        self._reported_by_process[process] = _Reported(crashes, now_ms)
-        self._drop_old_reports(now_ms)
-        self._blame_counted(crashes, now_ms)
-        return known is None or known.crashes != crashes
-
-    def blame(self, listed: Iterable[Blamed], now_ms: int) -> list[int]:
-        """Blame requests as a peer or a record does; return the new ones."""
-        added = []
-        for fingerprint, age_ms in listed:
-            known_ms = self._received_ms_by_blamed.get(fingerprint)
-            received_ms = now_ms - age_ms
-            if known_ms is None and age_ms < BLAME_MS:
-                added.append(fingerprint)
-                known_ms = received_ms
-            if known_ms is not None:
-                latest_ms = max(known_ms, received_ms)
-                self._received_ms_by_blamed[fingerprint] = latest_ms
+        for served in report.served:
+            self._lift_blame(served, now_ms)
+        known = set(self._received_ms_by_blamed)
+        self._apply_crashes(process, report.crashes, now_ms)
+        self.blame(report.blamed, now_ms)
+        return list(self._received_ms_by_blamed.keys() - known)
+
+    def blame(self, listed: Iterable[Blamed], now_ms: int) -> bool:
+        """Blame requests as a peer or a record does; tell if any is new."""
+        added = False
+        for entry in listed:
+            if self._is_served(entry.fingerprint, now_ms):
+                self._disputed_ms_by_fingerprint[entry.fingerprint] = now_ms
+            elif entry.age_ms < BLAME_MS:
+                added |= self._blame_one(
+                    entry.fingerprint, now_ms - entry.age_ms
+                )
         return added
 
-    def own_counts(self, now_ms: int) -> Iterable[tuple[int, int]]:
-        """Return the fingerprints and crash counts of this host."""
-        counted = tuple(self._counted_ms_by_fingerprint.items())
-        for fingerprint, at_ms in counted:
-            if at_ms < now_ms - BLAME_MS:
-                self._crashes_by_fingerprint.pop(fingerprint, None)
-                self._counted_ms_by_fingerprint.pop(fingerprint)
-        return self._crashes_by_fingerprint.items()
+    def report(self, now_ms: int) -> Report:
+        """Return what peers should know; old entries are dropped."""
+        self._drop_expired(now_ms)
+        return Report(
+            frozenset(self._counted_ms_by_crash),
+            tuple(self.blamed(now_ms)[:MAX_SHARED]),
+            tuple(self._disputed_ms_by_fingerprint)[:MAX_SHARED],
+        )
 
     def blamed(self, now_ms: int) -> list[Blamed]:
         """Return the blamed requests, beginning with the latest."""
@@ -171,9 +193,6 @@
             Blamed(fingerprint, now_ms - received_ms)
             for fingerprint, received_ms in self._received_ms_by_blamed.items()
         ]
-        for expired in listed:
-            if expired.age_ms >= BLAME_MS:
-                self._received_ms_by_blamed.pop(expired.fingerprint)
         return sorted(
             (entry for entry in listed if entry.age_ms < BLAME_MS),
             key=lambda entry: entry.age_ms,
@@ -181,16 +200,20 @@
 
     def has_counted(self, fingerprint: int) -> bool:
         """Tell whether this host has counted a crash under the request."""
-        return fingerprint in self._crashes_by_fingerprint
+        return any(
+            crash.fingerprint == fingerprint
+            for crash in self._counted_ms_by_crash
+        )
 
-    def crashes_of(self, fingerprint: int) -> Crashes:
-        """Return the crashes under a request that the hosts have counted."""
-        reported = sum(
-            process.crashes.get(fingerprint, 0)
-            for process in self._reported_by_process.values()
+    def crashes_of(self, fingerprint: int) -> int:
+        """Return how many targets have crashed under a request."""
+        counted = itertools.chain(
+            self._counted_ms_by_crash,
+            *(heard.crashes for heard in self._heard_by_process.values()),
+        )
+        return len(
+            {crash.run for crash in counted if crash.fingerprint == fingerprint}
         )
-        own = self._crashes_by_fingerprint.get(fingerprint, 0)
-        return Crashes(own, reported)
 
     def is_refused(self, fingerprint: int, now_ms: int) -> bool:
         """Tell whether a request that was received now is blamed."""
@@ -200,16 +223,63 @@
         self._received_ms_by_blamed[fingerprint] = now_ms
         return True
 
-    def _blame_counted(self, fingerprints: Iterable[int], now_ms: int) -> None:
-        for fingerprint in fingerprints:
-            if sum(self.crashes_of(fingerprint)) >= REFUSE_AFTER:
+    def _blame_counted(self, crashes: Iterable[Crash], now_ms: int) -> None:
+        for crash in crashes:
+            fingerprint = crash.fingerprint
+            if self._is_served(fingerprint, now_ms):
+                continue
+            if self.crashes_of(fingerprint) >= REFUSE_AFTER:
                 self._received_ms_by_blamed.setdefault(fingerprint, now_ms)
 
+    def _apply_crashes(
+        self, process: PeerProcess, crashes: frozenset[Crash], now_ms: int
+    ) -> None:
+        known = self._heard_by_process.get(process, _Heard(frozenset(), 0))
+        if crashes or known.crashes:
+            self._heard_by_process[process] = _Heard(crashes, now_ms)
+            self._drop_old_reports(now_ms)
+        self._blame_counted(crashes - known.crashes, now_ms)
+
+    def _lift_blame(self, fingerprint: int, now_ms: int) -> bool:
+        """Remember a success; return whether the request was blamed."""
+        self._served_ms_by_fingerprint[fingerprint] = now_ms
+        self._served_ms_by_fingerprint.move_to_end(fingerprint)
+        if len(self._served_ms_by_fingerprint) > MAX_SERVED:
+            self._served_ms_by_fingerprint.popitem(last=False)
+        return self._received_ms_by_blamed.pop(fingerprint, None) is not None
+
+    def _blame_one(self, fingerprint: int, received_ms: int) -> bool:
+        known_ms = self._received_ms_by_blamed.get(fingerprint)
+        self._received_ms_by_blamed[fingerprint] = max(
+            known_ms or received_ms, received_ms
+        )
+        return known_ms is None
+
+    def _is_served(self, fingerprint: int, now_ms: int) -> bool:
+        served_ms = self._served_ms_by_fingerprint.get(fingerprint)
+        return served_ms is not None and served_ms > now_ms - BLAME_MS
+
+    def _drop_expired(self, now_ms: int) -> None:
+        _drop_before(self._counted_ms_by_crash, now_ms - BLAME_MS)
+        _drop_before(self._received_ms_by_blamed, now_ms - BLAME_MS)
+        _drop_before(self._disputed_ms_by_fingerprint, now_ms - DISPUTE_MS)
+
     def _drop_old_reports(self, now_ms: int) -> None:
         old = [
             process
-            for process, reported in self._reported_by_process.items()
-            if reported.at_ms < now_ms - BLAME_MS
+            for process, heard in self._heard_by_process.items()
+            if heard.at_ms < now_ms - BLAME_MS
         ]
         for process in old:
-            self._reported_by_process.pop(process)
+            self._heard_by_process.pop(process)
+
+
+def _run_of(target: fleetrecords.TargetEntry) -> int:
+    name = f'{target.target_id} {target.started_ms}'
+    return xxhash.xxh3_64_intdigest(name.encode())
+
+
+def _drop_before(times_by_key: dict[Any, int], limit_ms: int) -> None:
+    for key, at_ms in tuple(times_by_key.items()):
+        if at_ms <= limit_ms:
+            times_by_key.pop(key)
--- a/bergamotstream/forwarding/outcomes.py
+++ b/bergamotstream/forwarding/outcomes.py
@@ -126,7 +126,9 @@
         """Record a complete answer."""
         target_id = assignment.target.target_id
         self._core.health.record_success(target_id, self._clock.now_ms())
-        self._core.blame.clear(served.job.fingerprint)
+        self._core.blame.record_served(
+            served.job.fingerprint, self._clock.now_ms()
+        )
         cleared = self._core.blame.clear_target(
             target_id, served.job.arrived_ms
         )
@@ -189,7 +191,7 @@
                 fingerprint=eventlog.hex_of(verdict.fingerprint),
                 age_ms=verdict.age_ms,
                 outcome=outcome,
-                **self._core.blame.crashes_of(verdict.fingerprint)._asdict(),
+                crashes=self._core.blame.crashes_of(verdict.fingerprint),
             )
 
     def record_blamed(self, fingerprint_text: str) -> None:
@@ -200,11 +202,9 @@
             self._log.write('blame_unreadable', fault=fault)
             return
         entry = crashblame.Blamed(fingerprint, 0)
-        for added in self._core.blame.blame((entry,), self._clock.now_ms()):
+        if self._core.blame.blame((entry,), self._clock.now_ms()):
             self._log.write(
-                'blame_learned',
-                fingerprint=eventlog.hex_of(added),
-                source='store',
+                'blame_learned', fingerprint=fingerprint_text, source='store'
             )
 
     @record_fault.register
@@ -245,7 +245,9 @@
         now_ms = self._clock.now_ms()
         target_id = assignment.target.target_id
         self._core.health.record_failure(target_id, now_ms)
-        self._core.blame.suspect(target_id, served.job.fingerprint, now_ms)
+        self._core.blame.suspect(
+            assignment.target, served.job.fingerprint, now_ms
+        )
         self._meters.count('target_failures', served.job.service.name)
         self._log.write(
             'target_broken',
--- a/bergamotstream/forwarding/peerexchange.py
+++ b/bergamotstream/forwarding/peerexchange.py
@@ -125,11 +125,8 @@
             store_revision=self._core.view.revision,
             own_commitments=tuple(self._core.table.own()),
             health_estimates=tuple(self._core.health.own_estimates(now_ms)),
-            crash_counts=tuple(self._core.blame.own_counts(now_ms)),
             store_answered_ms=self._core.view.store_answered_ms,
-            blamed_requests=tuple(
-                self._core.blame.blamed(now_ms)[: crashblame.MAX_SHARED]
-            ),
+            blame=self._core.blame.report(now_ms),
         )
 
     def _peer_addresses(self) -> Iterable[str]:
@@ -167,22 +164,17 @@
         self._apply_blame(state, now_ms)
 
     def _apply_blame(self, state: peerformat.HostState, now_ms: int) -> None:
-        blame, name = self._core.blame, state.entry.name
-        counts = dict(state.crash_counts)
-        process = crashblame.PeerProcess(name, state.entry.incarnation)
-        if blame.update_peer(process, counts, now_ms):
-            self._log.write(
-                'peer_crashes',
-                peer=name,
-                incarnation=process.incarnation,
-                fingerprints=','.join(map(eventlog.hex_of, counts)),
-                crashes=sum(counts.values()),
-            )
-        for fingerprint in blame.blame(state.blamed_requests, now_ms):
+        process = crashblame.PeerProcess(
+            state.entry.name, state.entry.incarnation
+        )
+        blame = self._core.blame
+        for fingerprint in blame.apply_report(process, state.blame, now_ms):
             self._log.write(
                 'blame_learned',
                 fingerprint=eventlog.hex_of(fingerprint),
-                source=name,
+                crashes=blame.crashes_of(fingerprint),
+                source=state.entry.name,
+                incarnation=state.entry.incarnation,
             )
 
     def _expire_silent_peers(self) -> None:
--- a/bergamotstream/forwarding/peerformat.py
+++ b/bergamotstream/forwarding/peerformat.py
@@ -33,10 +33,9 @@
     store_revision: int
     own_commitments: Iterable[commitments.Commitment]
     health_estimates: tuple[targethealth.HealthEstimate, ...]
-    crash_counts: tuple[tuple[int, int], ...]
     # When the store last answered the sender.
     store_answered_ms: int
-    blamed_requests: tuple[crashblame.Blamed, ...] = ()
+    blame: crashblame.Report = crashblame.Report()
 
 
 def encode(state: HostState, now_ms: int) -> bytes:
@@ -63,14 +62,15 @@
             }
             for estimate in state.health_estimates
         ],
-        crashes=[
-            {'fingerprint': fingerprint, 'crashes': crashes}
-            for fingerprint, crashes in state.crash_counts
-        ],
         blamed=[
             {'fingerprint': entry.fingerprint, 'ageMs': entry.age_ms}
-            for entry in state.blamed_requests
+            for entry in state.blame.blamed
+        ],
+        crashedRuns=[
+            {'fingerprint': crash.fingerprint, 'run': crash.run}
+            for crash in state.blame.crashes
         ],
+        served=list(state.blame.served),
     )
     encoded: bytes = message.to_bytes_packed()
     return encoded
@@ -106,13 +106,17 @@
             )
             for estimate in message.notes
         ),
-        crash_counts=tuple(
-            (entry.fingerprint, entry.crashes) for entry in message.crashes
-        ),
         store_answered_ms=now_ms - message.storeAgeMs,
-        blamed_requests=tuple(
-            crashblame.Blamed(entry.fingerprint, entry.ageMs)
-            for entry in message.blamed
+        blame=crashblame.Report(
+            frozenset(
+                crashblame.Crash(entry.fingerprint, entry.run)
+                for entry in message.crashedRuns
+            ),
+            tuple(
+                crashblame.Blamed(entry.fingerprint, entry.ageMs)
+                for entry in message.blamed
+            ),
+            tuple(message.served),
         ),
     )
 
--- a/bergamotstream/forwarding/peers.capnp
+++ b/bergamotstream/forwarding/peers.capnp
@@ -13,10 +13,14 @@
   storeRevision @7 :UInt64;
   commitments @8 :List(Commitment);
   notes @9 :List(TargetNote);
+  # Not sent any more.
   crashes @10 :List(CrashCount);
   # Time since the store last answered this host.
   storeAgeMs @11 :UInt32;
   blamed @12 :List(BlamedRequest);
+  crashedRuns @13 :List(CrashedRun);
+  # Fingerprints that a peer blames and that were served here.
+  served @14 :List(UInt64);
 }
 
 struct Commitment {
@@ -53,7 +57,13 @@
   ageMs @1 :UInt32;
 }
 
-# Crashes that the sender has counted.
+# A run of a target that crashed under a request.
+struct CrashedRun {
+  fingerprint @0 :UInt64;
+  # Hash of the target's id and start.
+  run @1 :UInt64;
+}
+
 struct CrashCount {
   fingerprint @0 :UInt64;
   crashes @1 :UInt32;
--- a/bergamotstream/forwarding/scheduler.py
+++ b/bergamotstream/forwarding/scheduler.py
@@ -117,10 +117,9 @@
     def check_blame(self, fingerprint: int, now_ms: int) -> None:
         """Raise ``RequestBlamed`` for a request that crashes targets."""
         if self.blame.is_refused(fingerprint, now_ms):
-            crashes = self.blame.crashes_of(fingerprint)
             raise errors.RequestBlamed(
                 f'fingerprint={fingerprint:016x}'
-                f' own={crashes.own} reported={crashes.reported}',
+                f' crashes={self.blame.crashes_of(fingerprint)}',
                 retry_after_ms=crashblame.BLAME_MS,
             )
 
