Suspect requests whose callers leave before the target answers

A target that loses power or its link sends no reset.

A try that is abandoned before the head of its answer arrives now raises a suspicion like a broken connection; it counts only if the target turns out to be gone or restarted. New line target_unanswered.

--- a/bergamotstream/forwarding/ingress.py
+++ b/bergamotstream/forwarding/ingress.py
@@ -232,6 +232,7 @@
         self, state: requeststate.RequestState
     ) -> web.StreamResponse:
         """Serve the request by one target; raises ``TRY_FAULTS``."""
+        state.is_unanswered = False
         assignment = await self._place(state)
         self._outcomes.record_placement(state, assignment)
         self._dependencies.peers.schedule_send()
@@ -243,6 +244,9 @@
             except TRY_FAULTS as fault:
                 self._outcomes.record_fault(fault, state, assignment)
                 raise
+            except asyncio.CancelledError:
+                self._outcomes.record_abandoned(state, assignment)
+                raise
 
     async def _place(
         self, state: requeststate.RequestState
@@ -283,6 +287,7 @@
         """Send a try; until its outcome is known it may have run."""
         may_have_run_before = state.may_have_run
         state.may_have_run = True
+        state.is_unanswered = True
         remaining_ms = state.job.end_ms - self._clock.now_ms()
         sending = self._dependencies.dispatcher.send(
             dispatch.TargetRequest(
@@ -309,6 +314,7 @@
             state.tries_sent += 1
             raise
         state.tries_sent += 1
+        state.is_unanswered = False
         return answer
 
     async def _with_silence_timeout(
--- a/bergamotstream/forwarding/outcomes.py
+++ b/bergamotstream/forwarding/outcomes.py
@@ -140,6 +140,29 @@
                 fingerprint=eventlog.hex_of(fingerprint),
             )
 
+    def record_abandoned(
+        self,
+        served: requeststate.RequestState,
+        assignment: exchangerecords.Assignment,
+    ) -> None:
+        """Record a try whose caller left or whose deadline passed.
+
+        A target that crashes without a reset leaves its callers waiting.
+        """
+        if not served.is_unanswered:
+            return
+        self._core.blame.suspect(
+            assignment.target, served.job.fingerprint, self._clock.now_ms()
+        )
+        self._log.write(
+            'target_unanswered',
+            id=served.job.request.attempt_id,
+            fingerprint=eventlog.hex_of(served.job.fingerprint),
+            target=assignment.target.target_id,
+            started_ms=assignment.target.started_ms,
+            waited_ms=self._clock.now_ms() - assignment.placed_ms,
+        )
+
     def record_failure(self, assignment: exchangerecords.Assignment) -> None:
         """Record an error response from the target itself."""
         self._core.health.record_failure(
--- a/bergamotstream/forwarding/requeststate.py
+++ b/bergamotstream/forwarding/requeststate.py
@@ -29,6 +29,8 @@
         self.tries_sent = 0
         self.tries_unsent = 0
         self.may_have_run = False
+        # Whether the current try waits for the head of its answer.
+        self.is_unanswered = False
         self.tried_target_ids: set[str] = set()
         # The last failure that a target answered.
         self.failure_answer: dispatch.BufferedAnswer | None = None
