Confirm crashes by what any host sees at the target's address

A suspicion counted only once the store had removed or replaced the entry, about 3.6 s later, or when the very host that had it was refused a connection. Since peers leave out a target that refuses one host, the other hosts never got that proof, and the answer 421 of the next target at an address proved nothing. While targets restarted at once, or hosts were killed within those seconds, the crashes were lost.

Now a refused connection at any host counts the suspicions of all (peers already hear of it), and so does 421. A connection that only times out no longer counts: it may be the path of one host, and the entry goes if the target has ended.

--- a/bergamotstream/forwarding/hostdaemon.py
+++ b/bergamotstream/forwarding/hostdaemon.py
@@ -87,7 +87,7 @@
             self._core, self._log, self._clock, self._meters
         )
         self._peers = peerexchange.PeerExchange(
-            self._entry, self._core, self._log, self._clock
+            self._entry, self._core, self._outcomes, self._log, self._clock
         )
         self._stop_requested = asyncio.Event()
         self._configured = asyncio.Event()
--- a/bergamotstream/forwarding/outcomes.py
+++ b/bergamotstream/forwarding/outcomes.py
@@ -189,8 +189,9 @@
         """Record a target that accepted no connection."""
         now_ms = self._clock.now_ms()
         target_id = assignment.target.target_id
+        refusing = fault.connection_refused
         until_ms = self._core.health.record_unreachable(
-            target_id, now_ms, refusing=fault.connection_refused
+            target_id, now_ms, refusing=refusing
         )
         self._log.write(
             'target_unreachable',
@@ -199,7 +200,8 @@
             fault=fault,
             pause_ms=until_ms - now_ms,
         )
-        self.record_crash(target_id, 'unreachable')
+        if refusing:
+            self.record_crash(target_id, 'refusing')
 
     def record_crash(self, target_id: str, evidence: str) -> None:
         """Blame the requests that ran on a target for its crash."""
@@ -246,6 +248,7 @@
         served.tried_target_ids.add(at_fault.target_id)
         if fault.misdirected:
             self._core.health.record_unreachable(at_fault.target_id, now_ms)
+            self.record_crash(at_fault.target_id, 'misdirected')
         else:
             self._core.health.record_full(at_fault.target_id, now_ms)
         self._meters.count('target_refusals', str(fault.status))
--- a/bergamotstream/forwarding/peerexchange.py
+++ b/bergamotstream/forwarding/peerexchange.py
@@ -17,6 +17,7 @@
     crashblame,
     eventlog,
     fleetrecords,
+    outcomes,
     peerformat,
     scheduler,
 )
@@ -40,6 +41,7 @@
         self,
         entry: fleetrecords.HostEntry,
         core: scheduler.Scheduler,
+        recorder: outcomes.OutcomeRecorder,
         log: eventlog.EventLog,
         time_source: clock.Clock,
     ) -> None:
@@ -48,6 +50,7 @@
         self.peers_by_name: dict[str, peerformat.HostState] = {}
         self._entry = entry
         self._core = core
+        self._outcomes = recorder
         self._log = log
         self._clock = time_source
         self._sequence = 0
@@ -161,6 +164,9 @@
             self.schedule_send()
         self.peers_by_name[name] = state
         self._core.health.update_peer(state.health_estimates, now_ms)
+        for estimate in state.health_estimates:
+            if estimate.refusing_ms:
+                self._outcomes.record_crash(estimate.target_id, 'refusing_peer')
         self._apply_blame(state, now_ms)
 
     def _apply_blame(self, state: peerformat.HostState, now_ms: int) -> None:
--- a/tests/crashkit.py
+++ b/tests/crashkit.py
@@ -33,6 +33,18 @@
 RESTART_MS = 4_000
 
 
+def refused_connection():
+    """Return the fault of a target at which nothing listens."""
+    return dispatch.TargetUnreachable(
+        aiohttp.ClientConnectorError(None, ConnectionRefusedError())
+    )
+
+
+def connection_timeout():
+    """Return the fault of a target that a host cannot reach."""
+    return dispatch.TargetUnreachable(aiohttp.ConnectionTimeoutError())
+
+
 class Target(NamedTuple):
     """One run of a target."""
 
@@ -98,13 +110,13 @@
         entry = fleetrecords.HostEntry(
             name, 'z', f'{name}:1', f'{name}:2', self.started_ms
         )
-        self.peers = peerexchange.PeerExchange(
-            entry, self.core, self.log, fleet.clock
-        )
         meters = metrics.Metrics()
         self.outcomes = outcomes.OutcomeRecorder(
             self.core, self.log, fleet.clock, meters
         )
+        self.peers = peerexchange.PeerExchange(
+            entry, self.core, self.outcomes, self.log, fleet.clock
+        )
         self.ingress = ingress.Ingress(
             ingress.Dependencies(
                 self.core,
@@ -190,32 +202,39 @@
 
     async def call(self, path, body, attempt_id):
         """Send a request; return the code of its failure."""
-        request = kit.make_request(path, **{kit.ATTEMPT: attempt_id})
+        state = self._admit(path, body, attempt_id)
         now_ms = self.fleet.clock.now_ms()
-        job = self.core.admit(request, now_ms)
-        fingerprint = scheduler.fingerprint_of(request, body)
-        job = job._replace(fingerprint=fingerprint)
-        state = requeststate.RequestState(job, body, None)
         try:
-            self.core.check_blame(fingerprint, now_ms)
+            self.core.check_blame(state.job.fingerprint, now_ms)
             await self.ingress._serve_with_retries(state)
         except errors.ServiceError as error:
             return error.code
         except asyncio.CancelledError:
             return 'caller_gone'
 
+    def start_request(self, path, body, attempt_id='a1'):
+        """Place a request; return its state and its assignment."""
+        state = self._admit(path, body, attempt_id)
+        now_ms = self.fleet.clock.now_ms()
+        assignment = self.core.place(state.job, (), now_ms)
+        self.outcomes.record_placement(state, assignment)
+        return state, assignment
+
+    def _admit(self, path, body, attempt_id):
+        request = kit.make_request(path, **{kit.ATTEMPT: attempt_id})
+        job = self.core.admit(request, self.fleet.clock.now_ms())
+        fingerprint = scheduler.fingerprint_of(request, body)
+        job = job._replace(fingerprint=fingerprint)
+        return requeststate.RequestState(job, body, None)
+
     def serve_ordinary(self, attempt_id):
         """Serve a request that crashes nothing."""
-        request = kit.make_request('/lookup/9', **{kit.ATTEMPT: attempt_id})
-        now_ms = self.fleet.clock.now_ms()
-        job = self.core.admit(request, now_ms)
-        job = job._replace(fingerprint=hash(attempt_id) & 0xFFFF_FFFF)
-        state = requeststate.RequestState(job, b'', None)
         try:
-            assignment = self.core.place(job, (), now_ms)
+            state, assignment = self.start_request(
+                '/lookup/9', attempt_id.encode(), attempt_id
+            )
         except errors.ServiceError:
             return
-        self.outcomes.record_placement(state, assignment)
         self.core.release(assignment)
         fault = self.fleet.fault_of(assignment.target)
         if fault is None:
@@ -275,9 +294,7 @@
         """Return what a request to an entry meets, ``None`` for success."""
         target = self.targets_by_address[entry.address]
         if not target.is_up:
-            return dispatch.TargetUnreachable(
-                aiohttp.ClientConnectorError(None, ConnectionRefusedError())
-            )
+            return refused_connection()
         if target.target_id != entry.target_id:
             return dispatch.TargetRefused(421, '')
         return None
--- a/tests/test_crashingrequests.py
+++ b/tests/test_crashingrequests.py
@@ -1,5 +1,8 @@
 """A request that crashes each target that runs it, under further faults."""
 
+import pytest
+
+from bergamotstream.forwarding import dispatch
 from tests import crashkit
 
 SEEDS = (1, 2, 3)
@@ -104,3 +107,38 @@
         await fleet.run(30_000)
 
     await assert_within_bound(scenario, ('lookup', 'order'))
+
+
+@pytest.mark.parametrize(
+    ('fault', 'confirms'),
+    [
+        (crashkit.refused_connection(), True),
+        (dispatch.TargetRefused(421, ''), True),
+        (crashkit.connection_timeout(), False),
+        (dispatch.TargetRefused(503, ''), False),
+    ],
+    ids=['refused', 'misdirected', 'timeout', 'full'],
+)
+async def test_crash_is_counted_without_the_store(fault, confirms):
+    """Guards against crashes that only a removed entry confirms."""
+    fleet = crashkit.Fleet(hosts=1)
+    host = fleet.hosts_by_name['h0']
+    state, assignment = host.start_request('/lookup/1', b'crash')
+    broken = dispatch.TargetBroken('reset')
+    host.outcomes.record_fault(broken, state, assignment)
+    host.outcomes.record_fault(fault, state, assignment)
+    assert host.core.blame.has_counted(state.job.fingerprint) == confirms
+
+
+async def test_refused_connection_of_a_peer_confirms_a_crash():
+    """Guards against suspicions and proofs that stay on different hosts."""
+    fleet = crashkit.Fleet(hosts=2)
+    hosts = tuple(fleet.hosts_by_name.values())
+    state, assignment = hosts[0].start_request('/lookup/1', b'crash')
+    broken = dispatch.TargetBroken('reset')
+    hosts[0].outcomes.record_fault(broken, state, assignment)
+    hosts[1].outcomes.record_fault(
+        crashkit.refused_connection(), state, assignment
+    )
+    hosts[1].exchange(hosts)
+    assert hosts[0].core.blame.has_counted(state.job.fingerprint)
