Do not suspect a crash after an error answer

A target that answers with an error status runs, but the answer raised the same suspicion as a broken connection. A failing target that then ended within 6 s counted as crashed by the request.

test_error_answer_is_no_crash fails without the check in outcomes.py and passes with it. The health of the target is recorded as before.

--- a/bergamotstream/forwarding/dispatch.py
+++ b/bergamotstream/forwarding/dispatch.py
@@ -53,6 +53,10 @@
     """No valid answer was received; the request may have run."""
 
 
+class TargetErrorAnswer(TargetBroken):
+    """The target answered with an error status, so it still runs."""
+
+
 class TargetTimedOut(TargetBroken):
     """The target sent nothing in time and another may be tried."""
 
--- a/bergamotstream/forwarding/ingress.py
+++ b/bergamotstream/forwarding/ingress.py
@@ -364,7 +364,7 @@
             return self._buffered_response(state, buffered)
         self._outcomes.record_failure(assignment)
         state.failure_answer = buffered
-        raise dispatch.TargetBroken(f'status {buffered.status}')
+        raise dispatch.TargetErrorAnswer(f'status {buffered.status}')
 
     def _buffered_response(
         self,
--- a/bergamotstream/forwarding/outcomes.py
+++ b/bergamotstream/forwarding/outcomes.py
@@ -271,9 +271,10 @@
         now_ms = self._clock.now_ms()
         target_id = assignment.target.target_id
         self._core.health.record_failure(target_id, now_ms)
-        self._core.blame.suspect(
-            assignment.target, served.job.fingerprint, now_ms
-        )
+        if not isinstance(fault, dispatch.TargetErrorAnswer):
+            self._core.blame.suspect(
+                assignment.target, served.job.fingerprint, now_ms
+            )
         self._meters.count('target_failures', served.job.service.name)
         self._log.write(
             'target_broken',
--- a/tests/test_crashingrequests.py
+++ b/tests/test_crashingrequests.py
@@ -142,3 +142,17 @@
     )
     hosts[1].exchange(hosts)
     assert hosts[0].core.blame.has_counted(state.job.fingerprint)
+
+
+async def test_error_answer_is_no_crash():
+    """Guards against blaming a request whose target answered with status 500.
+
+    A target that answers runs, though it may crash within seconds.
+    """
+    fleet = crashkit.Fleet(hosts=1)
+    host = fleet.hosts_by_name['h0']
+    state, assignment = host.start_request('/lookup/1', b'x')
+    failed = dispatch.TargetErrorAnswer('status 500')
+    host.outcomes.record_fault(failed, state, assignment)
+    host.outcomes.record_crash(assignment.target.target_id, 'gone')
+    assert not host.core.blame.has_counted(state.job.fingerprint)
