Refuse a request after three broken connections without proof

Two counted crashes blame a request, but each is counted only once something proves that the target has ended, and until then the request goes on crashing targets. If all hosts are killed meanwhile, nothing is left of them.

Targets that were only silent count after proof alone, as busy ones are silent too.

--- a/bergamotstream/forwarding/crashblame.py
+++ b/bergamotstream/forwarding/crashblame.py
@@ -16,7 +16,7 @@
 
 import collections
 import itertools
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from typing import Any, Final, NamedTuple
 
 import xxhash
@@ -25,6 +25,8 @@
 
 # Crashes after which a request is refused; the operators count three.
 REFUSE_AFTER: Final = 2
+# The same, with targets that broke the connection and may have crashed.
+REFUSE_AFTER_BROKEN: Final = 3
 # Time for which a request is refused after it was last received, and for which
 # crashes are counted.
 BLAME_MS: Final = 60_000
@@ -50,6 +52,23 @@
 class _Suspicion(NamedTuple):
     crash: Crash
     at_ms: int
+    # False if the target was only silent, as busy ones may be.
+    broken: bool
+
+
+class Crashes(NamedTuple):
+    """Targets that have crashed, or may have crashed, under one request."""
+
+    counted: int
+    broken: int
+
+    @property
+    def are_too_many(self) -> bool:
+        """Tell whether the request should be refused."""
+        return (
+            self.counted >= REFUSE_AFTER
+            or self.counted + self.broken >= REFUSE_AFTER_BROKEN
+        )
 
 
 class Verdict(NamedTuple):
@@ -79,6 +98,8 @@
     """What the process of a host tells its peers."""
 
     crashes: frozenset[Crash] = frozenset()
+    # Targets that broke the connection and may have crashed.
+    broken: frozenset[Crash] = frozenset()
     blamed: tuple[Blamed, ...] = ()
     # Fingerprints that a peer blames and that were served here.
     served: tuple[int, ...] = ()
@@ -86,6 +107,7 @@
 
 class _Heard(NamedTuple):
     crashes: frozenset[Crash]
+    broken: frozenset[Crash]
     at_ms: int
 
 
@@ -104,12 +126,21 @@
         self._disputed_ms_by_fingerprint: dict[int, int] = {}
 
     def suspect(
-        self, target: fleetrecords.TargetEntry, fingerprint: int, now_ms: int
+        self,
+        target: fleetrecords.TargetEntry,
+        fingerprint: int,
+        now_ms: int,
+        *,
+        broken: bool,
     ) -> None:
-        """Record a request whose target broke the connection."""
+        """Record a request whose target gave no answer.
+
+        ``broken`` tells whether the target ended the connection.
+        """
         listed = self._suspicions_by_target.setdefault(target.target_id, [])
         crash = Crash(fingerprint, _run_of(target))
-        listed.append(_Suspicion(crash, now_ms))
+        listed.append(_Suspicion(crash, now_ms, broken))
+        self._blame_counted((crash,), now_ms)
 
     def confirm(self, target_id: str, now_ms: int) -> list[Verdict]:
         """Count the suspicions of a target that crashed; return them."""
@@ -117,7 +148,7 @@
         recent = {
             suspicion.crash
             for suspicion in suspicions
-            if suspicion.at_ms > now_ms - CONFIRM_MS
+            if _is_recent(suspicion, now_ms)
         }
         self._counted_ms_by_crash |= dict.fromkeys(recent, now_ms)
         self._blame_counted(recent, now_ms)
@@ -162,7 +193,9 @@
         for served in report.served:
             self._lift_blame(served, now_ms)
         known = set(self._received_ms_by_blamed)
-        self._apply_crashes(process, report.crashes, now_ms)
+        self._apply_crashes(
+            process, _Heard(report.crashes, report.broken, now_ms)
+        )
         self.blame(report.blamed, now_ms)
         return list(self._received_ms_by_blamed.keys() - known)
 
@@ -183,6 +216,7 @@
         self._drop_expired(now_ms)
         return Report(
             frozenset(self._counted_ms_by_crash),
+            frozenset(self._open_broken(now_ms)),
             tuple(self.blamed(now_ms)[:MAX_SHARED]),
             tuple(self._disputed_ms_by_fingerprint)[:MAX_SHARED],
         )
@@ -205,15 +239,20 @@
             for crash in self._counted_ms_by_crash
         )
 
-    def crashes_of(self, fingerprint: int) -> int:
+    def crashes_of(self, fingerprint: int, now_ms: int) -> Crashes:
         """Return how many targets have crashed under a request."""
-        counted = itertools.chain(
+        heard = self._heard_by_process.values()
+        counted = _runs_under(
+            fingerprint,
             self._counted_ms_by_crash,
-            *(heard.crashes for heard in self._heard_by_process.values()),
+            *(process.crashes for process in heard),
         )
-        return len(
-            {crash.run for crash in counted if crash.fingerprint == fingerprint}
+        broken = _runs_under(
+            fingerprint,
+            self._open_broken(now_ms),
+            *(process.broken for process in heard),
         )
+        return Crashes(len(counted), len(broken - counted))
 
     def is_refused(self, fingerprint: int, now_ms: int) -> bool:
         """Tell whether a request that was received now is blamed."""
@@ -228,17 +267,18 @@
             fingerprint = crash.fingerprint
             if self._is_served(fingerprint, now_ms):
                 continue
-            if self.crashes_of(fingerprint) >= REFUSE_AFTER:
+            if self.crashes_of(fingerprint, now_ms).are_too_many:
                 self._received_ms_by_blamed.setdefault(fingerprint, now_ms)
 
-    def _apply_crashes(
-        self, process: PeerProcess, crashes: frozenset[Crash], now_ms: int
-    ) -> None:
-        known = self._heard_by_process.get(process, _Heard(frozenset(), 0))
-        if crashes or known.crashes:
-            self._heard_by_process[process] = _Heard(crashes, now_ms)
-            self._drop_old_reports(now_ms)
-        self._blame_counted(crashes - known.crashes, now_ms)
+    def _apply_crashes(self, process: PeerProcess, heard: _Heard) -> None:
+        nothing = _Heard(frozenset(), frozenset(), 0)
+        known = self._heard_by_process.get(process, nothing)
+        if any((heard.crashes, heard.broken, known.crashes, known.broken)):
+            self._heard_by_process[process] = heard
+            self._drop_old_reports(heard.at_ms)
+        added = heard.crashes | heard.broken
+        added -= known.crashes | known.broken
+        self._blame_counted(added, heard.at_ms)
 
     def _lift_blame(self, fingerprint: int, now_ms: int) -> bool:
         """Remember a success; return whether the request was blamed."""
@@ -255,6 +295,12 @@
         )
         return known_ms is None
 
+    def _open_broken(self, now_ms: int) -> Iterator[Crash]:
+        for suspicions in self._suspicions_by_target.values():
+            for suspicion in suspicions:
+                if suspicion.broken and _is_recent(suspicion, now_ms):
+                    yield suspicion.crash
+
     def _is_served(self, fingerprint: int, now_ms: int) -> bool:
         served_ms = self._served_ms_by_fingerprint.get(fingerprint)
         return served_ms is not None and served_ms > now_ms - BLAME_MS
@@ -262,8 +308,14 @@
     def _drop_expired(self, now_ms: int) -> None:
         _drop_before(self._counted_ms_by_crash, now_ms - BLAME_MS)
         _drop_before(self._received_ms_by_blamed, now_ms - BLAME_MS)
+        self._drop_old_suspicions(now_ms)
         _drop_before(self._disputed_ms_by_fingerprint, now_ms - DISPUTE_MS)
 
+    def _drop_old_suspicions(self, now_ms: int) -> None:
+        for target_id, listed in tuple(self._suspicions_by_target.items()):
+            if all(entry.at_ms <= now_ms - BLAME_MS for entry in listed):
+                self._suspicions_by_target.pop(target_id)
+
     def _drop_old_reports(self, now_ms: int) -> None:
         old = [
             process
@@ -279,6 +331,20 @@
     return xxhash.xxh3_64_intdigest(name.encode())
 
 
+def _runs_under(
+    fingerprint: int, *crash_sets: Iterable[Crash]
+) -> frozenset[int]:
+    return frozenset(
+        crash.run
+        for crash in itertools.chain(*crash_sets)
+        if crash.fingerprint == fingerprint
+    )
+
+
+def _is_recent(suspicion: _Suspicion, now_ms: int) -> bool:
+    return suspicion.at_ms > now_ms - CONFIRM_MS
+
+
 def _drop_before(times_by_key: dict[Any, int], limit_ms: int) -> None:
     for key, at_ms in tuple(times_by_key.items()):
         if at_ms <= limit_ms:
--- a/bergamotstream/forwarding/outcomes.py
+++ b/bergamotstream/forwarding/outcomes.py
@@ -152,7 +152,10 @@
         if not served.is_unanswered:
             return
         self._core.blame.suspect(
-            assignment.target, served.job.fingerprint, self._clock.now_ms()
+            assignment.target,
+            served.job.fingerprint,
+            self._clock.now_ms(),
+            broken=False,
         )
         self._log.write(
             'target_unanswered',
@@ -205,7 +208,8 @@
 
     def record_crash(self, target_id: str, evidence: str) -> None:
         """Blame the requests that ran on a target for its crash."""
-        verdicts = self._core.blame.confirm(target_id, self._clock.now_ms())
+        now_ms = self._clock.now_ms()
+        verdicts = self._core.blame.confirm(target_id, now_ms)
         for verdict in verdicts:
             outcome = 'counted' if verdict.counted else 'too_old'
             self._meters.count('crash_suspicions', outcome)
@@ -216,7 +220,9 @@
                 fingerprint=eventlog.hex_of(verdict.fingerprint),
                 age_ms=verdict.age_ms,
                 outcome=outcome,
-                crashes=self._core.blame.crashes_of(verdict.fingerprint),
+                **self._core.blame.crashes_of(
+                    verdict.fingerprint, now_ms
+                )._asdict(),
             )
 
     def record_blamed(self, fingerprint_text: str) -> None:
@@ -273,7 +279,10 @@
         self._core.health.record_failure(target_id, now_ms)
         if not isinstance(fault, dispatch.TargetErrorAnswer):
             self._core.blame.suspect(
-                assignment.target, served.job.fingerprint, now_ms
+                assignment.target,
+                served.job.fingerprint,
+                now_ms,
+                broken=not isinstance(fault, dispatch.TargetTimedOut),
             )
         self._meters.count('target_failures', served.job.service.name)
         self._log.write(
--- a/bergamotstream/forwarding/peerexchange.py
+++ b/bergamotstream/forwarding/peerexchange.py
@@ -178,7 +178,7 @@
             self._log.write(
                 'blame_learned',
                 fingerprint=eventlog.hex_of(fingerprint),
-                crashes=blame.crashes_of(fingerprint),
+                **blame.crashes_of(fingerprint, now_ms)._asdict(),
                 source=state.entry.name,
                 incarnation=state.entry.incarnation,
             )
--- a/bergamotstream/forwarding/peerformat.py
+++ b/bergamotstream/forwarding/peerformat.py
@@ -66,10 +66,8 @@
             {'fingerprint': entry.fingerprint, 'ageMs': entry.age_ms}
             for entry in state.blame.blamed
         ],
-        crashedRuns=[
-            {'fingerprint': crash.fingerprint, 'run': crash.run}
-            for crash in state.blame.crashes
-        ],
+        crashedRuns=_encode_crashes(state.blame.crashes),
+        brokenRuns=_encode_crashes(state.blame.broken),
         served=list(state.blame.served),
     )
     encoded: bytes = message.to_bytes_packed()
@@ -108,10 +106,8 @@
         ),
         store_answered_ms=now_ms - message.storeAgeMs,
         blame=crashblame.Report(
-            frozenset(
-                crashblame.Crash(entry.fingerprint, entry.run)
-                for entry in message.crashedRuns
-            ),
+            _decode_crashes(message.crashedRuns),
+            _decode_crashes(message.brokenRuns),
             tuple(
                 crashblame.Blamed(entry.fingerprint, entry.ageMs)
                 for entry in message.blamed
@@ -121,6 +117,18 @@
     )
 
 
+def _encode_crashes(
+    crashes: Iterable[crashblame.Crash],
+) -> list[dict[str, int]]:
+    return [crash._asdict() for crash in crashes]
+
+
+def _decode_crashes(entries: Any) -> frozenset[crashblame.Crash]:
+    return frozenset(
+        crashblame.Crash(entry.fingerprint, entry.run) for entry in entries
+    )
+
+
 def _encode_commitment(
     entry: commitments.Commitment, now_ms: int
 ) -> dict[str, object]:
--- a/bergamotstream/forwarding/peers.capnp
+++ b/bergamotstream/forwarding/peers.capnp
@@ -21,6 +21,8 @@
   crashedRuns @13 :List(CrashedRun);
   # Fingerprints that a peer blames and that were served here.
   served @14 :List(UInt64);
+  # Runs that broke the connection and may have crashed.
+  brokenRuns @15 :List(CrashedRun);
 }
 
 struct Commitment {
--- a/bergamotstream/forwarding/scheduler.py
+++ b/bergamotstream/forwarding/scheduler.py
@@ -117,9 +117,10 @@
     def check_blame(self, fingerprint: int, now_ms: int) -> None:
         """Raise ``RequestBlamed`` for a request that crashes targets."""
         if self.blame.is_refused(fingerprint, now_ms):
+            crashes = self.blame.crashes_of(fingerprint, now_ms)
             raise errors.RequestBlamed(
                 f'fingerprint={fingerprint:016x}'
-                f' crashes={self.blame.crashes_of(fingerprint)}',
+                f' counted={crashes.counted} broken={crashes.broken}',
                 retry_after_ms=crashblame.BLAME_MS,
             )
 
--- a/tests/crashkit.py
+++ b/tests/crashkit.py
@@ -94,6 +94,17 @@
         self.log.append(item)
 
 
+class RecordedLog(eventlog.EventLog):
+    """Keeps the events in place of writing lines."""
+
+    def __init__(self, time_source):
+        super().__init__(time_source)
+        self.events = []
+
+    def write(self, event, **fields):
+        self.events.append((event, fields))
+
+
 class Host:
     """The decisions of one host, without its sockets."""
 
@@ -106,7 +117,7 @@
         self.core = scheduler.Scheduler(
             kit.make_settings(name=name), random.Random(fleet.rng.random())
         )
-        self.log = eventlog.EventLog(fleet.clock)
+        self.log = RecordedLog(fleet.clock)
         entry = fleetrecords.HostEntry(
             name, 'z', f'{name}:1', f'{name}:2', self.started_ms
         )
--- a/tests/test_forwardingcore.py
+++ b/tests/test_forwardingcore.py
@@ -134,6 +134,7 @@
         60,
         crashblame.Report(
             frozenset((crashblame.Crash(2**63, 2**64 - 2),)),
+            frozenset((crashblame.Crash(1, 2),)),
             (crashblame.Blamed(2**64 - 1, 70),),
             (5, 2**64 - 3),
         ),
@@ -175,7 +176,7 @@
 
 def crash(blame, target_id, fingerprint=42, now_ms=0):
     """Suspect and confirm a crash; return what a peer would hear."""
-    blame.suspect(target_entry(target_id), fingerprint, now_ms)
+    blame.suspect(target_entry(target_id), fingerprint, now_ms, broken=True)
     assert len(blame.confirm(target_id, now_ms)) == 1
     return blame.report(now_ms)
 
@@ -191,6 +192,26 @@
     assert blame.is_refused(42, 100)
 
 
+def test_three_broken_connections_blame_a_request_before_any_proof():
+    """Guards against crashes that go on until the first are confirmed."""
+    blame, peer = crashblame.CrashBlame(), crashblame.CrashBlame()
+    process = crashblame.PeerProcess('h2', 1)
+    for target_id in ('t1', 't1', 't2'):
+        blame.suspect(target_entry(target_id), 42, 0, broken=True)
+    assert not blame.is_refused(42, 0)
+    peer.suspect(target_entry('t3'), 42, 0, broken=True)
+    assert blame.apply_report(process, peer.report(0), 0) == [42]
+    assert blame.is_refused(42, 0)
+
+
+def test_silent_targets_alone_do_not_blame_a_request():
+    """Guards against refusing a request that three busy targets delay."""
+    blame = crashblame.CrashBlame()
+    for number in range(5):
+        blame.suspect(target_entry(f't{number}'), 42, 0, broken=False)
+    assert not blame.is_refused(42, 0)
+
+
 def test_one_crash_counts_once_for_identical_requests():
     """Guards against blaming a common request for the crash of one target."""
     blame = crashblame.CrashBlame()
@@ -221,7 +242,7 @@
     """Guards against refusing a request whose connections broke by chance."""
     blame = crashblame.CrashBlame()
     for at_ms in range(3):
-        blame.suspect(target_entry(), 42, at_ms)
+        blame.suspect(target_entry(), 42, at_ms, broken=True)
     blame.clear_target('t1', 10)
     blame.confirm('t1', 20)
     assert not blame.is_refused(42, 20)
