Check the blame of a request before each try

A request was checked once, when it was admitted. One that waited for a place, or was tried again, was sent although its host had learned meanwhile that it crashes targets. test_request_blamed_while_it_waits_is_not_sent fails before (the request reaches a target) and passes after.

--- a/bergamotstream/forwarding/ingress.py
+++ b/bergamotstream/forwarding/ingress.py
@@ -254,6 +254,8 @@
         """Place a try; wait for capacity if the scheduler allows it."""
         while True:
             now_ms = self._clock.now_ms()
+            # Peers may have blamed the request since it was admitted.
+            self._core.check_blame(state.job.fingerprint, now_ms)
             try:
                 return self._core.place(
                     state.job, state.tried_target_ids, now_ms
--- a/tests/crashkit.py
+++ b/tests/crashkit.py
@@ -182,11 +182,7 @@
             page = store.Page(items, self.fleet.store.revision)
             changes = view.replace_all(page, now_ms)
         else:
-            items = tuple(
-                item
-                for item in self.fleet.store.log
-                if item.revision > view.revision
-            )
+            items = tuple(self.fleet.store.log[view.revision :])
             page = store.Page(items, self.fleet.store.revision)
             changes = view.apply_changes(page, now_ms)
         self._report([*changes, *view.drop_lapsed(now_ms)])
--- a/tests/test_crashingrequests.py
+++ b/tests/test_crashingrequests.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from bergamotstream.forwarding import dispatch
+from bergamotstream import errors
+from bergamotstream.forwarding import crashblame, dispatch
 from tests import crashkit
 
 SEEDS = (1, 2, 3)
@@ -156,3 +157,15 @@
     host.outcomes.record_fault(failed, state, assignment)
     host.outcomes.record_crash(assignment.target.target_id, 'gone')
     assert not host.core.blame.has_counted(state.job.fingerprint)
+
+
+async def test_request_blamed_while_it_waits_is_not_sent():
+    """Guards against a check of the blame at admission only."""
+    fleet = crashkit.Fleet(hosts=1)
+    host = fleet.hosts_by_name['h0']
+    state, _ = host.start_request('/lookup/1', b'crash')
+    blamed = crashblame.Blamed(state.job.fingerprint, 0)
+    host.core.blame.blame([blamed], fleet.clock.now_ms())
+    with pytest.raises(errors.RequestBlamed):
+        await host.ingress._serve_with_retries(state)
+    assert not fleet.sent
