Do not count a crash when an entry lapses with the store

Entries of targets may expire while the store is away and are written again within about 2 s. The lapse counted as a crash of all requests that had been suspected there, and the estimates of the target's health were dropped.

test_entry_that_lapses_with_the_store_is_no_crash fails if a lapse counts and passes now.

--- a/bergamotstream/forwarding/hostdaemon.py
+++ b/bergamotstream/forwarding/hostdaemon.py
@@ -221,9 +221,7 @@
 
     def _update_target(self, target_id: str, outcome: str, now_ms: int) -> None:
         entry = self._core.view.targets_by_id.get(target_id)
-        if outcome in {'gone', 'restarted', 'lapsed'}:
-            self._outcomes.record_crash(target_id, outcome)
-            self._core.health.forget(target_id)
+        self._outcomes.record_target_change(target_id, outcome)
         if entry is None:
             self._core.cold.forget(target_id)
         else:
--- a/bergamotstream/forwarding/outcomes.py
+++ b/bergamotstream/forwarding/outcomes.py
@@ -206,6 +206,16 @@
         if refusing:
             self.record_crash(target_id, 'refusing')
 
+    def record_target_change(self, target_id: str, outcome: str) -> None:
+        """Record a change of a target's entry.
+
+        An entry that lapses while the store is away proves nothing: the
+        target writes it again, or it is removed later.
+        """
+        if outcome in {'gone', 'restarted'}:
+            self.record_crash(target_id, outcome)
+            self._core.health.forget(target_id)
+
     def record_crash(self, target_id: str, evidence: str) -> None:
         """Blame the requests that ran on a target for its crash."""
         now_ms = self._clock.now_ms()
--- a/tests/crashkit.py
+++ b/tests/crashkit.py
@@ -192,10 +192,8 @@
             kind, _, name = change.subject.partition(':')
             if kind == 'blamed':
                 self.outcomes.record_blamed(name)
-            ended = change.outcome in {'gone', 'restarted', 'lapsed'}
-            if kind == 'target' and ended:
-                self.outcomes.record_crash(name, change.outcome)
-                self.core.health.forget(name)
+            if kind == 'target':
+                self.outcomes.record_target_change(name, change.outcome)
 
     def exchange(self, others):
         """Send the state to all peers."""
--- a/tests/test_crashingrequests.py
+++ b/tests/test_crashingrequests.py
@@ -169,3 +169,22 @@
     with pytest.raises(errors.RequestBlamed):
         await host.ingress._serve_with_retries(state)
     assert not fleet.sent
+
+
+async def test_entry_that_lapses_with_the_store_is_no_crash():
+    """Guards against blame for targets that write their entries again."""
+    fleet = crashkit.Fleet(hosts=1)
+    host = fleet.hosts_by_name['h0']
+    state, assignment = host.start_request('/lookup/1', b'x')
+    broken = dispatch.TargetBroken('reset')
+    host.outcomes.record_fault(broken, state, assignment)
+    fleet.store.away = True
+    await fleet.run(2_000)
+    key = f'servers/{assignment.target.target_id}'
+    document = fleet.store.items_by_key[key].document
+    fleet.store.put(key, None)
+    fleet.store.away = False
+    host.read_store()
+    fleet.store.put(key, document)
+    host.read_store()
+    assert not host.core.blame.has_counted(state.job.fingerprint)
