Keep suspicions open while the store is away or a target restarts

Two ways in which a crash was forgotten before it was confirmed:

A suspicion expired 6 s after the connection broke. Time in which neither this host nor a peer has had an answer of the store does not count any more; otherwise it is 8 s, as a lapsed entry is kept for 2.2 s more.

A success of the same id cleared the suspicions up to its placement, but a target that starts again under its id serves too. Only a request that ran on the target before the connection broke, and was served after, now clears it.

--- a/bergamotstream/forwarding/crashblame.py
+++ b/bergamotstream/forwarding/crashblame.py
@@ -30,9 +30,13 @@
 # Time for which a request is refused after it was last received, and for which
 # crashes are counted.
 BLAME_MS: Final = 60_000
-# A target that is still listed and serves requests after this time did not
-# crash: the entry of a crashed one is removed after three missed heartbeats.
-CONFIRM_MS: Final = 6_000
+# A target that is still listed after this time did not crash: the entry of a
+# crashed one is removed after three missed heartbeats. Time in which the store
+# does not answer is not counted.
+CONFIRM_MS: Final = 8_000
+# Without an answer of the store for this long, entries may be out of date; a
+# quiet store answers a watch every 2.5 s.
+STALE_MS: Final = 4_000
 # Maximum blamed requests in a message to peers; the latest ones are sent.
 MAX_SHARED: Final = 64
 # Maximum requests whose success is remembered.
@@ -41,6 +45,10 @@
 DISPUTE_MS: Final = 5_000
 
 
+# Earlier than the start of any host's clock.
+NEVER_MS: Final = -1_000_000
+
+
 class Crash(NamedTuple):
     """A run of a target that crashed under a request."""
 
@@ -124,6 +132,13 @@
             collections.OrderedDict()
         )
         self._disputed_ms_by_fingerprint: dict[int, int] = {}
+        # Until when the entries of targets were out of date.
+        self._stale_until_ms = NEVER_MS
+
+    def record_store_answer(self, answered_ms: int, now_ms: int) -> None:
+        """Record when the store last answered this host or a peer."""
+        if now_ms - answered_ms > STALE_MS:
+            self._stale_until_ms = now_ms
 
     def suspect(
         self,
@@ -148,7 +163,7 @@
         recent = {
             suspicion.crash
             for suspicion in suspicions
-            if _is_recent(suspicion, now_ms)
+            if self._is_open(suspicion, now_ms)
         }
         self._counted_ms_by_crash |= dict.fromkeys(recent, now_ms)
         self._blame_counted(recent, now_ms)
@@ -162,20 +177,22 @@
         ]
 
     def clear_target(self, target_id: str, placed_ms: int) -> list[int]:
-        """Drop suspicions up to the placement of a request that was served.
+        """Drop the suspicions since a request that is served was placed.
 
-        Returns the fingerprints of the dropped suspicions.
+        The target has not restarted in that time. A later success under the
+        same id may come from its next run. Returns the fingerprints of the
+        dropped suspicions.
         """
         listed = self._suspicions_by_target.get(target_id)
         if not listed:
             return []
         self._suspicions_by_target[target_id] = [
-            suspicion for suspicion in listed if suspicion.at_ms > placed_ms
+            suspicion for suspicion in listed if suspicion.at_ms <= placed_ms
         ]
         return [
             suspicion.crash.fingerprint
             for suspicion in listed
-            if suspicion.at_ms <= placed_ms
+            if suspicion.at_ms > placed_ms
         ]
 
     def record_served(self, fingerprint: int, now_ms: int) -> None:
@@ -298,9 +315,14 @@
     def _open_broken(self, now_ms: int) -> Iterator[Crash]:
         for suspicions in self._suspicions_by_target.values():
             for suspicion in suspicions:
-                if suspicion.broken and _is_recent(suspicion, now_ms):
+                if suspicion.broken and self._is_open(suspicion, now_ms):
                     yield suspicion.crash
 
+    def _is_open(self, suspicion: _Suspicion, now_ms: int) -> bool:
+        """Tell whether the entry of a crashed target may still be listed."""
+        counts_from_ms = max(suspicion.at_ms, self._stale_until_ms)
+        return counts_from_ms > now_ms - CONFIRM_MS
+
     def _is_served(self, fingerprint: int, now_ms: int) -> bool:
         served_ms = self._served_ms_by_fingerprint.get(fingerprint)
         return served_ms is not None and served_ms > now_ms - BLAME_MS
@@ -341,10 +363,6 @@
     )
 
 
-def _is_recent(suspicion: _Suspicion, now_ms: int) -> bool:
-    return suspicion.at_ms > now_ms - CONFIRM_MS
-
-
 def _drop_before(times_by_key: dict[Any, int], limit_ms: int) -> None:
     for key, at_ms in tuple(times_by_key.items()):
         if at_ms <= limit_ms:
--- a/bergamotstream/forwarding/hostdaemon.py
+++ b/bergamotstream/forwarding/hostdaemon.py
@@ -231,9 +231,11 @@
         """Periodically drop targets whose entries were not renewed."""
         while True:
             await asyncio.sleep(LAPSE_CHECK_S)
-            self._handle_changes(
-                self._core.view.drop_lapsed(self._clock.now_ms())
+            now_ms = self._clock.now_ms()
+            self._core.blame.record_store_answer(
+                self._peers.store_answered_ms(), now_ms
             )
+            self._handle_changes(self._core.view.drop_lapsed(now_ms))
 
     def _check_readiness(self) -> None:
         """Become ready with the first configuration unless stopping."""
--- a/bergamotstream/forwarding/outcomes.py
+++ b/bergamotstream/forwarding/outcomes.py
@@ -129,9 +129,7 @@
         self._core.blame.record_served(
             served.job.fingerprint, self._clock.now_ms()
         )
-        cleared = self._core.blame.clear_target(
-            target_id, served.job.arrived_ms
-        )
+        cleared = self._core.blame.clear_target(target_id, assignment.placed_ms)
         for fingerprint in cleared:
             self._log.write(
                 'suspicion_cleared',
--- a/bergamotstream/forwarding/peerexchange.py
+++ b/bergamotstream/forwarding/peerexchange.py
@@ -115,6 +115,12 @@
         """Return the latest state of each peer that is not silent."""
         return list(self.peers_by_name.values())
 
+    def store_answered_ms(self) -> int:
+        """Return when the store last answered this host or a live peer."""
+        own_ms = self._core.view.store_answered_ms
+        heard = (peer.store_answered_ms for peer in self.live_peers())
+        return max(own_ms, max(heard, default=own_ms))
+
     async def _wait_for_change(self) -> None:
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(HEARTBEAT_INTERVAL_S):
--- a/tests/crashkit.py
+++ b/tests/crashkit.py
@@ -168,6 +168,9 @@
     def read_store(self):
         """Apply the items of the store as the watch does."""
         now_ms = self.fleet.clock.now_ms()
+        self.core.blame.record_store_answer(
+            self.peers.store_answered_ms(), now_ms
+        )
         if self.fleet.store.away:
             if self._away_since_ms is None:
                 self._away_since_ms = now_ms
