Test targets that send bytes without end

Eight kinds, in a head or a body, are played against a plain and a streaming route: the host must close the connection within 32 MB and another target must serve.

Blank lines in place of a head are skipped by the HTTP library without an event: 370 and 842 MB were read on loopback before the silence limit (0.6 s and 1.2 s) closed the connection. Memory stays bounded.

--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -526,3 +526,77 @@
     with listensockets.open_listener(address):
         with socket.create_connection((ip, int(port)), timeout=1) as opened:
             assert opened.getpeername() == (ip, int(port))
+
+
+ENDLESS_HEADS = {
+    'status_line': (b'HTTP/1.1 200 ', b'O' * 65_536),
+    'header_line': (b'HTTP/1.1 200 OK\r\nX-Long: ', b'x' * 65_536),
+    'headers': (b'HTTP/1.1 200 OK\r\n', b'X-Many: 1\r\n' * 6_000),
+    'interim': (b'', b'HTTP/1.1 100 Continue\r\n\r\n' * 2_000),
+    'blank_lines': (b'', b'\r\n' * 32_768),
+    'other_bytes': (b'\x16\x03\x01', b'\x00' * 65_536),
+}
+# A host may buffer one answer of 8 MB; the rest is in socket buffers.
+MAX_ENDLESS_BYTES = 32_000_000
+
+
+class EndlessTarget:
+    """Sends bytes until the connection is closed."""
+
+    def __init__(self):
+        self.sent_bytes = 0
+        self.closed = asyncio.Event()
+
+    async def send(self, writer, first, repeated):
+        writer.write(first)
+        try:
+            while True:
+                writer.write(repeated)
+                await writer.drain()
+                self.sent_bytes += len(repeated)
+        except ConnectionError:
+            self.closed.set()
+
+
+@pytest.mark.parametrize('path', ['/lookup/1', '/chat/1'])
+@pytest.mark.parametrize('kind', [*ENDLESS_HEADS, 'body', 'chunks'])
+async def test_endless_answer_is_closed_and_another_target_tried(kind, path):
+    """Guards against a host that buffers bytes without end."""
+    endless = EndlessTarget()
+
+    async def respond(request, writer):
+        if kind in ENDLESS_HEADS:
+            await endless.send(writer, *ENDLESS_HEADS[kind])
+        elif kind == 'body':
+            head = kit.stream_head(request, extra='')
+            await endless.send(writer, head, b'x' * 65_536)
+        else:
+            head = kit.stream_head(request)
+            await endless.send(writer, head, kit.chunk(b'x' * 65_536))
+
+    async def whole(request, writer):
+        if path == '/lookup/1':
+            writer.write(kit.answer(request))
+        else:
+            writer.write(
+                kit.stream_head(request)
+                + kit.chunk(kit.event(1))
+                + b'0\r\n\r\n'
+            )
+
+    async with (
+        kit.running_system() as system,
+        kit.raw_target(respond) as broken,
+        kit.raw_target(whole) as sound,
+    ):
+        service = 'plain' if path == '/lookup/1' else 'model'
+        await system.add_target('t1', broken, service=service)
+        for _ in range(5):
+            if not broken.received:
+                await system.call(path)
+        await asyncio.wait_for(endless.closed.wait(), 3)
+        assert endless.sent_bytes < MAX_ENDLESS_BYTES
+        await system.add_target('t2', sound, service=service)
+        async with asyncio.timeout(5):
+            while (await system.call(path))[0] != 200:
+                await asyncio.sleep(0.1)
