--- a/bergamotstream/forwarding/outcomes.py
+++ b/bergamotstream/forwarding/outcomes.py
@@ -16,12 +16,16 @@
     dispatch,
     eventlog,
     exchangerecords,
+    fleetrecords,
     requeststate,
     reservations,
     scheduler,
 )
 from bergamotstream.platform import documents
 
+# A target refuses a request at once for a helper that had ended before, and
+# after about 1.5 s for one that ended while it read its part.
+HELPER_STALL_MS: Final = 1_000
 # Inter-event gaps per sample of a target's speed.
 GAP_SAMPLES: Final = 5
 
@@ -149,12 +153,8 @@
         """
         if not served.is_unanswered:
             return
-        self._core.blame.suspect(
-            assignment.target,
-            served.job.fingerprint,
-            self._clock.now_ms(),
-            broken=False,
-        )
+        for entry in (assignment.target, *assignment.helpers):
+            self._suspect_silent(entry, served)
         self._log.write(
             'target_unanswered',
             id=served.job.request.attempt_id,
@@ -170,6 +170,16 @@
             assignment.target.target_id, self._clock.now_ms()
         )
 
+    def _suspect_silent(
+        self,
+        target: fleetrecords.TargetEntry,
+        served: requeststate.RequestState,
+    ) -> None:
+        """Suspect a target that may have crashed without a reset."""
+        self._core.blame.suspect(
+            target, served.job.fingerprint, self._clock.now_ms(), broken=False
+        )
+
     @functools.singledispatchmethod
     def record_fault(
         self,
@@ -259,6 +269,8 @@
         for helper in assignment.helpers:
             if helper.address == fault.at_fault:
                 at_fault = helper
+                if now_ms - assignment.placed_ms >= HELPER_STALL_MS:
+                    self._suspect_silent(helper, served)
         served.tried_target_ids.add(at_fault.target_id)
         if fault.misdirected:
             self._core.health.record_unreachable(at_fault.target_id, now_ms)
@@ -292,6 +304,9 @@
                 now_ms,
                 broken=not isinstance(fault, dispatch.TargetTimedOut),
             )
+            if served.is_unanswered:
+                for helper in assignment.helpers:
+                    self._suspect_silent(helper, served)
         self._meters.count('target_failures', served.job.service.name)
         self._log.write(
             'target_broken',
--- a/tests/test_crashingrequests.py
+++ b/tests/test_crashingrequests.py
@@ -188,3 +188,27 @@
     fleet.store.put(key, document)
     host.read_store()
     assert not host.core.blame.has_counted(state.job.fingerprint)
+
+
+@pytest.mark.parametrize(
+    ('fault', 'waited_ms', 'suspected'),
+    [
+        (dispatch.TargetBroken('reset'), 0, True),
+        (dispatch.TargetRefused(503, '10.0.0.9:80'), 1_500, True),
+        # The helper had ended before the request was sent.
+        (dispatch.TargetRefused(503, '10.0.0.9:80'), 10, False),
+    ],
+    ids=['broken', 'stalled', 'at_once'],
+)
+async def test_crash_of_a_helper_counts(fault, waited_ms, suspected):
+    """Guards against crashes under the parts of a prompt that helpers read."""
+    fleet = crashkit.Fleet(hosts=1)
+    host = fleet.hosts_by_name['h0']
+    helper = host.core.view.targets_by_id['t8']
+    state, assignment = host.start_request('/lookup/1', b'crash')
+    state.is_unanswered = True
+    assignment = assignment._replace(helpers=(helper,))
+    fleet.clock.advance(waited_ms)
+    host.outcomes.record_fault(fault, state, assignment)
+    host.outcomes.record_crash('t8', 'gone')
+    assert host.core.blame.has_counted(state.job.fingerprint) == suspected
