Test that killed host processes still refuse a crashing request

A real host process, the store stand-in and four targets that reset each connection: two crash under a request, the host writes the record, is killed and started again. It refuses the request without sending it, gives a retry delay and serves others.

--- a/tests/test_hostprocess.py
+++ b/tests/test_hostprocess.py
@@ -1,6 +1,7 @@
 """Real host processes that are killed, paused and stopped by signals."""
 
 import asyncio
+import contextlib
 import signal
 
 from tests import hostprocesskit
@@ -63,3 +64,55 @@
                     host.process.kill()
                     host.process.wait()
             await system.store.stop()
+
+
+async def test_killed_hosts_still_refuse_a_crashing_request(tmp_path):
+    """Guards against blame that ends with the processes of all hosts."""
+
+    async def crash(request, writer):
+        kit.reset(writer)
+
+    system = kit.System()
+    await system.store.start()
+    await system.store.put('op/config', kit.configuration_document())
+    store_address = '{0}:{1}'.format(*system.store._listener._address)
+    host = hostprocesskit.HostProcess(tmp_path, 'h1', store_address)
+    system.settings = [kit.make_settings()._replace(caller_address=host.caller)]
+
+    async def listed():
+        return await host.resolved_addresses() == [host.caller]
+
+    async def recorded():
+        return any('/blamed/' in key for key in system.store.kv.items_by_key)
+
+    async with contextlib.AsyncExitStack() as stack:
+        stack.push_async_callback(system.store.stop)
+        targets = [
+            await stack.enter_async_context(kit.raw_target(crash))
+            for _ in range(4)
+        ]
+        for number, target in enumerate(targets):
+            document = kit.target_document(target.address)
+            await system.store.put(f'servers/t{number}', document)
+        try:
+            host.start()
+            await hostprocesskit.wait_until(listed, 10)
+            await system.call('/lookup/1', b'crash')
+            for number, target in enumerate(targets):
+                if target.received:
+                    await system.store.delete(f'servers/t{number}')
+            await hostprocesskit.wait_until(recorded)
+            host.signal(signal.SIGKILL)
+            await asyncio.to_thread(host.process.wait)
+            host.start()
+            await hostprocesskit.wait_until(listed, 10)
+            status, headers, _ = await system.call('/lookup/1', b'crash')
+            assert status == 503
+            assert float(headers['Retry-After']) > 0
+            assert sum(len(target.received) for target in targets) == 2
+            await system.call('/lookup/1', b'other')
+            assert sum(len(target.received) for target in targets) == 4
+        finally:
+            if host.process is not None:
+                host.process.kill()
+                host.process.wait()
