Let each host that has seen a crash write the blame record

A request that three broken connections blame had no host with a confirmed crash, so all waited 1 to 3 s before one wrote the record, and a kill of all hosts in that time lost it. Hosts that have seen any of its crashes write at once.

--- a/bergamotstream/forwarding/blamerecords.py
+++ b/bergamotstream/forwarding/blamerecords.py
@@ -18,8 +18,8 @@
 # Records are not renewed: hosts write one again if the request still comes
 # when it has expired.
 RECORD_TTL_MS: Final = 2 * crashblame.BLAME_MS
-# Wait of the hosts that have not counted a crash themselves, so that those
-# which have write the record and the others read it.
+# Wait of the hosts that have not seen a crash themselves, so that those which
+# have write the record and the others read it.
 WRITE_DELAY_MS: Final = (1_000, 3_000)
 # Wait after a write before the record counts as missing again.
 RETRY_MS: Final = 1_000
@@ -78,7 +78,7 @@
         known_ms = self._write_at_ms_by_fingerprint.get(fingerprint)
         if known_ms is not None:
             return known_ms
-        if self._blame.has_counted(fingerprint):
+        if any(self._blame.own_crashes_of(fingerprint, now_ms)):
             return now_ms
         return now_ms + self._rng.randint(*WRITE_DELAY_MS)
 
--- a/bergamotstream/forwarding/crashblame.py
+++ b/bergamotstream/forwarding/crashblame.py
@@ -21,7 +21,7 @@
 
 import xxhash
 
-from bergamotstream.forwarding import fleetrecords
+from bergamotstream.forwarding import fleetrecords, fleetview
 
 # Crashes after which a request is refused; the operators count three.
 REFUSE_AFTER: Final = 2
@@ -37,16 +37,15 @@
 # Without an answer of the store for this long, entries may be out of date; a
 # quiet store answers a watch every 2.5 s.
 STALE_MS: Final = 4_000
-# Maximum blamed requests in a message to peers; the latest ones are sent.
+# Maximum entries of each kind in a message to peers; the latest ones are sent.
 MAX_SHARED: Final = 64
 # Maximum requests whose success is remembered.
 MAX_SERVED: Final = 8_192
 # Time for which peers are told that a request they blame was served.
 DISPUTE_MS: Final = 5_000
-
-
-# Earlier than the start of any host's clock.
-NEVER_MS: Final = -1_000_000
+# Answers that a crashed target sent before it ended are read within this time
+# of its reset.
+LATE_ANSWER_MS: Final = 100
 
 
 class Crash(NamedTuple):
@@ -67,20 +66,21 @@
 class Crashes(NamedTuple):
     """Targets that have crashed, or may have crashed, under one request."""
 
-    counted: int
-    broken: int
+    confirmed: int
+    # Targets that broke the connection.
+    possible: int
 
     @property
     def are_too_many(self) -> bool:
         """Tell whether the request should be refused."""
         return (
-            self.counted >= REFUSE_AFTER
-            or self.counted + self.broken >= REFUSE_AFTER_BROKEN
+            self.confirmed >= REFUSE_AFTER
+            or self.confirmed + self.possible >= REFUSE_AFTER_BROKEN
         )
 
 
-class Verdict(NamedTuple):
-    """What became of a suspicion once its target had crashed."""
+class Confirmation(NamedTuple):
+    """A suspicion whose target has crashed."""
 
     fingerprint: int
     age_ms: int
@@ -133,7 +133,7 @@
         )
         self._disputed_ms_by_fingerprint: dict[int, int] = {}
         # Until when the entries of targets were out of date.
-        self._stale_until_ms = NEVER_MS
+        self._stale_until_ms = fleetview.NEVER_MS
 
     def record_store_answer(self, answered_ms: int, now_ms: int) -> None:
         """Record when the store last answered this host or a peer."""
@@ -157,7 +157,7 @@
         listed.append(_Suspicion(crash, now_ms, broken))
         self._blame_counted((crash,), now_ms)
 
-    def confirm(self, target_id: str, now_ms: int) -> list[Verdict]:
+    def confirm(self, target_id: str, now_ms: int) -> list[Confirmation]:
         """Count the suspicions of a target that crashed; return them."""
         suspicions = self._suspicions_by_target.pop(target_id, [])
         recent = {
@@ -168,7 +168,7 @@
         self._counted_ms_by_crash |= dict.fromkeys(recent, now_ms)
         self._blame_counted(recent, now_ms)
         return [
-            Verdict(
+            Confirmation(
                 suspicion.crash.fingerprint,
                 now_ms - suspicion.at_ms,
                 counted=suspicion.crash in recent,
@@ -176,24 +176,24 @@
             for suspicion in suspicions
         ]
 
-    def clear_target(self, target_id: str, placed_ms: int) -> list[int]:
-        """Drop the suspicions since a request that is served was placed.
+    def clear_target(
+        self, target_id: str, placed_ms: int, now_ms: int
+    ) -> list[int]:
+        """Drop the suspicions since a request that is served now was placed.
 
         The target has not restarted in that time. A later success under the
         same id may come from its next run. Returns the fingerprints of the
         dropped suspicions.
         """
-        listed = self._suspicions_by_target.get(target_id)
-        if not listed:
-            return []
-        self._suspicions_by_target[target_id] = [
-            suspicion for suspicion in listed if suspicion.at_ms <= placed_ms
-        ]
-        return [
-            suspicion.crash.fingerprint
+        listed = self._suspicions_by_target.get(target_id, [])
+        cleared = [
+            suspicion
             for suspicion in listed
-            if suspicion.at_ms > placed_ms
+            if placed_ms < suspicion.at_ms <= now_ms - LATE_ANSWER_MS
         ]
+        for entry in cleared:
+            listed.remove(entry)
+        return [entry.crash.fingerprint for entry in cleared]
 
     def record_served(self, fingerprint: int, now_ms: int) -> None:
         """Lift the blame of a request; it is not blamed for ``BLAME_MS``."""
@@ -232,10 +232,10 @@
         """Return what peers should know; old entries are dropped."""
         self._drop_expired(now_ms)
         return Report(
-            frozenset(self._counted_ms_by_crash),
-            frozenset(self._open_broken(now_ms)),
+            frozenset(tuple(self._counted_ms_by_crash)[-MAX_SHARED:]),
+            frozenset(tuple(self._open_broken(now_ms))[-MAX_SHARED:]),
             tuple(self.blamed(now_ms)[:MAX_SHARED]),
-            tuple(self._disputed_ms_by_fingerprint)[:MAX_SHARED],
+            tuple(self._disputed_ms_by_fingerprint)[-MAX_SHARED:],
         )
 
     def blamed(self, now_ms: int) -> list[Blamed]:
@@ -249,12 +249,11 @@
             key=lambda entry: entry.age_ms,
         )
 
-    def has_counted(self, fingerprint: int) -> bool:
-        """Tell whether this host has counted a crash under the request."""
-        return any(
-            crash.fingerprint == fingerprint
-            for crash in self._counted_ms_by_crash
-        )
+    def own_crashes_of(self, fingerprint: int, now_ms: int) -> Crashes:
+        """Return the crashes under a request that this host has seen."""
+        confirmed = _runs_under(fingerprint, self._counted_ms_by_crash)
+        broken = _runs_under(fingerprint, self._open_broken(now_ms))
+        return Crashes(len(confirmed), len(broken - confirmed))
 
     def crashes_of(self, fingerprint: int, now_ms: int) -> Crashes:
         """Return how many targets have crashed under a request."""
--- a/bergamotstream/forwarding/outcomes.py
+++ b/bergamotstream/forwarding/outcomes.py
@@ -128,12 +128,13 @@
         assignment: exchangerecords.Assignment,
     ) -> None:
         """Record a complete answer."""
+        now_ms = self._clock.now_ms()
         target_id = assignment.target.target_id
-        self._core.health.record_success(target_id, self._clock.now_ms())
-        self._core.blame.record_served(
-            served.job.fingerprint, self._clock.now_ms()
+        self._core.health.record_success(target_id, now_ms)
+        self._core.blame.record_served(served.job.fingerprint, now_ms)
+        cleared = self._core.blame.clear_target(
+            target_id, assignment.placed_ms, now_ms
         )
-        cleared = self._core.blame.clear_target(target_id, assignment.placed_ms)
         for fingerprint in cleared:
             self._log.write(
                 'suspicion_cleared',
@@ -227,19 +228,18 @@
     def record_crash(self, target_id: str, evidence: str) -> None:
         """Blame the requests that ran on a target for its crash."""
         now_ms = self._clock.now_ms()
-        verdicts = self._core.blame.confirm(target_id, now_ms)
-        for verdict in verdicts:
-            outcome = 'counted' if verdict.counted else 'too_old'
+        for confirmation in self._core.blame.confirm(target_id, now_ms):
+            outcome = 'counted' if confirmation.counted else 'too_old'
             self._meters.count('crash_suspicions', outcome)
             self._log.write(
                 'crash_confirmed',
                 target=target_id,
                 evidence=evidence,
-                fingerprint=eventlog.hex_of(verdict.fingerprint),
-                age_ms=verdict.age_ms,
+                fingerprint=eventlog.hex_of(confirmation.fingerprint),
+                age_ms=confirmation.age_ms,
                 outcome=outcome,
                 **self._core.blame.crashes_of(
-                    verdict.fingerprint, now_ms
+                    confirmation.fingerprint, now_ms
                 )._asdict(),
             )
 
--- a/bergamotstream/forwarding/scheduler.py
+++ b/bergamotstream/forwarding/scheduler.py
@@ -120,7 +120,7 @@
             crashes = self.blame.crashes_of(fingerprint, now_ms)
             raise errors.RequestBlamed(
                 f'fingerprint={fingerprint:016x}'
-                f' counted={crashes.counted} broken={crashes.broken}',
+                f' confirmed={crashes.confirmed} possible={crashes.possible}',
                 retry_after_ms=crashblame.BLAME_MS,
             )
 
--- a/tests/crashkit.py
+++ b/tests/crashkit.py
@@ -228,6 +228,12 @@
         self.outcomes.record_placement(state, assignment)
         return state, assignment
 
+    def has_confirmed(self, job):
+        """Tell whether this host counts a crash under a request."""
+        now_ms = self.fleet.clock.now_ms()
+        seen = self.core.blame.own_crashes_of(job.fingerprint, now_ms)
+        return seen.confirmed > 0
+
     def _admit(self, path, body, attempt_id):
         request = kit.make_request(path, **{kit.ATTEMPT: attempt_id})
         job = self.core.admit(request, self.fleet.clock.now_ms())
--- a/tests/test_crashingrequests.py
+++ b/tests/test_crashingrequests.py
@@ -128,7 +128,7 @@
     broken = dispatch.TargetBroken('reset')
     host.outcomes.record_fault(broken, state, assignment)
     host.outcomes.record_fault(fault, state, assignment)
-    assert host.core.blame.has_counted(state.job.fingerprint) == confirms
+    assert host.has_confirmed(state.job) == confirms
 
 
 async def test_refused_connection_of_a_peer_confirms_a_crash():
@@ -142,7 +142,7 @@
         crashkit.refused_connection(), state, assignment
     )
     hosts[1].exchange(hosts)
-    assert hosts[0].core.blame.has_counted(state.job.fingerprint)
+    assert hosts[0].has_confirmed(state.job)
 
 
 async def test_error_answer_is_no_crash():
@@ -156,7 +156,7 @@
     failed = dispatch.TargetErrorAnswer('status 500')
     host.outcomes.record_fault(failed, state, assignment)
     host.outcomes.record_crash(assignment.target.target_id, 'gone')
-    assert not host.core.blame.has_counted(state.job.fingerprint)
+    assert not host.has_confirmed(state.job)
 
 
 async def test_request_blamed_while_it_waits_is_not_sent():
@@ -187,7 +187,7 @@
     host.read_store()
     fleet.store.put(key, document)
     host.read_store()
-    assert not host.core.blame.has_counted(state.job.fingerprint)
+    assert not host.has_confirmed(state.job)
 
 
 @pytest.mark.parametrize(
@@ -211,4 +211,4 @@
     fleet.clock.advance(waited_ms)
     host.outcomes.record_fault(fault, state, assignment)
     host.outcomes.record_crash('t8', 'gone')
-    assert host.core.blame.has_counted(state.job.fingerprint) == suspected
+    assert host.has_confirmed(state.job) == suspected
--- a/tests/test_forwardingcore.py
+++ b/tests/test_forwardingcore.py
@@ -259,17 +259,25 @@
     for at_ms in range(1, 4):
         blame.suspect(target_entry(), 42, at_ms, broken=True)
     # A request that was placed before the first break is served after them.
-    blame.clear_target('t1', 0)
-    assert not blame.confirm('t1', 20)
-    assert not blame.is_refused(42, 20)
+    blame.clear_target('t1', 0, 200)
+    assert not blame.confirm('t1', 220)
+    assert not blame.is_refused(42, 220)
+
+
+def test_answer_read_after_the_reset_does_not_clear_a_crash():
+    """Guards against answers that a target sent just before it crashed."""
+    blame = crashblame.CrashBlame()
+    blame.suspect(target_entry(), 42, 100, broken=True)
+    assert not blame.clear_target('t1', 0, 110)
+    assert blame.confirm('t1', 200)
 
 
 def test_success_of_the_next_run_does_not_clear_a_crash():
     """Guards against crashes of targets that start again under their ids."""
     blame = crashblame.CrashBlame()
     blame.suspect(target_entry(), 42, 0, broken=True)
-    blame.clear_target('t1', 500)
-    assert [verdict.counted for verdict in blame.confirm('t1', 1_000)] == [True]
+    blame.clear_target('t1', 500, 900)
+    assert [entry.counted for entry in blame.confirm('t1', 1_000)] == [True]
 
 
 def test_suspicions_do_not_expire_while_the_store_is_away():
@@ -279,9 +287,7 @@
     for now_ms in range(0, 12_000, 200):
         blame.record_store_answer(0, now_ms)
     blame.record_store_answer(12_000, 12_000)
-    assert [verdict.counted for verdict in blame.confirm('t1', 15_000)] == [
-        True
-    ]
+    assert [entry.counted for entry in blame.confirm('t1', 15_000)] == [True]
     blame.suspect(target_entry(), 42, 20_000, broken=True)
     late_ms = 20_000 + crashblame.CONFIRM_MS
     assert not blame.confirm('t1', late_ms)[0].counted
