--- a/bergamotstream/forwarding/crashblame.py
+++ b/bergamotstream/forwarding/crashblame.py
@@ -185,15 +185,18 @@
         same id may come from its next run. Returns the fingerprints of the
         dropped suspicions.
         """
-        listed = self._suspicions_by_target.get(target_id, [])
+        listed = self._suspicions_by_target.get(target_id)
+        if not listed:
+            return []
         cleared = [
             suspicion
             for suspicion in listed
             if placed_ms < suspicion.at_ms <= now_ms - LATE_ANSWER_MS
         ]
-        for entry in cleared:
-            listed.remove(entry)
-        return [entry.crash.fingerprint for entry in cleared]
+        self._suspicions_by_target[target_id] = [
+            suspicion for suspicion in listed if suspicion not in cleared
+        ]
+        return [suspicion.crash.fingerprint for suspicion in cleared]
 
     def record_served(self, fingerprint: int, now_ms: int) -> None:
         """Lift the blame of a request; it is not blamed for ``BLAME_MS``."""
