--- a/tests/crashkit.py
+++ b/tests/crashkit.py
@@ -1,10 +1,20 @@
-"""Hosts, targets that a request crashes, and a store, in virtual time."""
+"""
+Crash kit
+~~~~~~~~~
+
+Hosts, targets that one request crashes, and a store, in virtual time. It plays
+faults in series by seed:
+
+    python -m tests.crashkit --first 1 --seeds 50
+"""
 
 import asyncio
 import random
+import sys
 from typing import NamedTuple
 
 import aiohttp
+import defopt
 
 from bergamotstream import clock, errors, metrics
 from bergamotstream.forwarding import (
@@ -210,9 +220,9 @@
 
     async def call(self, path, body, attempt_id):
         """Send a request; return the code of its failure."""
-        state = self._admit(path, body, attempt_id)
         now_ms = self.fleet.clock.now_ms()
         try:
+            state = self._admit(path, body, attempt_id)
             self.core.check_blame(state.job.fingerprint, now_ms)
             await self.ingress._serve_with_retries(state)
         except errors.ServiceError as error:
@@ -401,3 +411,73 @@
     def _is_in_contact(self, host):
         faulty_ms = max(self.store_away_ms, host.started_ms, host.cut_ms)
         return self.clock.now_ms() - faulty_ms > CONTACT_MS
+
+    def restart_some(self):
+        """Replace the process of one host, of half of them or of all."""
+        names = list(self.hosts_by_name)
+        count = self.rng.choice((1, len(names) // 2, len(names)))
+        for name in self.rng.sample(names, count):
+            self.start_host(name)
+
+    def cut_some(self):
+        """Cut one host off from its peers, or heal all cuts."""
+        for host in self.hosts_by_name.values():
+            host.is_cut = False
+        self.rng.choice(list(self.hosts_by_name.values())).is_cut = True
+
+    def heal(self):
+        """End the cuts and the outage of the store."""
+        self.store.away = False
+        for host in self.hosts_by_name.values():
+            host.is_cut = False
+
+    def stop_store(self):
+        """Let the store be away until all is healed."""
+        self.store.away = True
+
+
+RANDOM_FAULTS = (
+    Fleet.restart_some,
+    Fleet.cut_some,
+    Fleet.stop_store,
+    Fleet.heal,
+    Fleet.heal,
+)
+
+
+async def play_random_faults(seed, faults=12):
+    """Play faults in series; return the requests that count."""
+    rng = random.Random(seed)
+    fleet = Fleet(
+        seed=seed,
+        same_id=rng.random() < 0.5,
+        crashing_interval_ms=rng.choice((500, 1_000, 2_000)),
+        ordinary_interval_ms=rng.choice((150, 1_500)),
+        path=rng.choice(('/lookup/666', '/order/666')),
+    )
+    for _ in range(faults):
+        await fleet.run(rng.choice((1_000, 2_500, 6_000)))
+        rng.choice(RANDOM_FAULTS)(fleet)
+    fleet.heal()
+    await fleet.run(15_000)
+    return fleet.later_sends()
+
+
+def main(*, first: int = 1, seeds: int = 50) -> None:
+    """Play seeds; exit with 1 if the bound is broken.
+
+    :param first: First seed.
+    :param seeds: Number of seeds.
+    """
+    broken = {}
+    for seed in range(first, first + seeds):
+        later = asyncio.run(play_random_faults(seed))
+        if len(later) > MAX_LATER_SENDS:
+            broken[seed] = later
+            print(f'seed {seed}: {len(later)} later requests: {later}')
+    print(f'{seeds} seeds, {len(broken)} broken')
+    sys.exit(bool(broken))
+
+
+if __name__ == '__main__':
+    defopt.run(main)
--- a/tests/test_crashingrequests.py
+++ b/tests/test_crashingrequests.py
@@ -212,3 +212,11 @@
     host.outcomes.record_fault(fault, state, assignment)
     host.outcomes.record_crash('t8', 'gone')
     assert host.has_confirmed(state.job) == suspected
+
+
+@pytest.mark.parametrize('seed', range(1, 7))
+async def test_bound_holds_under_random_faults(seed):
+    """Guards against faults in series that together forget a crash."""
+    assert len(await crashkit.play_random_faults(seed)) <= (
+        crashkit.MAX_LATER_SENDS
+    )
