--- a/tests/crashkit.py
+++ b/tests/crashkit.py
@@ -437,15 +437,16 @@
 
 
 RANDOM_FAULTS = (
+    Fleet.restart_some,
     Fleet.restart_some,
     Fleet.cut_some,
     Fleet.stop_store,
-    Fleet.heal,
-    Fleet.heal,
 )
+# Requests within CONTACT_MS after a fault do not count.
+FAULT_INTERVALS_MS = (500, CONTACT_MS + 1_000, 2 * CONTACT_MS)
 
 
-async def play_random_faults(seed, faults=12):
+async def play_random_faults(seed, faults=8):
     """Play faults in series; return the requests that count."""
     rng = random.Random(seed)
     fleet = Fleet(
@@ -456,10 +457,11 @@
         path=rng.choice(('/lookup/666', '/order/666')),
     )
     for _ in range(faults):
-        await fleet.run(rng.choice((1_000, 2_500, 6_000)))
+        await fleet.run(rng.choice(FAULT_INTERVALS_MS))
         rng.choice(RANDOM_FAULTS)(fleet)
-    fleet.heal()
-    await fleet.run(15_000)
+        await fleet.run(rng.choice(FAULT_INTERVALS_MS))
+        fleet.heal()
+    await fleet.run(5 * CONTACT_MS)
     return fleet.later_sends()
 
 
