Restart a crashed engine stand-in once, and let two tests bear a pause

After a pause the model hands over several steps at once, and each notice of the poisoned attempt restarted the engine again.

--- a/standins/liveengine.py
+++ b/standins/liveengine.py
@@ -161,9 +161,11 @@
 
     def _deliver(self, notice: enginemodel.Notice) -> None:
         progress = self.progress_by_attempt.get(notice.attempt_id)
-        if progress is None:
+        if progress is None or progress.ended:
             return
         if progress.poisoned and notice.kind != 'crashed':
+            # Later notices of the same advance belong to the crashed run.
+            progress.end('crashed', notice.at_ms)
             self.model.restart(notice.at_ms)
             return
         progress.update(notice)
--- a/tests/test_engineclients.py
+++ b/tests/test_engineclients.py
@@ -13,10 +13,19 @@
     events,
     records,
 )
-from standins import answers, hostlist, orderbook, plain, serving
+from standins import (
+    answers,
+    enginemodel,
+    hostlist,
+    liveengine,
+    orderbook,
+    plain,
+    serving,
+)
 from tests import fakecorekit
 
 TOKENS = 40
+NEVER_SILENT_MS = 60_000
 
 
 class ListSink:
@@ -47,10 +56,17 @@
     return engines.Attempt(dispatch, request, prompt, prefix, sink)
 
 
-async def run_attempt(address, kind='model', sink=None, **options):
-    """Run an attempt to its end and return its events."""
+async def run_attempt(
+    address, kind='model', sink=None, silent_ms=500, **options
+):
+    """Run an attempt to its end and return its events.
+
+    ``silent_ms`` must exceed any pause of the test's own process where an
+    attempt that counts as silent would be sent again.
+    """
     config = fakecorekit.make_settings()
-    config = config._replace(timing=config.timing._replace(silent_ms=500))
+    timing = config.timing._replace(silent_ms=silent_ms)
+    config = config._replace(timing=timing)
     seen = []
     async with attempttasks.new_client_session(config) as session:
         client = engines.get_engine_by_kind(kind)(session, config, seen.append)
@@ -163,13 +179,32 @@
 async def test_poison_crashes_the_engine_and_kills_its_attempts():
     """Guards against a missed engine crash and one reported by mistake."""
     async with fakecorekit.running_engine() as (app, address):
-        seen = await run_attempt(address, prompt='poison')
+        seen = await run_attempt(
+            address, prompt='poison', silent_ms=NEVER_SILENT_MS
+        )
         assert kinds_of(seen) == ['target_died']
         assert app.live.model.starts == 2
         await asyncio.sleep(0.4)
-        resumed = await run_attempt(address, resume=True)
+        resumed = await run_attempt(
+            address, resume=True, silent_ms=NEVER_SILENT_MS
+        )
         assert kinds_of(resumed) == ['lost']
-        assert not kinds_of(await run_attempt(address))
+        served = await run_attempt(address, silent_ms=NEVER_SILENT_MS)
+        assert not kinds_of(served)
+
+
+async def test_poison_crashes_an_engine_once_after_a_pause():
+    """Guards against a restart for each step of the crashed run."""
+    time = clock.ManualClock()
+    model = enginemodel.EngineModel(fakecorekit.FAST_ENGINE, 't1', 0)
+    crashes = []
+    live = liveengine.LiveEngine(model, time, lambda: crashes.append(1))
+    submission = enginemodel.Submission('a1', 1_000, TOKENS)
+    live.submit(submission, {'prompt': liveengine.POISON_MARKER})
+    time.advance(700)
+    live.advance()
+    assert model.starts == 2
+    assert len(crashes) == 1
 
 
 async def test_attempt_that_already_runs_is_attached_to():
@@ -183,7 +218,15 @@
         async with fakecorekit.running_engine(slow) as (_, address):
             sinks = [ListSink(), ListSink()]
             seen = await asyncio.gather(
-                *(run_attempt(address, sink=s, held=[held]) for s in sinks)
+                *(
+                    run_attempt(
+                        address,
+                        sink=sink,
+                        held=[held],
+                        silent_ms=NEVER_SILENT_MS,
+                    )
+                    for sink in sinks
+                )
             )
         for sink, events_seen in zip(sinks, seen, strict=True):
             assert not kinds_of(events_seen)
