Recognise a crashing request by its workspace, not by its key

The fingerprint held the API key. Operators replace keys, and a workspace may have several, so the same request with another key was learned anew and could crash two more targets with each key. It now holds the name of the workspace that has the key. test_request_is_recognised_with_another_key_of_its_workspace fails with the former fingerprint and passes now.

--- a/bergamotstream/forwarding/ingress.py
+++ b/bergamotstream/forwarding/ingress.py
@@ -121,7 +121,7 @@
         job = self._core.admit(caller_request, now_ms)
         self._check_headers(request)
         body = await self._read_body(request)
-        fingerprint = scheduler.fingerprint_of(caller_request, body)
+        fingerprint = scheduler.fingerprint_of(job, body)
         self._core.check_blame(fingerprint, now_ms)
         job = job._replace(fingerprint=fingerprint)
         self._core.check_shutdown(job, self.stop, now_ms)
--- a/bergamotstream/forwarding/scheduler.py
+++ b/bergamotstream/forwarding/scheduler.py
@@ -429,11 +429,12 @@
     return priority * RANKS_PER_PRIORITY + size
 
 
-def fingerprint_of(request: exchangerecords.CallerRequest, body: bytes) -> int:
-    """Return the same number for the same request of the same caller."""
+def fingerprint_of(job: exchangerecords.Job, body: bytes) -> int:
+    """Return the same number for the same request of the same workspace."""
     digest = xxhash.xxh3_64(body)
-    digest.update(request.target.encode())
-    digest.update(','.join(request.keys).encode())
+    digest.update(job.request.target.encode())
+    if job.workspace is not None:
+        digest.update(job.workspace.name.encode())
     return digest.intdigest()
 
 
--- a/tests/crashkit.py
+++ b/tests/crashkit.py
@@ -247,7 +247,7 @@
     def _admit(self, path, body, attempt_id):
         request = kit.make_request(path, **{kit.ATTEMPT: attempt_id})
         job = self.core.admit(request, self.fleet.clock.now_ms())
-        fingerprint = scheduler.fingerprint_of(request, body)
+        fingerprint = scheduler.fingerprint_of(job, body)
         job = job._replace(fingerprint=fingerprint)
         return requeststate.RequestState(job, body, None)
 
--- a/tests/test_crashingrequests.py
+++ b/tests/test_crashingrequests.py
@@ -3,8 +3,10 @@
 import pytest
 
 from bergamotstream import errors
-from bergamotstream.forwarding import crashblame, dispatch
+from bergamotstream.forwarding import crashblame, dispatch, scheduler
+from bergamotstream.platform import store
 from tests import crashkit
+from tests import platformkit as kit
 
 SEEDS = (1, 2, 3)
 LOADS_BY_NAME = {
@@ -220,3 +222,21 @@
     assert len(await crashkit.play_random_faults(seed)) <= (
         crashkit.MAX_LATER_SENDS
     )
+
+
+def test_request_is_recognised_with_another_key_of_its_workspace():
+    """Guards against crash counts that start anew when keys are replaced."""
+    core = kit.make_scheduler()
+    workspaces = [
+        {'name': 'small', 'api_keys': [kit.KEY, 'key-2']},
+        {'name': 'other', 'api_keys': ['key-3']},
+    ]
+    document = kit.configuration_document(2, tenants=workspaces)
+    page = store.Page((store.Item('op/config', 200, document),), 200)
+    core.view.apply_changes(page, 0)
+    first, second, other = (
+        scheduler.fingerprint_of(kit.make_job(core, Api_Key=key), b'crash')
+        for key in (kit.KEY, 'key-2', 'key-3')
+    )
+    assert first == second
+    assert first != other
