--- a/bergamotstream/forwarding/dispatch.py
+++ b/bergamotstream/forwarding/dispatch.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import enum
 from typing import Final, NamedTuple, TypeAlias
 
 import aiohttp
@@ -66,6 +67,15 @@
 READ_FAULTS: Final = (aiohttp.ClientError, OSError, ValueError)
 
 
+class Framing(enum.Enum):
+    """What marks the end of an answer's body."""
+
+    LENGTH = 'length'
+    CHUNKED = 'chunked'
+    # The end of the connection.
+    CLOSE = 'close'
+
+
 class BufferedAnswer(NamedTuple):
     """A complete answer of a target."""
 
@@ -180,24 +190,33 @@
 
 
 class Ending(NamedTuple):
-    """Whether the end of an answer is framed or is its connection's end."""
+    """How the end of an answer is recognised."""
 
-    framed: bool
+    framing: Framing
     # Done when the connection is lost; ``None`` if it already was.
     closed: asyncio.Future[None] | None
 
 
 def ending_of(answer: Answer) -> Ending:
     """Return how an answer ends; call this before reading it."""
-    framed = (
-        'Content-Length' in answer.headers
-        or 'Transfer-Encoding' in answer.headers
-    )
+    framing = _framing_of(answer)
     connection = answer.connection
-    if framed or connection is None or connection.protocol is None:
-        return Ending(framed, None)
+    if (
+        framing is not Framing.CLOSE
+        or connection is None
+        or connection.protocol is None
+    ):
+        return Ending(framing, None)
     # Accessing this future makes aiohttp report each lost connection.
-    return Ending(framed, connection.protocol.closed)
+    return Ending(framing, connection.protocol.closed)
+
+
+def _framing_of(answer: Answer) -> Framing:
+    if 'Transfer-Encoding' in answer.headers:
+        return Framing.CHUNKED
+    if 'Content-Length' in answer.headers:
+        return Framing.LENGTH
+    return Framing.CLOSE
 
 
 async def check_ending(ending: Ending) -> None:
@@ -206,7 +225,7 @@
     aiohttp treats an answer without a length as complete however its
     connection ends, but after a reset bytes may be missing.
     """
-    if ending.framed:
+    if ending.framing is not Framing.CLOSE:
         return
     if ending.closed is None:
         raise aiohttp.ClientConnectionError(
--- a/bergamotstream/forwarding/ingress.py
+++ b/bergamotstream/forwarding/ingress.py
@@ -420,6 +420,9 @@
                         answer.status, headers, event.encoded
                     )
                     state.last_event_id = event.event_id or state.last_event_id
+            self._outcomes.record_stream_end(
+                state, assignment, ending.framing, splitter
+            )
             await dispatch.check_ending(ending)
         except dispatch.READ_FAULTS as broken:
             raise dispatch.TargetBroken(repr(broken)) from broken
--- a/bergamotstream/forwarding/outcomes.py
+++ b/bergamotstream/forwarding/outcomes.py
@@ -17,6 +17,7 @@
     eventlog,
     exchangerecords,
     fleetrecords,
+    relayedevents,
     requeststate,
     reservations,
     scheduler,
@@ -122,6 +123,24 @@
             self._clock.now_ms(),
         )
 
+    def record_stream_end(
+        self,
+        served: requeststate.RequestState,
+        assignment: exchangerecords.Assignment,
+        framing: dispatch.Framing,
+        splitter: relayedevents.EventSplitter,
+    ) -> None:
+        """Record the end of a target's stream, before it is checked."""
+        self._log.write(
+            'stream_ended',
+            id=served.job.request.attempt_id,
+            target=assignment.target.target_id,
+            framing=framing.value,
+            events=splitter.received_events,
+            rest_bytes=len(splitter.rest),
+            last_event=served.last_event_id,
+        )
+
     def record_success(
         self,
         served: requeststate.RequestState,
--- a/bergamotstream/forwarding/relayedevents.py
+++ b/bergamotstream/forwarding/relayedevents.py
@@ -27,6 +27,7 @@
 
     def __init__(self) -> None:
         """Start with nothing received."""
+        self.received_events = 0
         self._pending = b''
 
     @property
@@ -46,6 +47,7 @@
                 break
             encoded = self._pending[:end]
             self._pending = self._pending[end:]
+            self.received_events += 1
             yield RelayedEvent(encoded, _event_id(encoded))
         if len(self._pending) > MAX_EVENT_BYTES:
             raise ValueError('event longer than the limit')
