Do not complete a stream that ends inside an event

Callers got a success with a part of an event at its end, framed as complete. Cause: the relay took the end of the bytes that it received for the end of what the target sent, and passed on what came after the last event.

A stream now has to end outside an event, whatever its framing: otherwise the try counts as broken, the stream is resumed at another target, or the answer is aborted. The splitter knows all line ends of the format, since a stream with bare carriage returns would now count as one event without an end; blank lines and whole comments after the last event are no part of one.

--- a/bergamotstream/forwarding/ingress.py
+++ b/bergamotstream/forwarding/ingress.py
@@ -424,6 +424,7 @@
                 state, assignment, ending.framing, splitter
             )
             await dispatch.check_ending(ending)
+            splitter.check_end()
         except dispatch.READ_FAULTS as broken:
             raise dispatch.TargetBroken(repr(broken)) from broken
         response = await state.answer.write(
--- a/bergamotstream/forwarding/relayedevents.py
+++ b/bergamotstream/forwarding/relayedevents.py
@@ -6,12 +6,19 @@
 whose target fails can resume at another one after the last complete event.
 """
 
+import re
 from collections.abc import Iterator
 from typing import Final, NamedTuple
 
 # Larger than any event that a model engine sends.
 MAX_EVENT_BYTES: Final = 1_048_576
-_SEPARATORS: Final = (b'\n\n', b'\r\n\r\n')
+# A line end and a blank line, with any of the three line ends of the format. A
+# carriage return at the end of the bytes may be the first half of a line end.
+_END_OF_EVENT: Final = re.compile(
+    rb'(?>\r\n|\n|\r)(?:\r\n|\n|(?<=\r)\r|\r(?=[^\n]))'
+)
+_COMMENT: Final = b':'
+_LINE_ENDS: Final = b'\r\n'
 _ID_FIELD: Final = b'id:'
 
 
@@ -35,6 +42,11 @@
         """Return the bytes after the last complete event."""
         return self._pending
 
+    def check_end(self) -> None:
+        """Raise :class:`ValueError` if the bytes end inside an event."""
+        if any(map(_is_part_of_event, self._pending.splitlines(keepends=True))):
+            raise ValueError('stream ended inside an event')
+
     def feed(self, received: bytes) -> Iterator[RelayedEvent]:
         """Yield the events that are complete after ``received``.
 
@@ -42,25 +54,22 @@
         """
         self._pending += received
         while True:
-            end = _end_of_event(self._pending)
-            if not end:
+            found = _END_OF_EVENT.search(self._pending)
+            if found is None:
                 break
-            encoded = self._pending[:end]
-            self._pending = self._pending[end:]
+            encoded = self._pending[: found.end()]
+            self._pending = self._pending[found.end() :]
             self.received_events += 1
             yield RelayedEvent(encoded, _event_id(encoded))
         if len(self._pending) > MAX_EVENT_BYTES:
             raise ValueError('event longer than the limit')
 
 
-def _end_of_event(pending: bytes) -> int:
-    """Return the length of the first event, 0 if none is complete."""
-    ends = [
-        start + len(separator)
-        for separator in _SEPARATORS
-        if (start := pending.find(separator)) >= 0
-    ]
-    return min(ends, default=0)
+def _is_part_of_event(line: bytes) -> bool:
+    """Tell whether a line is neither blank nor a whole comment."""
+    text = line.rstrip(_LINE_ENDS)
+    is_whole_comment = text.startswith(_COMMENT) and text != line
+    return bool(text) and not is_whole_comment
 
 
 def _event_id(encoded: bytes) -> str:
