Do not pass on the length of a relayed stream

Callers got a resumed stream cut off, as complete, at the length that its first target had given: the events of the second target came to more bytes than that, and the server drops what exceeds the length. Relayed streams now go out in chunks.

test_stream_that_ends_inside_an_event_is_resumed[...-length]: 3 of 3 failed with a body that lacked its last bytes, now pass.

--- a/bergamotstream/forwarding/ingress.py
+++ b/bergamotstream/forwarding/ingress.py
@@ -393,6 +393,8 @@
     ) -> web.StreamResponse:
         """Relay a stream event by event; raises ``TargetBroken``."""
         headers = callerformat.answer_headers(answer.headers)
+        # Another target may complete the stream with a different length.
+        headers.popall('Content-Length', None)
         splitter = relayedevents.EventSplitter()
         ending = dispatch.ending_of(answer)
         last_chunk_ms = 0
