Check the last event of a buffered event stream

A target may answer a route that does not stream with events. The buffer was passed on as complete although it ended inside an event. It is now checked like a relayed stream. The splitter walks over its bytes once: slicing off each event would copy a buffer of 8 MB once for each of its events.

--- a/bergamotstream/forwarding/dispatch.py
+++ b/bergamotstream/forwarding/dispatch.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import collections
 import enum
 from typing import Final, NamedTuple, TypeAlias
 
@@ -14,7 +15,12 @@
 import multidict
 import yarl
 
-from bergamotstream.forwarding import exchangerecords, fleetrecords
+from bergamotstream import eventstream
+from bergamotstream.forwarding import (
+    exchangerecords,
+    fleetrecords,
+    relayedevents,
+)
 from bergamotstream.platform import callerformat, protocol
 
 MISDIRECTED: Final = 421
@@ -178,6 +184,7 @@
             received += chunk
             _check_body_length(received)
         await check_ending(ending)
+        _check_last_event(answer, received)
     except READ_FAULTS as broken:
         answer.close()
         raise TargetBroken(repr(broken)) from broken
@@ -247,6 +254,13 @@
         answer.close()
 
 
+def _check_last_event(answer: Answer, received: bytearray) -> None:
+    if answer.content_type == eventstream.CONTENT_TYPE:
+        splitter = relayedevents.EventSplitter()
+        collections.deque(splitter.feed(bytes(received)), maxlen=0)
+        splitter.check_end()
+
+
 def _check_body_length(received: bytearray) -> None:
     if len(received) > MAX_BUFFERED_BYTES:
         raise ValueError('answer exceeds the buffer limit')
--- a/bergamotstream/forwarding/relayedevents.py
+++ b/bergamotstream/forwarding/relayedevents.py
@@ -52,15 +52,14 @@
 
         Raises :class:`ValueError` for an event that is too long.
         """
-        self._pending += received
-        while True:
-            found = _END_OF_EVENT.search(self._pending)
-            if found is None:
-                break
-            encoded = self._pending[: found.end()]
-            self._pending = self._pending[found.end() :]
+        unsplit = self._pending + received
+        start = 0
+        for found in _END_OF_EVENT.finditer(unsplit):
+            encoded = unsplit[start : found.end()]
+            start = found.end()
             self.received_events += 1
             yield RelayedEvent(encoded, _event_id(encoded))
+        self._pending = unsplit[start:]
         if len(self._pending) > MAX_EVENT_BYTES:
             raise ValueError('event longer than the limit')
 
