Do not serve a closed stream without an event

A target that ends its connection after the head of a stream gave its caller an empty success. Neither the framing nor an event shows that this is the whole answer, so it now counts as broken off. A stream that resumes after its last event may still be empty.

--- a/bergamotstream/forwarding/ingress.py
+++ b/bergamotstream/forwarding/ingress.py
@@ -425,8 +425,7 @@
             self._outcomes.record_stream_end(
                 state, assignment, ending.framing, splitter
             )
-            await dispatch.check_ending(ending)
-            splitter.check_end()
+            await _check_stream_end(state, ending, splitter)
         except dispatch.READ_FAULTS as broken:
             raise dispatch.TargetBroken(repr(broken)) from broken
         response = await state.answer.write(
@@ -474,3 +473,20 @@
         if not request.content.at_eof():
             response.force_close()
         return response
+
+
+async def _check_stream_end(
+    state: requeststate.RequestState,
+    ending: dispatch.Ending,
+    splitter: relayedevents.EventSplitter,
+) -> None:
+    """Raise one of ``READ_FAULTS`` if a stream may have been broken off.
+
+    Only a stream that resumes after its last event may hold no event, unless
+    its framing says so.
+    """
+    await dispatch.check_ending(ending)
+    splitter.check_end()
+    is_closed = ending.framing is dispatch.Framing.CLOSE
+    if is_closed and not splitter.received_events and not state.last_event_id:
+        raise ValueError('stream ended without an event')
