Accept an answer whose connection ends together with it

A complete answer without a length or chunks was refused as broken if its connection ended before the host looked at it: aiohttp tells how a connection ended only to those who asked before, and the host asked after the head. Callers got a 502, or the request ran once more. The response class now asks before the head is read. A reset at the same moment is still seen.

test_answer_that_arrives_with_its_end: the two orderly cases failed, now pass; the two cases of a reset passed before and after.

--- a/bergamotstream/forwarding/connections.py
+++ b/bergamotstream/forwarding/connections.py
@@ -7,6 +7,7 @@
 them.
 """
 
+import asyncio
 import socket
 from typing import Any, Final
 
@@ -25,6 +26,34 @@
 MAX_FIELD_BYTES: Final = 32_768
 
 
+class TrackedResponse(aiohttp.ClientResponse):
+    """Response that knows how its connection has ended."""
+
+    # Done when the connection is lost, with an exception after a reset.
+    connection_lost: asyncio.Future[None] | None = None
+
+    async def start(
+        self, connection: aiohttp.connector.Connection
+    ) -> aiohttp.ClientResponse:
+        """Track the connection, then receive the head of the response.
+
+        aiohttp forgets how a connection ended if nothing asked before, and the
+        end may arrive together with the head.
+        """
+        if connection.protocol is not None:
+            self.connection_lost = connection.protocol.closed
+        if self.connection_lost is not None:
+            self.connection_lost.remove_done_callback(_retrieve_exception)
+            self.connection_lost.add_done_callback(_retrieve_exception)
+        return await super().start(connection)
+
+
+def _retrieve_exception(connection_lost: asyncio.Future[None]) -> None:
+    """Keep asyncio from logging a reset that no response waits for."""
+    if not connection_lost.cancelled():
+        connection_lost.exception()
+
+
 def _open_socket(address: tuple[Any, ...]) -> socket.socket:
     family, kind, protocol = address[:3]
     opened = socket.socket(family, kind, protocol)
@@ -49,17 +78,18 @@
 def open_session(*, reuse: bool) -> aiohttp.ClientSession:
     """Return a session; without ``reuse`` each request opens a connection."""
     if reuse:
-        connector = aiohttp.TCPConnector(
+        pool = aiohttp.TCPConnector(
             limit=0,
             keepalive_timeout=POOL_IDLE_TIMEOUT_S,
             socket_factory=_open_socket,
         )
     else:
-        connector = aiohttp.TCPConnector(
+        pool = aiohttp.TCPConnector(
             limit=0, force_close=True, socket_factory=_open_socket
         )
     return aiohttp.ClientSession(
-        connector=connector,
+        connector=pool,
+        response_class=TrackedResponse,
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
         skip_auto_headers=(
--- a/bergamotstream/forwarding/dispatch.py
+++ b/bergamotstream/forwarding/dispatch.py
@@ -17,6 +17,7 @@
 
 from bergamotstream import eventstream
 from bergamotstream.forwarding import (
+    connections,
     exchangerecords,
     fleetrecords,
     relayedevents,
@@ -200,22 +201,18 @@
     """How the end of an answer is recognised."""
 
     framing: Framing
-    # Done when the connection is lost; ``None`` if it already was.
+    # Done when the connection is lost; ``None`` if that cannot be known.
     closed: asyncio.Future[None] | None
 
 
 def ending_of(answer: Answer) -> Ending:
-    """Return how an answer ends; call this before reading it."""
+    """Return how an answer ends."""
     framing = _framing_of(answer)
-    connection = answer.connection
-    if (
-        framing is not Framing.CLOSE
-        or connection is None
-        or connection.protocol is None
+    if framing is not Framing.CLOSE or not isinstance(
+        answer, connections.TrackedResponse
     ):
         return Ending(framing, None)
-    # Accessing this future makes aiohttp report each lost connection.
-    return Ending(framing, connection.protocol.closed)
+    return Ending(framing, answer.connection_lost)
 
 
 def _framing_of(answer: Answer) -> Framing:
@@ -235,9 +232,7 @@
     if ending.framing is not Framing.CLOSE:
         return
     if ending.closed is None:
-        raise aiohttp.ClientConnectionError(
-            'connection closed before its end could be checked'
-        )
+        raise aiohttp.ClientConnectionError('unknown how the connection ended')
     async with asyncio.timeout(ENDING_TIMEOUT_S):
         await asyncio.shield(ending.closed)
 
--- a/tests/test_streamends.py
+++ b/tests/test_streamends.py
@@ -113,6 +113,34 @@
         assert (status, body) == (200, whole)
 
 
+@pytest.mark.parametrize('reset', [False, True])
+@pytest.mark.parametrize('path', ['/lookup/1', '/chat/1'])
+async def test_answer_that_arrives_with_its_end(path, reset):
+    """Guards against an end that is not seen because it comes at once."""
+    whole = FIRST_EVENTS + LAST_EVENT
+
+    async def respond(request, writer):
+        writer.write(framed(request, whole, 'close'))
+        if reset:
+            kit.reset(writer)
+        else:
+            writer.close()
+
+    async with (
+        kit.running_system() as system,
+        kit.raw_target(respond) as only,
+    ):
+        service = 'plain' if path == '/lookup/1' else 'model'
+        await system.add_target('t1', only, service=service)
+        for _ in range(20):
+            try:
+                status, _, body = await system.call(path)
+            except aiohttp.ClientPayloadError:
+                status, body = 0, b''
+            assert (status == 200) is not reset
+            assert status != 200 or body == whole
+
+
 @pytest.mark.parametrize('line_end', [b'\n', b'\r\n', b'\r'])
 @pytest.mark.parametrize('size', [1, 2, 3, 1_000])
 def test_events_are_split_at_any_chunk_border(line_end, size):
