Treat a broken answer of the store as no answer

A success of the store without its document, or one that lacks a field, raised KeyError or TypeError out of the task that reads the store, and the process ended. An answer with neither a length nor chunks looks like this when it is broken off after its head. It now counts as StoreUnavailable, which is retried. A document cut off inside was already noticed.

--- a/bergamotstream/platform/store.py
+++ b/bergamotstream/platform/store.py
@@ -7,8 +7,9 @@
 """
 
 import base64
+import contextlib
 import json
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterator, Mapping, Sequence
 from typing import Any, Final, NamedTuple
 
 import aiohttp
@@ -84,8 +85,9 @@
                 else {'prefix': prefix}
             )
             _, body = await self._call('GET', '/kv-range', query=query)
-            items.extend(_item(entry) for entry in body['items'])
-            revision = revision or int(body['store_revision'])
+            with _decoding():
+                items.extend(_item(entry) for entry in body['items'])
+                revision = revision or int(body['store_revision'])
             if not body.get('has_more') or not body['items']:
                 return Page(tuple(items), revision)
             after = items[-1].key
@@ -101,13 +103,15 @@
         )
         if status == HISTORY_GONE:
             raise HistoryGone
-        events = tuple(_item(entry) for entry in body['events'])
-        return Page(events, int(body['store_revision']))
+        with _decoding():
+            events = tuple(_item(entry) for entry in body['events'])
+            return Page(events, int(body['store_revision']))
 
     async def open_lease(self, ttl_ms: int) -> int:
         """Return the id of a new lease of ``ttl_ms`` milliseconds."""
         _, body = await self._call('POST', '/kv-lease', {'ttl_ms': ttl_ms})
-        return int(body['lease'])
+        with _decoding():
+            return int(body['lease'])
 
     async def renew_lease(self, lease: int) -> None:
         """Renew a lease; raises ``LeaseGone``."""
@@ -181,6 +185,15 @@
     return response.status, decoded if isinstance(decoded, dict) else {}
 
 
+@contextlib.contextmanager
+def _decoding() -> Iterator[None]:
+    """Raise ``StoreUnavailable`` if a field is missing or malformed."""
+    try:
+        yield
+    except (KeyError, TypeError, ValueError) as fault:
+        raise StoreUnavailable(f'malformed answer: {fault!r}') from fault
+
+
 def _item(entry: Mapping[str, Any]) -> Item:
     if entry.get('tombstone'):
         return Item(str(entry['key']), int(entry['rev']), None)
