Log the parts of prompts with each try

The lines of a try now hold a fingerprint for each part that other requests may share: all but the last.

No decision uses the parts yet.

--- a/bench/placementworld.py
+++ b/bench/placementworld.py
@@ -161,6 +161,7 @@
                 keys=(),
                 deadline_ms=end_ms - self.time.now_ms,
                 prompt_tokens=arrival.prompt_tokens,
+                prompt_parts=(),
                 max_answer_tokens=arrival.answer_tokens * 2,
                 length_hint=round(hint),
                 last_event_id='',
--- a/bergamotstream/forwarding/exchangerecords.py
+++ b/bergamotstream/forwarding/exchangerecords.py
@@ -21,6 +21,8 @@
     # ``None`` when the caller states no deadline.
     deadline_ms: int | None
     prompt_tokens: int
+    # Ids of the prompt's parts in order; the last belongs to this request.
+    prompt_parts: tuple[str, ...]
     # Upper limit of the answer's length.
     max_answer_tokens: int
     # The caller's estimate of the answer's length; 0 without one.
@@ -44,6 +46,8 @@
     workspace: fleetrecords.Workspace | None
     priority: int
     fingerprint: int
+    # Fingerprints of the prompt's parts that other requests may share.
+    parts: tuple[int, ...]
     # ``None`` for a plain service.
     generation: placement.Generation | None
     arrived_ms: int
--- a/bergamotstream/forwarding/ingress.py
+++ b/bergamotstream/forwarding/ingress.py
@@ -21,6 +21,7 @@
     dispatch,
     eventlog,
     exchangerecords,
+    fingerprints,
     fleetrecords,
     outcomes,
     peerexchange,
@@ -121,9 +122,8 @@
         job = self._core.admit(caller_request, now_ms)
         self._check_headers(request)
         body = await self._read_body(request)
-        fingerprint = scheduler.fingerprint_of(job, body)
-        self._core.check_blame(fingerprint, now_ms)
-        job = job._replace(fingerprint=fingerprint)
+        job = fingerprints.identify(job, body)
+        self._core.check_blame(job.fingerprint, now_ms)
         self._core.check_shutdown(job, self.stop, now_ms)
         return requeststate.RequestState(
             job, body, calleranswer.CallerAnswer(request)
--- a/bergamotstream/forwarding/scheduler.py
+++ b/bergamotstream/forwarding/scheduler.py
@@ -97,7 +97,7 @@
         request: exchangerecords.CallerRequest,
         now_ms: int,
     ) -> exchangerecords.Job:
-        """Return the job of a request, without its body's fingerprint.
+        """Return the job of a request, without its fingerprints.
 
         Raises ``ConfigurationUnknown``, ``UnknownRoute`` or ``UnknownKey``.
         """
@@ -401,7 +401,7 @@
     workspace: fleetrecords.Workspace | None,
     now_ms: int,
 ) -> exchangerecords.Job:
-    """Return the job of a request, without its body's fingerprint."""
+    """Return the job of a request, without its fingerprints."""
     remaining_ms = route.timeout_ms
     if request.deadline_ms is not None:
         remaining_ms = min(remaining_ms, request.deadline_ms)
@@ -412,6 +412,7 @@
         workspace=workspace,
         priority=_wire_priority(route, workspace, request),
         fingerprint=0,
+        parts=(),
         generation=_generation_of(route, service, request, remaining_ms),
         arrived_ms=now_ms,
         end_ms=now_ms + remaining_ms - ANSWER_MARGIN_MS,
@@ -429,15 +430,6 @@
     return priority * RANKS_PER_PRIORITY + size
 
 
-def fingerprint_of(job: exchangerecords.Job, body: bytes) -> int:
-    """Return the same number for the same request of the same workspace."""
-    digest = xxhash.xxh3_64(body)
-    digest.update(job.request.target.encode())
-    if job.workspace is not None:
-        digest.update(job.workspace.name.encode())
-    return digest.intdigest()
-
-
 def caller_timeout_ms(route: fleetrecords.Route) -> int:
     """Return the gap in a stream after which callers disconnect."""
     return max(
--- a/bergamotstream/platform/callerformat.py
+++ b/bergamotstream/platform/callerformat.py
@@ -35,6 +35,7 @@
         keys=tuple(headers.getall(protocol.API_KEY, ())),
         deadline_ms=_parse_count(headers.get(protocol.DEADLINE_MS, '')) or None,
         prompt_tokens=prompt_tokens,
+        prompt_parts=tuple(_part_ids(headers)),
         max_answer_tokens=answer_tokens,
         length_hint=_parse_count(headers.get(protocol.LENGTH_HINT, '')),
         last_event_id=headers.get(protocol.LAST_EVENT_ID, ''),
@@ -118,6 +119,15 @@
     return text.partition(':')[0].lower()
 
 
+def _part_ids(headers: multidict.CIMultiDictProxy[str]) -> Iterable[str]:
+    """Yield the ids of ``ID:TOKENS`` entries; ids are hexadecimal."""
+    for listed in headers.getall(protocol.PROMPT_PREFIX, ()):
+        for entry in listed.split(','):
+            part_id = entry.partition(':')[0].strip().lower()
+            if part_id:
+                yield part_id
+
+
 def _parse_count(text: str) -> int:
     """Return a decimal integer, 0 for other text."""
     text = text.strip()
--- a/tests/crashkit.py
+++ b/tests/crashkit.py
@@ -21,6 +21,7 @@
     blamerecords,
     dispatch,
     eventlog,
+    fingerprints,
     fleetrecords,
     ingress,
     outcomes,
@@ -247,8 +248,7 @@
     def _admit(self, path, body, attempt_id):
         request = kit.make_request(path, **{kit.ATTEMPT: attempt_id})
         job = self.core.admit(request, self.fleet.clock.now_ms())
-        fingerprint = scheduler.fingerprint_of(job, body)
-        job = job._replace(fingerprint=fingerprint)
+        job = fingerprints.identify(job, body)
         return requeststate.RequestState(job, body, None)
 
     def serve_ordinary(self, attempt_id):
--- a/tests/test_crashingrequests.py
+++ b/tests/test_crashingrequests.py
@@ -3,7 +3,7 @@
 import pytest
 
 from bergamotstream import errors
-from bergamotstream.forwarding import crashblame, dispatch, scheduler
+from bergamotstream.forwarding import crashblame, dispatch, fingerprints
 from bergamotstream.platform import store
 from tests import crashkit
 from tests import platformkit as kit
@@ -235,7 +235,7 @@
     page = store.Page((store.Item('op/config', 200, document),), 200)
     core.view.apply_changes(page, 0)
     first, second, other = (
-        scheduler.fingerprint_of(kit.make_job(core, Api_Key=key), b'crash')
+        fingerprints.of_request(kit.make_job(core, Api_Key=key), b'crash')
         for key in (kit.KEY, 'key-2', 'key-3')
     )
     assert first == second
