--- a/tests/crashkit.py
+++ b/tests/crashkit.py
@@ -9,6 +9,7 @@
 """
 
 import asyncio
+import functools
 import random
 import sys
 from typing import NamedTuple
@@ -32,14 +33,22 @@
 from bergamotstream.platform import store
 from tests import platformkit as kit
 
-# The operators' bounds: after a request has crashed this many targets, it may
-# reach this many more, not counting those within CONTACT_MS.
+# The operators' bounds: after a request, or a part of prompts, has crashed this
+# many targets, it may reach this many more, not counting those within
+# CONTACT_MS.
 CRASHES = 3
+CRASHES_UNDER_PART = 5
 MAX_LATER_SENDS = 3
+# Parts of prompts: one that all requests of a workspace share, one that crashes
+# targets, and some that sound requests have.
+COMMON_PART = 'c0'
+CRASHING_PART = 'bad'
+SOUND_PARTS = 20
 CONTACT_MS = 3_000
 STEP_MS = 50
 EXCHANGE_INTERVAL_MS = 150
 RECORD_INTERVAL_MS = 250
+PROMPT_PREFIX = 'Bergamotstream-Prompt-Prefix'
 LAPSE_MS = 3 * 1_200
 RESTART_MS = 4_000
 
@@ -56,6 +65,10 @@
     return dispatch.TargetUnreachable(aiohttp.ConnectionTimeoutError())
 
 
+def _prompt(part, own):
+    return f'{COMMON_PART}:40,{part}:40,{own}:200'
+
+
 class Target(NamedTuple):
     """One run of a target."""
 
@@ -74,6 +87,10 @@
     crashing_interval_ms: int = 1_000
     ordinary_interval_ms: int = 150
     path: str = '/lookup/666'
+    # Whether one part crashes targets, in requests of which no two are alike.
+    by_part: bool = False
+    # Time that an ordinary request takes; it breaks if its target ends.
+    ordinary_ms: int = 0
 
 
 class Sent(NamedTuple):
@@ -219,11 +236,11 @@
             if other is not self and not (self.is_cut or other.is_cut):
                 other.peers.datagram_received(message, self.name)
 
-    async def call(self, path, body, attempt_id):
+    async def call(self, path, body, attempt_id, prompt=''):
         """Send a request; return the code of its failure."""
         now_ms = self.fleet.clock.now_ms()
         try:
-            state = self._admit(path, body, attempt_id)
+            state = self._admit(path, body, attempt_id, prompt)
             self.core.check_blame(state.job.fingerprint, now_ms)
             await self.ingress._serve_with_retries(state)
         except errors.ServiceError as error:
@@ -231,9 +248,9 @@
         except asyncio.CancelledError:
             return 'caller_gone'
 
-    def start_request(self, path, body, attempt_id='a1'):
+    def start_request(self, path, body, attempt_id='a1', prompt=''):
         """Place a request; return its state and its assignment."""
-        state = self._admit(path, body, attempt_id)
+        state = self._admit(path, body, attempt_id, prompt)
         now_ms = self.fleet.clock.now_ms()
         assignment = self.core.place(state.job, (), now_ms)
         self.outcomes.record_placement(state, assignment)
@@ -245,22 +262,34 @@
         seen = self.core.blame.own_crashes_of(job.fingerprint, now_ms)
         return seen.confirmed > 0
 
-    def _admit(self, path, body, attempt_id):
-        request = kit.make_request(path, **{kit.ATTEMPT: attempt_id})
+    def _admit(self, path, body, attempt_id, prompt):
+        headers = {kit.ATTEMPT: attempt_id, PROMPT_PREFIX: prompt}
+        request = kit.make_request(path, **headers)
         job = self.core.admit(request, self.fleet.clock.now_ms())
         job = fingerprints.identify(job, body)
         return requeststate.RequestState(job, body, None)
 
-    def serve_ordinary(self, attempt_id):
-        """Serve a request that crashes nothing."""
+    def start_ordinary(self, attempt_id, prompt):
+        """Start a request that crashes nothing; return how to end it."""
+        now_ms = self.fleet.clock.now_ms()
         try:
             state, assignment = self.start_request(
-                '/lookup/9', attempt_id.encode(), attempt_id
+                '/lookup/9', attempt_id.encode(), attempt_id, prompt
             )
+            self.core.check_blame(state.job.fingerprint, now_ms)
+        except errors.RequestBlamed:
+            self.core.release(assignment)
+            self.fleet.refused_ordinary += 1
+            return None
         except errors.ServiceError:
-            return
+            return None
+        return functools.partial(self._end_ordinary, state, assignment)
+
+    def _end_ordinary(self, state, assignment):
         self.core.release(assignment)
         fault = self.fleet.fault_of(assignment.target)
+        if fault and state.job.arrived_ms < self.fleet.clock.now_ms():
+            fault = dispatch.TargetBroken('connection reset')
         if fault is None:
             self.outcomes.record_success(state, assignment)
         else:
@@ -293,6 +322,10 @@
         self.store_away_ms = -CONTACT_MS
         self._same_id = same_id
         self._load = Load(**load)
+        # Ordinary requests: all, those blamed, and those that have not ended.
+        self.ordinary = 0
+        self.refused_ordinary = 0
+        self._open_ordinary = []
         self._calls = 0
         self._crashes_silently = False
         self.store.put('op/config', kit.configuration_document())
@@ -363,14 +396,36 @@
                 await host.records.write_missing()
         if not now_ms % self._load.ordinary_interval_ms:
             for host in hosts:
-                self._calls += 1
-                host.serve_ordinary(f'o{self._calls}')
+                self._start_ordinary(host, now_ms)
+        self._end_ordinary(now_ms)
         if not now_ms % self._load.crashing_interval_ms:
             await self._call_crashing(self.rng.choice(hosts))
 
+    def _start_ordinary(self, host, now_ms):
+        self._calls += 1
+        self.ordinary += 1
+        attempt_id = f'o{self._calls}'
+        part = f'{self.rng.randrange(SOUND_PARTS):x}'
+        end = host.start_ordinary(attempt_id, _prompt(part, attempt_id))
+        if end is not None:
+            self._open_ordinary.append((now_ms + self._load.ordinary_ms, end))
+
+    def _end_ordinary(self, now_ms):
+        due = [end for end_ms, end in self._open_ordinary if end_ms <= now_ms]
+        self._open_ordinary = [
+            entry for entry in self._open_ordinary if entry[0] > now_ms
+        ]
+        for end in due:
+            end()
+
     async def _call_crashing(self, host):
         self._calls += 1
-        code = await host.call(self._load.path, b'crash', f'p{self._calls}')
+        attempt_id = f'p{self._calls}'
+        body, prompt = b'crash', ''
+        if self._load.by_part:
+            body = attempt_id.encode()
+            prompt = _prompt(CRASHING_PART, attempt_id)
+        code = await host.call(self._load.path, body, attempt_id, prompt)
         self.codes.append(code)
 
     def _move_targets(self, now_ms):
@@ -399,12 +454,13 @@
 
     def later_sends(self):
         """Return the sends that count against the operators' bound."""
-        if len(self.sent) < CRASHES:
+        crashes = CRASHES_UNDER_PART if self._load.by_part else CRASHES
+        if len(self.sent) < crashes:
             return []
-        counted_from_ms = self.sent[CRASHES - 1].at_ms + CONTACT_MS
+        counted_from_ms = self.sent[crashes - 1].at_ms + CONTACT_MS
         return [
             sent
-            for sent in self.sent[CRASHES:]
+            for sent in self.sent[crashes:]
             if sent.at_ms > counted_from_ms and sent.in_contact
         ]
 
@@ -436,6 +492,75 @@
         self.store.away = True
 
 
+# Scenarios of faults, by name.
+SCENARIOS_BY_NAME = {}
+
+
+def _scenario(play):
+    SCENARIOS_BY_NAME[play.__name__] = play
+    return play
+
+
+@_scenario
+async def calm(fleet):
+    """Play no other fault."""
+    await fleet.run(30_000)
+
+
+@_scenario
+async def outage_of_the_store(fleet):
+    """Let the store be away while targets crash."""
+    fleet.store.away = True
+    await fleet.run(12_000)
+    fleet.store.away = False
+    await fleet.run(20_000)
+
+
+@_scenario
+async def hosts_replaced_in_turn(fleet):
+    """Replace all hosts, one after the other."""
+    await fleet.run(6_000)
+    for name in tuple(fleet.hosts_by_name):
+        fleet.start_host(name)
+        await fleet.run(2_000)
+    await fleet.run(15_000)
+
+
+@_scenario
+async def kills_of_all_hosts(fleet):
+    """Kill all hosts, three times."""
+    await fleet.run(4_000)
+    for _ in range(3):
+        for name in tuple(fleet.hosts_by_name):
+            fleet.start_host(name)
+        await fleet.run(6_000)
+
+
+@_scenario
+async def cut_off_hosts(fleet):
+    """Cut half of the hosts off from their peers."""
+    cut = list(fleet.hosts_by_name.values())[:2]
+    for host in cut:
+        host.is_cut = True
+    await fleet.run(10_000)
+    for host in cut:
+        host.is_cut = False
+    await fleet.run(20_000)
+
+
+@_scenario
+async def long_run(fleet):
+    """Play for longer than any count lasts."""
+    await fleet.run(130_000)
+
+
+@_scenario
+async def silent_crashes(fleet):
+    """Let callers leave before the crash shows."""
+    fleet.crash_silently()
+    await fleet.run(30_000)
+
+
 RANDOM_FAULTS = (
     Fleet.restart_some,
     Fleet.restart_some,
--- a/tests/test_crashingrequests.py
+++ b/tests/test_crashingrequests.py
@@ -20,96 +20,53 @@
 async def assert_within_bound(scenario, loads=tuple(LOADS_BY_NAME)):
     """Require the operators' bound in each load with each seed."""
     broken = {}
+    fleets = []
     for load in loads:
         for seed in SEEDS:
             fleet = crashkit.Fleet(seed=seed, **LOADS_BY_NAME[load])
+            fleets.append(fleet)
             await scenario(fleet)
             later = fleet.later_sends()
             if len(later) > crashkit.MAX_LATER_SENDS:
                 broken[load, seed] = later
     assert not broken
+    return fleets
 
 
 async def test_request_that_crashes_targets_is_refused():
     """Guards against a request that keeps crashing targets."""
-
-    async def scenario(fleet):
-        await fleet.run(30_000)
-        assert fleet.codes[-1] == 'request_blamed'
-
-    await assert_within_bound(scenario)
+    fleets = await assert_within_bound(crashkit.calm)
+    assert {fleet.codes[-1] for fleet in fleets} == {'request_blamed'}
 
 
 async def test_crashes_during_an_outage_of_the_store_count():
     """Guards against suspicions that expire while nothing confirms them."""
-
-    async def scenario(fleet):
-        fleet.store.away = True
-        await fleet.run(12_000)
-        fleet.store.away = False
-        await fleet.run(20_000)
-
-    await assert_within_bound(scenario)
+    await assert_within_bound(crashkit.outage_of_the_store)
 
 
 async def test_blame_outlives_hosts_replaced_in_turn():
     """Guards against crash counts that end with their process."""
-
-    async def scenario(fleet):
-        await fleet.run(6_000)
-        for name in tuple(fleet.hosts_by_name):
-            fleet.start_host(name)
-            await fleet.run(2_000)
-        await fleet.run(15_000)
-
-    await assert_within_bound(scenario)
+    await assert_within_bound(crashkit.hosts_replaced_in_turn)
 
 
 async def test_blame_outlives_kills_of_all_hosts():
     """Guards against crash counts that no process has after a kill of all."""
-
-    async def scenario(fleet):
-        await fleet.run(4_000)
-        for _ in range(3):
-            for name in tuple(fleet.hosts_by_name):
-                fleet.start_host(name)
-            await fleet.run(6_000)
-
-    await assert_within_bound(scenario)
+    await assert_within_bound(crashkit.kills_of_all_hosts)
 
 
 async def test_blame_reaches_hosts_that_were_cut_off():
     """Guards against a host that returns without the counts of its peers."""
-
-    async def scenario(fleet):
-        cut = list(fleet.hosts_by_name.values())[:2]
-        for host in cut:
-            host.is_cut = True
-        await fleet.run(10_000)
-        for host in cut:
-            host.is_cut = False
-        await fleet.run(20_000)
-
-    await assert_within_bound(scenario)
+    await assert_within_bound(crashkit.cut_off_hosts)
 
 
 async def test_blame_lasts_while_the_request_keeps_coming():
     """Guards against a request that crashes targets again each minute."""
-
-    async def scenario(fleet):
-        await fleet.run(130_000)
-
-    await assert_within_bound(scenario, ('lookup', 'order'))
+    await assert_within_bound(crashkit.long_run, ('lookup', 'order'))
 
 
 async def test_silent_crashes_count():
     """Guards against crashes whose callers disconnect before a reset."""
-
-    async def scenario(fleet):
-        fleet.crash_silently()
-        await fleet.run(30_000)
-
-    await assert_within_bound(scenario, ('lookup', 'order'))
+    await assert_within_bound(crashkit.silent_crashes, ('lookup', 'order'))
 
 
 @pytest.mark.parametrize(
