Refuse a part of prompts that crashes targets

Callers' requests ended in 502 or were cut off while one target after the other crashed under one part of prompts. Cause: blame knew whole requests only, so requests that share a part and are otherwise never alike did not meet in one count (hypothesis 1).

A crash is now counted under the fingerprint of the request and those of its parts, by one mechanism: the same suspicions, proofs, messages and records. A crash takes all requests of its target with it, so - a part needs four crashes, and an answer, or eight events of one, speaks for the parts that it was written with: these are not blamed for 10 s; - crashes that a blamed fingerprint with more runs explains do not count against others, and lift a blame that they led to; - after two crashes a request with such a part gets no second target; - one host tries a blamed part again after 30 s, 2 min, 8 min and so on, with one request and without a retry; an answer lifts the blame everywhere.

Counts are bounded: 16 parts of a prompt, 1,024 fingerprints, 512 suspicions of a target, and 64 crashes of each kind in a message, those with most runs first, so that invented parts with one crash each displace nothing.

crashcounts.py holds the counts, crashblame.py the decisions.

--- a/bergamotstream/forwarding/blamerecords.py
+++ b/bergamotstream/forwarding/blamerecords.py
@@ -78,7 +78,7 @@
         known_ms = self._write_at_ms_by_fingerprint.get(fingerprint)
         if known_ms is not None:
             return known_ms
-        if any(self._blame.own_crashes_of(fingerprint, now_ms)):
+        if any(self._blame.counts.own_crashes_of(fingerprint, now_ms)):
             return now_ms
         return now_ms + self._rng.randint(*WRITE_DELAY_MS)
 
--- a/bergamotstream/forwarding/commitments.py
+++ b/bergamotstream/forwarding/commitments.py
@@ -131,6 +131,10 @@
         """Return the commitments of this host."""
         return self._own_by_id.values()
 
+    def peer_names(self) -> Iterable[str]:
+        """Return the names of the peers that are not silent."""
+        return self._peers_by_name.keys()
+
     def update_peer(self, name: str, state: PeerState) -> bool:
         """Replace the commitments of a peer; older messages are ignored."""
         known = self._peers_by_name.get(name)
--- /dev/null
+++ b/bergamotstream/forwarding/crashcounts.py
@@ -0,0 +1,409 @@
+"""
+Crash counts
+~~~~~~~~~~~~
+
+Counts the runs of targets that crashed under a fingerprint. A target that gives
+no answer is suspected; the suspicion counts as a crash once the target turns
+out to be gone or restarted. The counts of peers are added, also those of
+processes that have ended.
+"""
+
+import bisect
+import itertools
+from collections.abc import Collection, Iterable, Iterator, Mapping, Sized
+from typing import Final, NamedTuple
+
+import xxhash
+
+from bergamotstream.forwarding import fingerprints, fleetrecords, fleetview
+
+# Time for which suspicions and the counts of a process that has ended are kept.
+MEMORY_MS: Final = 60_000
+# A target that is still listed after this time did not crash: the entry of a
+# crashed one is removed after three missed heartbeats. Time in which the store
+# does not answer is not counted.
+CONFIRM_MS: Final = 8_000
+# Without an answer of the store for this long, entries may be out of date; a
+# quiet store answers a watch every 2.5 s.
+STALE_MS: Final = 4_000
+# Maximum crashes of each kind in a message to peers.
+MAX_SHARED: Final = 64
+# Maximum runs of one fingerprint among them: more than lead to blame, as they
+# also explain the crashes of other requests.
+MAX_SHARED_RUNS: Final = 16
+# Maximum fingerprints with crashes, and suspicions of one target; callers may
+# invent any number of parts.
+MAX_COUNTED: Final = 1_024
+MAX_SUSPICIONS: Final = 512
+# Answers that a crashed target sent before it ended are read within this time
+# of its reset.
+LATE_ANSWER_MS: Final = 100
+
+
+class Limits(NamedTuple):
+    """When fingerprints of one kind are blamed."""
+
+    # Crashed targets, and the same with targets that broke the connection and
+    # may have crashed.
+    confirmed: int
+    suspected: int
+    # The same, after which a broken request is not sent to another target.
+    retried: int
+    # Time for which crashes are counted, and for which they are not counted
+    # after an answer.
+    counted_ms: int
+    served_ms: int
+
+
+# The operators count three crashes under a request, and five under a part.
+REQUEST_LIMITS: Final = Limits(
+    confirmed=2,
+    suspected=3,
+    retried=2,
+    counted_ms=60_000,
+    served_ms=60_000,
+)
+PART_LIMITS: Final = Limits(
+    confirmed=4,
+    suspected=4,
+    retried=2,
+    counted_ms=600_000,
+    served_ms=10_000,
+)
+
+
+class Crash(NamedTuple):
+    """A run of a target that crashed under a fingerprint."""
+
+    fingerprint: int
+    # Hash of the target's id and start, the same on all hosts.
+    run: int
+
+
+class _Suspicion(NamedTuple):
+    crash: Crash
+    at_ms: int
+    # False if the target was only silent, as busy ones may be.
+    broken: bool
+
+
+class Crashes(NamedTuple):
+    """Targets that crashed, or may have crashed, under one fingerprint."""
+
+    confirmed: int
+    # Targets that broke the connection.
+    possible: int
+
+    def exceed(self, limits: Limits) -> bool:
+        """Tell whether the fingerprint should be refused."""
+        return (
+            self.confirmed >= limits.confirmed
+            or self.confirmed + self.possible >= limits.suspected
+        )
+
+
+class _Runs(NamedTuple):
+    """Runs of targets under one fingerprint."""
+
+    confirmed: set[int]
+    # Runs that broke the connection and may have crashed.
+    possible: set[int]
+
+    def count_without(self, excluded: Collection[int]) -> Crashes:
+        """Return the number of runs that are not excluded."""
+        confirmed = self.confirmed.difference(excluded)
+        possible = self.possible.difference(excluded, self.confirmed)
+        return Crashes(len(confirmed), len(possible))
+
+
+class Confirmation(NamedTuple):
+    """A suspicion whose target has crashed."""
+
+    fingerprint: int
+    age_ms: int
+    # False if the suspicion was too old to be counted as a crash.
+    counted: bool
+
+
+class PeerProcess(NamedTuple):
+    """One process of a peer."""
+
+    name: str
+    incarnation: int
+
+
+class Heard(NamedTuple):
+    """The crashes that a process of a peer has seen."""
+
+    crashes: frozenset[Crash] = frozenset()
+    broken: frozenset[Crash] = frozenset()
+
+
+class _Received(NamedTuple):
+    heard: Heard
+    at_ms: int
+
+
+class Evidence:
+    """The runs under some fingerprints, and those that others explain.
+
+    Requests that run beside a crashing one crash with it. The crashing one has
+    more runs than each of them, since it is in all of its crashes.
+    """
+
+    def __init__(self, runs_by_fingerprint: Mapping[int, _Runs]) -> None:
+        """Start without an explanation."""
+        self._runs_by_fingerprint = runs_by_fingerprint
+        # Runs that are accounted for, those with most runs last.
+        self._explaining: list[tuple[int, frozenset[int]]] = []
+
+    def explain_by(self, fingerprint: int) -> None:
+        """Let a fingerprint account for all runs under it."""
+        runs = self._runs_by_fingerprint[fingerprint]
+        together = frozenset(runs.confirmed | runs.possible)
+        bisect.insort(self._explaining, (len(together), together), key=_first)
+
+    def counted(self, fingerprint: int) -> Crashes:
+        """Return all crashes under a fingerprint."""
+        return self._runs_by_fingerprint[fingerprint].count_without(())
+
+    def unexplained(self, fingerprint: int) -> Crashes:
+        """Return the crashes that no other fingerprint accounts for."""
+        runs = self._runs_by_fingerprint[fingerprint]
+        start = bisect.bisect_right(
+            self._explaining, sum(self.counted(fingerprint)), key=_first
+        )
+        others = [together for _, together in self._explaining[start:]]
+        return runs.count_without(frozenset().union(*others))
+
+
+class CrashCounts:
+    """The crashes that this host and its peers have seen."""
+
+    def __init__(self) -> None:
+        """Start without suspicions."""
+        self._suspicions_by_target: dict[str, list[_Suspicion]] = {}
+        # For each fingerprint the crashed runs, with the time of the count.
+        self._runs_by_fingerprint: dict[int, dict[int, int]] = {}
+        self._received_by_process: dict[PeerProcess, _Received] = {}
+        # Until when the entries of targets were out of date.
+        self._stale_until_ms = fleetview.NEVER_MS
+
+    def record_store_answer(self, answered_ms: int, now_ms: int) -> None:
+        """Record when the store last answered this host or a peer."""
+        if now_ms - answered_ms > STALE_MS:
+            self._stale_until_ms = now_ms
+
+    def suspect(
+        self,
+        target: fleetrecords.TargetEntry,
+        suspects: Iterable[int],
+        now_ms: int,
+        *,
+        broken: bool,
+    ) -> list[Crash]:
+        """Record the fingerprints of a request whose target gave no answer.
+
+        ``broken`` tells whether the target ended the connection. Returns the
+        crashes that are suspected.
+        """
+        run = _run_of(target)
+        crashes = [Crash(fingerprint, run) for fingerprint in suspects]
+        listed = self._suspicions_by_target.setdefault(target.target_id, [])
+        listed.extend(_Suspicion(crash, now_ms, broken) for crash in crashes)
+        self._suspicions_by_target[target.target_id] = listed[-MAX_SUSPICIONS:]
+        return crashes
+
+    def confirm(self, target_id: str, now_ms: int) -> list[Confirmation]:
+        """Count the suspicions of a target that crashed; return them."""
+        suspicions = self._suspicions_by_target.pop(target_id, [])
+        recent = {
+            suspicion.crash
+            for suspicion in suspicions
+            if self._is_open(suspicion, now_ms)
+        }
+        for crash in recent:
+            runs = self._runs_by_fingerprint.setdefault(crash.fingerprint, {})
+            runs[crash.run] = now_ms
+        self._drop_excess_counts()
+        return [
+            Confirmation(
+                suspicion.crash.fingerprint,
+                now_ms - suspicion.at_ms,
+                counted=suspicion.crash in recent,
+            )
+            for suspicion in suspicions
+        ]
+
+    def clear_target(
+        self, target_id: str, placed_ms: int, now_ms: int
+    ) -> list[int]:
+        """Drop the suspicions since a request that is served now was placed.
+
+        The target has not restarted in that time. A later success under the
+        same id may come from its next run. Returns the fingerprints of the
+        dropped suspicions.
+        """
+        listed = self._suspicions_by_target.get(target_id)
+        if not listed:
+            return []
+        cleared = [
+            suspicion
+            for suspicion in listed
+            if placed_ms < suspicion.at_ms <= now_ms - LATE_ANSWER_MS
+        ]
+        self._suspicions_by_target[target_id] = [
+            suspicion for suspicion in listed if suspicion not in cleared
+        ]
+        return [suspicion.crash.fingerprint for suspicion in cleared]
+
+    def forget(self, fingerprint: int) -> None:
+        """Drop the counted crashes under a fingerprint that was served."""
+        self._runs_by_fingerprint.pop(fingerprint, None)
+
+    def hear(
+        self, process: PeerProcess, heard: Heard, now_ms: int
+    ) -> frozenset[Crash]:
+        """Replace what a peer's process has seen; return what is new."""
+        received = self._received_by_process.get(process)
+        known = received.heard if received else Heard()
+        if any((*heard, *known)):
+            self._received_by_process[process] = _Received(heard, now_ms)
+            self._drop_old_reports(now_ms)
+        return (heard.crashes | heard.broken) - known.crashes - known.broken
+
+    def seen(self, now_ms: int) -> Heard:
+        """Return the crashes seen here that peers should know."""
+        return Heard(
+            frozenset(_most_crashed(self._runs_by_fingerprint)),
+            frozenset(_most_crashed(_runs_of(self._open_broken(now_ms)))),
+        )
+
+    def own_crashes_of(self, fingerprint: int, now_ms: int) -> Crashes:
+        """Return the crashes under a fingerprint that this host has seen."""
+        runs = self._own_runs((fingerprint,), now_ms)
+        return runs[fingerprint].count_without(())
+
+    def crashes_of(self, fingerprint: int, now_ms: int) -> Crashes:
+        """Return how many targets have crashed under a fingerprint."""
+        return self.evidence((fingerprint,), now_ms).counted(fingerprint)
+
+    def evidence(self, wanted: Iterable[int], now_ms: int) -> Evidence:
+        """Return the runs under fingerprints seen here and by peers."""
+        runs_by_fingerprint = self._own_runs(wanted, now_ms)
+        for received in self._received_by_process.values():
+            for crash in received.heard.crashes:
+                _add_run(runs_by_fingerprint, crash, confirmed=True)
+            for broken in received.heard.broken:
+                _add_run(runs_by_fingerprint, broken, confirmed=False)
+        return Evidence(runs_by_fingerprint)
+
+    def drop_expired(self, now_ms: int) -> None:
+        """Drop the crashes and suspicions that no longer count."""
+        for fingerprint, runs in tuple(self._runs_by_fingerprint.items()):
+            drop_before(runs, now_ms - limits_of(fingerprint).counted_ms)
+            if not runs:
+                self._runs_by_fingerprint.pop(fingerprint)
+        for target_id, listed in tuple(self._suspicions_by_target.items()):
+            if all(entry.at_ms <= now_ms - MEMORY_MS for entry in listed):
+                self._suspicions_by_target.pop(target_id)
+
+    def _own_runs(self, wanted: Iterable[int], now_ms: int) -> dict[int, _Runs]:
+        runs_by_fingerprint = {
+            fingerprint: _Runs(
+                set(self._runs_by_fingerprint.get(fingerprint, ())), set()
+            )
+            for fingerprint in wanted
+        }
+        for crash in self._open_broken(now_ms):
+            _add_run(runs_by_fingerprint, crash, confirmed=False)
+        return runs_by_fingerprint
+
+    def _open_broken(self, now_ms: int) -> Iterator[Crash]:
+        for suspicions in self._suspicions_by_target.values():
+            for suspicion in suspicions:
+                if suspicion.broken and self._is_open(suspicion, now_ms):
+                    yield suspicion.crash
+
+    def _is_open(self, suspicion: _Suspicion, now_ms: int) -> bool:
+        """Tell whether the entry of a crashed target may still be listed."""
+        counts_from_ms = max(suspicion.at_ms, self._stale_until_ms)
+        return counts_from_ms > now_ms - CONFIRM_MS
+
+    def _drop_excess_counts(self) -> None:
+        """Drop the half with the fewest crashes, the oldest first."""
+        if len(self._runs_by_fingerprint) <= MAX_COUNTED:
+            return
+        kept = sorted(
+            reversed(self._runs_by_fingerprint.items()),
+            key=_number_of_runs,
+            reverse=True,
+        )[: MAX_COUNTED // 2]
+        self._runs_by_fingerprint = dict(reversed(kept))
+
+    def _drop_old_reports(self, now_ms: int) -> None:
+        old = [
+            process
+            for process, received in self._received_by_process.items()
+            if received.at_ms < now_ms - MEMORY_MS
+        ]
+        for process in old:
+            self._received_by_process.pop(process)
+
+
+def limits_of(fingerprint: int) -> Limits:
+    """Return the limits of a fingerprint's kind."""
+    return PART_LIMITS if fingerprints.is_part(fingerprint) else REQUEST_LIMITS
+
+
+def drop_before(times_by_key: dict[int, int], limit_ms: int) -> None:
+    """Drop the entries whose time is not after ``limit_ms``."""
+    for key, at_ms in tuple(times_by_key.items()):
+        if at_ms <= limit_ms:
+            times_by_key.pop(key)
+
+
+def _run_of(target: fleetrecords.TargetEntry) -> int:
+    name = f'{target.target_id} {target.started_ms}'
+    return xxhash.xxh3_64_intdigest(name.encode())
+
+
+def _first(entry: tuple[int, frozenset[int]]) -> int:
+    return entry[0]
+
+
+def _add_run(
+    runs_by_fingerprint: Mapping[int, _Runs], crash: Crash, *, confirmed: bool
+) -> None:
+    """Add a run that crashed under one of the given fingerprints."""
+    runs = runs_by_fingerprint.get(crash.fingerprint)
+    if runs is not None:
+        (runs.confirmed if confirmed else runs.possible).add(crash.run)
+
+
+def _runs_of(crashes: Iterable[Crash]) -> dict[int, list[int]]:
+    runs_by_fingerprint: dict[int, list[int]] = {}
+    for crash in crashes:
+        runs_by_fingerprint.setdefault(crash.fingerprint, []).append(crash.run)
+    return runs_by_fingerprint
+
+
+def _number_of_runs(entry: tuple[int, Sized]) -> int:
+    return len(entry[1])
+
+
+def _most_crashed(
+    runs_by_fingerprint: Mapping[int, Collection[int]],
+) -> list[Crash]:
+    """Return the crashes that peers should know first.
+
+    Those with one crash only, as invented parts have, give way to the others.
+    """
+    latest_first = reversed(tuple(runs_by_fingerprint.items()))
+    by_runs = sorted(latest_first, key=_number_of_runs, reverse=True)
+    listed = (
+        Crash(fingerprint, run)
+        for fingerprint, runs in by_runs
+        for run in tuple(runs)[-MAX_SHARED_RUNS:]
+    )
+    return list(itertools.islice(listed, MAX_SHARED))
--- a/bergamotstream/forwarding/exchangerecords.py
+++ b/bergamotstream/forwarding/exchangerecords.py
@@ -48,12 +48,20 @@
     fingerprint: int
     # Fingerprints of the prompt's parts that other requests may share.
     parts: tuple[int, ...]
+    # A blamed part that this request is sent with to find out whether it still
+    # crashes targets; 0 for other requests.
+    trial_part: int
     # ``None`` for a plain service.
     generation: placement.Generation | None
     arrived_ms: int
     # Deadline for sending the final answer.
     end_ms: int
 
+    @property
+    def fingerprints(self) -> tuple[int, ...]:
+        """Return all fingerprints that crashes are counted under."""
+        return self.fingerprint, *self.parts
+
 
 class Reservation(NamedTuple):
     """Memory on a helper for a part of a long prompt."""
--- a/bergamotstream/forwarding/hostdaemon.py
+++ b/bergamotstream/forwarding/hostdaemon.py
@@ -233,7 +233,7 @@
         while True:
             await asyncio.sleep(LAPSE_CHECK_S)
             now_ms = self._clock.now_ms()
-            self._core.blame.record_store_answer(
+            self._core.blame.counts.record_store_answer(
                 self._peers.store_answered_ms(), now_ms
             )
             self._handle_changes(self._core.view.drop_lapsed(now_ms))
--- a/bergamotstream/forwarding/ingress.py
+++ b/bergamotstream/forwarding/ingress.py
@@ -123,7 +123,9 @@
         self._check_headers(request)
         body = await self._read_body(request)
         job = fingerprints.identify(job, body)
-        self._core.check_blame(job.fingerprint, now_ms)
+        job = self._core.start_trial(job, now_ms)
+        self._core.check_blame(job, now_ms)
+        self._outcomes.record_trial(job)
         self._core.check_shutdown(job, self.stop, now_ms)
         return requeststate.RequestState(
             job, body, calleranswer.CallerAnswer(request)
@@ -207,7 +209,10 @@
         retry_policy = state.job.route.retry_policy
         if retry_policy is fleetrecords.RetryPolicy.ONLY_IF_NOT_RUN:
             return False
-        return self._has_retry_left(state)
+        now_ms = self._clock.now_ms()
+        return self._core.blame.may_retry(
+            state.job.parts, now_ms
+        ) and self._has_retry_left(state)
 
     @_may_retry.register
     def _may_retry_timed_out(
@@ -232,7 +237,7 @@
         self, state: requeststate.RequestState
     ) -> web.StreamResponse:
         """Serve the request by one target; raises ``TRY_FAULTS``."""
-        state.is_unanswered = False
+        state.start_try()
         assignment = await self._place(state)
         self._outcomes.record_placement(state, assignment)
         self._dependencies.peers.schedule_send()
@@ -255,7 +260,7 @@
         while True:
             now_ms = self._clock.now_ms()
             # Peers may have blamed the request since it was admitted.
-            self._core.check_blame(state.job.fingerprint, now_ms)
+            self._core.check_blame(state.job, now_ms)
             try:
                 return self._core.place(
                     state.job, state.tried_target_ids, now_ms
@@ -422,6 +427,7 @@
                         answer.status, headers, event.encoded
                     )
                     state.last_event_id = event.event_id or state.last_event_id
+                state.events_in_try = splitter.received_events
             self._outcomes.record_stream_end(
                 state, assignment, ending.framing, splitter
             )
--- a/bergamotstream/forwarding/outcomes.py
+++ b/bergamotstream/forwarding/outcomes.py
@@ -8,6 +8,7 @@
 
 import functools
 import statistics
+from collections.abc import Collection, Iterable
 from typing import Final
 
 from bergamotstream import clock, metrics
@@ -27,6 +28,9 @@
 # A target refuses a request at once for a helper that had ended before, and
 # after about 1.5 s for one that ended while it read its part.
 HELPER_STALL_MS: Final = 1_000
+# Events after which the parts of a prompt have not crashed their target: it ends
+# as soon as it begins to write an answer on such a part.
+WRITTEN_EVENTS: Final = 8
 # Inter-event gaps per sample of a target's speed.
 GAP_SAMPLES: Final = 5
 
@@ -102,6 +106,11 @@
             # The answer is late already, so further gaps cost nothing.
             first = assignment.commitment_ids[0]
             self._core.table.update(first, pause_goal_ms=0)
+        if served.events_in_try >= WRITTEN_EVENTS and not served.is_written:
+            served.is_written = True
+            self._core.blame.record_served(
+                served.job.parts, self._clock.now_ms()
+            )
 
     def _update_speed(
         self,
@@ -151,8 +160,8 @@
         now_ms = self._clock.now_ms()
         target_id = assignment.target.target_id
         self._core.health.record_success(target_id, now_ms)
-        self._core.blame.record_served(served.job.fingerprint, now_ms)
-        cleared = self._core.blame.clear_target(
+        self._core.blame.record_served(served.job.fingerprints, now_ms)
+        cleared = self._core.blame.counts.clear_target(
             target_id, assignment.placed_ms, now_ms
         )
         for fingerprint in cleared:
@@ -174,8 +183,8 @@
         """
         if not served.is_unanswered:
             return
-        for entry in (assignment.target, *assignment.helpers):
-            self._suspect_silent(entry, served)
+        targets = (assignment.target, *assignment.helpers)
+        self._suspect(targets, served.suspects(), broken=False)
         self._log.write(
             'target_unanswered',
             id=served.job.request.attempt_id,
@@ -192,15 +201,17 @@
             assignment.target.target_id, self._clock.now_ms()
         )
 
-    def _suspect_silent(
+    def _suspect(
         self,
-        target: fleetrecords.TargetEntry,
-        served: requeststate.RequestState,
+        targets: Iterable[fleetrecords.TargetEntry],
+        suspects: Collection[int],
+        *,
+        broken: bool,
     ) -> None:
-        """Suspect a target that may have crashed without a reset."""
-        self._core.blame.suspect(
-            target, served.job.fingerprint, self._clock.now_ms(), broken=False
-        )
+        """Suspect targets of a crash, a silent one unless ``broken``."""
+        now_ms = self._clock.now_ms()
+        for target in targets:
+            self._core.blame.suspect(target, suspects, now_ms, broken=broken)
 
     @functools.singledispatchmethod
     def record_fault(
@@ -259,11 +270,20 @@
                 fingerprint=eventlog.hex_of(confirmation.fingerprint),
                 age_ms=confirmation.age_ms,
                 outcome=outcome,
-                **self._core.blame.crashes_of(
+                **self._core.blame.counts.crashes_of(
                     confirmation.fingerprint, now_ms
                 )._asdict(),
             )
 
+    def record_trial(self, job: exchangerecords.Job) -> None:
+        """Record a request that tests whether its part crashes targets."""
+        if job.trial_part:
+            self._log.write(
+                'blame_trial',
+                id=job.request.attempt_id,
+                fingerprint=eventlog.hex_of(job.trial_part),
+            )
+
     def record_blamed(self, fingerprint_text: str) -> None:
         """Refuse the request of a record in the store."""
         try:
@@ -291,7 +311,7 @@
             if helper.address == fault.at_fault:
                 at_fault = helper
                 if now_ms - assignment.placed_ms >= HELPER_STALL_MS:
-                    self._suspect_silent(helper, served)
+                    self._suspect((helper,), served.suspects(), broken=False)
         served.tried_target_ids.add(at_fault.target_id)
         if fault.misdirected:
             self._core.health.record_unreachable(at_fault.target_id, now_ms)
@@ -319,15 +339,11 @@
         target_id = assignment.target.target_id
         self._core.health.record_failure(target_id, now_ms)
         if not isinstance(fault, dispatch.TargetErrorAnswer):
-            self._core.blame.suspect(
-                assignment.target,
-                served.job.fingerprint,
-                now_ms,
-                broken=not isinstance(fault, dispatch.TargetTimedOut),
-            )
+            suspects = served.suspects()
+            is_silent = isinstance(fault, dispatch.TargetTimedOut)
+            self._suspect((assignment.target,), suspects, broken=not is_silent)
             if served.is_unanswered:
-                for helper in assignment.helpers:
-                    self._suspect_silent(helper, served)
+                self._suspect(assignment.helpers, suspects, broken=False)
         self._meters.count('target_failures', served.job.service.name)
         self._log.write(
             'target_broken',
--- a/bergamotstream/forwarding/peerexchange.py
+++ b/bergamotstream/forwarding/peerexchange.py
@@ -14,7 +14,7 @@
 from bergamotstream import clock, errors, framing
 from bergamotstream.forwarding import (
     commitments,
-    crashblame,
+    crashcounts,
     eventlog,
     fleetrecords,
     outcomes,
@@ -176,18 +176,22 @@
         self._apply_blame(state, now_ms)
 
     def _apply_blame(self, state: peerformat.HostState, now_ms: int) -> None:
-        process = crashblame.PeerProcess(
+        process = crashcounts.PeerProcess(
             state.entry.name, state.entry.incarnation
         )
         blame = self._core.blame
+        disputes = blame.disputes
         for fingerprint in blame.apply_report(process, state.blame, now_ms):
             self._log.write(
                 'blame_learned',
                 fingerprint=eventlog.hex_of(fingerprint),
-                **blame.crashes_of(fingerprint, now_ms)._asdict(),
+                **blame.counts.crashes_of(fingerprint, now_ms)._asdict(),
                 source=state.entry.name,
                 incarnation=state.entry.incarnation,
             )
+        if blame.disputes != disputes:
+            # Peers refuse requests that need not be refused.
+            self.schedule_send()
 
     def _expire_silent_peers(self) -> None:
         for name in self._core.table.remove_silent_peers(self._clock.now_ms()):
--- a/bergamotstream/forwarding/peerformat.py
+++ b/bergamotstream/forwarding/peerformat.py
@@ -15,6 +15,7 @@
 from bergamotstream.forwarding import (
     commitments,
     crashblame,
+    crashcounts,
     fleetrecords,
     targethealth,
 )
@@ -66,8 +67,8 @@
             {'fingerprint': entry.fingerprint, 'ageMs': entry.age_ms}
             for entry in state.blame.blamed
         ],
-        crashedRuns=_encode_crashes(state.blame.crashes),
-        brokenRuns=_encode_crashes(state.blame.broken),
+        crashedRuns=_encode_crashes(state.blame.seen.crashes),
+        brokenRuns=_encode_crashes(state.blame.seen.broken),
         served=list(state.blame.served),
     )
     encoded: bytes = message.to_bytes_packed()
@@ -106,8 +107,10 @@
         ),
         store_answered_ms=now_ms - message.storeAgeMs,
         blame=crashblame.Report(
-            _decode_crashes(message.crashedRuns),
-            _decode_crashes(message.brokenRuns),
+            crashcounts.Heard(
+                _decode_crashes(message.crashedRuns),
+                _decode_crashes(message.brokenRuns),
+            ),
             tuple(
                 crashblame.Blamed(entry.fingerprint, entry.ageMs)
                 for entry in message.blamed
@@ -118,14 +121,14 @@
 
 
 def _encode_crashes(
-    crashes: Iterable[crashblame.Crash],
+    crashes: Iterable[crashcounts.Crash],
 ) -> list[dict[str, int]]:
     return [crash._asdict() for crash in crashes]
 
 
-def _decode_crashes(entries: Any) -> frozenset[crashblame.Crash]:
+def _decode_crashes(entries: Any) -> frozenset[crashcounts.Crash]:
     return frozenset(
-        crashblame.Crash(entry.fingerprint, entry.run) for entry in entries
+        crashcounts.Crash(entry.fingerprint, entry.run) for entry in entries
     )
 
 
--- a/bergamotstream/forwarding/requeststate.py
+++ b/bergamotstream/forwarding/requeststate.py
@@ -29,8 +29,12 @@
         self.tries_sent = 0
         self.tries_unsent = 0
         self.may_have_run = False
-        # Whether the current try waits for the head of its answer.
+        # Whether the current try waits for the head of its answer, and the
+        # events that it has received.
         self.is_unanswered = False
+        self.events_in_try = 0
+        # Whether it has received enough of them to speak for its parts.
+        self.is_written = False
         self.tried_target_ids: set[str] = set()
         # The last failure that a target answered.
         self.failure_answer: dispatch.BufferedAnswer | None = None
@@ -39,3 +43,15 @@
         self.first_byte_ms = 0
         self.longest_gap_ms = 0
         self.recent_gaps_ms: list[int] = []
+
+    def start_try(self) -> None:
+        """Reset what is known of the current try."""
+        self.is_unanswered = False
+        self.events_in_try = 0
+        self.is_written = False
+
+    def suspects(self) -> tuple[int, ...]:
+        """Return the fingerprints that a crash of this try may come from."""
+        if self.is_written:
+            return (self.job.fingerprint,)
+        return self.job.fingerprints
--- a/bergamotstream/forwarding/scheduler.py
+++ b/bergamotstream/forwarding/scheduler.py
@@ -114,15 +114,37 @@
         self.budget.record_request(service.name, now_ms)
         return make_job(request, route, service, workspace, now_ms)
 
-    def check_blame(self, fingerprint: int, now_ms: int) -> None:
+    def check_blame(self, job: exchangerecords.Job, now_ms: int) -> None:
         """Raise ``RequestBlamed`` for a request that crashes targets."""
-        if self.blame.is_refused(fingerprint, now_ms):
-            crashes = self.blame.crashes_of(fingerprint, now_ms)
-            raise errors.RequestBlamed(
-                f'fingerprint={fingerprint:016x}'
-                f' confirmed={crashes.confirmed} possible={crashes.possible}',
-                retry_after_ms=crashblame.BLAME_MS,
-            )
+        for fingerprint in job.fingerprints:
+            if fingerprint == job.trial_part:
+                continue
+            if self.blame.is_refused(fingerprint, now_ms):
+                crashes = self.blame.counts.crashes_of(fingerprint, now_ms)
+                raise errors.RequestBlamed(
+                    f'fingerprint={fingerprint:016x}'
+                    f' confirmed={crashes.confirmed}'
+                    f' possible={crashes.possible}',
+                    retry_after_ms=crashblame.BLAME_MS,
+                )
+
+    def start_trial(
+        self, job: exchangerecords.Job, now_ms: int
+    ) -> exchangerecords.Job:
+        """Return the job, as the trial of its blamed part if one is due.
+
+        One host tries each part, so that a trial costs one target.
+        """
+        refused = [
+            fingerprint
+            for fingerprint in job.fingerprints
+            if self.blame.is_refused(fingerprint, now_ms)
+        ]
+        if len(refused) != 1 or not self._tries(refused[0]):
+            return job
+        if not self.blame.start_trial(refused[0], now_ms):
+            return job
+        return job._replace(trial_part=refused[0])
 
     def check_shutdown(
         self,
@@ -206,6 +228,8 @@
         """Tell whether a job may be sent to one more target."""
         if sent >= job.route.max_targets or now_ms >= job.end_ms:
             return False
+        if sent and job.trial_part:
+            return False
         return self.budget.try_acquire(job.service.name, now_ms)
 
     def has_target(
@@ -254,6 +278,17 @@
             and entry.zone not in self.view.zones_out
         )
 
+    def _tries(self, fingerprint: int) -> bool:
+        """Tell whether this host makes the trials of a blamed part."""
+        names = (self._config.name, *self.table.peer_names())
+        chosen = max(
+            names,
+            key=lambda name: xxhash.xxh3_64_intdigest(
+                f'{name} {fingerprint}'.encode()
+            ),
+        )
+        return chosen == self._config.name
+
     def _service_of(
         self,
         configuration: fleetrecords.Configuration,
@@ -413,6 +448,7 @@
         priority=_wire_priority(route, workspace, request),
         fingerprint=0,
         parts=(),
+        trial_part=0,
         generation=_generation_of(route, service, request, remaining_ms),
         arrived_ms=now_ms,
         end_ms=now_ms + remaining_ms - ANSWER_MARGIN_MS,
--- a/tests/crashkit.py
+++ b/tests/crashkit.py
@@ -196,7 +196,7 @@
     def read_store(self):
         """Apply the items of the store as the watch does."""
         now_ms = self.fleet.clock.now_ms()
-        self.core.blame.record_store_answer(
+        self.core.blame.counts.record_store_answer(
             self.peers.store_answered_ms(), now_ms
         )
         if self.fleet.store.away:
@@ -241,7 +241,8 @@
         now_ms = self.fleet.clock.now_ms()
         try:
             state = self._admit(path, body, attempt_id, prompt)
-            self.core.check_blame(state.job.fingerprint, now_ms)
+            state.job = self.core.start_trial(state.job, now_ms)
+            self.core.check_blame(state.job, now_ms)
             await self.ingress._serve_with_retries(state)
         except errors.ServiceError as error:
             return error.code
@@ -259,7 +260,7 @@
     def has_confirmed(self, job):
         """Tell whether this host counts a crash under a request."""
         now_ms = self.fleet.clock.now_ms()
-        seen = self.core.blame.own_crashes_of(job.fingerprint, now_ms)
+        seen = self.core.blame.counts.own_crashes_of(job.fingerprint, now_ms)
         return seen.confirmed > 0
 
     def _admit(self, path, body, attempt_id, prompt):
@@ -276,7 +277,7 @@
             state, assignment = self.start_request(
                 '/lookup/9', attempt_id.encode(), attempt_id, prompt
             )
-            self.core.check_blame(state.job.fingerprint, now_ms)
+            self.core.check_blame(state.job, now_ms)
         except errors.RequestBlamed:
             self.core.release(assignment)
             self.fleet.refused_ordinary += 1
--- a/tests/test_forwardingcore.py
+++ b/tests/test_forwardingcore.py
@@ -13,6 +13,7 @@
     coldlimits,
     commitments,
     crashblame,
+    crashcounts,
     directory,
     eventlog,
     fleetrecords,
@@ -148,8 +149,10 @@
         (targethealth.HealthEstimate('t1', 0.5, 2.0),),
         60,
         crashblame.Report(
-            frozenset((crashblame.Crash(2**63, 2**64 - 2),)),
-            frozenset((crashblame.Crash(1, 2),)),
+            crashcounts.Heard(
+                frozenset((crashcounts.Crash(2**63, 2**64 - 2),)),
+                frozenset((crashcounts.Crash(1, 2),)),
+            ),
             (crashblame.Blamed(2**64 - 1, 70),),
             (5, 2**64 - 3),
         ),
@@ -191,7 +194,7 @@
 
 def crash(blame, target_id, fingerprint=42, now_ms=0):
     """Suspect and confirm a crash; return what a peer would hear."""
-    blame.suspect(target_entry(target_id), fingerprint, now_ms, broken=True)
+    blame.suspect(target_entry(target_id), (fingerprint,), now_ms, broken=True)
     assert len(blame.confirm(target_id, now_ms)) == 1
     return blame.report(now_ms)
 
@@ -202,7 +205,7 @@
     crash(blame, 't1')
     assert not blame.is_refused(42, 100)
     report = crash(crashblame.CrashBlame(), 't2')
-    process = crashblame.PeerProcess('h2', 1)
+    process = crashcounts.PeerProcess('h2', 1)
     assert blame.apply_report(process, report, 100) == [42]
     assert blame.is_refused(42, 100)
 
@@ -210,11 +213,11 @@
 def test_three_broken_connections_blame_a_request_before_any_proof():
     """Guards against crashes that go on until the first are confirmed."""
     blame, peer = crashblame.CrashBlame(), crashblame.CrashBlame()
-    process = crashblame.PeerProcess('h2', 1)
+    process = crashcounts.PeerProcess('h2', 1)
     for target_id in ('t1', 't1', 't2'):
-        blame.suspect(target_entry(target_id), 42, 0, broken=True)
+        blame.suspect(target_entry(target_id), (42,), 0, broken=True)
     assert not blame.is_refused(42, 0)
-    peer.suspect(target_entry('t3'), 42, 0, broken=True)
+    peer.suspect(target_entry('t3'), (42,), 0, broken=True)
     assert blame.apply_report(process, peer.report(0), 0) == [42]
     assert blame.is_refused(42, 0)
 
@@ -223,7 +226,7 @@
     """Guards against refusing a request that three busy targets delay."""
     blame = crashblame.CrashBlame()
     for number in range(5):
-        blame.suspect(target_entry(f't{number}'), 42, 0, broken=False)
+        blame.suspect(target_entry(f't{number}'), (42,), 0, broken=False)
     assert not blame.is_refused(42, 0)
 
 
@@ -233,7 +236,7 @@
     crash(blame, 't1')
     for number in range(3):
         report = crash(crashblame.CrashBlame(), 't1')
-        process = crashblame.PeerProcess(f'h{number}', 1)
+        process = crashcounts.PeerProcess(f'h{number}', 1)
         assert not blame.apply_report(process, report, 100)
     assert not blame.is_refused(42, 100)
 
@@ -241,10 +244,10 @@
 def test_request_that_is_served_elsewhere_is_not_blamed():
     """Guards against refusing a common request while targets crash."""
     blame, peer = crashblame.CrashBlame(), crashblame.CrashBlame()
-    process = crashblame.PeerProcess('h2', 1)
+    process = crashcounts.PeerProcess('h2', 1)
     crash(blame, 't1')
     report = crash(blame, 't2')
-    peer.record_served(42, 0)
+    peer.record_served((42,), 0)
     assert not peer.apply_report(process, report, 10)
     assert not peer.is_refused(42, 10)
     blame.apply_report(process, peer.report(20), 20)
@@ -257,9 +260,9 @@
     """Guards against refusing a request whose connections broke by chance."""
     blame = crashblame.CrashBlame()
     for at_ms in range(1, 4):
-        blame.suspect(target_entry(), 42, at_ms, broken=True)
+        blame.suspect(target_entry(), (42,), at_ms, broken=True)
     # A request that was placed before the first break is served after them.
-    blame.clear_target('t1', 0, 200)
+    blame.counts.clear_target('t1', 0, 200)
     assert not blame.confirm('t1', 220)
     assert not blame.is_refused(42, 220)
 
@@ -267,29 +270,29 @@
 def test_answer_read_after_the_reset_does_not_clear_a_crash():
     """Guards against answers that a target sent just before it crashed."""
     blame = crashblame.CrashBlame()
-    blame.suspect(target_entry(), 42, 100, broken=True)
-    assert not blame.clear_target('t1', 0, 110)
+    blame.suspect(target_entry(), (42,), 100, broken=True)
+    assert not blame.counts.clear_target('t1', 0, 110)
     assert blame.confirm('t1', 200)
 
 
 def test_success_of_the_next_run_does_not_clear_a_crash():
     """Guards against crashes of targets that start again under their ids."""
     blame = crashblame.CrashBlame()
-    blame.suspect(target_entry(), 42, 0, broken=True)
-    blame.clear_target('t1', 500, 900)
+    blame.suspect(target_entry(), (42,), 0, broken=True)
+    blame.counts.clear_target('t1', 500, 900)
     assert [entry.counted for entry in blame.confirm('t1', 1_000)] == [True]
 
 
 def test_suspicions_do_not_expire_while_the_store_is_away():
     """Guards against crashes that are forgotten before their confirmation."""
     blame = crashblame.CrashBlame()
-    blame.suspect(target_entry(), 42, 0, broken=True)
+    blame.suspect(target_entry(), (42,), 0, broken=True)
     for now_ms in range(0, 12_000, 200):
-        blame.record_store_answer(0, now_ms)
-    blame.record_store_answer(12_000, 12_000)
+        blame.counts.record_store_answer(0, now_ms)
+    blame.counts.record_store_answer(12_000, 12_000)
     assert [entry.counted for entry in blame.confirm('t1', 15_000)] == [True]
-    blame.suspect(target_entry(), 42, 20_000, broken=True)
-    late_ms = 20_000 + crashblame.CONFIRM_MS
+    blame.suspect(target_entry(), (42,), 20_000, broken=True)
+    late_ms = 20_000 + crashcounts.CONFIRM_MS
     assert not blame.confirm('t1', late_ms)[0].counted
 
 
