Test the evidence against parts, their trials and their bounds

Covers what the scenarios cannot tell apart: crashes that another part explains, the trial of a blamed part by one host, invented parts, workspaces and services, and events that speak for a part. Random faults in series can be played with a part as well (python -m tests.crashkit --by-part).

--- a/tests/crashkit.py
+++ b/tests/crashkit.py
@@ -44,6 +44,8 @@
 COMMON_PART = 'c0'
 CRASHING_PART = 'bad'
 SOUND_PARTS = 20
+# Time that sound requests with parts take.
+ORDINARY_MS = 300
 CONTACT_MS = 3_000
 STEP_MS = 50
 EXCHANGE_INTERVAL_MS = 150
@@ -257,6 +259,24 @@
         self.outcomes.record_placement(state, assignment)
         return state, assignment
 
+    def make_job(self, part):
+        """Return the job of a request with a part."""
+        prompt = _prompt(part, 'own')
+        return self._admit('/lookup/1', b'body', 'a1', prompt).job
+
+    def refuses(self, job):
+        """Tell whether a job is blamed here."""
+        try:
+            self.core.check_blame(job, self.fleet.clock.now_ms())
+        except errors.RequestBlamed:
+            return True
+        return False
+
+    def start_trial(self, job):
+        """Tell whether this host now tries a blamed part with a job."""
+        tried = self.core.start_trial(job, self.fleet.clock.now_ms())
+        return bool(tried.trial_part)
+
     def has_confirmed(self, job):
         """Tell whether this host counts a crash under a request."""
         now_ms = self.fleet.clock.now_ms()
@@ -572,7 +592,7 @@
 FAULT_INTERVALS_MS = (500, CONTACT_MS + 1_000, 2 * CONTACT_MS)
 
 
-async def play_random_faults(seed, faults=8):
+async def play_random_faults(seed, faults=8, *, by_part=False):
     """Play faults in series; return the requests that count."""
     rng = random.Random(seed)
     fleet = Fleet(
@@ -581,6 +601,8 @@
         crashing_interval_ms=rng.choice((500, 1_000, 2_000)),
         ordinary_interval_ms=rng.choice((150, 1_500)),
         path=rng.choice(('/lookup/666', '/order/666')),
+        by_part=by_part,
+        ordinary_ms=ORDINARY_MS if by_part else 0,
     )
     for _ in range(faults):
         await fleet.run(rng.choice(FAULT_INTERVALS_MS))
@@ -591,15 +613,16 @@
     return fleet.later_sends()
 
 
-def main(*, first: int = 1, seeds: int = 50) -> None:
+def main(*, first: int = 1, seeds: int = 50, by_part: bool = False) -> None:
     """Play seeds; exit with 1 if the bound is broken.
 
     :param first: First seed.
     :param seeds: Number of seeds.
+    :param by_part: Let a part of prompts crash targets, not one request.
     """
     broken = {}
     for seed in range(first, first + seeds):
-        later = asyncio.run(play_random_faults(seed))
+        later = asyncio.run(play_random_faults(seed, by_part=by_part))
         if len(later) > MAX_LATER_SENDS:
             broken[seed] = later
             print(f'seed {seed}: {len(later)} later requests: {later}')
--- a/tests/test_crashingparts.py
+++ b/tests/test_crashingparts.py
@@ -2,7 +2,16 @@
 
 import pytest
 
+from bergamotstream.forwarding import (
+    crashblame,
+    crashcounts,
+    fingerprints,
+    fleetrecords,
+    outcomes,
+)
+from bergamotstream.platform import documents
 from tests import crashkit
+from tests import platformkit as kit
 
 SEEDS = (1, 2)
 LOADS_BY_NAME = {
@@ -25,8 +34,125 @@
     """
     for seed in SEEDS:
         fleet = crashkit.Fleet(
-            seed=seed, by_part=True, ordinary_ms=300, **LOADS_BY_NAME[load]
+            seed=seed,
+            by_part=True,
+            ordinary_ms=crashkit.ORDINARY_MS,
+            **LOADS_BY_NAME[load],
         )
         await crashkit.SCENARIOS_BY_NAME[scenario](fleet)
         assert len(fleet.later_sends()) <= crashkit.MAX_LATER_SENDS
         assert fleet.refused_ordinary <= fleet.ordinary * MAX_REFUSED_SHARE
+
+
+@pytest.mark.parametrize('seed', range(1, 4))
+async def test_bound_of_parts_holds_under_random_faults(seed):
+    """Guards against faults in series that together forget a part."""
+    later = await crashkit.play_random_faults(seed, by_part=True)
+    assert len(later) <= crashkit.MAX_LATER_SENDS
+
+
+CRASHING, BESIDE = 101, 103
+
+
+def crash(blame, number, *suspects):
+    """Let a target crash under a request with these fingerprints."""
+    entry = documents.decode_target_entry(
+        f't{number}', kit.target_document('10.0.0.1:80')
+    )
+    blame.suspect(entry, suspects, number, broken=True)
+    return blame.confirm(entry.target_id, number)
+
+
+def test_sound_part_beside_a_crashing_one_is_not_refused():
+    """Guards against blaming all parts that end with their targets."""
+    blame = crashblame.CrashBlame()
+    for number in range(1, 5):
+        crash(blame, number, CRASHING, BESIDE)
+    crash(blame, 5, CRASHING)
+    assert blame.is_refused(CRASHING, 6)
+    assert not blame.is_refused(BESIDE, 6)
+    crash(blame, 7, CRASHING, BESIDE)
+    assert not blame.is_refused(BESIDE, 8)
+
+
+def test_broken_request_with_a_suspected_part_is_not_sent_again():
+    """Guards against requests that crash all the targets they may reach."""
+    blame = crashblame.CrashBlame()
+    crash(blame, 1, CRASHING)
+    assert blame.may_retry((CRASHING,), 1)
+    crash(blame, 2, CRASHING)
+    assert not blame.may_retry((CRASHING,), 2)
+    blame.record_served((CRASHING,), 2)
+    assert blame.may_retry((CRASHING,), 2)
+
+
+async def test_blamed_part_that_is_mended_is_served_again():
+    """Guards against a part that is refused for as long as it comes."""
+    fleet = crashkit.Fleet(by_part=True, crashing_interval_ms=500)
+    await fleet.run(5_000)
+    hosts = tuple(fleet.hosts_by_name.values())
+    job = hosts[0].make_job(crashkit.CRASHING_PART)
+    refusing = [host for host in hosts if host.refuses(job)]
+    assert len(refusing) == len(hosts)
+    assert not any(host.start_trial(job) for host in hosts)
+    fleet.clock.advance(crashblame.FIRST_TRIAL_MS)
+    trying = [host for host in hosts if host.start_trial(job)]
+    assert len(trying) == 1
+    assert not any(host.start_trial(job) for host in hosts)
+    now_ms = fleet.clock.now_ms()
+    trying[0].core.blame.record_served(job.fingerprints, now_ms)
+    trying[0].exchange(hosts)
+    assert not any(host.refuses(job) for host in hosts)
+
+
+def test_invented_parts_displace_no_crashes():
+    """Guards against callers that hide a part behind any number of others."""
+    blame = crashblame.CrashBlame()
+    counts = blame.counts
+    crash(blame, 1, CRASHING)
+    crash(blame, 2, CRASHING)
+    for number in range(10, 210):
+        first = 2 * number * fingerprints.MAX_PARTS + 1
+        crash(
+            blame, number, *range(first, first + 2 * fingerprints.MAX_PARTS, 2)
+        )
+    seen = counts.seen(210).crashes
+    assert len(seen) == crashcounts.MAX_SHARED
+    assert sum(crash.fingerprint == CRASHING for crash in seen) == 2
+    assert counts.crashes_of(CRASHING, 210).confirmed == 2
+
+
+def parts_of(prompt, **changes):
+    """Return the fingerprints of a prompt's parts."""
+    core = kit.make_scheduler()
+    job = kit.make_job(core, Bergamotstream_Prompt_Prefix=prompt)
+    return fingerprints.of_parts(job._replace(**changes))
+
+
+def test_part_is_recognised_within_its_workspace_and_service_only():
+    """Guards against refusing the parts of another workspace."""
+    first, second = parts_of('a1:40, B2:7,own:9')
+    assert parts_of('b2:8,A1:4,other:1') == (second, first)
+    assert all(map(fingerprints.is_part, (first, second)))
+    assert not parts_of('a1:40')
+    other = fleetrecords.Workspace('other', 0)
+    assert first not in parts_of('a1:40,own:9', workspace=other)
+    job = kit.make_job(kit.make_scheduler())
+    plain = job.service._replace(name='plain')
+    assert first not in parts_of('a1:40,own:9', service=plain)
+    assert len(parts_of(','.join(map(str, range(99))))) == (
+        fingerprints.MAX_PARTS
+    )
+
+
+def test_some_events_of_an_answer_speak_for_its_parts():
+    """Guards against blaming a part that was written with for a while."""
+    fleet = crashkit.Fleet(hosts=1)
+    host = fleet.hosts_by_name['h0']
+    state, assignment = host.start_request('/lookup/1', b'x', 'a1', 'p:1,own:1')
+    assert state.suspects() == state.job.fingerprints
+    state.events_in_try = outcomes.WRITTEN_EVENTS
+    host.outcomes.record_gap(state, assignment, 10)
+    assert state.suspects() == (state.job.fingerprint,)
+    state.start_try()
+    assert state.suspects() == state.job.fingerprints
