--- a/tests/test_crashingparts.py
+++ b/tests/test_crashingparts.py
@@ -1,5 +1,9 @@
 """A part of prompts that crashes targets, in requests that are never alike."""
 
+import asyncio
+import contextlib
+
+import aiohttp
 import pytest
 
 from bergamotstream.forwarding import (
@@ -51,6 +55,60 @@
     assert len(later) <= crashkit.MAX_LATER_SENDS
 
 
+class CrashingTargets:
+    """Targets that end under one part, and answer other requests."""
+
+    def __init__(self):
+        self.crashed_s = []
+
+    async def respond(self, request, writer):
+        if crashkit.CRASHING_PART in request.headers[crashkit.PROMPT_PREFIX]:
+            self.crashed_s.append(asyncio.get_running_loop().time())
+            writer.write(kit.stream_head(request) + kit.chunk(b'id: 1\nda'))
+            await writer.drain()
+            kit.reset(writer)
+            return
+        stream = kit.chunk(kit.event(1)) + b'0\r\n\r\n'
+        writer.write(kit.stream_head(request) + stream)
+
+
+async def call_with_part(system, number, part):
+    """Send a request with a part to any host; return its status."""
+    prompt = f'{crashkit.COMMON_PART}:40,{part}:40,{number:x}:90'
+    headers = {kit.ATTEMPT: f'a{number}', crashkit.PROMPT_PREFIX: prompt}
+    host = number % len(system.daemons)
+    try:
+        status, _, _ = await system.call(
+            '/chat/1', f'body {number}'.encode(), host, **headers
+        )
+    except aiohttp.ClientError:
+        return 0
+    return status
+
+
+async def test_part_is_refused_over_real_connections():
+    """Guards against parts that are lost between a caller and the counts."""
+    targets = CrashingTargets()
+    async with contextlib.AsyncExitStack() as stack:
+        system = await stack.enter_async_context(kit.running_system(hosts=3))
+        for number in range(8):
+            target = await stack.enter_async_context(
+                kit.raw_target(targets.respond)
+            )
+            await system.add_target(f't{number}', target, service='model')
+        statuses = []
+        for number in range(60):
+            crashing, sound = await asyncio.gather(
+                call_with_part(system, 2 * number, crashkit.CRASHING_PART),
+                call_with_part(system, 2 * number + 1, f'{number % 5:x}'),
+            )
+            statuses.append(sound)
+            await asyncio.sleep(0.05)
+    assert crashing == 503
+    assert len(targets.crashed_s) <= crashkit.CRASHES_UNDER_PART + 1
+    assert statuses.count(200) >= len(statuses) * 0.95
+
+
 CRASHING, BESIDE = 101, 103
 
 
