Let an answer at any host clear the counts of a part

Crashes under a part count for 10 min, but an answer cleared them at the host that gave it only. A sound part of which some requests run beside crashing targets would have been refused once four such crashes were counted, however many answers came between. Hosts now tell their peers of answers to what those have counted or suspected, and a proof that comes after an answer does not count.

test_answer_at_another_host_clears_the_counts_of_a_part failed, now passes.

--- a/bergamotstream/forwarding/crashblame.py
+++ b/bergamotstream/forwarding/crashblame.py
@@ -36,7 +36,8 @@
 # four times as long.
 FIRST_TRIAL_MS: Final = 30_000
 TRIAL_BACKOFF: Final = 4
-# Time for which peers are told that a fingerprint they blame was served.
+# Time for which peers are told that a fingerprint they blame or suspect was
+# served.
 DISPUTE_MS: Final = 5_000
 
 
@@ -52,7 +53,7 @@
 
     seen: crashcounts.Heard = crashcounts.Heard()
     blamed: tuple[Blamed, ...] = ()
-    # Fingerprints that a peer blames and that were served here.
+    # Fingerprints that a peer blames or suspects and that were served here.
     served: tuple[int, ...] = ()
 
 
@@ -98,6 +99,9 @@
         counted = {
             entry.fingerprint for entry in confirmations if entry.counted
         }
+        for fingerprint in counted:
+            if self._is_served(fingerprint, now_ms):
+                self.counts.forget(fingerprint)
         self._judge(counted, now_ms)
         return confirmations
 
@@ -107,8 +111,8 @@
         They are not blamed again for a time that depends on their kind.
         """
         for fingerprint in answered:
-            self.counts.forget(fingerprint)
-            if self._lift_blame(fingerprint, now_ms):
+            is_blamed = self._lift_blame(fingerprint, now_ms)
+            if is_blamed or self.counts.is_heard(fingerprint):
                 self._disputed_ms_by_fingerprint[fingerprint] = now_ms
 
     def apply_report(
@@ -148,7 +152,7 @@
 
     @property
     def disputes(self) -> tuple[int, ...]:
-        """Return what a peer blames and was served here."""
+        """Return what a peer blames or suspects and was served here."""
         return tuple(self._disputed_ms_by_fingerprint)[-MAX_SHARED:]
 
     def blamed(self, now_ms: int) -> list[Blamed]:
@@ -250,6 +254,7 @@
 
     def _lift_blame(self, fingerprint: int, now_ms: int) -> bool:
         """Remember a success; return whether the fingerprint was blamed."""
+        self.counts.forget(fingerprint)
         self._served_ms_by_fingerprint[fingerprint] = now_ms
         self._served_ms_by_fingerprint.move_to_end(fingerprint)
         if len(self._served_ms_by_fingerprint) > MAX_SERVED:
--- a/bergamotstream/forwarding/crashcounts.py
+++ b/bergamotstream/forwarding/crashcounts.py
@@ -138,9 +138,14 @@
     crashes: frozenset[Crash] = frozenset()
     broken: frozenset[Crash] = frozenset()
 
+    def fingerprints(self) -> frozenset[int]:
+        """Return the fingerprints of all crashes."""
+        return frozenset(crash.fingerprint for crash in itertools.chain(*self))
+
 
 class _Received(NamedTuple):
     heard: Heard
+    fingerprints: frozenset[int]
     at_ms: int
 
 
@@ -261,6 +266,13 @@
         """Drop the counted crashes under a fingerprint that was served."""
         self._runs_by_fingerprint.pop(fingerprint, None)
 
+    def is_heard(self, fingerprint: int) -> bool:
+        """Tell whether a peer has counted or suspected a fingerprint."""
+        return any(
+            fingerprint in received.fingerprints
+            for received in self._received_by_process.values()
+        )
+
     def hear(
         self, process: PeerProcess, heard: Heard, now_ms: int
     ) -> frozenset[Crash]:
@@ -268,7 +280,9 @@
         received = self._received_by_process.get(process)
         known = received.heard if received else Heard()
         if any((*heard, *known)):
-            self._received_by_process[process] = _Received(heard, now_ms)
+            self._received_by_process[process] = _Received(
+                heard, heard.fingerprints(), now_ms
+            )
             self._drop_old_reports(now_ms)
         return (heard.crashes | heard.broken) - known.crashes - known.broken
 
--- a/tests/test_crashingparts.py
+++ b/tests/test_crashingparts.py
@@ -112,13 +112,13 @@
 CRASHING, BESIDE = 101, 103
 
 
-def crash(blame, number, *suspects):
+def crash(blame, now_ms, *suspects):
     """Let a target crash under a request with these fingerprints."""
     entry = documents.decode_target_entry(
-        f't{number}', kit.target_document('10.0.0.1:80')
+        f't{now_ms}', kit.target_document('10.0.0.1:80')
     )
-    blame.suspect(entry, suspects, number, broken=True)
-    return blame.confirm(entry.target_id, number)
+    blame.suspect(entry, suspects, now_ms, broken=True)
+    return blame.confirm(entry.target_id, now_ms)
 
 
 def test_sound_part_beside_a_crashing_one_is_not_refused():
@@ -133,6 +133,20 @@
     assert not blame.is_refused(BESIDE, 8)
 
 
+def test_answer_at_another_host_clears_the_counts_of_a_part():
+    """Guards against bystanders that add up between answers elsewhere."""
+    first, second = crashblame.CrashBlame(), crashblame.CrashBlame()
+    process = crashcounts.PeerProcess('h', 1)
+    for crash_ms in range(0, 360_000, 60_000):
+        crash(first, crash_ms, BESIDE)
+        second.apply_report(process, first.report(crash_ms), crash_ms)
+        served_ms = crash_ms + 30_000
+        second.record_served((BESIDE,), served_ms)
+        first.apply_report(process, second.report(served_ms), served_ms)
+        assert not first.counts.crashes_of(BESIDE, served_ms).confirmed
+    assert not first.is_refused(BESIDE, served_ms)
+
+
 def test_broken_request_with_a_suspected_part_is_not_sent_again():
     """Guards against requests that crash all the targets they may reach."""
     blame = crashblame.CrashBlame()
