Let targets of the soak break off streams in good order

A twentieth of the runs end inside an event, and a fifth end with their connection. The draws of a run do not change the others of its seed.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -42,6 +42,11 @@
 DRAIN_S = 2.0
 CONTACT_S = 3.0
 EVENT_GAP_S = 0.03
+# Streams that end with their connection, and streams of any framing that end in
+# good order inside an event.
+UNFRAMED_SHARE = 0.2
+CUT_SHARE = 0.05
+FRAMING = {True: 'Transfer-Encoding: chunked\r\n', False: ''}
 
 
 class Attempt(NamedTuple):
@@ -164,13 +169,28 @@
             await asyncio.sleep(self._soak.rng.uniform(0.005, 0.06))
             writer.write(kit.answer(request, attempt_id.encode()))
             return
-        writer.write(kit.stream_head(request))
         first = int(request.headers.get('Last-Event-Id') or 0) + 1
-        for number in range(first, int(path.rpartition('/')[2]) + 1):
-            writer.write(kit.chunk(kit.event(number)))
+        last = int(path.rpartition('/')[2])
+        # Drawn for each run, so that other draws of a seed stay the same.
+        chance = random.Random(f'{attempt_id} {self.name}')
+        framed = chance.random() >= UNFRAMED_SHARE
+        cut_at = chance.randint(first, last) if first <= last else 0
+        if chance.random() >= CUT_SHARE:
+            cut_at = 0
+        writer.write(kit.stream_head(request, FRAMING[framed]))
+        for number in range(first, last + 1):
+            event = kit.event(number)
+            if number == cut_at:
+                event = event[: chance.randrange(1, len(event))]
+            writer.write(kit.chunk(event) if framed else event)
             await writer.drain()
             await asyncio.sleep(EVENT_GAP_S)
-        writer.write(b'0\r\n\r\n')
+            if number == cut_at:
+                break
+        if framed:
+            writer.write(b'0\r\n\r\n')
+        else:
+            writer.close()
 
 
 class Soak:
