Let a repeated request explain the crashes of its parts

A request that comes again and crashes targets has as many runs as each of its parts, and both were blamed: sound requests that share a rare part of it were refused until its first trial. With equal runs the request now explains its parts; a part that crashes targets in other requests has more runs than any. test_part_of_a_request_that_comes_again_is_not_refused failed, now passes.

A refusal says whether a request or a part is blamed, and the class of the crashes that a process has seen is named after them.

--- a/bergamotstream/forwarding/crashblame.py
+++ b/bergamotstream/forwarding/crashblame.py
@@ -51,7 +51,7 @@
 class Report(NamedTuple):
     """What the process of a host tells its peers."""
 
-    seen: crashcounts.Heard = crashcounts.Heard()
+    seen: crashcounts.SeenCrashes = crashcounts.SeenCrashes()
     blamed: tuple[Blamed, ...] = ()
     # Fingerprints that a peer blames or suspects and that were served here.
     served: tuple[int, ...] = ()
--- a/bergamotstream/forwarding/crashcounts.py
+++ b/bergamotstream/forwarding/crashcounts.py
@@ -132,10 +132,11 @@
     incarnation: int
 
 
-class Heard(NamedTuple):
-    """The crashes that a process of a peer has seen."""
+class SeenCrashes(NamedTuple):
+    """The crashes that one process has seen."""
 
     crashes: frozenset[Crash] = frozenset()
+    # Targets that broke the connection and may have crashed.
     broken: frozenset[Crash] = frozenset()
 
     def fingerprints(self) -> frozenset[int]:
@@ -144,29 +145,38 @@
 
 
 class _Received(NamedTuple):
-    heard: Heard
+    heard: SeenCrashes
     fingerprints: frozenset[int]
     at_ms: int
 
 
+class _Rank(NamedTuple):
+    """Order in which fingerprints explain the runs of others."""
+
+    runs: int
+    is_request: bool
+
+
 class Evidence:
     """The runs under some fingerprints, and those that others explain.
 
     Requests that run beside a crashing one crash with it. The crashing one has
-    more runs than each of them, since it is in all of its crashes.
+    more runs than each of them, since it is in all of its crashes. If a request
+    has as many as one of its parts, it is the request that comes again.
     """
 
     def __init__(self, runs_by_fingerprint: Mapping[int, _Runs]) -> None:
         """Start without an explanation."""
         self._runs_by_fingerprint = runs_by_fingerprint
-        # Runs that are accounted for, those with most runs last.
-        self._explaining: list[tuple[int, frozenset[int]]] = []
+        # Runs that are accounted for, by ascending rank.
+        self._explaining: list[tuple[_Rank, frozenset[int]]] = []
 
     def explain_by(self, fingerprint: int) -> None:
         """Let a fingerprint account for all runs under it."""
         runs = self._runs_by_fingerprint[fingerprint]
         together = frozenset(runs.confirmed | runs.possible)
-        bisect.insort(self._explaining, (len(together), together), key=_first)
+        rank = self._rank_of(fingerprint)
+        bisect.insort(self._explaining, (rank, together), key=_first)
 
     def counted(self, fingerprint: int) -> Crashes:
         """Return all crashes under a fingerprint."""
@@ -176,11 +186,17 @@
         """Return the crashes that no other fingerprint accounts for."""
         runs = self._runs_by_fingerprint[fingerprint]
         start = bisect.bisect_right(
-            self._explaining, sum(self.counted(fingerprint)), key=_first
+            self._explaining, self._rank_of(fingerprint), key=_first
         )
         others = [together for _, together in self._explaining[start:]]
         return runs.count_without(frozenset().union(*others))
 
+    def _rank_of(self, fingerprint: int) -> _Rank:
+        return _Rank(
+            sum(self.counted(fingerprint)),
+            is_request=not fingerprints.is_part(fingerprint),
+        )
+
 
 class CrashCounts:
     """The crashes that this host and its peers have seen."""
@@ -274,11 +290,11 @@
         )
 
     def hear(
-        self, process: PeerProcess, heard: Heard, now_ms: int
+        self, process: PeerProcess, heard: SeenCrashes, now_ms: int
     ) -> frozenset[Crash]:
         """Replace what a peer's process has seen; return what is new."""
         received = self._received_by_process.get(process)
-        known = received.heard if received else Heard()
+        known = received.heard if received else SeenCrashes()
         if any((*heard, *known)):
             self._received_by_process[process] = _Received(
                 heard, heard.fingerprints(), now_ms
@@ -286,9 +302,9 @@
             self._drop_old_reports(now_ms)
         return (heard.crashes | heard.broken) - known.crashes - known.broken
 
-    def seen(self, now_ms: int) -> Heard:
+    def seen(self, now_ms: int) -> SeenCrashes:
         """Return the crashes seen here that peers should know."""
-        return Heard(
+        return SeenCrashes(
             frozenset(_most_crashed(self._runs_by_fingerprint)),
             frozenset(_most_crashed(_runs_of(self._open_broken(now_ms)))),
         )
@@ -382,7 +398,7 @@
     return xxhash.xxh3_64_intdigest(name.encode())
 
 
-def _first(entry: tuple[int, frozenset[int]]) -> int:
+def _first(entry: tuple[_Rank, frozenset[int]]) -> _Rank:
     return entry[0]
 
 
--- a/bergamotstream/forwarding/peerformat.py
+++ b/bergamotstream/forwarding/peerformat.py
@@ -107,7 +107,7 @@
         ),
         store_answered_ms=now_ms - message.storeAgeMs,
         blame=crashblame.Report(
-            crashcounts.Heard(
+            crashcounts.SeenCrashes(
                 _decode_crashes(message.crashedRuns),
                 _decode_crashes(message.brokenRuns),
             ),
--- a/bergamotstream/forwarding/scheduler.py
+++ b/bergamotstream/forwarding/scheduler.py
@@ -20,6 +20,7 @@
     crashblame,
     enginetiming,
     exchangerecords,
+    fingerprints,
     fleetrecords,
     fleetview,
     hostsettings,
@@ -121,8 +122,10 @@
                 continue
             if self.blame.is_refused(fingerprint, now_ms):
                 crashes = self.blame.counts.crashes_of(fingerprint, now_ms)
+                is_part = fingerprints.is_part(fingerprint)
+                kind = 'part' if is_part else 'request'
                 raise errors.RequestBlamed(
-                    f'fingerprint={fingerprint:016x}'
+                    f'kind={kind} fingerprint={fingerprint:016x}'
                     f' confirmed={crashes.confirmed}'
                     f' possible={crashes.possible}',
                     retry_after_ms=crashblame.BLAME_MS,
--- a/tests/test_crashingparts.py
+++ b/tests/test_crashingparts.py
@@ -109,7 +109,7 @@
     assert statuses.count(200) >= len(statuses) * 0.95
 
 
-CRASHING, BESIDE = 101, 103
+CRASHING, BESIDE, REPEATED = 101, 103, 104
 
 
 def crash(blame, now_ms, *suspects):
@@ -133,6 +133,15 @@
     assert not blame.is_refused(BESIDE, 8)
 
 
+def test_part_of_a_request_that_comes_again_is_not_refused():
+    """Guards against refusing other requests for one that is repeated."""
+    blame = crashblame.CrashBlame()
+    for number in range(1, 7):
+        crash(blame, number, REPEATED, BESIDE)
+    assert blame.is_refused(REPEATED, 7)
+    assert not blame.is_refused(BESIDE, 7)
+
+
 def test_answer_at_another_host_clears_the_counts_of_a_part():
     """Guards against bystanders that add up between answers elsewhere."""
     first, second = crashblame.CrashBlame(), crashblame.CrashBlame()
--- a/tests/test_forwardingcore.py
+++ b/tests/test_forwardingcore.py
@@ -149,7 +149,7 @@
         (targethealth.HealthEstimate('t1', 0.5, 2.0),),
         60,
         crashblame.Report(
-            crashcounts.Heard(
+            crashcounts.SeenCrashes(
                 frozenset((crashcounts.Crash(2**63, 2**64 - 2),)),
                 frozenset((crashcounts.Crash(1, 2),)),
             ),
