Never give a test host the same port twice

The kit asked the kernel for each port and gave it back at once, so two addresses of a host could be the same: 32 of 40,000 settings. Forced so, the host ends with 'Address already in use', which looked the same from outside. Ruled out: connections of other processes on a port between its choice and its use (150 starts while another process opened connections without pause, none failed); load, since the wait counts turns of the loop that the host runs in. That it was the cause of this one failure is likely, not shown: 5 plays of the file passed before the change.

Ports are now given out once, and a host that ends raises what ended it.

--- a/tests/platformkit.py
+++ b/tests/platformkit.py
@@ -40,11 +40,18 @@
 }
 
 
+_issued_ports = set()
+
+
 def free_port():
-    """Return a port that nothing listens on."""
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return probe.getsockname()[1]
+    """Return a port that nothing listens on, another one in each call."""
+    while True:
+        with socket.socket() as probe:
+            probe.bind(('127.0.0.1', 0))
+            port = probe.getsockname()[1]
+        if port not in _issued_ports:
+            _issued_ports.add(port)
+            return port
 
 
 def address():
@@ -299,8 +306,16 @@
         self.settings.append(settings)
         daemon = make_daemon(settings)
         self.daemons.append(daemon)
-        self.daemon_tasks.append(asyncio.ensure_future(daemon.run()))
-        await self.until_ready(settings)
+        running = asyncio.ensure_future(daemon.run())
+        self.daemon_tasks.append(running)
+        waiting = asyncio.ensure_future(self.until_ready(settings))
+        await asyncio.wait(
+            (running, waiting), return_when=asyncio.FIRST_COMPLETED
+        )
+        if running.done():
+            # Raises what ended the host.
+            await running
+        await waiting
 
     async def until_ready(self, settings):
         """Wait until a host serves."""
