Abort a target that sends blank lines without end

Callers waited for 0.6 to 1.2 s while a host read 370 to 840 MB from a target that sent blank lines in place of a head: the HTTP library skips them before its own limits apply, so only the silence limit ended it. Connections now count the bytes until a head is complete and abort at 1 MiB.

--- a/bergamotstream/forwarding/connections.py
+++ b/bergamotstream/forwarding/connections.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import functools
 import socket
 from typing import Any, Final
 
@@ -24,6 +25,52 @@
 POOL_IDLE_TIMEOUT_S: Final = 2.0
 # Longest header line of a target's answer.
 MAX_FIELD_BYTES: Final = 32_768
+# Bytes received before the head of an answer is complete. The HTTP library skips
+# blank lines before a head, so its own limits do not count them.
+MAX_HEAD_BYTES: Final = 1_048_576
+
+
+class LimitedHeadHandler(aiohttp.client_proto.ResponseHandler):
+    """Aborts a connection that sends too much before the head of an answer."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        """Wait for no answer yet."""
+        super().__init__(loop)
+        self._is_head_missing = False
+        self._head_bytes = 0
+
+    def set_response_params(self, **options: Any) -> None:
+        """Start to receive the answer to a request; called by aiohttp."""
+        self._is_head_missing = True
+        self._head_bytes = 0
+        super().set_response_params(**options)
+
+    def feed_data(self, data: Any, size: int = 0) -> None:
+        """Note that a head is complete; called by the parser."""
+        self._is_head_missing = False
+        super().feed_data(data, size)
+
+    def data_received(self, data: bytes) -> None:
+        """Count the bytes until the head is complete."""
+        if self._is_head_missing:
+            self._head_bytes += len(data)
+        if self._head_bytes > MAX_HEAD_BYTES:
+            self.set_exception(
+                aiohttp.ClientConnectionError('no head within the limit')
+            )
+            self.abort()
+            return
+        super().data_received(data)
+
+
+class TargetConnector(aiohttp.TCPConnector):
+    """Connector whose connections limit the head of an answer."""
+
+    def __init__(self, **options: Any) -> None:
+        """Take the options of ``aiohttp.TCPConnector``."""
+        super().__init__(limit=0, socket_factory=_open_socket, **options)
+        factory: Any = functools.partial(LimitedHeadHandler, loop=self._loop)
+        self._factory = factory
 
 
 class TrackedResponse(aiohttp.ClientResponse):
@@ -78,15 +125,9 @@
 def open_session(*, reuse: bool) -> aiohttp.ClientSession:
     """Return a session; without ``reuse`` each request opens a connection."""
     if reuse:
-        pool = aiohttp.TCPConnector(
-            limit=0,
-            keepalive_timeout=POOL_IDLE_TIMEOUT_S,
-            socket_factory=_open_socket,
-        )
+        pool = TargetConnector(keepalive_timeout=POOL_IDLE_TIMEOUT_S)
     else:
-        pool = aiohttp.TCPConnector(
-            limit=0, force_close=True, socket_factory=_open_socket
-        )
+        pool = TargetConnector(force_close=True)
     return aiohttp.ClientSession(
         connector=pool,
         response_class=TrackedResponse,
