Reserve the addresses of test processes

The chosen address now stays bound, without listening, by the process that chose it. The kernel gives it to nobody else, and the host may still listen there, since its sockets allow the reuse of addresses.

test_reserved_address_is_kept_for_its_server fails with the former choice, as nothing keeps the port.

--- a/demo/processes.py
+++ b/demo/processes.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import collections
 import pathlib
 import signal
 import socket
@@ -18,12 +19,27 @@
 LOG_TAIL_LINES = 20
 
 
+# Sockets that keep addresses from other processes, the latest ones.
+_reserving: collections.deque[socket.socket] = collections.deque()
+MAX_RESERVED = 1_024
+
+
 def free_addresses(count: int) -> list[str]:
-    """Return distinct loopback addresses that nothing listens at."""
-    probes = [socket.create_server(('127.0.0.1', 0)) for _ in range(count)]
-    addresses = [f'127.0.0.1:{probe.getsockname()[1]}' for probe in probes]
-    for probe in probes:
-        probe.close()
+    """Return distinct loopback addresses that no other process is given.
+
+    A socket stays bound to each without listening. The kernel then gives the
+    port to nobody else, but lets a server listen there that allows the reuse
+    of addresses.
+    """
+    addresses = []
+    for _ in range(count):
+        reserving = socket.socket()
+        reserving.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        reserving.bind(('127.0.0.1', 0))
+        addresses.append(f'127.0.0.1:{reserving.getsockname()[1]}')
+        _reserving.append(reserving)
+    while len(_reserving) > max(MAX_RESERVED, count):
+        _reserving.popleft().close()
     return addresses
 
 
--- a/tests/platformkit.py
+++ b/tests/platformkit.py
@@ -19,6 +19,7 @@
     scheduler,
 )
 from bergamotstream.platform import callerformat, documents, store
+from demo import processes
 from standins import platformstore, serving
 
 HOST_NAME = 'api.example'
@@ -40,23 +41,14 @@
 }
 
 
-_issued_ports = set()
-
-
 def free_port():
-    """Return a port that nothing listens on, another one in each call."""
-    while True:
-        with socket.socket() as probe:
-            probe.bind(('127.0.0.1', 0))
-            port = probe.getsockname()[1]
-        if port not in _issued_ports:
-            _issued_ports.add(port)
-            return port
+    """Return a port that no other process is given."""
+    return int(address().rpartition(':')[2])
 
 
 def address():
     """Return a free loopback address."""
-    return f'127.0.0.1:{free_port()}'
+    return processes.free_addresses(1)[0]
 
 
 def make_settings(store_address='127.0.0.1:1', name='host-1', **bounds):
--- a/tests/test_hostprocess.py
+++ b/tests/test_hostprocess.py
@@ -3,7 +3,11 @@
 import asyncio
 import contextlib
 import signal
+import socket
 
+import pytest
+
+from bergamotstream.forwarding import listensockets
 from tests import hostprocesskit
 from tests import platformkit as kit
 
@@ -116,3 +120,16 @@
             if host.process is not None:
                 host.process.kill()
                 host.process.wait()
+
+
+def test_reserved_address_is_kept_for_its_server():
+    """Guards against a port that another process takes before its server.
+
+    Soak, seeds 3016 and 3044: a host could not start, 'Address already in use'.
+    """
+    reserved = kit.address()
+    ip, _, port = reserved.rpartition(':')
+    with socket.socket() as other, pytest.raises(OSError, match='in use'):
+        other.bind((ip, int(port)))
+    with listensockets.open_listener(reserved) as listener:
+        assert listener.getsockname() == (ip, int(port))
