Refuse settings that give two servers one address

A host with one address for its readiness check and its directory served both from one listen socket, answered the wrong one, and ended with 'ValueError: Invalid file descriptor: -1' below asyncio.run when it was stopped, since both servers closed the socket. Such settings are now refused at the start with exit status 2, naming both fields.

test_host_refuses_one_address_for_two_servers showed the same traceback before, passes now.

--- a/bergamotstream/platform/bootsettings.py
+++ b/bergamotstream/platform/bootsettings.py
@@ -39,7 +39,7 @@
 def decode(tables: Mapping[str, Any]) -> hostsettings.HostSettings:
     """Return the settings; raises ``InvalidSettings`` naming the field."""
     reader = _Reader(tables)
-    return hostsettings.HostSettings(
+    decoded = hostsettings.HostSettings(
         name=reader.text('node_name'),
         ip=reader.text('ip'),
         zone=reader.text('zone'),
@@ -50,6 +50,24 @@
         store=_store(reader),
         bounds=_bounds(reader),
     )
+    _check_addresses(decoded)
+    return decoded
+
+
+def _check_addresses(decoded: hostsettings.HostSettings) -> None:
+    """Raise ``InvalidSettings`` if two servers have one address."""
+    fields_by_address: dict[str, str] = {}
+    for field, address in (
+        ('listen.front', decoded.caller_address),
+        ('listen.readiness', decoded.readiness_address),
+        ('listen.directory', decoded.directory_address),
+        ('internal_ports', decoded.peer_address),
+    ):
+        other = fields_by_address.setdefault(address, field)
+        if other != field:
+            raise errors.InvalidSettings(
+                f'{field}: has the address {address} of {other}'
+            )
 
 
 def _store(reader: '_Reader') -> hostsettings.StoreSettings:
--- a/tests/test_hostprocess.py
+++ b/tests/test_hostprocess.py
@@ -11,6 +11,9 @@
 from tests import hostprocesskit
 from tests import platformkit as kit
 
+# Time in which a host has started or refused its settings.
+START_S = 2.0
+
 
 async def test_hosts_survive_kills_pauses_and_stops(tmp_path):
     """Guards against listing a dead host and cutting off requests at a stop."""
@@ -133,3 +136,24 @@
         other.bind((ip, int(port)))
     with listensockets.open_listener(reserved) as listener:
         assert listener.getsockname() == (ip, int(port))
+
+
+async def test_host_refuses_one_address_for_two_servers(tmp_path):
+    """Guards against a host that ends with a fault when it is stopped.
+
+    Soak, seed 4: 'ValueError: Invalid file descriptor: -1' below asyncio.run;
+    two servers had closed one listen socket.
+    """
+    host = hostprocesskit.HostProcess(tmp_path, 'h0', kit.address())
+    text = host.settings.read_text()
+    host.settings.write_text(text.replace(host.readiness, host.directory))
+    host.start()
+    await asyncio.sleep(START_S)
+    if host.is_running():
+        host.signal(signal.SIGTERM)
+    code = await asyncio.to_thread(host.process.wait, 20)
+    log = host.log.read_text()
+    assert 'ValueError' not in log
+    assert code == 2
+    assert 'listen.readiness' in log
+    assert 'listen.directory' in log
