Kill the host in the resume test once all answers have begun

test_callers_resume_after_their_host_is_killed had failed once with whole answers and without a /resume: it killed the host a second after its requests were open. A caller that has received nothing by then sends its request again from the start, which is right. Killing at once, without the second, shows the same: five whole answers, no /resume. On a busy machine a second may be too short.

--- a/tests/failurekit.py
+++ b/tests/failurekit.py
@@ -72,9 +72,10 @@
     """A caller that was told the hosts in a given order."""
 
     def __init__(self, http, hosts):
-        """Keep every URL that was used."""
+        """Keep every URL that was used, and what each request received."""
         super().__init__(http, hosts[0].caller_address)
         self.urls = []
+        self.received = []
         self.addresses = [host.caller_address for host in hosts]
 
     async def _hosts(self, workspace):
@@ -82,8 +83,15 @@
 
     async def _send(self, url, body, collected):
         self.urls.append(url)
+        if collected not in self.received:
+            self.received.append(collected)
         await super()._send(url, body, collected)
 
+    async def wait_for_tokens(self, count):
+        """Wait until so many requests have received a part of an answer."""
+        while sum(bool(each.tokens) for each in self.received) < count:
+            await asyncio.sleep(POLL_S)
+
     async def run_timed(self, request):
         """Return the outcome and how long it took in ms."""
         began_s = time.monotonic()
