Say which limit the demonstration exceeded

A demonstration whose hosts were not ready after 30 s printed that it had not finished within 300 s.

--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -22,6 +22,10 @@
 START_LIMIT_S = 30
 
 
+class StartTimedOut(TimeoutError):
+    """The hosts were not ready in time."""
+
+
 async def run_load(
     planned: fleet.Fleet,
     http: aiohttp.ClientSession,
@@ -70,6 +74,23 @@
     return wrong
 
 
+async def start(
+    planned: fleet.Fleet,
+    children: processes.Processes,
+    folder: pathlib.Path,
+    http: aiohttp.ClientSession,
+) -> None:
+    """Start everything; raises ``StartTimedOut``."""
+    try:
+        async with asyncio.timeout(START_LIMIT_S):
+            await fleet.start_platform(planned, children, http)
+            await fleet.start_hosts(planned, children, folder, http)
+            await operators.create_bundle(http, planned)
+            await operators.wait_until_ready(http, planned)
+    except TimeoutError as late:
+        raise StartTimedOut(f'not ready within {START_LIMIT_S} s') from late
+
+
 async def demonstrate(
     requests: int,
     folder: pathlib.Path,
@@ -84,11 +105,7 @@
         http = await cleanup.enter_async_context(
             aiohttp.ClientSession(connector=unlimited)
         )
-        async with asyncio.timeout(START_LIMIT_S):
-            await fleet.start_platform(planned, children, http)
-            await fleet.start_hosts(planned, children, folder, http)
-            await operators.create_bundle(http, planned)
-            await operators.wait_until_ready(http, planned)
+        await start(planned, children, folder, http)
         print(f'{len(planned.hosts)} hosts are ready; {requests} requests')
         tokens = workload.OUTPUT_TOKENS
         if with_faults:
@@ -126,8 +143,8 @@
             return await demonstrate(
                 requests, folder, children, with_faults=with_faults
             )
-    except TimeoutError:
-        print(f'not finished within {limit_s} s')
+    except TimeoutError as late:
+        print(late if str(late) else f'not finished within {limit_s} s')
         for name in children.ended():
             print(f'{name} has ended:\n{children.log_tail(name)}')
         return False
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -11,6 +11,7 @@
 
 from bergamotstream import errors, logs, metrics, settingscheck
 from bergamotstream.exporters import prometheus
+from demo import __main__ as demonstration
 from demo import caller, fleet, operators, processes, report, workload
 from standins import answers
 from tests import fakecorekit
@@ -157,6 +158,17 @@
             socket.create_connection(address.split(':'), timeout=1).close()
 
 
+async def test_demonstration_says_which_limit_it_exceeded(
+    tmp_path, monkeypatch, capsys
+):
+    """Guards against a slow start that is reported as a slow run."""
+    monkeypatch.setattr(demonstration, 'START_LIMIT_S', 0)
+    assert not await demonstration.supervise(
+        1, 300, tmp_path, with_faults=False
+    )
+    assert 'not ready within 0 s' in capsys.readouterr().out
+
+
 def test_demonstration_notices_wrong_answers():
     """Guards against a check that accepts a wrong or partial answer."""
     request = workload.plan_load(1)[0]
