Log each change of what is refused, and retries that are not made

A blame that was lifted, by an answer, by another fingerprint or because nothing came any more, left no line, nor did a broken request that got no second target because a part of its prompt is suspected. blame_changed and retry_refused say so. No decision changes; the 110 tests of blame and forwarding pass.

--- a/bergamotstream/forwarding/crashblame.py
+++ b/bergamotstream/forwarding/crashblame.py
@@ -57,6 +57,15 @@
     served: tuple[int, ...] = ()
 
 
+class Change(NamedTuple):
+    """A fingerprint that is refused from now on, or no longer."""
+
+    fingerprint: int
+    # ``counted`` and ``learned`` begin a blame; ``served``, ``explained`` and
+    # ``not_received`` end one.
+    reason: str
+
+
 class _Blame(NamedTuple):
     since_ms: int
     received_ms: int
@@ -75,6 +84,13 @@
             collections.OrderedDict()
         )
         self._disputed_ms_by_fingerprint: dict[int, int] = {}
+        self._changes: list[Change] = []
+
+    def take_changes(self) -> list[Change]:
+        """Return the changes since the last call."""
+        changes = self._changes
+        self._changes = []
+        return changes
 
     def suspect(
         self,
@@ -224,10 +240,11 @@
                 limits
             ):
                 self._blame_by_fingerprint[fingerprint] = _Blame(now_ms, now_ms)
+                self._changes.append(Change(fingerprint, 'counted'))
                 evidence.explain_by(fingerprint)
         for blamed in tuple(self._blame_by_fingerprint):
             if _is_explained(blamed, evidence):
-                self._blame_by_fingerprint.pop(blamed)
+                self._end_blame(blamed, 'explained')
 
     def _evidence(
         self, wanted: Iterable[int], now_ms: int
@@ -259,12 +276,21 @@
         self._served_ms_by_fingerprint.move_to_end(fingerprint)
         if len(self._served_ms_by_fingerprint) > MAX_SERVED:
             self._served_ms_by_fingerprint.popitem(last=False)
-        return self._blame_by_fingerprint.pop(fingerprint, None) is not None
+        return self._end_blame(fingerprint, 'served')
+
+    def _end_blame(self, fingerprint: int, reason: str) -> bool:
+        """Stop refusing a fingerprint; return whether it was refused."""
+        if self._blame_by_fingerprint.pop(fingerprint, None) is None:
+            return False
+        self._changes.append(Change(fingerprint, reason))
+        return True
 
     def _blame_one(self, entry: Blamed, now_ms: int) -> None:
         received_ms = now_ms - entry.age_ms
-        known = self._blame_by_fingerprint.get(entry.fingerprint)
-        blame = known or _Blame(now_ms, received_ms)
+        blame = self._blame_by_fingerprint.get(entry.fingerprint)
+        if blame is None:
+            blame = _Blame(now_ms, received_ms)
+            self._changes.append(Change(entry.fingerprint, 'learned'))
         self._blame_by_fingerprint[entry.fingerprint] = blame._replace(
             received_ms=max(blame.received_ms, received_ms)
         )
@@ -282,7 +308,7 @@
         )
         for fingerprint, blame in tuple(self._blame_by_fingerprint.items()):
             if blame.received_ms <= now_ms - BLAME_MS:
-                self._blame_by_fingerprint.pop(fingerprint)
+                self._end_blame(fingerprint, 'not_received')
 
 
 def _is_explained(fingerprint: int, evidence: crashcounts.Evidence) -> bool:
--- a/bergamotstream/forwarding/hostdaemon.py
+++ b/bergamotstream/forwarding/hostdaemon.py
@@ -229,7 +229,10 @@
             self._core.cold.update_target(entry, now_ms)
 
     async def _drop_lapsed_targets(self) -> None:
-        """Periodically drop targets whose entries were not renewed."""
+        """Periodically drop targets whose entries were not renewed.
+
+        Also logs what has changed in the blame meanwhile.
+        """
         while True:
             await asyncio.sleep(LAPSE_CHECK_S)
             now_ms = self._clock.now_ms()
@@ -237,6 +240,7 @@
                 self._peers.store_answered_ms(), now_ms
             )
             self._handle_changes(self._core.view.drop_lapsed(now_ms))
+            self._outcomes.log_blame_changes()
 
     def _check_readiness(self) -> None:
         """Become ready with the first configuration unless stopping."""
--- a/bergamotstream/forwarding/ingress.py
+++ b/bergamotstream/forwarding/ingress.py
@@ -209,10 +209,12 @@
         retry_policy = state.job.route.retry_policy
         if retry_policy is fleetrecords.RetryPolicy.ONLY_IF_NOT_RUN:
             return False
-        now_ms = self._clock.now_ms()
-        return self._core.blame.may_retry(
-            state.job.parts, now_ms
-        ) and self._has_retry_left(state)
+        if not self._core.blame.may_retry(
+            state.job.parts, self._clock.now_ms()
+        ):
+            self._outcomes.record_suspected_part(state)
+            return False
+        return self._has_retry_left(state)
 
     @_may_retry.register
     def _may_retry_timed_out(
--- a/bergamotstream/forwarding/outcomes.py
+++ b/bergamotstream/forwarding/outcomes.py
@@ -17,6 +17,7 @@
     dispatch,
     eventlog,
     exchangerecords,
+    fingerprints,
     fleetrecords,
     relayedevents,
     requeststate,
@@ -275,6 +276,25 @@
                 )._asdict(),
             )
 
+    def log_blame_changes(self) -> None:
+        """Log what is refused from now on, and what no longer is."""
+        for change in self._core.blame.take_changes():
+            self._log.write(
+                'blame_changed',
+                fingerprint=eventlog.hex_of(change.fingerprint),
+                is_part=fingerprints.is_part(change.fingerprint),
+                reason=change.reason,
+            )
+
+    def record_suspected_part(self, served: requeststate.RequestState) -> None:
+        """Record a broken request that gets no second target."""
+        self._log.write(
+            'retry_refused',
+            id=served.job.request.attempt_id,
+            reason='suspected_part',
+            parts=','.join(map(eventlog.hex_of, served.job.parts)),
+        )
+
     def record_trial(self, job: exchangerecords.Job) -> None:
         """Record a request that tests whether its part crashes targets."""
         if job.trial_part:
--- a/tests/test_crashingparts.py
+++ b/tests/test_crashingparts.py
@@ -131,6 +131,14 @@
     assert not blame.is_refused(BESIDE, 6)
     crash(blame, 7, CRASHING, BESIDE)
     assert not blame.is_refused(BESIDE, 8)
+    changes = [
+        (change.fingerprint, change.reason) for change in blame.take_changes()
+    ]
+    assert changes == [
+        (CRASHING, 'counted'),
+        (BESIDE, 'counted'),
+        (BESIDE, 'explained'),
+    ]
 
 
 def test_part_of_a_request_that_comes_again_is_not_refused():
@@ -181,6 +189,8 @@
     assert len(trying) == 1
     assert not any(host.start_trial(job) for host in hosts)
     now_ms = fleet.clock.now_ms()
+    events = {event for host in hosts for event, _ in host.log.events}
+    assert 'retry_refused' in events
     trying[0].core.blame.record_served(job.fingerprints, now_ms)
     trying[0].exchange(hosts)
     assert not any(host.refuses(job) for host in hosts)
