--- a/bergamotstream/forwarding/crashcounts.py
+++ b/bergamotstream/forwarding/crashcounts.py
@@ -2,10 +2,11 @@
 Crash counts
 ~~~~~~~~~~~~
 
-Counts the runs of targets that crashed under a fingerprint. A target that gives
-no answer is suspected; the suspicion counts as a crash once the target turns
-out to be gone or restarted. The counts of peers are added, also those of
-processes that have ended.
+Counts the runs of targets that crashed under a fingerprint. A run is the time
+from a target's start to its end. A target that gives no answer is suspected;
+the suspicion counts as a crash once the target turns out to be gone or
+restarted. The counts of peers are added, also those of processes that have
+ended.
 """
 
 import bisect
--- a/bergamotstream/forwarding/dispatch.py
+++ b/bergamotstream/forwarding/dispatch.py
@@ -250,8 +250,10 @@
 
 
 def _check_last_event(answer: Answer, received: bytearray) -> None:
+    """Raise ``ValueError`` if an event stream ends inside an event."""
     if answer.content_type == eventstream.CONTENT_TYPE:
         splitter = relayedevents.EventSplitter()
+        # Splits everything and keeps no event.
         collections.deque(splitter.feed(bytes(received)), maxlen=0)
         splitter.check_end()
 
--- a/bergamotstream/forwarding/scheduler.py
+++ b/bergamotstream/forwarding/scheduler.py
@@ -143,7 +143,7 @@
             for fingerprint in job.fingerprints
             if self.blame.is_refused(fingerprint, now_ms)
         ]
-        if len(refused) != 1 or not self._tries(refused[0]):
+        if len(refused) != 1 or not self._is_trial_host(refused[0]):
             return job
         if not self.blame.start_trial(refused[0], now_ms):
             return job
@@ -281,7 +281,7 @@
             and entry.zone not in self.view.zones_out
         )
 
-    def _tries(self, fingerprint: int) -> bool:
+    def _is_trial_host(self, fingerprint: int) -> bool:
         """Tell whether this host makes the trials of a blamed part."""
         names = (self._config.name, *self.table.peer_names())
         chosen = max(
