Charge the retry of a silent stream once

Callers had streams cut off whose target was silent for 1.2 s. The relay caught the time-out, which is a connection error as well, as a broken connection: its retry, granted before the target was given up, was asked for again and could be refused; and a target that was only silent was suspected like one that broke the connection, so that it counted towards the blame of a request or part at once.

test_silent_stream_is_resumed_with_the_last_retry failed, now passes.

--- a/bergamotstream/forwarding/ingress.py
+++ b/bergamotstream/forwarding/ingress.py
@@ -13,6 +13,7 @@
 from collections.abc import Coroutine
 from typing import Any, Final, NamedTuple, TypeVar
 
+import multidict
 from aiohttp import web
 
 from bergamotstream import clock, errors, metrics
@@ -404,36 +405,17 @@
         headers.popall('Content-Length', None)
         splitter = relayedevents.EventSplitter()
         ending = dispatch.ending_of(answer)
-        last_chunk_ms = 0
         try:
-            while True:
-                chunk = await self._with_silence_timeout(
-                    state, state.tries_sent, answer.content.readany()
-                )
-                if not chunk:
-                    break
-                now_ms = self._clock.now_ms()
-                if last_chunk_ms:
-                    self._outcomes.record_gap(
-                        state, assignment, now_ms - last_chunk_ms
-                    )
-                else:
-                    waited_ms = now_ms - assignment.placed_ms
-                    self._outcomes.record_first_byte(
-                        state, assignment, waited_ms
-                    )
-                    self._dependencies.peers.schedule_delayed_send()
-                last_chunk_ms = now_ms
-                for event in splitter.feed(chunk):
-                    await state.answer.write(  # noqa: WPS476 - in order
-                        answer.status, headers, event.encoded
-                    )
-                    state.last_event_id = event.event_id or state.last_event_id
-                state.events_in_try = splitter.received_events
+            await self._relay_events(
+                state, assignment, answer, headers, splitter
+            )
             self._outcomes.record_stream_end(
                 state, assignment, ending.framing, splitter
             )
             await _check_stream_end(state, ending, splitter)
+        except dispatch.TargetTimedOut:
+            # A connection error as well, but its retry is granted already.
+            raise
         except dispatch.READ_FAULTS as broken:
             raise dispatch.TargetBroken(repr(broken)) from broken
         response = await state.answer.write(
@@ -445,6 +427,39 @@
         self._outcomes.record_end(state, 'served')
         return response
 
+    async def _relay_events(
+        self,
+        state: requeststate.RequestState,
+        assignment: exchangerecords.Assignment,
+        answer: dispatch.Answer,
+        headers: multidict.CIMultiDict[str],
+        splitter: relayedevents.EventSplitter,
+    ) -> None:
+        """Relay whole events until the end of what the target sends."""
+        last_chunk_ms = 0
+        while True:
+            chunk = await self._with_silence_timeout(
+                state, state.tries_sent, answer.content.readany()
+            )
+            if not chunk:
+                return
+            now_ms = self._clock.now_ms()
+            if last_chunk_ms:
+                self._outcomes.record_gap(
+                    state, assignment, now_ms - last_chunk_ms
+                )
+            else:
+                waited_ms = now_ms - assignment.placed_ms
+                self._outcomes.record_first_byte(state, assignment, waited_ms)
+                self._dependencies.peers.schedule_delayed_send()
+            last_chunk_ms = now_ms
+            for event in splitter.feed(chunk):
+                await state.answer.write(  # noqa: WPS476 - in order
+                    answer.status, headers, event.encoded
+                )
+                state.last_event_id = event.event_id or state.last_event_id
+            state.events_in_try = splitter.received_events
+
     def _fail(
         self, state: requeststate.RequestState, error: errors.ServiceError
     ) -> web.StreamResponse:
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -8,7 +8,12 @@
 import pytest
 
 from bergamotstream import clock
-from bergamotstream.forwarding import connections, crashblame, listensockets
+from bergamotstream.forwarding import (
+    connections,
+    crashblame,
+    listensockets,
+    retrybudget,
+)
 from bergamotstream.platform import documents, store
 from tests import platformkit as kit
 
@@ -198,6 +203,43 @@
         assert elapsed_s < 1.6
 
 
+async def test_silent_stream_is_resumed_with_the_last_retry(monkeypatch):
+    """Guards against a stream that is cut because its retry counts twice.
+
+    Mix 461044981126 of parana-mazas: streams of silent targets were cut off
+    beside a change of the configuration.
+    """
+    tries = []
+
+    def acquire_once(budget, service, now_ms):
+        tries.append(service)
+        return len(tries) == 1
+
+    async def hang(request, writer):
+        writer.write(stream_start(request, 2))
+        await asyncio.sleep(30)
+
+    async def resume(request, writer):
+        stream = kit.chunk(kit.event(3)) + b'0\r\n\r\n'
+        writer.write(kit.stream_head(request) + stream)
+
+    monkeypatch.setattr(retrybudget.RetryBudget, 'try_acquire', acquire_once)
+    async with (
+        kit.running_system() as system,
+        kit.raw_target(hang) as silent,
+        kit.raw_target(resume) as other,
+    ):
+        await system.add_target('t1', silent, service='model')
+        calling = asyncio.ensure_future(system.call('/chat/1'))
+        await system.until(lambda: silent.received)
+        await system.add_target('t2', other, service='model')
+        status, _, body = await calling
+        assert status == 200
+        assert body == b''.join(kit.event(number) for number in range(1, 4))
+        suspicions = system.daemons[0]._core.blame.counts.seen(0)
+        assert not suspicions.broken
+
+
 def stream_start(request, events):
     """Return the first bytes of a stream; none without an event."""
     if not events:
