--- a/bergamotstream/forwarding/crashblame.py
+++ b/bergamotstream/forwarding/crashblame.py
@@ -9,7 +9,7 @@
 
 Many requests may have one fingerprint, as callers send identical ones and
 requests share parts. A crashed target counts once for all of them, and an
-answer to one speaks for the others. A crash takes all requests of its target
+answer to one clears the others. A crash takes all requests of its target
 with it, so crashes that a blamed fingerprint explains do not count against
 others, and now and then one request with a blamed part is sent to find out
 whether it still crashes.
--- a/bergamotstream/forwarding/crashcounts.py
+++ b/bergamotstream/forwarding/crashcounts.py
@@ -163,7 +163,7 @@
 
     Requests that run beside a crashing one crash with it. The crashing one has
     more runs than each of them, since it is in all of its crashes. If a request
-    has as many as one of its parts, it is the request that comes again.
+    has as many as one of its parts, the request is repeated.
     """
 
     def __init__(self, runs_by_fingerprint: Mapping[int, _Runs]) -> None:
@@ -428,7 +428,7 @@
 ) -> list[Crash]:
     """Return the crashes that peers should know first.
 
-    Those with one crash only, as invented parts have, give way to the others.
+    Those with one crash only, as invented parts have, come last.
     """
     latest_first = reversed(tuple(runs_by_fingerprint.items()))
     by_runs = sorted(latest_first, key=_number_of_runs, reverse=True)
--- a/bergamotstream/forwarding/requeststate.py
+++ b/bergamotstream/forwarding/requeststate.py
@@ -33,7 +33,7 @@
         # events that it has received.
         self.is_unanswered = False
         self.events_in_try = 0
-        # Whether it has received enough of them to speak for its parts.
+        # Whether it has received enough of them to clear its parts.
         self.is_written = False
         self.tried_target_ids: set[str] = set()
         # The last failure that a target answered.
--- a/tests/test_crashingparts.py
+++ b/tests/test_crashingparts.py
@@ -236,7 +236,7 @@
     )
 
 
-def test_some_events_of_an_answer_speak_for_its_parts():
+def test_some_events_of_an_answer_clear_its_parts():
     """Guards against blaming a part that was written with for a while."""
     fleet = crashkit.Fleet(hosts=1)
     host = fleet.hosts_by_name['h0']
