--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -191,10 +191,7 @@
         kit.raw_target(hang) as silent,
         kit.raw_target(resume) as other,
     ):
-        await system.add_target('t1', silent, service='model')
-        calling = asyncio.ensure_future(system.call('/chat/1'))
-        await system.until(lambda: silent.received)
-        await system.add_target('t2', other, service='model')
+        calling = await call_first_of(system, silent, other)
         started = asyncio.get_running_loop().time()
         status, _, body = await calling
         elapsed_s = asyncio.get_running_loop().time() - started
@@ -229,10 +226,7 @@
         kit.raw_target(hang) as silent,
         kit.raw_target(resume) as other,
     ):
-        await system.add_target('t1', silent, service='model')
-        calling = asyncio.ensure_future(system.call('/chat/1'))
-        await system.until(lambda: silent.received)
-        await system.add_target('t2', other, service='model')
+        calling = await call_first_of(system, silent, other)
         status, _, body = await calling
         assert status == 200
         assert body == b''.join(kit.event(number) for number in range(1, 4))
@@ -240,6 +234,15 @@
         assert not suspicions.broken
 
 
+async def call_first_of(system, first, second):
+    """Start a call that reaches ``first``, then add ``second``; return it."""
+    await system.add_target('t1', first, service='model')
+    calling = asyncio.ensure_future(system.call('/chat/1'))
+    await system.until(lambda: first.received)
+    await system.add_target('t2', second, service='model')
+    return calling
+
+
 def stream_start(request, events):
     """Return the first bytes of a stream; none without an event."""
     if not events:
