Log how long a try lasted before its target broke or refused

The lines did not show it, so a target that ended under a request looked like one that was down. Ruled out as sufficient: the existing line, whose fault is the same in both cases. No logic changes.

--- a/bergamotstream/forwarding/outcomes.py
+++ b/bergamotstream/forwarding/outcomes.py
@@ -243,6 +243,7 @@
             id=served.job.request.attempt_id,
             target=target_id,
             fault=fault,
+            waited_ms=now_ms - assignment.placed_ms,
             pause_ms=until_ms - now_ms,
         )
         if refusing:
@@ -373,6 +374,7 @@
             parts=','.join(map(eventlog.hex_of, served.job.parts)),
             started_ms=assignment.target.started_ms,
             fault=fault,
+            waited_ms=now_ms - assignment.placed_ms,
             last_event=served.last_event_id,
         )
 
