Weigh the successes of a request against its crashes

A request that was also served kept ending targets: one success dropped all crashes counted under it, and kept it from being blamed for 60 s, at all hosts. The rule makes no exception for a request that was also served.

Hosts tell each other the successes of suspected requests and add them up. Of two fingerprints with the same crashes, the one that is served less often explains the other, so a common lookup beside a crashing one is spared. Parts of prompts are cleared by one answer as before.

--- a/bergamotstream/forwarding/crashblame.py
+++ b/bergamotstream/forwarding/crashblame.py
@@ -8,14 +8,13 @@
 fingerprints to its peers, and the store has a record of each.
 
 Many requests may have one fingerprint, as callers send identical ones and
-requests share parts. A crashed target counts once for all of them, and an
-answer to one clears the others. A crash takes all requests of its target
-with it, so crashes that a blamed fingerprint explains do not count against
-others, and now and then one request with a blamed part is sent to find out
-whether it still crashes.
+requests share parts. A crashed target counts once for all of them. An answer
+to one clears a part; answers to identical requests are weighed against the
+crashes. A crash takes all requests of its target with it, so crashes that a
+blamed fingerprint explains do not count against others, and now and then one
+request with a blamed part is sent to find out whether it still crashes.
 """
 
-import collections
 from collections.abc import Iterable
 from typing import Final, NamedTuple
 
@@ -24,14 +23,13 @@
     fingerprints,
     fleetrecords,
     fleetview,
+    servedcounts,
 )
 
 # Time for which a fingerprint is refused after it was last received.
 BLAME_MS: Final = 60_000
 # Maximum blamed and disputed fingerprints in a message to peers.
 MAX_SHARED: Final = 64
-# Maximum fingerprints whose success is remembered.
-MAX_SERVED: Final = 16_384
 # Time from the blame of a part to its first trial; each next one comes after
 # four times as long.
 FIRST_TRIAL_MS: Final = 30_000
@@ -46,6 +44,8 @@
 
     fingerprint: int
     age_ms: int
+    # The crashes that led to the blame, 0 if they are not known.
+    crashes: int = 0
 
 
 class Report(NamedTuple):
@@ -54,7 +54,7 @@
     seen: crashcounts.SeenCrashes = crashcounts.SeenCrashes()
     blamed: tuple[Blamed, ...] = ()
     # Fingerprints that a peer blames or suspects and that were served here.
-    served: tuple[int, ...] = ()
+    served: tuple[servedcounts.Served, ...] = ()
 
 
 class Change(NamedTuple):
@@ -69,6 +69,7 @@
 class _Blame(NamedTuple):
     since_ms: int
     received_ms: int
+    crashes: int
     # When this host last sent a request to find out whether it still crashes.
     tried_ms: int = fleetview.NEVER_MS
 
@@ -80,9 +81,7 @@
         """Start without blame."""
         self.counts = crashcounts.CrashCounts()
         self._blame_by_fingerprint: dict[int, _Blame] = {}
-        self._served_ms_by_fingerprint: collections.OrderedDict[int, int] = (
-            collections.OrderedDict()
-        )
+        self._served = servedcounts.ServedCounts()
         self._disputed_ms_by_fingerprint: dict[int, int] = {}
         self._changes: list[Change] = []
 
@@ -116,27 +115,36 @@
             entry.fingerprint for entry in confirmations if entry.counted
         }
         for fingerprint in counted:
-            if self._is_served(fingerprint, now_ms):
+            if self._is_cleared_part(fingerprint, now_ms):
                 self.counts.forget(fingerprint)
         self._judge(counted, now_ms)
         return confirmations
 
     def record_served(self, answered: Iterable[int], now_ms: int) -> None:
-        """Lift the blame of the fingerprints of a request that was answered.
+        """Record the fingerprints of a request that was answered.
 
-        They are not blamed again for a time that depends on their kind.
+        A part is not blamed again for a time. A request stays blamed unless
+        its successes outweigh its crashes.
         """
         for fingerprint in answered:
-            is_blamed = self._lift_blame(fingerprint, now_ms)
-            if is_blamed or self.counts.is_heard(fingerprint):
+            blame = self._blame_by_fingerprint.get(fingerprint)
+            crashes = blame.crashes if blame else 0
+            is_known = self.counts.is_known(fingerprint)
+            if is_known:
+                counted = self.counts.crashes_of(fingerprint, now_ms)
+                crashes = max(crashes, sum(counted))
+            self._served.record(fingerprint, now_ms, crashes)
+            self._lift_blame(fingerprint, now_ms)
+            if blame or is_known:
                 self._disputed_ms_by_fingerprint[fingerprint] = now_ms
 
     def apply_report(
         self, process: crashcounts.PeerProcess, report: Report, now_ms: int
     ) -> list[int]:
         """Apply the report of a peer's process; return what is newly blamed."""
+        self._served.hear(process, report.served, now_ms)
         for served in report.served:
-            self._lift_blame(served, now_ms)
+            self._lift_blame(served.fingerprint, now_ms)
         known = set(self._blame_by_fingerprint)
         added = self.counts.hear(process, report.seen, now_ms)
         self._judge({crash.fingerprint for crash in added}, now_ms)
@@ -146,16 +154,16 @@
     def blame(self, listed: Iterable[Blamed], now_ms: int) -> bool:
         """Blame what a peer or a record does; tell if any is new."""
         current = [entry for entry in listed if entry.age_ms < BLAME_MS]
-        unknown = {
-            entry.fingerprint
+        unknown = [
+            entry
             for entry in current
             if entry.fingerprint not in self._blame_by_fingerprint
-        }
-        rejected = self._rejected(unknown, now_ms) if unknown else unknown
+        ]
+        rejected = self._rejected(unknown, now_ms) if unknown else set()
         for entry in current:
             if entry.fingerprint not in rejected:
                 self._blame_one(entry, now_ms)
-        return bool(unknown - rejected)
+        return len(unknown) > len(rejected)
 
     def report(self, now_ms: int) -> Report:
         """Return what peers should know; old entries are dropped."""
@@ -167,14 +175,20 @@
         )
 
     @property
-    def disputes(self) -> tuple[int, ...]:
+    def disputes(self) -> tuple[servedcounts.Served, ...]:
         """Return what a peer blames or suspects and was served here."""
-        return tuple(self._disputed_ms_by_fingerprint)[-MAX_SHARED:]
+        disputed = tuple(self._disputed_ms_by_fingerprint)[-MAX_SHARED:]
+        return tuple(
+            servedcounts.Served(
+                fingerprint, self._served.own_successes(fingerprint)
+            )
+            for fingerprint in disputed
+        )
 
     def blamed(self, now_ms: int) -> list[Blamed]:
         """Return what is blamed, beginning with the latest received."""
         listed = [
-            Blamed(fingerprint, now_ms - blame.received_ms)
+            Blamed(fingerprint, now_ms - blame.received_ms, blame.crashes)
             for fingerprint, blame in self._blame_by_fingerprint.items()
         ]
         return sorted(
@@ -188,7 +202,9 @@
         It may not if one of its parts is suspected; the next target would
         probably crash as well.
         """
-        wanted = {part for part in parts if not self._is_served(part, now_ms)}
+        wanted = {
+            part for part in parts if not self._is_cleared_part(part, now_ms)
+        }
         evidence = self._evidence(wanted, now_ms)
         return all(
             sum(evidence.unexplained(part))
@@ -224,85 +240,108 @@
         wanted = [
             fingerprint
             for fingerprint in suspects
-            if not self._is_served(fingerprint, now_ms)
+            if not self._is_cleared_part(fingerprint, now_ms)
         ]
         if not wanted:
             return
         evidence = self._evidence(wanted, now_ms)
-        wanted.sort(
-            key=lambda wanted_one: sum(evidence.counted(wanted_one)),
-            reverse=True,
-        )
+        wanted.sort(key=evidence.rank_of, reverse=True)
         for fingerprint in wanted:
             is_known = fingerprint in self._blame_by_fingerprint
-            limits = crashcounts.limits_of(fingerprint)
-            if not is_known and evidence.unexplained(fingerprint).exceed(
-                limits
+            crashes = evidence.unexplained(fingerprint)
+            if not is_known and self._is_excessive(
+                fingerprint, crashes, now_ms
             ):
-                self._blame_by_fingerprint[fingerprint] = _Blame(now_ms, now_ms)
+                self._blame_by_fingerprint[fingerprint] = _Blame(
+                    now_ms, now_ms, sum(crashes)
+                )
                 self._changes.append(Change(fingerprint, 'counted'))
                 evidence.explain_by(fingerprint)
         for blamed in tuple(self._blame_by_fingerprint):
             if _is_explained(blamed, evidence):
                 self._end_blame(blamed, 'explained')
 
+    def _is_excessive(
+        self, fingerprint: int, crashes: crashcounts.Crashes, now_ms: int
+    ) -> bool:
+        """Tell whether a fingerprint has too many crashes."""
+        if self._is_cleared_by_successes(fingerprint, sum(crashes), now_ms):
+            return False
+        return crashes.exceed(crashcounts.limits_of(fingerprint))
+
+    def _is_cleared_by_successes(
+        self, fingerprint: int, crashes: int, now_ms: int
+    ) -> bool:
+        return self._served.is_served(fingerprint, now_ms) and (
+            fingerprints.is_part(fingerprint)
+            or self._served.outweigh(fingerprint, crashes)
+        )
+
     def _evidence(
         self, wanted: Iterable[int], now_ms: int
     ) -> crashcounts.Evidence:
         """Return the crashes under fingerprints, explained by the blamed."""
+        compared = {*wanted, *self._blame_by_fingerprint}
         evidence = self.counts.evidence(
-            {*wanted, *self._blame_by_fingerprint}, now_ms
+            compared, now_ms, self._served.successes
         )
         for blamed in self._blame_by_fingerprint:
             evidence.explain_by(blamed)
         return evidence
 
-    def _rejected(self, listed: Iterable[int], now_ms: int) -> set[int]:
+    def _rejected(self, listed: Iterable[Blamed], now_ms: int) -> set[int]:
         """Return which of these fingerprints are not blamed here."""
-        evidence = self._evidence(listed, now_ms)
+        evidence = self._evidence(
+            [entry.fingerprint for entry in listed], now_ms
+        )
         rejected = set()
-        for fingerprint in listed:
-            if self._is_served(fingerprint, now_ms):
+        for fingerprint, _, known_crashes in listed:
+            crashes = max(sum(evidence.unexplained(fingerprint)), known_crashes)
+            if self._is_cleared_by_successes(fingerprint, crashes, now_ms):
                 self._disputed_ms_by_fingerprint[fingerprint] = now_ms
                 rejected.add(fingerprint)
             elif _is_explained(fingerprint, evidence):
                 rejected.add(fingerprint)
         return rejected
 
-    def _lift_blame(self, fingerprint: int, now_ms: int) -> bool:
-        """Remember a success; return whether the fingerprint was blamed."""
-        self.counts.forget(fingerprint)
-        self._served_ms_by_fingerprint[fingerprint] = now_ms
-        self._served_ms_by_fingerprint.move_to_end(fingerprint)
-        if len(self._served_ms_by_fingerprint) > MAX_SERVED:
-            self._served_ms_by_fingerprint.popitem(last=False)
-        return self._end_blame(fingerprint, 'served')
-
-    def _end_blame(self, fingerprint: int, reason: str) -> bool:
-        """Stop refusing a fingerprint; return whether it was refused."""
-        if self._blame_by_fingerprint.pop(fingerprint, None) is None:
-            return False
-        self._changes.append(Change(fingerprint, reason))
-        return True
+    def _lift_blame(self, fingerprint: int, now_ms: int) -> None:
+        """End the blame of a served fingerprint unless crashes outweigh it."""
+        if fingerprints.is_part(fingerprint):
+            self.counts.forget(fingerprint)
+            self._end_blame(fingerprint, 'served')
+            return
+        blame = self._blame_by_fingerprint.get(fingerprint)
+        if blame is None:
+            return
+        evidence = self._evidence((fingerprint,), now_ms)
+        crashes = max(sum(evidence.unexplained(fingerprint)), blame.crashes)
+        if self._is_cleared_by_successes(fingerprint, crashes, now_ms):
+            self._end_blame(fingerprint, 'served')
+
+    def _end_blame(self, fingerprint: int, reason: str) -> None:
+        """Stop refusing a fingerprint if it is refused."""
+        if self._blame_by_fingerprint.pop(fingerprint, None) is not None:
+            self._changes.append(Change(fingerprint, reason))
 
     def _blame_one(self, entry: Blamed, now_ms: int) -> None:
         received_ms = now_ms - entry.age_ms
         blame = self._blame_by_fingerprint.get(entry.fingerprint)
         if blame is None:
-            blame = _Blame(now_ms, received_ms)
+            blame = _Blame(now_ms, received_ms, entry.crashes)
             self._changes.append(Change(entry.fingerprint, 'learned'))
         self._blame_by_fingerprint[entry.fingerprint] = blame._replace(
-            received_ms=max(blame.received_ms, received_ms)
+            received_ms=max(blame.received_ms, received_ms),
+            crashes=max(blame.crashes, entry.crashes),
         )
 
-    def _is_served(self, fingerprint: int, now_ms: int) -> bool:
-        served_ms = self._served_ms_by_fingerprint.get(fingerprint)
-        if served_ms is None:
-            return False
-        return served_ms > now_ms - crashcounts.limits_of(fingerprint).served_ms
+    def _is_cleared_part(self, fingerprint: int, now_ms: int) -> bool:
+        return fingerprints.is_part(fingerprint) and self._served.is_served(
+            fingerprint, now_ms
+        )
 
     def _drop_expired(self, now_ms: int) -> None:
         self.counts.drop_expired(now_ms)
+        self._served.drop_expired(now_ms)
         crashcounts.drop_before(
             self._disputed_ms_by_fingerprint, now_ms - DISPUTE_MS
         )
--- a/bergamotstream/forwarding/crashcounts.py
+++ b/bergamotstream/forwarding/crashcounts.py
@@ -11,7 +11,14 @@
 
 import bisect
 import itertools
-from collections.abc import Collection, Iterable, Iterator, Mapping, Sized
+from collections.abc import (
+    Callable,
+    Collection,
+    Iterable,
+    Iterator,
+    Mapping,
+    Sized,
+)
 from typing import Final, NamedTuple
 
 import xxhash
@@ -50,8 +57,8 @@
     suspected: int
     # The same, after which a broken request is not sent to another target.
     retried: int
-    # Time for which crashes are counted, and for which they are not counted
-    # after an answer.
+    # Time for which crashes are counted, and for which an answer clears a part
+    # or is weighed against the crashes of a request.
     counted_ms: int
     served_ms: int
 
@@ -151,10 +158,12 @@
     at_ms: int
 
 
-class _Rank(NamedTuple):
+class Rank(NamedTuple):
     """Order in which fingerprints explain the runs of others."""
 
     runs: int
+    # Those that are served more often are less likely to be the cause.
+    negated_successes: int
     is_request: bool
 
 
@@ -166,17 +175,22 @@
     has as many as one of its parts, the request is repeated.
     """
 
-    def __init__(self, runs_by_fingerprint: Mapping[int, _Runs]) -> None:
+    def __init__(
+        self,
+        runs_by_fingerprint: Mapping[int, _Runs],
+        successes_of: Callable[[int], int],
+    ) -> None:
         """Start without an explanation."""
         self._runs_by_fingerprint = runs_by_fingerprint
+        self._successes_of = successes_of
         # Runs that are accounted for, by ascending rank.
-        self._explaining: list[tuple[_Rank, frozenset[int]]] = []
+        self._explaining: list[tuple[Rank, frozenset[int]]] = []
 
     def explain_by(self, fingerprint: int) -> None:
         """Let a fingerprint account for all runs under it."""
         runs = self._runs_by_fingerprint[fingerprint]
         together = frozenset(runs.confirmed | runs.possible)
-        rank = self._rank_of(fingerprint)
+        rank = self.rank_of(fingerprint)
         bisect.insort(self._explaining, (rank, together), key=_first)
 
     def counted(self, fingerprint: int) -> Crashes:
@@ -187,18 +201,24 @@
         """Return the crashes that no other fingerprint accounts for."""
         runs = self._runs_by_fingerprint[fingerprint]
         start = bisect.bisect_right(
-            self._explaining, self._rank_of(fingerprint), key=_first
+            self._explaining, self.rank_of(fingerprint), key=_first
         )
         others = [together for _, together in self._explaining[start:]]
         return runs.count_without(frozenset().union(*others))
 
-    def _rank_of(self, fingerprint: int) -> _Rank:
-        return _Rank(
+    def rank_of(self, fingerprint: int) -> Rank:
+        """Return the rank of a fingerprint; higher ones explain lower ones."""
+        return Rank(
             sum(self.counted(fingerprint)),
+            negated_successes=-self._successes_of(fingerprint),
             is_request=not fingerprints.is_part(fingerprint),
         )
 
 
+def _no_successes(_fingerprint: int) -> int:
+    return 0
+
+
 class CrashCounts:
     """The crashes that this host and its peers have seen."""
 
@@ -283,9 +303,9 @@
         """Drop the counted crashes under a fingerprint that was served."""
         self._runs_by_fingerprint.pop(fingerprint, None)
 
-    def is_heard(self, fingerprint: int) -> bool:
-        """Tell whether a peer has counted or suspected a fingerprint."""
-        return any(
+    def is_known(self, fingerprint: int) -> bool:
+        """Tell whether a crash under a fingerprint was counted or heard of."""
+        return fingerprint in self._runs_by_fingerprint or any(
             fingerprint in received.fingerprints
             for received in self._received_by_process.values()
         )
@@ -319,7 +339,12 @@
         """Return how many targets have crashed under a fingerprint."""
         return self.evidence((fingerprint,), now_ms).counted(fingerprint)
 
-    def evidence(self, wanted: Iterable[int], now_ms: int) -> Evidence:
+    def evidence(
+        self,
+        wanted: Iterable[int],
+        now_ms: int,
+        successes_of: Callable[[int], int] = _no_successes,
+    ) -> Evidence:
         """Return the runs under fingerprints seen here and by peers."""
         runs_by_fingerprint = self._own_runs(wanted, now_ms)
         for received in self._received_by_process.values():
@@ -327,7 +352,7 @@
                 _add_run(runs_by_fingerprint, crash, confirmed=True)
             for broken in received.heard.broken:
                 _add_run(runs_by_fingerprint, broken, confirmed=False)
-        return Evidence(runs_by_fingerprint)
+        return Evidence(runs_by_fingerprint, successes_of)
 
     def drop_expired(self, now_ms: int) -> None:
         """Drop the crashes and suspicions that no longer count."""
@@ -399,7 +424,7 @@
     return xxhash.xxh3_64_intdigest(name.encode())
 
 
-def _first(entry: tuple[_Rank, frozenset[int]]) -> _Rank:
+def _first(entry: tuple[Rank, frozenset[int]]) -> Rank:
     return entry[0]
 
 
--- a/bergamotstream/forwarding/peerformat.py
+++ b/bergamotstream/forwarding/peerformat.py
@@ -17,6 +17,7 @@
     crashblame,
     crashcounts,
     fleetrecords,
+    servedcounts,
     targethealth,
 )
 
@@ -64,12 +65,16 @@
             for estimate in state.health_estimates
         ],
         blamed=[
-            {'fingerprint': entry.fingerprint, 'ageMs': entry.age_ms}
+            {
+                'fingerprint': entry.fingerprint,
+                'ageMs': entry.age_ms,
+                'crashes': entry.crashes,
+            }
             for entry in state.blame.blamed
         ],
         crashedRuns=_encode_crashes(state.blame.seen.crashes),
         brokenRuns=_encode_crashes(state.blame.seen.broken),
-        served=list(state.blame.served),
+        servedRequests=[entry._asdict() for entry in state.blame.served],
     )
     encoded: bytes = message.to_bytes_packed()
     return encoded
@@ -112,10 +117,13 @@
                 _decode_crashes(message.brokenRuns),
             ),
             tuple(
-                crashblame.Blamed(entry.fingerprint, entry.ageMs)
+                crashblame.Blamed(entry.fingerprint, entry.ageMs, entry.crashes)
                 for entry in message.blamed
             ),
-            tuple(message.served),
+            tuple(
+                servedcounts.Served(entry.fingerprint, entry.successes)
+                for entry in message.servedRequests
+            ),
         ),
     )
 
--- a/bergamotstream/forwarding/peers.capnp
+++ b/bergamotstream/forwarding/peers.capnp
@@ -19,10 +19,12 @@
   storeAgeMs @11 :UInt32;
   blamed @12 :List(BlamedRequest);
   crashedRuns @13 :List(CrashedRun);
-  # Fingerprints that a peer blames and that were served here.
+  # Not sent any more.
   served @14 :List(UInt64);
   # Runs that broke the connection and may have crashed.
   brokenRuns @15 :List(CrashedRun);
+  # Fingerprints that a peer blames or suspects and that were served here.
+  servedRequests @16 :List(ServedRequest);
 }
 
 struct Commitment {
@@ -57,6 +59,14 @@
   fingerprint @0 :UInt64;
   # Time since it was last received.
   ageMs @1 :UInt32;
+  # The crashes that led to the blame, 0 if they are not known.
+  crashes @2 :UInt32;
+}
+
+# Successes at one host since its fingerprint was suspected.
+struct ServedRequest {
+  fingerprint @0 :UInt64;
+  successes @1 :UInt32;
 }
 
 # A run of a target that crashed under a request.
--- a/tests/crashkit.py
+++ b/tests/crashkit.py
@@ -71,6 +71,9 @@
     return f'{COMMON_PART}:40,{part}:40,{own}:200'
 
 
+CRASHING_BODY = b'crash'
+
+
 class Target(NamedTuple):
     """One run of a target."""
 
@@ -93,6 +96,14 @@
     by_part: bool = False
     # Time that an ordinary request takes; it breaks if its target ends.
     ordinary_ms: int = 0
+    # Whether all ordinary requests are alike.
+    popular: bool = False
+    # The crashing request is served for this time before it begins to crash.
+    served_for_ms: int = 0
+    # Each interval, a request like the crashing one is served at one host.
+    twin_interval_ms: int = 0
+    # Time after which a crashed target is back.
+    restart_ms: int = RESTART_MS
 
 
 class Sent(NamedTuple):
@@ -290,17 +301,18 @@
         job = fingerprints.identify(job, body)
         return requeststate.RequestState(job, body, None)
 
-    def start_ordinary(self, attempt_id, prompt):
+    def start_ordinary(self, attempt_id, prompt, path, body):
         """Start a request that crashes nothing; return how to end it."""
         now_ms = self.fleet.clock.now_ms()
         try:
             state, assignment = self.start_request(
-                '/lookup/9', attempt_id.encode(), attempt_id, prompt
+                path, body, attempt_id, prompt
             )
             self.core.check_blame(state.job, now_ms)
         except errors.RequestBlamed:
             self.core.release(assignment)
-            self.fleet.refused_ordinary += 1
+            if body != CRASHING_BODY:
+                self.fleet.refused_ordinary += 1
             return None
         except errors.ServiceError:
             return None
@@ -346,6 +358,8 @@
         # Ordinary requests: all, those blamed, and those that have not ended.
         self.ordinary = 0
         self.refused_ordinary = 0
+        self.served_twins = 0
+        self._started_ms = self.clock.now_ms()
         self._open_ordinary = []
         self._calls = 0
         self._crashes_silently = False
@@ -418,19 +432,41 @@
         if not now_ms % self._load.ordinary_interval_ms:
             for host in hosts:
                 self._start_ordinary(host, now_ms)
+        if self._sends_twin(now_ms):
+            self._start_twin(self.rng.choice(hosts), now_ms)
         self._end_ordinary(now_ms)
-        if not now_ms % self._load.crashing_interval_ms:
+        is_served = now_ms < self._started_ms + self._load.served_for_ms
+        if not (is_served or now_ms % self._load.crashing_interval_ms):
             await self._call_crashing(self.rng.choice(hosts))
 
+    def _sends_twin(self, now_ms):
+        if now_ms < self._started_ms + self._load.served_for_ms:
+            return not now_ms % self._load.crashing_interval_ms
+        interval_ms = self._load.twin_interval_ms
+        return bool(interval_ms) and not now_ms % interval_ms
+
     def _start_ordinary(self, host, now_ms):
         self._calls += 1
         self.ordinary += 1
         attempt_id = f'o{self._calls}'
         part = f'{self.rng.randrange(SOUND_PARTS):x}'
-        end = host.start_ordinary(attempt_id, _prompt(part, attempt_id))
+        body = b'popular' if self._load.popular else attempt_id.encode()
+        end = host.start_ordinary(
+            attempt_id, _prompt(part, attempt_id), '/lookup/9', body
+        )
         if end is not None:
             self._open_ordinary.append((now_ms + self._load.ordinary_ms, end))
 
+    def _start_twin(self, host, now_ms):
+        """Start a request like the crashing one that is served."""
+        self._calls += 1
+        end = host.start_ordinary(
+            f't{self._calls}', '', self._load.path, CRASHING_BODY
+        )
+        if end is not None:
+            self.served_twins += 1
+            self._open_ordinary.append((now_ms, end))
+
     def _end_ordinary(self, now_ms):
         due = [end for end_ms, end in self._open_ordinary if end_ms <= now_ms]
         self._open_ordinary = [
@@ -442,7 +478,7 @@
     async def _call_crashing(self, host):
         self._calls += 1
         attempt_id = f'p{self._calls}'
-        body, prompt = b'crash', ''
+        body, prompt = CRASHING_BODY, ''
         if self._load.by_part:
             body = attempt_id.encode()
             prompt = _prompt(CRASHING_PART, attempt_id)
@@ -454,7 +490,7 @@
             if target.is_up:
                 continue
             ended_for_ms = now_ms - target.ended_ms
-            if ended_for_ms >= RESTART_MS:
+            if ended_for_ms >= self._load.restart_ms:
                 name = target.target_id
                 if not self._same_id:
                     name = f'{name.partition("-")[0]}-{now_ms}'
@@ -463,6 +499,13 @@
             elif ended_for_ms >= LAPSE_MS and not self._same_id:
                 self._remove_entry(target)
 
+    def end_target(self, number):
+        """End the target with a number for a cause of its own."""
+        address = list(self.targets_by_address)[number]
+        self.targets_by_address[address] = self.targets_by_address[
+            address
+        ]._replace(is_up=False, ended_ms=self.clock.now_ms())
+
     def _remove_entry(self, target, unless=''):
         key = f'servers/{target.target_id}'
         if target.target_id != unless and key in self.store.items_by_key:
--- a/tests/test_crashingrequests.py
+++ b/tests/test_crashingrequests.py
@@ -197,3 +197,73 @@
     )
     assert first == second
     assert first != other
+
+
+# Successes of requests that are like the crashing one.
+TWINS_BY_NAME = {
+    'none': {},
+    'before': {'served_for_ms': 3_000},
+    'beside': {'twin_interval_ms': 500},
+    'before_and_beside': {'served_for_ms': 3_000, 'twin_interval_ms': 500},
+    'often': {'twin_interval_ms': 200},
+}
+
+
+@pytest.mark.parametrize('restart_ms', [1_000, 3_000])
+@pytest.mark.parametrize('twins', TWINS_BY_NAME)
+@pytest.mark.parametrize('scenario', ['calm', 'cut_off_hosts'])
+async def test_request_that_is_also_served_is_refused(
+    scenario, twins, restart_ms
+):
+    """Guards against a success that erases the crashes of a request.
+
+    A service of three targets loses them all to one request in two tries.
+    """
+    for seed in SEEDS:
+        fleet = crashkit.Fleet(
+            seed=seed,
+            targets=3,
+            restart_ms=restart_ms,
+            **TWINS_BY_NAME[twins],
+        )
+        await crashkit.SCENARIOS_BY_NAME[scenario](fleet)
+        assert len(fleet.later_sends()) <= crashkit.MAX_LATER_SENDS
+
+
+async def test_request_that_is_also_served_stays_refused():
+    """Guards against blame that ends with the crashes that led to it."""
+    fleet = crashkit.Fleet(targets=3, restart_ms=1_000, twin_interval_ms=500)
+    await crashkit.long_run(fleet)
+    assert len(fleet.later_sends()) <= crashkit.MAX_LATER_SENDS
+    assert fleet.codes[-1] == 'request_blamed'
+
+
+@pytest.mark.parametrize('ordinary_ms', [100, 300])
+@pytest.mark.parametrize('targets', [3, 12])
+async def test_popular_sound_request_beside_crashes_is_served(
+    targets, ordinary_ms
+):
+    """Guards against refusing a common request for the crashes of another."""
+    for seed in SEEDS:
+        fleet = crashkit.Fleet(
+            seed=seed,
+            targets=targets,
+            popular=True,
+            ordinary_ms=ordinary_ms,
+            twin_interval_ms=500,
+        )
+        await fleet.run(30_000)
+        assert len(fleet.later_sends()) <= crashkit.MAX_LATER_SENDS
+        assert fleet.refused_ordinary <= fleet.ordinary * 0.02
+
+
+async def test_targets_that_end_for_another_cause_blame_no_popular_request():
+    """Guards against refusing a common request when targets end in turn."""
+    fleet = crashkit.Fleet(
+        popular=True, ordinary_ms=100, crashing_interval_ms=600_000
+    )
+    for number in range(10):
+        await fleet.run(2_000)
+        fleet.end_target(number % 12)
+    await fleet.run(5_000)
+    assert not fleet.refused_ordinary
--- a/tests/test_forwardingcore.py
+++ b/tests/test_forwardingcore.py
@@ -21,6 +21,7 @@
     relayedevents,
     retrybudget,
     routing,
+    servedcounts,
     sharedlimits,
     storewatchers,
     targethealth,
@@ -153,8 +154,11 @@
                 frozenset((crashcounts.Crash(2**63, 2**64 - 2),)),
                 frozenset((crashcounts.Crash(1, 2),)),
             ),
-            (crashblame.Blamed(2**64 - 1, 70),),
-            (5, 2**64 - 3),
+            (crashblame.Blamed(2**64 - 1, 70, 4),),
+            (
+                servedcounts.Served(5, 1),
+                servedcounts.Served(2**64 - 3, 64),
+            ),
         ),
     )
     decoded = peerformat.decode(peerformat.encode(state, 100), 100)
