Keep the request rate that a target in need names

Cause: the code did not read the header Server-Limit at all; placements went on as before. Ruled out: membership (the breach began before the only stop of a host), answers that are not read whole (no limit is known of any answer), and a share for each host (none was used; it would not do either, as a floor of one request a second for each host is over the bound at 24 hosts).

Hosts now read the head of each answer of the intended target, tell each other the limits and their own sends, and count the sum. Two bounds hold without any message: only some hosts, chosen by hashing, send to a limited target, and each only its share. What fits nowhere is refused at once with the time until there is room.

--- a/bergamotstream/exporters/prometheus.py
+++ b/bergamotstream/exporters/prometheus.py
@@ -30,7 +30,7 @@
 
 
 def _value_lines(
-    values_by_series: Mapping[metrics.Series, int], kind: str, suffix: str
+    values_by_series: Mapping[metrics.Series, float], kind: str, suffix: str
 ) -> Iterator[str]:
     """Yield counters or gauges; a type line precedes each metric."""
     declared_name = ''
--- a/bergamotstream/forwarding/dispatch.py
+++ b/bergamotstream/forwarding/dispatch.py
@@ -9,6 +9,7 @@
 import asyncio
 import collections
 import enum
+from collections.abc import Callable
 from typing import Final, NamedTuple, TypeAlias
 
 import aiohttp
@@ -101,11 +102,20 @@
     last_event_id: str
 
 
+# Called with each head of an answer that comes from the intended target.
+HeadRecorder: TypeAlias = Callable[
+    [exchangerecords.Assignment, multidict.CIMultiDictProxy[str]], None
+]
+
+
 class Dispatcher:
     """Sends requests to targets."""
 
     def __init__(
-        self, pooled: aiohttp.ClientSession, unpooled: aiohttp.ClientSession
+        self,
+        pooled: aiohttp.ClientSession,
+        unpooled: aiohttp.ClientSession,
+        record_head: HeadRecorder,
     ) -> None:
         """Use ``pooled`` for requests that may be repeated.
 
@@ -115,6 +125,7 @@
         """
         self._pooled = pooled
         self._unpooled = unpooled
+        self._record_head = record_head
 
     async def send(self, outgoing: TargetRequest) -> Answer:
         """Send a try and return the answer once its headers are received.
@@ -144,7 +155,10 @@
             raise TargetUnreachable(unreachable) from unreachable
         except (aiohttp.ClientError, OSError, ValueError) as broken:
             raise TargetBroken(repr(broken)) from broken
-        _check_answer(answer, outgoing.job.request.attempt_id)
+        _check_attempt_id(answer, outgoing.job.request.attempt_id)
+        if _is_of_target(answer):
+            self._record_head(outgoing.assignment, answer.headers)
+        _check_answer(answer)
         return answer
 
 
@@ -155,12 +169,25 @@
     )
 
 
-def _check_answer(answer: Answer, attempt_id: str) -> None:
-    """Raise if the answer is another request's or reports not run."""
+def _check_attempt_id(answer: Answer, attempt_id: str) -> None:
+    """Raise ``TargetBroken`` if the answer is another request's."""
     echoed = answer.headers.getall(protocol.ATTEMPT_ID, [])
     if any(echoed_id != attempt_id for echoed_id in echoed):
         answer.close()
         raise TargetBroken('the answer belongs to another request')
+
+
+def _is_of_target(answer: Answer) -> bool:
+    """Tell whether the intended target has sent an answer."""
+    is_known = (
+        protocol.STAMP in answer.headers
+        or protocol.NOT_EXECUTED in answer.headers
+    )
+    return is_known and answer.status != MISDIRECTED
+
+
+def _check_answer(answer: Answer) -> None:
+    """Raise if the answer reports not run or has no stamp."""
     not_run = protocol.NOT_EXECUTED in answer.headers
     if not_run or answer.status == MISDIRECTED:
         answer.close()
--- a/bergamotstream/forwarding/hostdaemon.py
+++ b/bergamotstream/forwarding/hostdaemon.py
@@ -90,6 +90,7 @@
         self._peers = peerexchange.PeerExchange(
             self._entry, self._core, self._outcomes, self._log, self._clock
         )
+        self._meters.read_gauges = self._read_gauges
         self._stop_requested = asyncio.Event()
         self._configured = asyncio.Event()
         self._runners: list[web.ServerRunner] = []
@@ -103,7 +104,9 @@
         async with pooled, unpooled:
             dependencies = ingress.Dependencies(
                 self._core,
-                dispatch.Dispatcher(pooled, unpooled),
+                dispatch.Dispatcher(
+                    pooled, unpooled, self._outcomes.record_head
+                ),
                 reservations.Reservations(pooled, self._log),
                 self._peers,
                 self._log,
@@ -214,6 +217,13 @@
         hosts = len(self._core.view.hosts_by_name)
         self._core.budget.update_host_count(hosts)
         self._core.cold.update_host_count(hosts)
+        self._core.limits.update_host_count(hosts)
+
+    def _read_gauges(self) -> dict[metrics.Series, float]:
+        return {
+            metrics.Series('target_limit_per_s', target_id): per_s
+            for target_id, per_s in self._core.limits.limits().items()
+        }
 
     def _may_watch_store(self) -> bool:
         return storewatchers.should_watch(
@@ -223,6 +233,7 @@
     def _update_target(self, target_id: str, outcome: str, now_ms: int) -> None:
         entry = self._core.view.targets_by_id.get(target_id)
         self._outcomes.record_target_change(target_id, outcome)
+        self._core.limits.forget(target_id, entry.started_ms if entry else None)
         if entry is None:
             self._core.cold.forget(target_id)
         else:
--- a/bergamotstream/forwarding/outcomes.py
+++ b/bergamotstream/forwarding/outcomes.py
@@ -11,6 +11,8 @@
 from collections.abc import Collection, Iterable
 from typing import Final
 
+import multidict
+
 from bergamotstream import clock, metrics
 from bergamotstream.forwarding import (
     crashblame,
@@ -19,12 +21,13 @@
     exchangerecords,
     fingerprints,
     fleetrecords,
+    namedlimits,
     relayedevents,
     requeststate,
     reservations,
     scheduler,
 )
-from bergamotstream.platform import documents
+from bergamotstream.platform import documents, protocol
 
 # A target refuses a request at once for a helper that had ended before, and
 # after about 1.5 s for one that ended while it read its part.
@@ -77,6 +80,44 @@
             sent=served.tries_sent,
         )
 
+    def record_head(
+        self,
+        assignment: exchangerecords.Assignment,
+        headers: multidict.CIMultiDictProxy[str],
+    ) -> None:
+        """Record the limit that a target names, or that it names none."""
+        limits = self._core.limits
+        target = assignment.target
+        known = limits.limit_of(target)
+        texts = headers.getall(protocol.SERVER_LIMIT, ())
+        per_s, is_valid = namedlimits.parse(texts, known)
+        if not is_valid:
+            self._log.write(
+                'limit_unreadable',
+                target=target.target_id,
+                texts=texts,
+                used_per_s=per_s,
+            )
+        change = limits.record_answer(
+            target, per_s, assignment.placed_ms, self._clock.now_ms()
+        )
+        if change is not None:
+            self.record_limit_change(change, 'target')
+
+    def record_limit_change(
+        self, change: namedlimits.Change, source: str
+    ) -> None:
+        """Log a limit that a target or a peer has told."""
+        self._log.write(
+            'limit_changed',
+            target=change.run.target_id,
+            started_ms=change.run.started_ms,
+            per_s=change.per_s,
+            previous_per_s=change.previous_per_s,
+            age_ms=change.age_ms,
+            source=source,
+        )
+
     def record_first_byte(
         self,
         served: requeststate.RequestState,
--- a/bergamotstream/forwarding/peerexchange.py
+++ b/bergamotstream/forwarding/peerexchange.py
@@ -136,6 +136,7 @@
             health_estimates=tuple(self._core.health.own_estimates(now_ms)),
             store_answered_ms=self._core.view.store_answered_ms,
             blame=self._core.blame.report(now_ms),
+            limits=self._core.limits.report(now_ms),
         )
 
     def _peer_addresses(self) -> Iterable[str]:
@@ -174,6 +175,8 @@
             if estimate.refusing_ms:
                 self._outcomes.record_crash(estimate.target_id, 'refusing_peer')
         self._apply_blame(state, now_ms)
+        for change in self._core.limits.hear(name, state.limits, now_ms):
+            self._outcomes.record_limit_change(change, name)
 
     def _apply_blame(self, state: peerformat.HostState, now_ms: int) -> None:
         process = crashcounts.PeerProcess(
--- a/bergamotstream/forwarding/peerformat.py
+++ b/bergamotstream/forwarding/peerformat.py
@@ -17,6 +17,7 @@
     crashblame,
     crashcounts,
     fleetrecords,
+    namedlimits,
     servedcounts,
     targethealth,
 )
@@ -38,6 +39,7 @@
     # When the store last answered the sender.
     store_answered_ms: int
     blame: crashblame.Report = crashblame.Report()
+    limits: tuple[namedlimits.LimitReport, ...] = ()
 
 
 def encode(state: HostState, now_ms: int) -> bytes:
@@ -74,6 +76,7 @@
         ],
         crashedRuns=_encode_crashes(state.blame.seen.crashes),
         brokenRuns=_encode_crashes(state.blame.seen.broken),
+        limits=[_encode_limit(limit, now_ms) for limit in state.limits],
         servedRequests=[entry._asdict() for entry in state.blame.served],
     )
     encoded: bytes = message.to_bytes_packed()
@@ -125,6 +128,39 @@
                 for entry in message.servedRequests
             ),
         ),
+        limits=tuple(_decode_limit(entry, now_ms) for entry in message.limits),
+    )
+
+
+def _encode_limit(
+    limit: namedlimits.LimitReport, now_ms: int
+) -> dict[str, object]:
+    encoded: dict[str, object] = {
+        'targetId': limit.run.target_id,
+        'startedMs': limit.run.started_ms,
+        'sentAgesMs': [max(now_ms - at_ms, 0) for at_ms in limit.sent_ms],
+    }
+    if limit.statement is None:
+        return encoded
+    per_s = limit.statement.per_s
+    return encoded | {
+        'isTold': True,
+        'isLimited': per_s is not None,
+        'perS': per_s or 0,
+        'ageMs': max(now_ms - limit.statement.at_ms, 0),
+    }
+
+
+def _decode_limit(entry: Any, now_ms: int) -> namedlimits.LimitReport:
+    statement = None
+    if entry.isTold:
+        statement = namedlimits.Statement(
+            entry.perS if entry.isLimited else None, now_ms - entry.ageMs
+        )
+    return namedlimits.LimitReport(
+        namedlimits.TargetRun(entry.targetId, entry.startedMs),
+        statement,
+        tuple(now_ms - age_ms for age_ms in entry.sentAgesMs),
     )
 
 
--- a/bergamotstream/forwarding/peers.capnp
+++ b/bergamotstream/forwarding/peers.capnp
@@ -25,6 +25,8 @@
   brokenRuns @15 :List(CrashedRun);
   # Fingerprints that a peer blames or suspects and that were served here.
   servedRequests @16 :List(ServedRequest);
+  # Targets that have named a limit, or did so until lately.
+  limits @17 :List(NamedLimit);
 }
 
 struct Commitment {
@@ -63,6 +65,22 @@
   crashes @2 :UInt32;
 }
 
+# What a host knows of the limit of one run of a target.
+struct NamedLimit {
+  targetId @0 :Text;
+  startedMs @1 :UInt64;
+  # Whether the target has told this host itself; the next three fields are
+  # empty otherwise.
+  isTold @2 :Bool;
+  isLimited @3 :Bool;
+  # Requests a second.
+  perS @4 :Float64;
+  # Time since the answer that told it.
+  ageMs @5 :UInt32;
+  # Times since the latest requests of this host to the target.
+  sentAgesMs @6 :List(UInt32);
+}
+
 # Successes at one host since its fingerprint was suspected.
 struct ServedRequest {
   fingerprint @0 :UInt64;
--- a/bergamotstream/forwarding/placement.py
+++ b/bergamotstream/forwarding/placement.py
@@ -104,6 +104,8 @@
     # Probability that a request fails on the target.
     failure_rate: float
     same_zone: bool
+    # Whether it may read parts of prompts; a target with a limit may not.
+    may_help: bool
     # Random number from 0 to 1 that breaks ties between equal candidates.
     tie_breaker: float
 
@@ -235,6 +237,7 @@
             )
             for candidate in candidates
             if candidate is not decode_option.candidate
+            and candidate.may_help
             and candidate.load.helpers < profile.slots
         ),
         key=operator.attrgetter('cost'),
--- a/bergamotstream/forwarding/scheduler.py
+++ b/bergamotstream/forwarding/scheduler.py
@@ -24,6 +24,7 @@
     fleetrecords,
     fleetview,
     hostsettings,
+    namedlimits,
     placement,
     retrybudget,
     routing,
@@ -87,6 +88,7 @@
         self.table = commitments.CommitmentTable()
         self.health = targethealth.TargetHealth()
         self.cold = coldlimits.ColdLimits()
+        self.limits = namedlimits.NamedLimits(config.name)
         self.budget = retrybudget.RetryBudget(config.bounds)
         self.blame = crashblame.CrashBlame()
         self._config = config
@@ -183,7 +185,7 @@
         if not candidates:
             raise errors.NoTarget(
                 self._no_target_detail(job, excluded, now_ms),
-                retry_after_ms=self._jitter(UNAVAILABLE_RETRY_MS),
+                retry_after_ms=self._no_target_retry_ms(job, now_ms),
             )
         if job.generation is None or job.service.engine is None:
             return self._place_plain(job, candidates, now_ms)
@@ -321,6 +323,7 @@
                 estimate.slowness,
                 estimate.failure_rate,
                 entry.zone == self._config.zone,
+                self.limits.limit_of(entry) is None,
                 self._rng.random(),
             )
 
@@ -344,8 +347,26 @@
             self.is_usable(entry, job.service.name)
             and self.health.is_reachable(target_id, now_ms)
             and self.cold.may_send(target_id, job.service, now_ms)
+            and self._limit_wait_ms(entry, now_ms) == 0
         )
 
+    def _limit_wait_ms(
+        self, entry: fleetrecords.TargetEntry, now_ms: int
+    ) -> int | None:
+        return self.limits.wait_ms(entry, self.table.peer_names(), now_ms)
+
+    def _no_target_retry_ms(self, job: exchangerecords.Job, now_ms: int) -> int:
+        """Return a retry delay after which a limited target may have room."""
+        waits_ms = [
+            self._limit_wait_ms(entry, now_ms)
+            for entry in self.view.targets_by_id.values()
+            if self.is_usable(entry, job.service.name)
+        ]
+        known_ms = [wait_ms for wait_ms in waits_ms if wait_ms]
+        if not known_ms:
+            return self._jitter(UNAVAILABLE_RETRY_MS)
+        return min(known_ms) + self._jitter(RETRY_AFTER_MS)
+
     def _no_target_detail(
         self, job: exchangerecords.Job, excluded: Collection[str], now_ms: int
     ) -> str:
@@ -360,6 +381,9 @@
             not self.health.is_reachable(entry.target_id, now_ms)
             for entry in listed
         )
+        limited = sum(
+            self._limit_wait_ms(entry, now_ms) != 0 for entry in listed
+        )
         return ' '.join(
             (
                 f'service={job.service.name}',
@@ -367,6 +391,7 @@
                 f'leaving={sum(entry.leaving for entry in listed)}',
                 f'zone_out={out}',
                 f'unreachable={unreachable}',
+                f'limited={limited}',
                 f'tried={len(excluded)}',
             )
         )
@@ -401,6 +426,7 @@
         )
         target, *helpers = [part.entry for part in chosen.parts]
         self.cold.record_sent(target.target_id, now_ms)
+        self.limits.record_sent(target, now_ms)
         return exchangerecords.Assignment(
             target=target,
             helpers=tuple(helpers),
--- a/bergamotstream/metrics.py
+++ b/bergamotstream/metrics.py
@@ -6,7 +6,7 @@
 """
 
 import collections
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import NamedTuple
 
 from hdrh import histogram
@@ -37,7 +37,7 @@
 
     counters: dict[Series, int]
     summaries: dict[Series, Summary]
-    gauges: dict[Series, int]
+    gauges: Mapping[Series, float]
 
 
 class Metrics:
@@ -45,7 +45,7 @@
 
     def __init__(self) -> None:
         """Start at zero and without gauges."""
-        self.read_gauges: Callable[[], dict[Series, int]] = dict
+        self.read_gauges: Callable[[], Mapping[Series, float]] = dict
         self._counters: collections.Counter[Series] = collections.Counter()
         self._histograms: dict[Series, histogram.HdrHistogram] = {}
 
--- a/bergamotstream/platform/protocol.py
+++ b/bergamotstream/platform/protocol.py
@@ -17,6 +17,8 @@
 STAMP = 'Bergamotstream-Server-Stamp'
 NOT_EXECUTED = 'Bergamotstream-Not-Executed'
 AT_SERVER = 'At-Server'
+# Requests a second that a target takes from all hosts together.
+SERVER_LIMIT = 'Server-Limit'
 # Set by the system on requests to targets.
 EXPECT_INSTANCE = 'Bergamotstream-Expect-Instance'
 EXPECT_VERSION = 'Bergamotstream-Expect-Version'
--- a/tests/test_forwardingcore.py
+++ b/tests/test_forwardingcore.py
@@ -17,6 +17,7 @@
     directory,
     eventlog,
     fleetrecords,
+    namedlimits,
     peerformat,
     relayedevents,
     retrybudget,
@@ -160,6 +161,21 @@
                 servedcounts.Served(2**64 - 3, 64),
             ),
         ),
+        limits=(
+            namedlimits.LimitReport(
+                namedlimits.TargetRun('t1', 1_000),
+                namedlimits.Statement(1.1, 40),
+                (10, 30),
+            ),
+            namedlimits.LimitReport(
+                namedlimits.TargetRun('t2', 0),
+                namedlimits.Statement(None, 50),
+                (),
+            ),
+            namedlimits.LimitReport(
+                namedlimits.TargetRun('t3', 0), None, (20,)
+            ),
+        ),
     )
     decoded = peerformat.decode(peerformat.encode(state, 100), 100)
     assert (
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -17,7 +17,7 @@
         f't{number}', kit.target_document(f'10.0.0.{number + 1}:80')
     )
     return placement.Candidate(
-        entry, commitments.IDLE._replace(**load), 1, 0, True, 0.5
+        entry, commitments.IDLE._replace(**load), 1, 0, True, True, 0.5
     )
 
 
@@ -251,3 +251,15 @@
     assert (
         alone.loss_to_others >= 4 * late.value * placement.CALLER_TIMEOUT_LOSS
     )
+
+
+def test_target_with_a_limit_reads_no_parts_of_prompts():
+    """Guards against work that the limit of a target does not count."""
+    candidates = [make_candidate(number) for number in range(4)]
+    limited = candidates[0]._replace(may_help=False)
+    chosen = placement.choose_placement(
+        PROFILE, make_generation(210_000), [limited, *candidates[1:]]
+    )
+    helpers = [part.entry.target_id for part in chosen.parts[1:]]
+    assert helpers
+    assert limited.entry.target_id not in helpers
