Keep the limit of a target whose entry lapses for a while

A store that is away lets entries of running targets lapse. The limit that such a target had named was forgotten with the entry, and so were the requests sent to it, so each host could send its share once more. Found by reading, not seen in a run. Runs are now dropped a minute after their last use if they are not listed.

test_entry_that_lapses_and_comes_back_keeps_its_limit guards it.

--- a/bergamotstream/forwarding/hostdaemon.py
+++ b/bergamotstream/forwarding/hostdaemon.py
@@ -223,6 +223,7 @@
         return {
             metrics.Series('target_limit_per_s', target_id): per_s
             for target_id, per_s in self._core.limits.limits().items()
+            if target_id in self._core.view.targets_by_id
         }
 
     def _may_watch_store(self) -> bool:
@@ -233,7 +234,9 @@
     def _update_target(self, target_id: str, outcome: str, now_ms: int) -> None:
         entry = self._core.view.targets_by_id.get(target_id)
         self._outcomes.record_target_change(target_id, outcome)
-        self._core.limits.forget(target_id, entry.started_ms if entry else None)
+        self._core.limits.drop_unlisted(
+            self._core.view.targets_by_id.values(), now_ms
+        )
         if entry is None:
             self._core.cold.forget(target_id)
         else:
--- a/bergamotstream/forwarding/namedlimits.py
+++ b/bergamotstream/forwarding/namedlimits.py
@@ -39,6 +39,8 @@
 SENDERS_PER_RATE: Final = 2
 # Time for which peers are told that a limit has ended.
 ENDED_MS: Final = 10_000
+# Time for which a run is remembered after its entry has gone.
+UNLISTED_MS: Final = 60_000
 # Maximum limits in a message to peers, and send times of one target.
 MAX_SHARED: Final = 64
 MAX_SENT: Final = 256
@@ -133,20 +135,20 @@
                 changes.append(self._apply(run, statement, now_ms))
         return [change for change in changes if change is not None]
 
-    def forget(self, target_id: str, kept_started_ms: int | None) -> None:
-        """Drop the runs of a target but the one that started at a time."""
-        for by_run in (
-            self._own_by_run,
-            self._latest_by_run,
-            self._sent_by_run,
-            self._heard_sent_by_run,
-        ):
-            for run in tuple(by_run):
-                if (
-                    run.target_id == target_id
-                    and run.started_ms != kept_started_ms
-                ):
-                    by_run.pop(run)
+    def drop_unlisted(
+        self, listed: Iterable[fleetrecords.TargetEntry], now_ms: int
+    ) -> None:
+        """Drop the runs that are no longer listed and long unused.
+
+        An entry may lapse while its target runs, and come back.
+        """
+        kept = set(map(run_of, listed))
+        for run in tuple(self._sent_by_run.keys() | self._latest_by_run.keys()):
+            if run not in kept and self._used_ms(run) <= now_ms - UNLISTED_MS:
+                self._own_by_run.pop(run, None)
+                self._latest_by_run.pop(run, None)
+                self._sent_by_run.pop(run, None)
+                self._heard_sent_by_run.pop(run, None)
 
     def limit_of(self, target: fleetrecords.TargetEntry) -> float | None:
         """Return the limit in requests a second, ``None`` without one."""
@@ -216,6 +218,12 @@
             return None
         return Change(run, said.per_s, known.per_s, now_ms - said.at_ms)
 
+    def _used_ms(self, run: TargetRun) -> int:
+        """Return when a run was last sent a request or told a limit."""
+        latest = self._latest_by_run.get(run)
+        said_ms = latest.at_ms if latest else fleetview.NEVER_MS
+        return max(said_ms, *self._own_sent(run)[-1:], fleetview.NEVER_MS)
+
     def _is_sender(
         self, target_id: str, peers: Collection[str], senders: int
     ) -> bool:
--- a/tests/test_namedlimits.py
+++ b/tests/test_namedlimits.py
@@ -304,10 +304,20 @@
     limits = namedlimits.NamedLimits('h1')
     limits.record_answer(entry(), 1.0, 0, 100)
     assert limits.limit_of(entry(2_000)) is None
-    limits.forget('t1', 2_000)
+    limits.drop_unlisted([entry(2_000)], namedlimits.UNLISTED_MS + 100)
     assert not limits.limits()
 
 
+def test_entry_that_lapses_and_comes_back_keeps_its_limit():
+    """Guards against limits and counts that end with an outage of the store."""
+    limits = namedlimits.NamedLimits('h1')
+    limits.record_answer(entry(), 1.0, 0, 100)
+    limits.record_sent(entry(), 200)
+    limits.drop_unlisted([], 8_000)
+    assert limits.limit_of(entry()) == 1
+    assert limits.wait_ms(entry(), (), 1_000) > 0
+
+
 @pytest.mark.parametrize(
     ('texts', 'known', 'expected'),
     [
