Let the soak name limits and call with other methods

Targets of the soak name limits for half of the faults' time and check the bound in seconds that no fault excuses; calls go out by GET, PUT and POST, as a GET or PUT that went out twice could not show with POST alone. Both are drawn apart, so seeds keep their other draws.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -47,6 +47,15 @@
 UNFRAMED_SHARE = 0.2
 CUT_SHARE = 0.05
 FRAMING = {True: 'Transfer-Encoding: chunked\r\n', False: ''}
+# Each target names a limit for a part of the faults' time. The operators' bound
+# holds from CONTACT_S after the first time, and while no fault excuses a host.
+LIMITS = ('1', '1.1', '4')
+LIMIT_S = 4.5
+LIMIT_WINDOW_S = 4.0
+LIMIT_RATIO = 1.5
+LIMIT_SLACK = 5
+# Methods that HTTP calls idempotent, which a client might send again, and POST.
+METHODS = ('GET', 'PUT', 'POST')
 
 
 class Attempt(NamedTuple):
@@ -144,6 +153,12 @@
         self.proxy = None
         self.drained_at_s = None
         self._soak = soak
+        # Drawn for each target, so that other draws of a seed stay the same.
+        chance = random.Random(f'{soak.seed} {name}')
+        self._limit = chance.choice(LIMITS)
+        self._limited_from_s = chance.uniform(0, FAULT_PERIOD_S - LIMIT_S)
+        self._named_at_s = None
+        self._arrived_s = []
         self._raw = kit.RawTarget(self._respond)
 
     async def start(self):
@@ -164,10 +179,12 @@
             return
         self._soak.check_drain(self, attempt_id, now_s)
         self._soak.runs_by_attempt[attempt_id] += 1
+        limit = self._name_limit(attempt_id, now_s)
         path = request.request_line.split()[1]
         if not path.startswith('/chat/'):
             await asyncio.sleep(self._soak.rng.uniform(0.005, 0.06))
-            writer.write(kit.answer(request, attempt_id.encode()))
+            body = attempt_id.encode()
+            writer.write(kit.answer(request, body, extra=limit))
             return
         first = int(request.headers.get('Last-Event-Id') or 0) + 1
         last = int(path.rpartition('/')[2])
@@ -177,7 +194,7 @@
         cut_at = chance.randint(first, last) if first <= last else 0
         if chance.random() >= CUT_SHARE:
             cut_at = 0
-        writer.write(kit.stream_head(request, FRAMING[framed]))
+        writer.write(kit.stream_head(request, limit + FRAMING[framed]))
         for number in range(first, last + 1):
             event = kit.event(number)
             if number == cut_at:
@@ -192,12 +209,36 @@
         else:
             writer.close()
 
+    def _name_limit(self, attempt_id, now_s):
+        """Return the header of a limit that is in force, and check it."""
+        age_s = now_s - self._soak.faults_from_s - self._limited_from_s
+        if not 0 <= age_s < LIMIT_S:
+            return ''
+        if self._named_at_s is None:
+            self._named_at_s = now_s
+        self._arrived_s.append(now_s)
+        excused_until_s = self._soak.last_fault_at_s + CONTACT_S
+        counted_from_s = max(
+            self._named_at_s + CONTACT_S,
+            excused_until_s,
+            now_s - LIMIT_WINDOW_S,
+        )
+        most = LIMIT_RATIO * float(self._limit) * LIMIT_WINDOW_S + LIMIT_SLACK
+        if sum(at_s >= counted_from_s for at_s in self._arrived_s) > most:
+            self._soak.violations.append(
+                f'{attempt_id} is beyond the limit of {self.name}'
+            )
+        return f'Server-Limit: {self._limit}\r\n'
+
 
 class Soak:
     """One seeded run."""
 
     def __init__(self, seed, folder):
+        self.seed = seed
         self.rng = random.Random(seed)
+        self.faults_from_s = 0
+        self.last_fault_at_s = 0
         self.runs_by_attempt = collections.Counter()
         self.violations = []
         self.attempts = []
@@ -206,7 +247,6 @@
         self._hosts = []
         self._targets = []
         self._store_proxies = []
-        self._last_fault_at_s = 0
         self._call_count = 0
 
     async def run(self):
@@ -233,7 +273,7 @@
         if target.drained_at_s is None:
             return
         check_from_s = max(
-            self._last_fault_at_s + CONTACT_S, target.drained_at_s
+            self.last_fault_at_s + CONTACT_S, target.drained_at_s
         )
         if now_s > check_from_s + DRAIN_S + 0.5:
             self.violations.append(f'{attempt_id} reaches {target.name}')
@@ -279,6 +319,7 @@
 
     async def _inject(self):
         """Start faults at random times, so that they overlap."""
+        self.faults_from_s = asyncio.get_running_loop().time()
         async with asyncio.TaskGroup() as group:
             for _ in range(FAULTS):
                 kind = self.rng.choice(list(FAULT_KINDS))
@@ -293,7 +334,7 @@
         self._record_fault_time()
 
     def _record_fault_time(self):
-        self._last_fault_at_s = asyncio.get_running_loop().time()
+        self.last_fault_at_s = asyncio.get_running_loop().time()
 
     async def _kill(self, duration_s):
         await self._stop_host(signal.SIGKILL, duration_s)
@@ -391,8 +432,10 @@
         status, stamped, whole = 0, False, False
         body = bytearray()
         with contextlib.suppress(aiohttp.ClientError, OSError):
-            async with session.post(
-                f'http://{host.caller}{path}', headers=headers
+            # Drawn for each call, so that other draws of a seed stay the same.
+            method = random.Random(attempt_id).choice(METHODS)
+            async with session.request(
+                method, f'http://{host.caller}{path}', headers=headers
             ) as response:
                 status, stamped = response.status, kit.STAMP in response.headers
                 async for chunk in response.content.iter_any():
