Choose hosts for trials and limited targets by one function

The trials of a blamed part and the senders to a limited target were chosen by two copies of the same hashing. Which hosts are chosen does not change.

--- a/bergamotstream/forwarding/namedlimits.py
+++ b/bergamotstream/forwarding/namedlimits.py
@@ -10,16 +10,14 @@
 send to a limited target, and each of them only a share of its limit.
 """
 
-import heapq
 import math
 from collections.abc import Collection, Iterable, Iterator
 from typing import Final, NamedTuple
 
-import xxhash
-
 from bergamotstream.forwarding import (
     fleetrecords,
     fleetview,
+    rendezvous,
     sharedlimits,
 )
 
@@ -230,14 +228,8 @@
         """Tell whether this host is one of those that may send."""
         if len(peers) < senders:
             return True
-        chosen = heapq.nlargest(
-            senders,
-            (self._name, *peers),
-            key=lambda name: xxhash.xxh3_64_intdigest(
-                f'{name} {target_id}'.encode()
-            ),
-        )
-        return self._name in chosen
+        names = (self._name, *peers)
+        return self._name in rendezvous.choose(names, target_id, senders)
 
     def _own_sent(self, run: TargetRun) -> list[int]:
         return self._sent_by_run.get(run, [])
--- a/bergamotstream/forwarding/scheduler.py
+++ b/bergamotstream/forwarding/scheduler.py
@@ -26,6 +26,7 @@
     hostsettings,
     namedlimits,
     placement,
+    rendezvous,
     retrybudget,
     routing,
     targethealth,
@@ -286,13 +287,9 @@
     def _is_trial_host(self, fingerprint: int) -> bool:
         """Tell whether this host makes the trials of a blamed part."""
         names = (self._config.name, *self.table.peer_names())
-        chosen = max(
-            names,
-            key=lambda name: xxhash.xxh3_64_intdigest(
-                f'{name} {fingerprint}'.encode()
-            ),
-        )
-        return chosen == self._config.name
+        return rendezvous.choose(names, str(fingerprint), 1) == [
+            self._config.name
+        ]
 
     def _service_of(
         self,
