Log targets that fall silent in a request

A line said that a target was given up only where another one was tried; nothing told how long it had been silent otherwise, or that no other was to be had. `target_silent` names the target, the silence, what had been passed on and whether another target is tried; the lines of the same id tell what that one did. Decisions are unchanged.

--- a/bergamotstream/forwarding/ingress.py
+++ b/bergamotstream/forwarding/ingress.py
@@ -425,10 +425,19 @@
             )
             if limit_ms is not None:
                 await asyncio.wait((waiting,), timeout=limit_ms / MS_PER_S)
-                if not waiting.done() and self._may_try_another(state, sent):
+                if not waiting.done() and self._is_given_up(
+                    state, sent, limit_ms
+                ):
                     raise dispatch.TargetTimedOut(f'silent for {limit_ms} ms')
             return await waiting
 
+    def _is_given_up(
+        self, state: requeststate.RequestState, sent: int, limit_ms: int
+    ) -> bool:
+        may_try = self._may_try_another(state, sent)
+        self._outcomes.record_silence(state, limit_ms, may_try=may_try)
+        return may_try
+
     def _may_try_another(
         self, state: requeststate.RequestState, sent: int
     ) -> bool:
--- a/bergamotstream/forwarding/outcomes.py
+++ b/bergamotstream/forwarding/outcomes.py
@@ -75,6 +75,7 @@
     ) -> None:
         """Record where an attempt is sent."""
         served.tried_target_ids.add(assignment.target.target_id)
+        served.last_target_id = assignment.target.target_id
         if not served.tries_sent:
             served.forecast_ms = assignment.forecast_ms
         self._log.write(
@@ -254,6 +255,26 @@
             waited_ms=self._clock.now_ms() - assignment.placed_ms,
         )
 
+    def record_silence(
+        self,
+        served: requeststate.RequestState,
+        silent_ms: int,
+        *,
+        may_try: bool,
+    ) -> None:
+        """Record that the last target sends nothing, and what follows."""
+        self._meters.count('silent_targets', served.job.service.name)
+        self._log.write(
+            'target_silent',
+            id=served.job.request.attempt_id,
+            target=served.last_target_id,
+            silent_ms=silent_ms,
+            events=served.events_in_try,
+            last_event=served.last_event_id,
+            another=may_try,
+            revision=self._core.view.revision,
+        )
+
     def record_failure(self, assignment: exchangerecords.Assignment) -> None:
         """Record an error response from the target itself."""
         self._core.health.record_failure(
--- a/bergamotstream/forwarding/requeststate.py
+++ b/bergamotstream/forwarding/requeststate.py
@@ -36,6 +36,7 @@
         # Whether it has received enough of them to clear its parts.
         self.is_written = False
         self.tried_target_ids: set[str] = set()
+        self.last_target_id = ''
         # Those of them that may have received the request.
         self.reached_target_ids: set[str] = set()
         # The last failure that a target answered.
