--- a/tests/platformkit.py
+++ b/tests/platformkit.py
@@ -204,8 +204,16 @@
         self.closed_by_host = 0
         self._respond = respond
         self._server = None
+        self._connections = []
         self.address = ''
 
+    def open_connections(self):
+        """Return how many connections the host has not closed."""
+        return sum(
+            not (reader.at_eof() or writer.is_closing())
+            for reader, writer in self._connections
+        )
+
     async def start(self):
         self._server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
         port = self._server.sockets[0].getsockname()[1]
@@ -213,9 +221,12 @@
 
     async def stop(self):
         self._server.close()
+        for _, writer in self._connections:
+            writer.close()
 
     async def _serve(self, reader, writer):
         self.connections += 1
+        self._connections.append((reader, writer))
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
             while not writer.is_closing():
                 request = await _read_request(reader)
