Keep a silent target until another one serves the caller

Callers saw streams cut in the middle, and 502, 500 or 504 in place of answers, when a sound target fell silent for a second or two and the next one refused, failed, was gone or could not be placed.

Cause: a target that was silent for 0.6 of the caller's time-out was given up before another one had taken over; both tries were then used up. Class: silence is taken for an end.

Now the tries of a request run side by side. A silent one goes on while another one is started within the route's attempts and the retry budget, as before; the first that brings an event, or a whole success, serves the caller, and the others are cancelled at once, so pieces of two runs are never joined. A try that fails or finds no place ends nothing while another one runs. A peer that is lost is treated in the same way. What a try has sent and whether it may have run is kept by try, as a late refusal of one says nothing of the other.

The cases now count requests without link probes, which also reach a target while links are in doubt.

--- a/bergamotstream/forwarding/dispatch.py
+++ b/bergamotstream/forwarding/dispatch.py
@@ -66,10 +66,6 @@
     """The target answered with an error status, so it still runs."""
 
 
-class TargetTimedOut(TargetBroken):
-    """The target sent nothing in time and another may be tried."""
-
-
 Answer: TypeAlias = aiohttp.ClientResponse
 # Errors that reading an answer may raise.
 READ_FAULTS: Final = (aiohttp.ClientError, OSError, ValueError)
--- a/bergamotstream/forwarding/ingress.py
+++ b/bergamotstream/forwarding/ingress.py
@@ -10,8 +10,7 @@
 import asyncio
 import contextlib
 import functools
-from collections.abc import Coroutine
-from typing import Any, Final, NamedTuple, TypeVar
+from typing import Final, NamedTuple
 
 import multidict
 from aiohttp import web
@@ -34,6 +33,7 @@
     reservations,
     retrydecisions,
     scheduler,
+    silence,
     streamrecords,
 )
 from bergamotstream.platform import callerformat
@@ -53,8 +53,6 @@
 # this host's own callers.
 MAX_OPEN_RELAYED: Final = 256
 
-Received = TypeVar('Received')
-
 # Errors that end one try of a request without an answer.
 TRY_FAULTS: Final = (
     dispatch.TargetUnreachable,
@@ -104,6 +102,15 @@
         self._retries = retrydecisions.RetryDecisions(
             dependencies.core, dependencies.outcomes, dependencies.clock
         )
+        self._silence = silence.SilenceMonitor(
+            dependencies.core,
+            dependencies.outcomes,
+            self._retries,
+            dependencies.log,
+            dependencies.clock,
+            dependencies.meters,
+            self._start_try,
+        )
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Serve one request."""
@@ -199,7 +206,7 @@
                 retry_after_ms=self._core.retry_after_ms(),
             )
         state.relayed_by = relayed.sender
-        state.tries_sent = relayed.tries_sent
+        state.relayed_tries = relayed.tries_sent
         state.tried_target_ids.update(relayed.reached_target_ids)
         state.is_counted = relayed.is_counted
         self._relays.record_received(state)
@@ -252,85 +259,120 @@
 
         A peer serves the request if this host does not reach the targets.
         """
-        while True:
-            try:
-                return await self._try_once(state)
-            except TRY_FAULTS as fault:
-                if not self._retries.may_retry(fault, state):
-                    raise self._retries.final_error(state) from fault
+        async with state.running as running:
+            self._start_try(state)
+            while True:
+                ended = await running.wait_for_end()  # noqa: WPS476 - in turn
+                try:
+                    return ended.result()
+                except TRY_FAULTS as fault:
+                    self._handle_fault(state, fault)
+                except errors.ServiceError as error:
+                    self._handle_error(state, error)
+
+    def _start_try(self, state: requeststate.RequestState) -> None:
+        started = state.add_try()
+        state.running.start(started, self._try_once(started))
+
+    def _handle_fault(
+        self, state: requeststate.RequestState, fault: Exception
+    ) -> None:
+        """Start a further try unless one runs that is not silent.
 
-    async def _try_once(
-        self, state: requeststate.RequestState
-    ) -> web.StreamResponse:
+        Raises ``ServiceError`` if nothing can serve the request any more.
+        """
+        if state.running and not state.is_silent:
+            return
+        if self._retries.may_retry(fault, state):
+            self._start_try(state)
+        elif not state.running:
+            raise self._retries.final_error(state) from fault
+
+    def _handle_error(
+        self, state: requeststate.RequestState, error: errors.ServiceError
+    ) -> None:
+        """Raise the error of a try unless another one still runs."""
+        if isinstance(error, errors.CallerGone) or not state.running:
+            raise error
+        self._silence.record_refusal(state, error)
+
+    async def _try_once(self, served: requeststate.Try) -> web.StreamResponse:
         """Try a target, or a peer if none can be tried over own links."""
+        state = served.request
         peer = self._relays.choose_peer(state)
         if peer is not None:
-            return await self._try_peer(state, peer)
+            return await self._try_peer(served, peer)
         try:
-            return await self._try_target(state)
+            return await self._try_target(served)
         except errors.NoTarget:
             state.is_out_of_targets = self._relays.is_possible(state)
             peer = self._relays.choose_peer(state)
             if peer is None:
                 raise
-        return await self._try_peer(state, peer)
+        return await self._try_peer(served, peer)
 
     async def _try_peer(
-        self, state: requeststate.RequestState, peer: peerformat.HostState
+        self, served: requeststate.Try, peer: peerformat.HostState
     ) -> web.StreamResponse:
         """Let a peer serve the request; raises ``TRY_FAULTS``."""
-        state.start_try()
-        state.tried_peers.add(peer.entry.name)
+        served.destination = peer.entry.name
+        served.request.tried_peers.add(peer.entry.name)
         sent_ms = self._clock.now_ms()
-        self._relays.record_sent(state, peer)
+        self._relays.record_sent(served.request, peer)
         try:
-            answer = await self._relays.send(state, peer)
+            answer = await self._relays.send(
+                served, peer, self._silence.handle_silence
+            )
             with contextlib.ExitStack() as stack:
                 stack.callback(answer.close)
-                return await self._handle_peer_answer(state, peer, answer)
+                return await self._handle_peer_answer(served, peer, answer)
         except TRY_FAULTS as fault:
-            self._relays.record_fault(state, peer, fault, sent_ms)
+            served.outcome = type(fault).__name__
+            self._relays.record_fault(served, peer, fault, sent_ms)
             raise
 
     async def _handle_peer_answer(
         self,
-        state: requeststate.RequestState,
+        served: requeststate.Try,
         peer: peerformat.HostState,
         answer: dispatch.Answer,
     ) -> web.StreamResponse:
-        if dispatch.is_success(answer.status) and state.job.route.streaming:
-            record = streamrecords.StreamRecord(
-                functools.partial(self._relays.while_alive, peer), state
-            )
-            return await self._relay(state, record, answer)
-        buffered = await self._relays.while_alive(
-            peer, dispatch.read_buffered(answer)
+        receive = functools.partial(
+            self._relays.receive, served, peer, self._silence.handle_silence
         )
-        return self._buffered_response(state, buffered)
+        if dispatch.is_success(answer.status) and served.job.route.streaming:
+            record = streamrecords.StreamRecord(receive, served)
+            return await self._relay(served, record, answer)
+        buffered = await receive(dispatch.read_buffered(answer))
+        is_success = dispatch.is_success(buffered.status)
+        if is_success or len(served.request.running) <= 1:
+            served.request.use_only(served)
+            return self._buffered_response(served.request, buffered)
+        served.request.failure_answer = buffered
+        raise dispatch.TargetErrorAnswer(f'status {buffered.status}')
 
-    async def _try_target(
-        self, state: requeststate.RequestState
-    ) -> web.StreamResponse:
+    async def _try_target(self, served: requeststate.Try) -> web.StreamResponse:
         """Serve the request by one target; raises ``TRY_FAULTS``."""
-        state.start_try()
+        state = served.request
         if not state.is_counted:
             state.is_counted = True
             self._core.budget.record_request(
                 state.job.service.name, self._clock.now_ms()
             )
         assignment = await self._place(state)
-        self._outcomes.record_placement(state, assignment)
+        self._outcomes.record_placement(served, assignment)
         self._dependencies.peers.schedule_send()
         with contextlib.ExitStack() as stack:
             stack.callback(self._dependencies.peers.schedule_delayed_send)
             stack.callback(self._core.release, assignment)
             try:
-                return await self._reserve_and_send(state, assignment)
+                return await self._reserve_and_send(served, assignment)
             except TRY_FAULTS as fault:
-                self._outcomes.record_fault(fault, state, assignment)
+                served.outcome = type(fault).__name__
+                self._outcomes.record_fault(fault, served, assignment)
                 raise
             except asyncio.CancelledError:
-                self._outcomes.record_abandoned(state, assignment)
+                self._outcomes.record_cancelled(served, assignment)
                 raise
 
     async def _place(
@@ -355,26 +397,28 @@
 
     async def _reserve_and_send(
         self,
-        state: requeststate.RequestState,
+        served: requeststate.Try,
         assignment: exchangerecords.Assignment,
     ) -> web.StreamResponse:
         async with self._dependencies.memory_reservations.held(
             assignment.reservations
         ):
-            answer = await self._send(state, assignment)
+            answer = await self._send(served, assignment)
             with contextlib.ExitStack() as stack:
                 stack.callback(answer.close)
-                return await self._handle_answer(state, assignment, answer)
+                return await self._handle_answer(served, assignment, answer)
 
     async def _send(
         self,
-        state: requeststate.RequestState,
+        served: requeststate.Try,
         assignment: exchangerecords.Assignment,
     ) -> dispatch.Answer:
         """Send a try; until its outcome is known it may have run."""
-        may_have_run_before = state.may_have_run
-        state.may_have_run = True
-        state.is_unanswered = True
+        state = served.request
+        target_id = assignment.target.target_id
+        served.mark_sent()
+        served.is_unanswered = True
+        state.reached_target_ids.add(target_id)
         remaining_ms = state.job.end_ms - self._clock.now_ms()
         sending = self._dependencies.dispatcher.send(
             dispatch.TargetRequest(
@@ -386,91 +430,41 @@
             )
         )
         try:
-            answer = await self._with_silence_timeout(
-                state, state.tries_sent + 1, sending
-            )
+            answer = await self._silence.receive(served, assignment, sending)
         except dispatch.TargetUnreachable:
-            state.may_have_run = may_have_run_before
+            served.mark_not_run(is_sent=False)
+            state.reached_target_ids.discard(target_id)
             raise
         except dispatch.TargetRefused as refused:
-            state.may_have_run = may_have_run_before
-            if not refused.misdirected:
-                state.tries_sent += 1
+            served.mark_not_run(is_sent=not refused.misdirected)
+            state.reached_target_ids.discard(target_id)
             raise
-        except dispatch.TargetBroken:
-            state.tries_sent += 1
-            state.reached_target_ids.add(assignment.target.target_id)
-            raise
-        state.tries_sent += 1
-        state.reached_target_ids.add(assignment.target.target_id)
-        state.is_unanswered = False
+        served.is_unanswered = False
         return answer
 
-    async def _with_silence_timeout(
-        self,
-        state: requeststate.RequestState,
-        sent: int,
-        receiving: Coroutine[Any, Any, Received],
-    ) -> Received:
-        """Return what the last of ``sent`` targets sends.
-
-        Raises ``TargetTimedOut`` if it stays silent and another target may be
-        tried; otherwise it may use all of the remaining time.
-        """
-        waiting = asyncio.ensure_future(receiving)
-        with contextlib.ExitStack() as stack:
-            stack.callback(waiting.cancel)
-            limit_ms = self._core.silence_limit_ms(
-                state.job, self._clock.now_ms()
-            )
-            if limit_ms is not None:
-                await asyncio.wait((waiting,), timeout=limit_ms / MS_PER_S)
-                if not waiting.done() and self._is_given_up(
-                    state, sent, limit_ms
-                ):
-                    raise dispatch.TargetTimedOut(f'silent for {limit_ms} ms')
-            return await waiting
-
-    def _is_given_up(
-        self, state: requeststate.RequestState, sent: int, limit_ms: int
-    ) -> bool:
-        may_try = self._may_try_another(state, sent)
-        self._outcomes.record_silence(state, limit_ms, may_try=may_try)
-        return may_try
-
-    def _may_try_another(
-        self, state: requeststate.RequestState, sent: int
-    ) -> bool:
-        now_ms = self._clock.now_ms()
-        return self._core.has_target(
-            state.job, state.tried_target_ids, now_ms
-        ) and self._core.may_retry(state.job, sent, now_ms)
-
     async def _handle_answer(
         self,
-        state: requeststate.RequestState,
+        served: requeststate.Try,
         assignment: exchangerecords.Assignment,
         answer: dispatch.Answer,
     ) -> web.StreamResponse:
-        if dispatch.is_success(answer.status) and state.job.route.streaming:
+        receive = functools.partial(self._silence.receive, served, assignment)
+        if dispatch.is_success(answer.status) and served.job.route.streaming:
             record = streamrecords.TargetStreamRecord(
-                functools.partial(
-                    self._with_silence_timeout, state, state.tries_sent
-                ),
+                receive,
                 self._outcomes,
-                state,
+                served,
                 assignment,
                 self._dependencies.peers,
             )
-            return await self._relay(state, record, answer)
-        buffered = await self._with_silence_timeout(
-            state, state.tries_sent, dispatch.read_buffered(answer)
-        )
+            return await self._relay(served, record, answer)
+        buffered = await receive(dispatch.read_buffered(answer))
         if dispatch.is_success(buffered.status):
-            self._outcomes.record_success(state, assignment)
-            return self._buffered_response(state, buffered)
+            self._outcomes.record_success(served, assignment)
+            served.request.use_only(served)
+            return self._buffered_response(served.request, buffered)
         self._outcomes.record_failure(assignment)
-        state.failure_answer = buffered
+        served.request.failure_answer = buffered
         raise dispatch.TargetErrorAnswer(f'status {buffered.status}')
 
     def _buffered_response(
@@ -492,25 +486,24 @@
 
     async def _relay(
         self,
-        state: requeststate.RequestState,
+        served: requeststate.Try,
         record: streamrecords.StreamRecord,
         answer: dispatch.Answer,
     ) -> web.StreamResponse:
         """Relay a stream event by event; raises ``TargetBroken``."""
+        state = served.request
         headers = callerformat.answer_headers(answer.headers)
         # Another target may complete the stream with a different length.
         headers.popall('Content-Length', None)
         splitter = relayedevents.EventSplitter()
         ending = dispatch.ending_of(answer)
         try:
-            await self._relay_events(state, record, answer, headers, splitter)
+            await self._relay_events(served, record, answer, headers, splitter)
             record.record_end(ending.framing, splitter)
             await _check_stream_end(state, ending, splitter)
-        except dispatch.TargetTimedOut:
-            # A connection error as well, but its retry is granted already.
-            raise
         except dispatch.READ_FAULTS as broken:
             raise dispatch.TargetBroken(repr(broken)) from broken
+        state.use_only(served)
         response = await state.answer.write(
             answer.status, headers, splitter.rest
         )
@@ -522,13 +515,14 @@
 
     async def _relay_events(
         self,
-        state: requeststate.RequestState,
+        served: requeststate.Try,
         record: streamrecords.StreamRecord,
         answer: dispatch.Answer,
         headers: multidict.CIMultiDict[str],
         splitter: relayedevents.EventSplitter,
     ) -> None:
         """Relay whole events until the end of what the target sends."""
+        state = served.request
         last_chunk_ms = 0
         while True:
             chunk = await record.receive(answer.content.readany())
@@ -540,11 +534,12 @@
             )
             last_chunk_ms = now_ms
             for event in splitter.feed(chunk):
+                state.use_only(served)
                 await state.answer.write(  # noqa: WPS476 - in order
                     answer.status, headers, event.encoded
                 )
                 state.last_event_id = event.event_id or state.last_event_id
-            state.events_in_try = splitter.received_events
+            served.events = splitter.received_events
 
     def _fail(
         self, state: requeststate.RequestState, error: errors.ServiceError
--- a/bergamotstream/forwarding/links.py
+++ b/bergamotstream/forwarding/links.py
@@ -169,6 +169,15 @@
             self._links_by_service.pop(service)
         return Verdict(explained, links_failed, was_lost=links.is_lost)
 
+    def withdraw(self, service: str, target_id: str) -> None:
+        """Drop the failure of a target that was silent and goes on."""
+        links = self._links_by_service.get(service)
+        if links is None or links.is_lost:
+            return
+        links.failures_by_target.pop(target_id, None)
+        if not links.failures_by_target:
+            self._links_by_service.pop(service)
+
     def forget(self, target_id: str) -> None:
         """Drop the failure of a target that has left or restarted."""
         self._reached_ms_by_run = {
--- a/bergamotstream/forwarding/outcomes.py
+++ b/bergamotstream/forwarding/outcomes.py
@@ -8,7 +8,7 @@
 
 import functools
 import statistics
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable
 from typing import Final
 
 import multidict
@@ -70,14 +70,14 @@
 
     def record_placement(
         self,
-        served: requeststate.RequestState,
+        served: requeststate.Try,
         assignment: exchangerecords.Assignment,
     ) -> None:
-        """Record where an attempt is sent."""
-        served.tried_target_ids.add(assignment.target.target_id)
-        served.last_target_id = assignment.target.target_id
-        if not served.tries_sent:
-            served.forecast_ms = assignment.forecast_ms
+        """Record where a try is sent."""
+        served.destination = assignment.target.target_id
+        served.request.tried_target_ids.add(assignment.target.target_id)
+        if not served.request.tries_sent:
+            served.request.forecast_ms = assignment.forecast_ms
         self._log.write(
             'placed',
             id=served.job.request.attempt_id,
@@ -91,7 +91,7 @@
             forecast_ms=round(assignment.forecast_ms),
             cost=round(assignment.cost, 3),
             revision=self._core.view.revision,
-            sent=served.tries_sent,
+            sent=served.request.tries_sent,
         )
 
     def record_head(
@@ -135,26 +135,28 @@
 
     def record_first_byte(
         self,
-        served: requeststate.RequestState,
+        served: requeststate.Try,
         assignment: exchangerecords.Assignment,
         waited_ms: int,
     ) -> None:
         """Record the first bytes, ``waited_ms`` after the placement."""
         now_ms = self._clock.now_ms()
         self._core.start_decoding(assignment)
-        served.first_byte_ms = served.first_byte_ms or now_ms
+        request = served.request
+        request.first_byte_ms = request.first_byte_ms or now_ms
         kind = served.job.route.name
         error_ms = abs(waited_ms - round(assignment.forecast_ms))
         self._meters.observe('forecast_error', kind, error_ms)
 
     def record_gap(
         self,
-        served: requeststate.RequestState,
+        served: requeststate.Try,
         assignment: exchangerecords.Assignment,
         pause_ms: int,
     ) -> None:
         """Record the gap between two events."""
-        served.longest_gap_ms = max(served.longest_gap_ms, pause_ms)
+        request = served.request
+        request.longest_gap_ms = max(request.longest_gap_ms, pause_ms)
         served.recent_gaps_ms.append(pause_ms)
         if len(served.recent_gaps_ms) == GAP_SAMPLES:
             self._update_speed(served, assignment)
@@ -163,7 +165,7 @@
             # The answer is late already, so further gaps cost nothing.
             first = assignment.commitment_ids[0]
             self._core.table.update(first, pause_goal_ms=0)
-        if served.events_in_try >= WRITTEN_EVENTS and not served.is_written:
+        if served.events >= WRITTEN_EVENTS and not served.is_written:
             served.is_written = True
             self._core.blame.record_served(
                 served.job.parts, self._clock.now_ms()
@@ -171,7 +173,7 @@
 
     def _update_speed(
         self,
-        served: requeststate.RequestState,
+        served: requeststate.Try,
         assignment: exchangerecords.Assignment,
     ) -> None:
         """Compare the median gap with that of a full target.
@@ -192,7 +194,7 @@
 
     def record_stream_end(
         self,
-        served: requeststate.RequestState,
+        served: requeststate.Try,
         assignment: exchangerecords.Assignment,
         framing: dispatch.Framing,
         splitter: relayedevents.EventSplitter,
@@ -205,12 +207,12 @@
             framing=framing.value,
             events=splitter.received_events,
             rest_bytes=len(splitter.rest),
-            last_event=served.last_event_id,
+            last_event=served.request.last_event_id,
         )
 
     def record_success(
         self,
-        served: requeststate.RequestState,
+        served: requeststate.Try,
         assignment: exchangerecords.Assignment,
     ) -> None:
         """Record a complete answer."""
@@ -230,20 +232,33 @@
                 fingerprint=eventlog.hex_of(fingerprint),
             )
 
-    def record_abandoned(
+    def record_cancelled(
         self,
-        served: requeststate.RequestState,
+        served: requeststate.Try,
         assignment: exchangerecords.Assignment,
     ) -> None:
-        """Record a try whose caller left or whose deadline passed.
+        """Record a try that ends as its caller is gone or served by another.
 
         A target that crashes without a reset leaves its callers waiting.
         """
+        waited_ms = self._clock.now_ms() - assignment.placed_ms
+        if served.outcome == requeststate.SUPERSEDED:
+            self._log.write(
+                'try_superseded',
+                id=served.job.request.attempt_id,
+                target=assignment.target.target_id,
+                waited_ms=waited_ms,
+                silent=served.is_silent,
+                events=served.events,
+            )
+            return
+        if served.outcome == requeststate.OPEN:
+            served.outcome = requeststate.ABANDONED
         if not served.is_unanswered:
             return
-        targets = (assignment.target, *assignment.helpers)
-        self._suspect_silent(targets, served.suspects())
-        if self._clock.now_ms() - assignment.placed_ms >= SILENT_LINK_MS:
+        if not served.is_suspected:
+            self._suspect_silent(served, assignment)
+        if waited_ms >= SILENT_LINK_MS:
             self._record_link_failure(assignment.target, silent=True)
         self._log.write(
             'target_unanswered',
@@ -252,28 +267,19 @@
             parts=','.join(map(eventlog.hex_of, served.job.parts)),
             target=assignment.target.target_id,
             started_ms=assignment.target.started_ms,
-            waited_ms=self._clock.now_ms() - assignment.placed_ms,
+            waited_ms=waited_ms,
         )
 
-    def record_silence(
-        self,
-        served: requeststate.RequestState,
-        silent_ms: int,
-        *,
-        may_try: bool,
+    def record_silent_target(
+        self, served: requeststate.Try, assignment: exchangerecords.Assignment
     ) -> None:
-        """Record that the last target sends nothing, and what follows."""
-        self._meters.count('silent_targets', served.job.service.name)
-        self._log.write(
-            'target_silent',
-            id=served.job.request.attempt_id,
-            target=served.last_target_id,
-            silent_ms=silent_ms,
-            events=served.events_in_try,
-            last_event=served.last_event_id,
-            another=may_try,
-            revision=self._core.view.revision,
+        """Record that a target is silent while another one is tried."""
+        self._core.health.record_failure(
+            assignment.target.target_id, self._clock.now_ms()
         )
+        if not served.is_suspected:
+            self._suspect_silent(served, assignment)
+        self._record_link_failure(assignment.target, silent=True)
 
     def record_failure(self, assignment: exchangerecords.Assignment) -> None:
         """Record an error response from the target itself."""
@@ -282,20 +288,28 @@
         )
 
     def _suspect_silent(
-        self,
-        targets: Iterable[fleetrecords.TargetEntry],
-        suspects: Collection[int],
+        self, served: requeststate.Try, assignment: exchangerecords.Assignment
+    ) -> None:
+        """Suspect the targets of a try that say nothing of a crash."""
+        served.is_suspected = True
+        self._suspect(served, assignment.target)
+        if served.is_unanswered:
+            self._suspect(served, *assignment.helpers)
+
+    def _suspect(
+        self, served: requeststate.Try, *targets: fleetrecords.TargetEntry
     ) -> None:
-        """Suspect targets that gave no answer of a crash."""
         now_ms = self._clock.now_ms()
         for target in targets:
-            self._core.blame.suspect(target, suspects, now_ms, broken=False)
+            self._core.blame.suspect(
+                target, served.suspects(), now_ms, broken=False
+            )
 
     @functools.singledispatchmethod
     def record_fault(
         self,
         fault: Exception,
-        served: requeststate.RequestState,
+        served: requeststate.Try,
         assignment: exchangerecords.Assignment,
     ) -> None:
         """Record the fault that ended an attempt."""
@@ -305,7 +319,7 @@
     def _unreachable(
         self,
         fault: dispatch.TargetUnreachable,
-        served: requeststate.RequestState,
+        served: requeststate.Try,
         assignment: exchangerecords.Assignment,
     ) -> None:
         """Record a target that accepted no connection."""
@@ -478,7 +492,7 @@
     def _refused(
         self,
         fault: dispatch.TargetRefused,
-        served: requeststate.RequestState,
+        served: requeststate.Try,
         assignment: exchangerecords.Assignment,
     ) -> None:
         """Record a refusal by the target or by a helper that it names."""
@@ -488,8 +502,8 @@
             if helper.address == fault.at_fault:
                 at_fault = helper
                 if now_ms - assignment.placed_ms >= HELPER_STALL_MS:
-                    self._suspect_silent((helper,), served.suspects())
-        served.tried_target_ids.add(at_fault.target_id)
+                    self._suspect(served, helper)
+        served.request.tried_target_ids.add(at_fault.target_id)
         if fault.misdirected:
             self._core.health.record_unreachable(at_fault.target_id, now_ms)
             self.record_crash(at_fault.target_id, 'misdirected')
@@ -508,7 +522,7 @@
     def _broken(
         self,
         fault: dispatch.TargetBroken,
-        served: requeststate.RequestState,
+        served: requeststate.Try,
         assignment: exchangerecords.Assignment,
     ) -> None:
         """Record a target that gave no usable answer."""
@@ -518,18 +532,16 @@
         if isinstance(fault, dispatch.TargetErrorAnswer):
             self._record_answer(assignment.target, assignment.placed_ms)
         else:
-            suspects = served.suspects()
-            is_silent = isinstance(fault, dispatch.TargetTimedOut)
             self._core.blame.suspect(
                 assignment.target,
-                suspects,
+                served.suspects(),
                 now_ms,
-                broken=not is_silent,
-                unproved_placed_ms=None if is_silent else assignment.placed_ms,
+                broken=True,
+                unproved_placed_ms=assignment.placed_ms,
             )
             if served.is_unanswered:
-                self._suspect_silent(assignment.helpers, suspects)
-            self._record_link_failure(assignment.target, silent=is_silent)
+                self._suspect(served, *assignment.helpers)
+            self._record_link_failure(assignment.target)
         self._meters.count('target_failures', served.job.service.name)
         self._log.write(
             'target_broken',
@@ -540,19 +552,19 @@
             started_ms=assignment.target.started_ms,
             fault=fault,
             waited_ms=now_ms - assignment.placed_ms,
-            last_event=served.last_event_id,
+            last_event=served.request.last_event_id,
         )
 
     @record_fault.register
     def _not_reserved(
         self,
         fault: reservations.MemoryRefused,
-        served: requeststate.RequestState,
+        served: requeststate.Try,
         assignment: exchangerecords.Assignment,
     ) -> None:
         """Record that helpers could not reserve memory for a long prompt."""
         holders = [entry.target.target_id for entry in assignment.reservations]
-        served.tried_target_ids.update(holders)
+        served.request.tried_target_ids.update(holders)
         self._meters.count('reservations', 'refused')
         self._log.write(
             'not_reserved',
@@ -585,6 +597,7 @@
             pause_goal_ms=job.route.pause_goal_ms,
             prompt_tokens=job.request.prompt_tokens,
             sent=served.tries_sent,
+            tries=','.join(entry.summary() for entry in served.tries),
             peers=','.join(served.tried_peers),
             last_event=served.last_event_id,
         )
--- a/bergamotstream/forwarding/relayattempts.py
+++ b/bergamotstream/forwarding/relayattempts.py
@@ -8,8 +8,8 @@
 
 import asyncio
 import contextlib
-from collections.abc import Coroutine
-from typing import Any, Final, TypeVar
+from collections.abc import Callable, Coroutine
+from typing import Any, Final, TypeAlias, TypeVar
 
 from bergamotstream import clock, errors, metrics
 from bergamotstream.forwarding import (
@@ -31,6 +31,8 @@
 PEER_CHECK_S: Final = 0.25
 
 Received = TypeVar('Received')
+# Called with the time for which a peer has sent nothing, in ms.
+LossHandler: TypeAlias = Callable[[requeststate.Try, int], bool]
 
 
 class RelayAttempts:
@@ -84,13 +86,16 @@
         )
 
     async def send(
-        self, state: requeststate.RequestState, peer: peerformat.HostState
+        self,
+        served: requeststate.Try,
+        peer: peerformat.HostState,
+        handle_loss: LossHandler,
     ) -> dispatch.Answer:
         """Send a request to a peer; until it answers it may have run.
 
         Raises what ``PeerRelay.send`` does.
         """
-        may_have_run_before = state.may_have_run
+        state = served.request
         head = relayformat.head_of(
             state.job.request,
             self._relay.own_name,
@@ -100,38 +105,39 @@
             last_event_id=state.last_event_id,
             is_counted=state.is_counted,
         )
-        state.may_have_run = True
+        served.mark_sent()
         try:
-            answer = await self.while_alive(
-                peer, self._relay.send(peer.entry, head, state.body)
+            return await self.receive(
+                served,
+                peer,
+                handle_loss,
+                self._relay.send(peer.entry, head, state.body),
             )
         except (dispatch.TargetUnreachable, peerrelay.PeerRefused):
-            state.may_have_run = may_have_run_before
+            served.mark_not_run(is_sent=False)
             raise
         except errors.ServiceError as error:
             if error.run_state == 'not_run':
-                state.may_have_run = may_have_run_before
+                served.mark_not_run(is_sent=False)
             raise
-        except dispatch.TargetBroken:
-            state.tries_sent += 1
-            raise
-        state.tries_sent += 1
-        return answer
 
-    async def while_alive(
+    async def receive(
         self,
+        served: requeststate.Try,
         peer: peerformat.HostState,
+        handle_loss: LossHandler,
         receiving: Coroutine[Any, Any, Received],
     ) -> Received:
-        """Return what a peer sends; raises ``TargetBroken`` if it dies."""
+        """Return what a peer sends; ``handle_loss`` is called if it is lost."""
+        started_ms = self._clock.now_ms()
         waiting = asyncio.ensure_future(receiving)
-        name = peer.entry.name
         with contextlib.ExitStack() as stack:
             stack.callback(waiting.cancel)
-            while name in self._peers.peers_by_name and not waiting.done():
+            while not waiting.done():
                 await asyncio.wait((waiting,), timeout=PEER_CHECK_S)
-            if not waiting.done():
-                raise dispatch.TargetBroken(f'peer {name} is silent')
+                is_lost = peer.entry.name not in self._peers.peers_by_name
+                if is_lost and not waiting.done():
+                    handle_loss(served, self._clock.now_ms() - started_ms)
             return await waiting
 
     def record_sent(
@@ -154,7 +160,7 @@
 
     def record_fault(
         self,
-        state: requeststate.RequestState,
+        served: requeststate.Try,
         peer: peerformat.HostState,
         fault: Exception,
         sent_ms: int,
@@ -163,11 +169,11 @@
         self._meters.count('relayed_requests', 'failed')
         self._log.write(
             'relay_failed',
-            id=state.job.request.attempt_id,
+            id=served.job.request.attempt_id,
             peer=peer.entry.name,
             fault=repr(fault),
             waited_ms=self._clock.now_ms() - sent_ms,
-            may_have_run=state.may_have_run,
+            may_have_run=served.may_have_run,
         )
 
     def record_received(self, state: requeststate.RequestState) -> None:
--- a/bergamotstream/forwarding/requeststate.py
+++ b/bergamotstream/forwarding/requeststate.py
@@ -2,15 +2,23 @@
 Request state
 ~~~~~~~~~~~~~
 
-The state of one caller's request while targets are tried.
+The state of one caller's request, and of its tries at targets and peers.
 """
 
 from bergamotstream.forwarding import (
     calleranswer,
     dispatch,
     exchangerecords,
+    runningtries,
 )
 
+# What became of a try; anything else is the class of its fault.
+OPEN = 'open'
+SILENT = 'silent'
+SERVED = 'served'
+SUPERSEDED = 'superseded'
+ABANDONED = 'abandoned'
+
 
 class RequestState:
     """One request and the progress of its tries."""
@@ -25,18 +33,14 @@
         self.job = job
         self.body = body
         self.answer = answer
-        # Tries that reached a target, and tries that reached none.
-        self.tries_sent = 0
+        self.tries: list[Try] = []
+        self.running: runningtries.RunningTries[Try] = (
+            runningtries.RunningTries()
+        )
+        # Tries that another host has made before it sent the request here.
+        self.relayed_tries = 0
         self.tries_unsent = 0
-        self.may_have_run = False
-        # Whether the current try waits for the head of its answer, and the
-        # events that it has received.
-        self.is_unanswered = False
-        self.events_in_try = 0
-        # Whether it has received enough of them to clear its parts.
-        self.is_written = False
         self.tried_target_ids: set[str] = set()
-        self.last_target_id = ''
         # Those of them that may have received the request.
         self.reached_target_ids: set[str] = set()
         # The last failure that a target answered.
@@ -45,7 +49,6 @@
         self.forecast_ms = float(0)
         self.first_byte_ms = 0
         self.longest_gap_ms = 0
-        self.recent_gaps_ms: list[int] = []
         # The peer that has sent the request, and peers that were sent it.
         self.relayed_by = ''
         self.tried_peers: set[str] = set()
@@ -54,14 +57,79 @@
         # Whether no target can be tried over the links of this host.
         self.is_out_of_targets = False
 
-    def start_try(self) -> None:
-        """Reset what is known of the current try."""
+    @property
+    def tries_sent(self) -> int:
+        """Return the tries that count against the route's limit."""
+        return self.relayed_tries + sum(entry.is_sent for entry in self.tries)
+
+    @property
+    def may_have_run(self) -> bool:
+        """Tell whether a target may have run the request."""
+        return any(entry.may_have_run for entry in self.tries)
+
+    @property
+    def is_silent(self) -> bool:
+        """Tell whether no try runs that has sent something lately."""
+        return all(entry.is_silent for entry in self.running)
+
+    def add_try(self) -> 'Try':
+        """Return a new try."""
+        added = Try(self)
+        self.tries.append(added)
+        return added
+
+    def use_only(self, winner: 'Try') -> None:
+        """Give the caller the answer of one try and end the others."""
+        winner.outcome = SERVED
+        for other in self.running.cancel_others(winner):
+            other.outcome = SUPERSEDED
+
+
+class Try:
+    """One sending of a request to a target or to a peer."""
+
+    def __init__(self, request: RequestState) -> None:
+        """Start with nothing sent."""
+        self.request = request
+        # The target, or the peer that chooses one.
+        self.destination = ''
+        self.outcome = OPEN
+        # Whether it has reached a target, or may have.
+        self.is_sent = False
+        self.may_have_run = False
+        # Whether it waits for the head of its answer, and the events that it
+        # has received.
         self.is_unanswered = False
-        self.events_in_try = 0
+        self.events = 0
+        # Whether it has received enough of them to clear its parts.
         self.is_written = False
+        # Whether it has sent nothing for longer than its limit.
+        self.is_silent = False
+        # Whether its target is suspected of a crash.
+        self.is_suspected = False
+        self.recent_gaps_ms: list[int] = []
+
+    @property
+    def job(self) -> exchangerecords.Job:
+        """Return the job of the request."""
+        return self.request.job
+
+    def mark_sent(self) -> None:
+        """Note that a target may get the request from now on."""
+        self.is_sent = True
+        self.may_have_run = True
+
+    def mark_not_run(self, *, is_sent: bool) -> None:
+        """Note that no target runs the request; one may have refused it."""
+        self.is_sent = is_sent
+        self.may_have_run = False
 
     def suspects(self) -> tuple[int, ...]:
         """Return the fingerprints that a crash of this try may come from."""
         if self.is_written:
             return (self.job.fingerprint,)
         return self.job.fingerprints
+
+    def summary(self) -> str:
+        """Return where the try was sent and what became of it."""
+        return f'{self.destination}:{self.outcome}'
--- a/bergamotstream/forwarding/retrydecisions.py
+++ b/bergamotstream/forwarding/retrydecisions.py
@@ -70,12 +70,17 @@
             return False
         return self._has_retry_left(state)
 
-    @may_retry.register
-    def _may_retry_timed_out(
-        self, fault: dispatch.TargetTimedOut, state: requeststate.RequestState
-    ) -> bool:
-        # The retry was allowed before the request was timed out.
-        return True
+    def may_try_beside(self, state: requeststate.RequestState) -> bool:
+        """Decide on a further try while those that run are silent."""
+        retry_policy = state.job.route.retry_policy
+        return (
+            retry_policy is not fleetrecords.RetryPolicy.ONLY_IF_NOT_RUN
+            and state.is_silent
+            and self._core.has_target(
+                state.job, state.tried_target_ids, self._clock.now_ms()
+            )
+            and self._has_retry_left(state)
+        )
 
     def _has_retry_left(self, state: requeststate.RequestState) -> bool:
         return self._core.may_retry(
--- a/bergamotstream/forwarding/streamrecords.py
+++ b/bergamotstream/forwarding/streamrecords.py
@@ -25,20 +25,18 @@
 class StreamRecord:
     """The stream of a peer, which records all that concerns its target."""
 
-    def __init__(
-        self, receive: Receiver, state: requeststate.RequestState
-    ) -> None:
-        """Record the stream of ``state``; ``receive`` waits for its bytes."""
+    def __init__(self, receive: Receiver, served: requeststate.Try) -> None:
+        """Record the stream of ``served``; ``receive`` waits for its bytes."""
         self.receive = receive
-        self._state = state
+        self._served = served
 
     def record_chunk(self, now_ms: int, gap_ms: int | None) -> None:
         """Record received bytes; the first ones have no gap."""
+        request = self._served.request
         if gap_ms is None:
-            self._state.first_byte_ms = self._state.first_byte_ms or now_ms
+            request.first_byte_ms = request.first_byte_ms or now_ms
         else:
-            longest_ms = max(self._state.longest_gap_ms, gap_ms)
-            self._state.longest_gap_ms = longest_ms
+            request.longest_gap_ms = max(request.longest_gap_ms, gap_ms)
 
     def record_end(
         self, framing: dispatch.Framing, splitter: relayedevents.EventSplitter
@@ -56,12 +54,12 @@
         self,
         receive: Receiver,
         recorder: outcomes.OutcomeRecorder,
-        state: requeststate.RequestState,
+        served: requeststate.Try,
         assignment: exchangerecords.Assignment,
         peers: peerexchange.PeerExchange,
     ) -> None:
         """Record the stream of ``assignment``."""
-        super().__init__(receive, state)
+        super().__init__(receive, served)
         self._outcomes = recorder
         self._assignment = assignment
         self._peers = peers
@@ -71,20 +69,20 @@
         if gap_ms is None:
             waited_ms = now_ms - self._assignment.placed_ms
             self._outcomes.record_first_byte(
-                self._state, self._assignment, waited_ms
+                self._served, self._assignment, waited_ms
             )
             self._peers.schedule_delayed_send()
         else:
-            self._outcomes.record_gap(self._state, self._assignment, gap_ms)
+            self._outcomes.record_gap(self._served, self._assignment, gap_ms)
 
     def record_end(
         self, framing: dispatch.Framing, splitter: relayedevents.EventSplitter
     ) -> None:
         """Record the end of the bytes, before it is checked."""
         self._outcomes.record_stream_end(
-            self._state, self._assignment, framing, splitter
+            self._served, self._assignment, framing, splitter
         )
 
     def record_success(self) -> None:
         """Record a complete answer."""
-        self._outcomes.record_success(self._state, self._assignment)
+        self._outcomes.record_success(self._served, self._assignment)
--- a/tests/crashkit.py
+++ b/tests/crashkit.py
@@ -302,12 +302,12 @@
             return 'caller_gone'
 
     def start_request(self, path, body, attempt_id='a1', prompt=''):
-        """Place a request; return its state and its assignment."""
-        state = self._admit(path, body, attempt_id, prompt)
+        """Place a request; return its first try and the assignment."""
+        first = self._admit(path, body, attempt_id, prompt).add_try()
         now_ms = self.fleet.clock.now_ms()
-        assignment = self.core.place(state.job, (), now_ms)
-        self.outcomes.record_placement(state, assignment)
-        return state, assignment
+        assignment = self.core.place(first.job, (), now_ms)
+        self.outcomes.record_placement(first, assignment)
+        return first, assignment
 
     def make_job(self, part):
         """Return the job of a request with a part."""
--- a/tests/platformkit.py
+++ b/tests/platformkit.py
@@ -204,14 +204,15 @@
         self.closed_by_host = 0
         self._respond = respond
         self._server = None
-        self._connections = []
+        self._writers = []
+        self._requested = []
         self.address = ''
 
-    def open_connections(self):
-        """Return how many connections the host has not closed."""
+    def open_requests(self):
+        """Return at how many callers' requests the host has not left."""
         return sum(
             not (reader.at_eof() or writer.is_closing())
-            for reader, writer in self._connections
+            for reader, writer in self._requested
         )
 
     async def start(self):
@@ -221,16 +222,18 @@
 
     async def stop(self):
         self._server.close()
-        for _, writer in self._connections:
+        for writer in self._writers:
             writer.close()
 
     async def _serve(self, reader, writer):
         self.connections += 1
-        self._connections.append((reader, writer))
+        self._writers.append(writer)
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
             while not writer.is_closing():
                 request = await _read_request(reader)
                 self.received.append(request)
+                if ATTEMPT in request.headers:
+                    self._requested.append((reader, writer))
                 responding = asyncio.ensure_future(
                     self._respond(request, writer)
                 )
--- a/tests/test_crashingparts.py
+++ b/tests/test_crashingparts.py
@@ -331,8 +331,7 @@
     host = fleet.hosts_by_name['h0']
     state, assignment = host.start_request('/lookup/1', b'x', 'a1', 'p:1,own:1')
     assert state.suspects() == state.job.fingerprints
-    state.events_in_try = outcomes.WRITTEN_EVENTS
+    state.events = outcomes.WRITTEN_EVENTS
     host.outcomes.record_gap(state, assignment, 10)
     assert state.suspects() == (state.job.fingerprint,)
-    state.start_try()
-    assert state.suspects() == state.job.fingerprints
+    assert state.request.add_try().suspects() == state.job.fingerprints
--- a/tests/test_crashingrequests.py
+++ b/tests/test_crashingrequests.py
@@ -128,7 +128,7 @@
     blamed = crashblame.Blamed(state.job.fingerprint, 0)
     host.core.blame.blame([blamed], fleet.clock.now_ms())
     with pytest.raises(errors.RequestBlamed):
-        await host.ingress._serve_with_retries(state)
+        await host.ingress._serve_with_retries(state.request)
     assert not fleet.sent
 
 
--- a/tests/test_silenttargets.py
+++ b/tests/test_silenttargets.py
@@ -123,6 +123,11 @@
             await asyncio.gather(call, return_exceptions=True)
 
 
+def sends(target):
+    """Return how often a target got the request; probes do not count."""
+    return sum(kit.ATTEMPT in request.headers for request in target.received)
+
+
 @pytest.mark.parametrize('silent_s', [1.3, 2.5])
 @pytest.mark.parametrize('started_events', [0, 2])
 @pytest.mark.parametrize('other', [*OTHERS, 'gone'])
@@ -135,7 +140,7 @@
         _, call, one, _ = played
         status, _, body = await call
         assert (status, body) == (200, WHOLE_STREAM)
-        assert len(one.received) == 1
+        assert sends(one) == 1
 
 
 @pytest.mark.parametrize('sent_bytes', [0, -4])
@@ -151,7 +156,7 @@
         _, call, one, _ = played
         status, _, body = await call
         assert (status, body) == (200, WHOLE_ANSWER)
-        assert len(one.received) == 1
+        assert sends(one) == 1
 
 
 @pytest.mark.parametrize('silent_s', [1.3, 2.5])
@@ -162,7 +167,7 @@
         _, call, one, two = played
         status, _, body = await call
         assert (status, body) == (200, WHOLE_ANSWER)
-        assert (len(one.received), len(two.received)) == (1, 0)
+        assert (sends(one), sends(two)) == (1, 0)
 
 
 async def goes_on(request, writer):
@@ -193,7 +198,7 @@
         system, call, _, two = played
         status, _, body = await call
         assert (status, body) == (200, WHOLE_STREAM)
-        assert len(two.received) == 1
+        assert sends(two) == 1
         await _until_left(system, two)
 
 
@@ -208,7 +213,7 @@
 
 
 async def _until_left(system, target):
-    await system.until(lambda: not target.open_connections(), END_OF_LOSER_S)
+    await system.until(lambda: not target.open_requests(), END_OF_LOSER_S)
 
 
 async def test_second_try_draws_on_the_retry_budget_once():
