Let connections to targets outlast the silence of a sound one

Orders, which have no second try, depend on it most.

Class: silence is taken for an end, here by TCP. Connections to targets and peers now fail after 5 s without acknowledgement; a lost target is found sooner by the further try of a request and by link probes. The store keeps 1.5 s, as its calls may be repeated.

tests/test_silenttargets.py::test_connection_outlasts_the_silence_of_a_sound_target failed before (1500 < 5000).

--- a/bergamotstream/forwarding/connections.py
+++ b/bergamotstream/forwarding/connections.py
@@ -14,9 +14,12 @@
 
 import aiohttp
 
-# Time without acknowledgement after which a connection has failed, long enough
-# for the retransmission of a lost packet.
-UNACKNOWLEDGED_TIMEOUT_MS: Final = 1_500
+# Time without acknowledgement after which a connection has failed: to the store,
+# long enough for the retransmission of a lost packet; to targets and peers, also
+# for a sound one that is silent for some seconds. A request that may run only
+# once cannot be sent elsewhere instead.
+STORE_UNACKNOWLEDGED_MS: Final = 1_500
+TARGET_UNACKNOWLEDGED_MS: Final = 5_000
 KEEPALIVE_IDLE_S: Final = 1
 KEEPALIVE_INTERVAL_S: Final = 1
 KEEPALIVE_PROBES: Final = 2
@@ -70,9 +73,15 @@
 class TargetConnector(aiohttp.TCPConnector):
     """Connector whose connections limit the head of an answer."""
 
-    def __init__(self, **options: Any) -> None:
+    def __init__(self, unacknowledged_ms: int, **options: Any) -> None:
         """Take the options of ``aiohttp.TCPConnector``."""
-        super().__init__(limit=0, socket_factory=_open_socket, **options)
+        super().__init__(
+            limit=0,
+            socket_factory=functools.partial(
+                _open_socket, unacknowledged_ms=unacknowledged_ms
+            ),
+            **options,
+        )
         factory: Any = functools.partial(LimitedHeadHandler, loop=self._loop)
         self._factory = factory
 
@@ -122,18 +131,16 @@
         raise ConnectionLost(repr(lost)) from lost
 
 
-def _open_socket(address: tuple[Any, ...]) -> socket.socket:
+def _open_socket(
+    address: tuple[Any, ...], unacknowledged_ms: int
+) -> socket.socket:
     family, kind, protocol = address[:3]
     opened = socket.socket(family, kind, protocol)
     opened.setblocking(False)  # noqa: WPS425 - positional in the socket API
     options = (
         (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
         (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
-        (
-            socket.IPPROTO_TCP,
-            socket.TCP_USER_TIMEOUT,
-            UNACKNOWLEDGED_TIMEOUT_MS,
-        ),
+        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, unacknowledged_ms),
         (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
         (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
         (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
@@ -143,12 +150,16 @@
     return opened
 
 
-def open_session(*, reuse: bool) -> aiohttp.ClientSession:
+def open_session(
+    *, reuse: bool, unacknowledged_ms: int = TARGET_UNACKNOWLEDGED_MS
+) -> aiohttp.ClientSession:
     """Return a session; without ``reuse`` each request opens a connection."""
     if reuse:
-        pool = TargetConnector(keepalive_timeout=POOL_IDLE_TIMEOUT_S)
+        pool = TargetConnector(
+            unacknowledged_ms, keepalive_timeout=POOL_IDLE_TIMEOUT_S
+        )
     else:
-        pool = TargetConnector(force_close=True)
+        pool = TargetConnector(unacknowledged_ms, force_close=True)
     return aiohttp.ClientSession(
         connector=pool,
         middlewares=(_send_once,),
--- a/bergamotstream/forwarding/hostdaemon.py
+++ b/bergamotstream/forwarding/hostdaemon.py
@@ -106,7 +106,10 @@
         self._log.write('started', host=self._entry.name, zone=self._entry.zone)
         pooled = connections.open_session(reuse=True)
         unpooled = connections.open_session(reuse=False)
-        async with pooled, unpooled:
+        to_store = connections.open_session(
+            reuse=True, unacknowledged_ms=connections.STORE_UNACKNOWLEDGED_MS
+        )
+        async with pooled, unpooled, to_store:
             dependencies = ingress.Dependencies(
                 self._core,
                 dispatch.Dispatcher(
@@ -123,7 +126,7 @@
             )
             caller_ingress = ingress.Ingress(dependencies)
             self._answer_relayed = caller_ingress.handle_relayed
-            client = store.StoreClient(self._config.store, pooled)
+            client = store.StoreClient(self._config.store, to_store)
             registration = storetasks.Registration(
                 client, self._entry, self._log
             )
--- a/tests/boundhost.py
+++ b/tests/boundhost.py
@@ -18,8 +18,8 @@
     """Let all connections come from the address in the environment."""
     open_socket = connections._open_socket
 
-    def open_bound(address):
-        opened = open_socket(address)
+    def open_bound(address, **options):
+        opened = open_socket(address, **options)
         opened.setsockopt(socket.IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, 1)
         opened.bind((os.environ[SOURCE_IP], 0))
         return opened
--- a/tests/linkkit.py
+++ b/tests/linkkit.py
@@ -73,11 +73,11 @@
         """End all cuts."""
         self._mode_by_host.clear()
 
-    def open(self, address):
+    def open(self, address, **options):
         """Open a socket for a connection; stands in for the product's."""
         host, port = _host.get(), address[4][1]
         if port not in self._target_ports:
-            return self._open_socket(address)
+            return self._open_socket(address, **options)
         mode = self._mode_by_host.get(host, '')
         if mode in {'refused', 'kept'}:
             raise ConnectionRefusedError('no link')
@@ -86,7 +86,7 @@
         elif mode:
             opened = _LostSocket(self._nowhere.getsockname())
         else:
-            opened = self._open_socket(address)
+            opened = self._open_socket(address, **options)
         if mode == 'reset':
             asyncio.get_running_loop().call_later(
                 0.005, self._break, opened, mode
--- a/tests/test_silenttargets.py
+++ b/tests/test_silenttargets.py
@@ -2,14 +2,18 @@
 
 import asyncio
 import contextlib
+import socket
 
 import aiohttp
 import pytest
 
 from bergamotstream import clock
+from bergamotstream.forwarding import connections
 from tests import platformkit as kit
 
 TIMEOUT_MS = 4_000
+# Silence of sound targets that the operators have reported.
+MAX_SILENCE_MS = 2_500
 EVENTS = 4
 WHOLE_STREAM = b''.join(kit.event(number + 1) for number in range(EVENTS))
 WHOLE_ANSWER = b'a whole answer'
@@ -262,3 +266,21 @@
         _, call, _, _ = played
         with pytest.raises(aiohttp.ClientPayloadError):
             await call
+
+
+async def test_connection_outlasts_the_silence_of_a_sound_target():
+    """Guards against TCP timers that end a connection without news.
+
+    Requests to targets that acknowledged nothing for 2.5 s failed after 1.5 s.
+    """
+    first = fall_silent(1, 30)
+    pooled = connections.open_session(reuse=True)
+    unpooled = connections.open_session(reuse=False)
+    async with pooled, unpooled, kit.raw_target(first) as target:
+        for session in (pooled, unpooled):
+            async with session.get(f'http://{target.address}/') as response:
+                opened = response.connection.transport.get_extra_info('socket')
+                timeout_ms = opened.getsockopt(
+                    socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT
+                )
+                assert timeout_ms >= 2 * MAX_SILENCE_MS
