Renew memory at once after an order without an answer

A long prompt would be cut off if a target that holds its memory fell silent for 2.5 s just after a renewal: renewals came each second, also after one that had no answer for 0.4 s, so the next answered one could come 3.8 s after the last, and the lease was 3 s. Class: silence is taken for an end, here by a lease.

--- a/bergamotstream/forwarding/reservations.py
+++ b/bergamotstream/forwarding/reservations.py
@@ -18,8 +18,11 @@
 from bergamotstream.platform import targetmemory
 
 # Shorter than the 4 s after which unused memory counts as leaked.
-LEASE_MS: Final = 3_000
+LEASE_MS: Final = 3_500
 RENEW_INTERVAL_S: Final = 1.0
+# Pause after an order without an answer. The lease must outlast a target that is
+# silent for some seconds, or the request is cut off that uses the memory.
+UNANSWERED_PAUSE_S: Final = 0.1
 
 
 class MemoryRefused(ConnectionError):
@@ -47,21 +50,24 @@
             return
         async with contextlib.AsyncExitStack() as stack:
             stack.callback(self._release_all, reservations)
-            if not await self._reserve_all(reservations):
+            if not all(await self._reserve_all(reservations)):
                 raise MemoryRefused
-            renewing = asyncio.ensure_future(self._renew(reservations))
-            stack.callback(renewing.cancel)
+            for reservation in reservations:
+                renewing = asyncio.ensure_future(self._renew(reservation))
+                stack.callback(renewing.cancel)
             yield
 
     async def _reserve_all(
         self, reservations: tuple[exchangerecords.Reservation, ...]
-    ) -> bool:
-        outcomes = await asyncio.gather(
+    ) -> list[bool | None]:
+        return await asyncio.gather(
             *(self._reserve(reservation) for reservation in reservations)
         )
-        return all(outcomes)
 
-    async def _reserve(self, reservation: exchangerecords.Reservation) -> bool:
+    async def _reserve(
+        self, reservation: exchangerecords.Reservation
+    ) -> bool | None:
+        """Tell whether a target holds the memory; ``None`` if it is silent."""
         try:
             return await targetmemory.reserve(
                 self._session,
@@ -77,14 +83,16 @@
                 ticket=reservation.ticket,
                 fault=fault,
             )
-            return False
+            return None
 
-    async def _renew(
-        self, reservations: tuple[exchangerecords.Reservation, ...]
-    ) -> None:
+    async def _renew(self, reservation: exchangerecords.Reservation) -> None:
+        pause_s = RENEW_INTERVAL_S
         while True:
-            await asyncio.sleep(RENEW_INTERVAL_S)
-            await self._reserve_all(reservations)
+            await asyncio.sleep(pause_s)
+            is_held = await self._reserve(reservation)
+            pause_s = RENEW_INTERVAL_S
+            if is_held is None:
+                pause_s = UNANSWERED_PAUSE_S
 
     def _release_all(
         self, reservations: tuple[exchangerecords.Reservation, ...]
--- a/tests/test_silenttargets.py
+++ b/tests/test_silenttargets.py
@@ -2,13 +2,20 @@
 
 import asyncio
 import contextlib
+import operator
 import socket
 
 import aiohttp
 import pytest
 
 from bergamotstream import clock
-from bergamotstream.forwarding import connections
+from bergamotstream.forwarding import (
+    connections,
+    eventlog,
+    exchangerecords,
+    reservations,
+)
+from bergamotstream.platform import documents
 from tests import platformkit as kit
 
 TIMEOUT_MS = 4_000
@@ -284,3 +291,35 @@
                     socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT
                 )
                 assert timeout_ms >= 2 * MAX_SILENCE_MS
+
+
+@pytest.mark.parametrize('silent_s', [1.3, 2.5])
+async def test_memory_is_held_while_its_target_is_silent(silent_s):
+    """Guards against a lease that ends as renewals have no answer.
+
+    A request is cut off when the memory that it uses expires.
+    """
+    now_s = asyncio.get_running_loop().time
+    # Begins just after a renewal was answered.
+    begin_s = now_s() + 1.1
+    renewed_s = []
+
+    async def grant(request, writer):
+        if begin_s <= now_s() <= begin_s + silent_s:
+            await asyncio.sleep(30)
+        renewed_s.append(now_s())
+        writer.write(kit.answer(request, b'{}'))
+
+    log = eventlog.EventLog(clock.Clock())
+    async with (
+        connections.open_session(reuse=True) as session,
+        kit.raw_target(grant) as target,
+    ):
+        document = kit.target_document(target.address)
+        entry = documents.decode_target_entry('t1', document)
+        reservation = exchangerecords.Reservation(entry, 'a1-1', 1_000)
+        memory = reservations.Reservations(session, log)
+        async with memory.held((reservation,)):
+            await asyncio.sleep(1.1 + silent_s + 2)
+    gaps_s = map(operator.sub, renewed_s[1:], renewed_s)
+    assert max(gaps_s) < reservations.LEASE_MS / 1_000
