Cut streams that go on at the wrong event

Callers of a resumable stream whose target broke off got events twice, missed one, or got events of another run, in a stream that ended as complete: asked to go on after event 2, a second target began at 1, 2, 4 or 1,000, with events without ids, or with ids of another kind.

Cause: `_relay_events` passed on whatever the second target sent. Only the last id was kept, to ask for what follows, and nothing was held against it.

Ruled out: the splitter (the ids of its events are right, tests/test_streamends.py) and the request (`Last-Event-Id: 2` reached the target in all cases).

Now each try has a `Continuation`, which checks the first event that does not come from the same try as the last one passed on. Numbers must rise; after ids that rose by one step throughout, by that step at most (a shorter one is no gap, as ids may count tokens); a single id is compared with the start of the stream. After uneven steps and between ids that are no numbers only a repeat can be told, by the first and the last 256 ids. An event without an id has no place and does not join, and after one no try can. Only comments may come before the joint. A try that does not follow counts as failed: the next target is tried if the route allows it, else the stream is cut, which the caller sees as incomplete.

Nor is the first answer to a caller that resumes by itself held against the id that it sent: what it has got is only its claim. The target has answered, so neither its link nor the request is suspected.

--- a/bergamotstream/forwarding/ingress.py
+++ b/bergamotstream/forwarding/ingress.py
@@ -19,6 +19,7 @@
 from bergamotstream import clock, errors, metrics
 from bergamotstream.forwarding import (
     calleranswer,
+    continuations,
     dispatch,
     eventlog,
     exchangerecords,
@@ -491,12 +492,18 @@
         headers = callerformat.answer_headers(answer.headers)
         # Another target may complete the stream with a different length.
         headers.popall('Content-Length', None)
+        continuation = continuations.Continuation(state.passed)
         splitter = relayedevents.EventSplitter()
         ending = dispatch.ending_of(answer)
         try:
-            await self._relay_events(state, record, answer, headers, splitter)
+            await self._relay_events(
+                state, record, answer, headers, splitter, continuation
+            )
             record.record_end(ending.framing, splitter)
             await _check_stream_end(state, ending, splitter)
+        except continuations.WrongContinuation as wrong:
+            # The target has answered, so it still runs.
+            raise dispatch.TargetErrorAnswer(str(wrong)) from wrong
         except dispatch.TargetTimedOut:
             # A connection error as well, but its retry is granted already.
             raise
@@ -518,6 +525,7 @@
         answer: dispatch.Answer,
         headers: multidict.CIMultiDict[str],
         splitter: relayedevents.EventSplitter,
+        continuation: continuations.Continuation,
     ) -> None:
         """Relay whole events until the end of what the target sends."""
         last_chunk_ms = 0
@@ -531,9 +539,11 @@
             )
             last_chunk_ms = now_ms
             for event in splitter.feed(chunk):
+                continuation.check(event)
                 await state.answer.write(  # noqa: WPS476 - in order
                     answer.status, headers, event.encoded
                 )
+                continuation.record(event)
                 state.last_event_id = event.event_id or state.last_event_id
             state.events_in_try = splitter.received_events
 
--- a/bergamotstream/forwarding/requeststate.py
+++ b/bergamotstream/forwarding/requeststate.py
@@ -7,6 +7,7 @@
 
 from bergamotstream.forwarding import (
     calleranswer,
+    continuations,
     dispatch,
     exchangerecords,
 )
@@ -40,6 +41,7 @@
         self.reached_target_ids: set[str] = set()
         # The last failure that a target answered.
         self.failure_answer: dispatch.BufferedAnswer | None = None
+        self.passed = continuations.PassedEvents()
         self.last_event_id = job.request.last_event_id
         self.forecast_ms = float(0)
         self.first_byte_ms = 0
