Cut streams that go on with another kind of answer

Callers found the text of an error page in their stream, which then ended as complete: the second target answered 200 with an HTML page or a JSON object that holds blank lines, of which each block was passed on like an event. A success of another status, 201 or 206, was joined as well.

Cause: of the second target's head only the status class was read; its status and media type went nowhere, as the caller has those of the first target.

Ruled out: pages without a blank line.

Now the head that the caller has got is kept, and a later try must have the same status and media type before any of its bytes is passed on.

A page with blocks that look like events needs this check.

--- a/bergamotstream/forwarding/continuations.py
+++ b/bergamotstream/forwarding/continuations.py
@@ -9,7 +9,7 @@
 
 import collections
 import re
-from typing import Final
+from typing import Final, NamedTuple
 
 from bergamotstream.forwarding import relayedevents
 
@@ -26,11 +26,20 @@
     """What a target sends does not follow what its caller has got."""
 
 
+class Head(NamedTuple):
+    """What the answers of all tries of one stream have in common."""
+
+    status: int
+    media_type: str
+
+
 class PassedEvents:
     """What the caller of one request has got of its stream."""
 
     def __init__(self) -> None:
         """Start with nothing passed on."""
+        # The first head that was passed on.
+        self.head: Head | None = None
         # The try that passed on the last event.
         self.last_try: Continuation | None = None
         self.count = 0
@@ -121,19 +130,31 @@
 class Continuation:
     """One try of a request, held against what its caller has got.
 
-    Call :meth:`check` for each event before it is passed on, which raises
-    :class:`WrongContinuation`, and :meth:`record` after that.
+    Call :meth:`check_head` first, then :meth:`check` for each event before it
+    is passed on and :meth:`record` after that. The checks raise
+    :class:`WrongContinuation`.
     """
 
-    def __init__(self, passed: PassedEvents) -> None:
-        """Hold a try against ``passed``."""
+    def __init__(self, passed: PassedEvents, head: Head) -> None:
+        """Hold a try with the answer ``head`` against ``passed``."""
         self._passed = passed
+        self._head = head
 
     @property
     def has_joined(self) -> bool:
         """Tell whether the last event passed on is one of this try."""
         return self._passed.last_try is self
 
+    def check_head(self) -> None:
+        """Raise unless the answer has the head that the caller has got."""
+        first = self._passed.head
+        if first is None or first == self._head:
+            return
+        raise WrongContinuation(
+            f'{self._head.status} with {self._head.media_type} '
+            + f'after {first.status} with {first.media_type}'
+        )
+
     def check(self, event: relayedevents.RelayedEvent) -> None:
         """Raise unless an event follows the last one passed on."""
         is_comment = _COMMENT_OR_BLANK.fullmatch(event.encoded)
@@ -148,6 +169,7 @@
 
     def record(self, event: relayedevents.RelayedEvent) -> None:
         """Record an event that was passed on."""
+        self._passed.head = self._passed.head or self._head
         count = self._passed.count
         self._passed.record(event)
         if self._passed.count > count:
--- a/bergamotstream/forwarding/ingress.py
+++ b/bergamotstream/forwarding/ingress.py
@@ -492,7 +492,10 @@
         headers = callerformat.answer_headers(answer.headers)
         # Another target may complete the stream with a different length.
         headers.popall('Content-Length', None)
-        continuation = continuations.Continuation(state.passed)
+        continuation = continuations.Continuation(
+            state.passed,
+            continuations.Head(answer.status, answer.content_type),
+        )
         splitter = relayedevents.EventSplitter()
         ending = dispatch.ending_of(answer)
         try:
@@ -529,6 +532,7 @@
     ) -> None:
         """Relay whole events until the end of what the target sends."""
         last_chunk_ms = 0
+        continuation.check_head()
         while True:
             chunk = await record.receive(answer.content.readany())
             if not chunk:
--- a/tests/test_continuationrules.py
+++ b/tests/test_continuationrules.py
@@ -6,6 +6,7 @@
 
 from bergamotstream.forwarding import continuations, relayedevents
 
+HEAD = continuations.Head(200, 'text/event-stream')
 COMMENT = relayedevents.RelayedEvent(b': ping\n\n', '')
 RULES = hypothesis.settings(max_examples=200, deadline=None, derandomize=True)
 
@@ -26,8 +27,10 @@
         self.ids = []
 
     def start_try(self):
-        """Return a try."""
-        return continuations.Continuation(self.passed)
+        """Return a try and check its head."""
+        started = continuations.Continuation(self.passed, HEAD)
+        started.check_head()
+        return started
 
     def receive(self, started, event_id):
         """Pass on an event; raises ``WrongContinuation``."""
@@ -248,6 +251,30 @@
     assert caller.is_followed_by(3) is not has_place
 
 
+@pytest.mark.parametrize(
+    ('status', 'media_type', 'is_accepted'),
+    [
+        (200, 'text/event-stream', True),
+        (201, 'text/event-stream', False),
+        (200, 'text/html', False),
+        (200, 'application/octet-stream', False),
+        (204, 'application/octet-stream', False),
+    ],
+)
+def test_head_must_be_that_of_the_first_try(status, media_type, is_accepted):
+    """Guards against a body of another kind in a stream."""
+    caller = caller_with(1, 2)
+    other = continuations.Continuation(
+        caller.passed, continuations.Head(status, media_type)
+    )
+    try:
+        other.check_head()
+    except continuations.WrongContinuation:
+        assert not is_accepted
+    else:
+        assert is_accepted
+
+
 def test_long_comment_takes_no_long_time():
     """Guards against a line of colons that occupies a host."""
     caller = caller_with(1, 2)
--- a/tests/test_continuations.py
+++ b/tests/test_continuations.py
@@ -9,6 +9,7 @@
 from tests import platformkit as kit
 
 FIRST_EVENTS = kit.event(1) + kit.event(2)
+NOT_FOUND_PAGE = b'<html>\n\n<p>id: 3</p>\n\n</html>\n\n'
 
 
 def named_event(event_id):
@@ -172,6 +173,35 @@
     assert (body, complete) == (events('x1', 'x2'), False)
 
 
+@pytest.mark.parametrize('shape', ['blank_lines', 'one_line', 'json'])
+@pytest.mark.parametrize('content_type', ['text/html', 'application/json', ''])
+async def test_body_of_another_type_is_not_passed_on(shape, content_type):
+    """Guards against a page in the middle of a stream."""
+    page = {
+        'blank_lines': NOT_FOUND_PAGE,
+        'one_line': b'<html></html>',
+        'json': b'{"id": 3}\n\n',
+    }[shape]
+    extra = f'Content-Type: {content_type}\r\n' if content_type else ''
+    respond = break_and_answer(plain(body=page, extra=extra))
+    body, complete, _ = await call(respond)
+    assert (body, complete) == (FIRST_EVENTS, False)
+
+
+@pytest.mark.parametrize('status', ['201 Created', '206 Partial Content'])
+async def test_stream_with_another_status_is_not_passed_on(status):
+    """Guards against a success of another meaning in a stream."""
+    respond = break_and_answer(
+        plain(
+            body=events(3),
+            status=status,
+            extra='Content-Type: text/event-stream\r\n',
+        )
+    )
+    body, complete, _ = await call(respond)
+    assert (body, complete) == (FIRST_EVENTS, False)
+
+
 @pytest.mark.parametrize(
     'status',
     ['500 Failed', '404 Not Found', '302 Found', '400 Bad', '503 Full'],
