Cut streams whose second target sends no event

Callers saw a stream end as complete after event 2 of 3: the second target, asked to go on, answered 204, or 200 with nothing or only comments.

Cause: `_check_stream_end` let a resumed stream end without an event, as that is right where the last event had been passed on before the break. Whether it had was not known.

Now such an end completes the stream only if as many events were passed on as the maximum of tokens that the caller has sent, as each event holds a token at least; then 204 does, too. Otherwise the stream is cut, and the caller may resume it: the first answer to it, also an empty one, is passed on unchanged.

The price is a cut of a stream that was whole.

Ruled out: the framing. An empty answer in chunks, with a length or ended by the end of its connection was taken alike.

--- a/bergamotstream/forwarding/continuations.py
+++ b/bergamotstream/forwarding/continuations.py
@@ -13,6 +13,7 @@
 
 from bergamotstream.forwarding import relayedevents
 
+NO_CONTENT: Final = 204
 # Ids that are remembered where their order does not tell a repeat.
 MAX_REMEMBERED_IDS: Final = 256
 # Longer numbers are compared as text.
@@ -70,6 +71,13 @@
         digest = hash(event_id)
         return digest == self._first or digest in self._remembered
 
+    def has_all_tokens(self, max_answer_tokens: int) -> bool:
+        """Tell whether no further event can follow.
+
+        An event holds one token at least, and may hold many.
+        """
+        return 0 < max_answer_tokens <= self.count
+
 
 class NumericOrder:
     """The order of ids that are rising numbers."""
@@ -130,9 +138,9 @@
 class Continuation:
     """One try of a request, held against what its caller has got.
 
-    Call :meth:`check_head` first, then :meth:`check` for each event before it
-    is passed on and :meth:`record` after that. The checks raise
-    :class:`WrongContinuation`.
+    Call :meth:`check_head` first, :meth:`check` for each event before it is
+    passed on, :meth:`record` after that, and :meth:`check_end` at the end of
+    the target's stream. The checks raise :class:`WrongContinuation`.
     """
 
     def __init__(self, passed: PassedEvents, head: Head) -> None:
@@ -145,11 +153,14 @@
         """Tell whether the last event passed on is one of this try."""
         return self._passed.last_try is self
 
-    def check_head(self) -> None:
+    def check_head(self, max_answer_tokens: int) -> None:
         """Raise unless the answer has the head that the caller has got."""
         first = self._passed.head
         if first is None or first == self._head:
             return
+        is_complete = self._passed.has_all_tokens(max_answer_tokens)
+        if self._head.status == NO_CONTENT and is_complete:
+            return
         raise WrongContinuation(
             f'{self._head.status} with {self._head.media_type} '
             + f'after {first.status} with {first.media_type}'
@@ -175,6 +186,19 @@
         if self._passed.count > count:
             self._passed.last_try = self
 
+    def check_end(self, max_answer_tokens: int) -> None:
+        """Raise if the stream may end before its last event.
+
+        A target that has nothing to send after an event may have come to the
+        end, or may know nothing of the stream.
+        """
+        if self.has_joined or not self._passed.count:
+            return
+        if not self._passed.has_all_tokens(max_answer_tokens):
+            raise WrongContinuation(
+                f'ended without an event after {_shown(self._passed.last_id)}'
+            )
+
     def _fault_of(self, event_id: str) -> str:
         if not self._passed.is_last_named:
             return 'may repeat events without an id'
--- a/bergamotstream/forwarding/ingress.py
+++ b/bergamotstream/forwarding/ingress.py
@@ -503,7 +503,7 @@
                 state, record, answer, headers, splitter, continuation
             )
             record.record_end(ending.framing, splitter)
-            await _check_stream_end(state, ending, splitter)
+            await _check_stream_end(state, ending, splitter, continuation)
         except continuations.WrongContinuation as wrong:
             # The target has answered, so it still runs.
             raise dispatch.TargetErrorAnswer(str(wrong)) from wrong
@@ -532,7 +532,7 @@
     ) -> None:
         """Relay whole events until the end of what the target sends."""
         last_chunk_ms = 0
-        continuation.check_head()
+        continuation.check_head(state.job.request.max_answer_tokens)
         while True:
             chunk = await record.receive(answer.content.readany())
             if not chunk:
@@ -593,6 +593,7 @@
     state: requeststate.RequestState,
     ending: dispatch.Ending,
     splitter: relayedevents.EventSplitter,
+    continuation: continuations.Continuation,
 ) -> None:
     """Raise one of ``READ_FAULTS`` if a stream may have been broken off.
 
@@ -601,6 +602,7 @@
     """
     await dispatch.check_ending(ending)
     splitter.check_end()
+    continuation.check_end(state.job.request.max_answer_tokens)
     is_closed = ending.framing is dispatch.Framing.CLOSE
     if is_closed and not splitter.received_events and not state.last_event_id:
         raise ValueError('stream ended without an event')
--- a/tests/test_continuationrules.py
+++ b/tests/test_continuationrules.py
@@ -8,6 +8,7 @@
 
 HEAD = continuations.Head(200, 'text/event-stream')
 COMMENT = relayedevents.RelayedEvent(b': ping\n\n', '')
+NO_MAXIMUM = 0
 RULES = hypothesis.settings(max_examples=200, deadline=None, derandomize=True)
 
 
@@ -29,7 +30,7 @@
     def start_try(self):
         """Return a try and check its head."""
         started = continuations.Continuation(self.passed, HEAD)
-        started.check_head()
+        started.check_head(NO_MAXIMUM)
         return started
 
     def receive(self, started, event_id):
@@ -57,19 +58,32 @@
     return caller
 
 
-# First id and number of events.
+def is_complete_after(caller, maximum):
+    """Tell whether a try without an event completes a stream."""
+    try:
+        caller.start_try().check_end(maximum)
+    except continuations.WrongContinuation:
+        return False
+    return True
+
+
+# First id, number of events and whether the target ends the stream properly.
 TRIES = strategies.lists(
-    strategies.tuples(strategies.integers(0, 9), strategies.integers(0, 5)),
+    strategies.tuples(
+        strategies.integers(0, 9),
+        strategies.integers(0, 5),
+        strategies.booleans(),
+    ),
     max_size=6,
 )
 
 
 @RULES
-@hypothesis.given(TRIES)
-def test_events_are_passed_on_once_and_in_order(tries):
+@hypothesis.given(TRIES, strategies.integers(0, 20))
+def test_events_are_passed_on_once_and_in_order(tries, maximum):
     """Guards against tries that are joined wrongly, wherever they start."""
     caller = Caller()
-    for first_id, count in tries:
+    for first_id, count, ends in tries:
         # The first try starts where the stream does.
         first_id = first_id if caller.ids else 1
         started = caller.start_try()
@@ -77,10 +91,15 @@
         try:
             for event_id in range(first_id, first_id + count):
                 caller.receive(started, event_id)
+            if ends:
+                started.check_end(maximum)
         except continuations.WrongContinuation:
             assert len(caller.ids) == before
             continue
         assert caller.ids == list(range(1, len(caller.ids) + 1))
+        has_ended = ends and bool(caller.ids)
+        if has_ended:
+            assert len(caller.ids) > before or 0 < maximum <= before
 
 
 @RULES
@@ -206,19 +225,41 @@
     assert caller_with(first).is_followed_by(following) is is_next
 
 
+@pytest.mark.parametrize(
+    ('event_ids', 'maximum', 'is_complete'),
+    [
+        ((), 0, True),
+        ((), 5, True),
+        ((1, 2), 0, False),
+        ((1, 2), 3, False),
+        ((1, 2), 2, True),
+        ((1, 2, 3), 2, True),
+        (('x', 'y'), 2, True),
+    ],
+)
+def test_end_without_an_event(event_ids, maximum, is_complete):
+    """Guards against an early end, and against cutting a whole stream."""
+    caller = caller_with(*event_ids)
+    assert is_complete_after(caller, maximum) is is_complete
+
+
 def test_comments_have_no_place():
     """Guards against a comment that counts as an event."""
     caller = Caller()
     first = caller.start_try()
     first.record(COMMENT)
+    assert is_complete_after(caller, NO_MAXIMUM)
     caller.receive(first, 1)
     first.record(COMMENT)
     second = caller.start_try()
     second.check(COMMENT)
     second.record(COMMENT)
     assert not second.has_joined
+    with pytest.raises(continuations.WrongContinuation):
+        second.check_end(NO_MAXIMUM)
     caller.receive(second, 2)
     assert second.has_joined
+    second.check_end(NO_MAXIMUM)
 
 
 @pytest.mark.parametrize(
@@ -252,23 +293,28 @@
 
 
 @pytest.mark.parametrize(
-    ('status', 'media_type', 'is_accepted'),
+    ('status', 'media_type', 'maximum', 'is_accepted'),
     [
-        (200, 'text/event-stream', True),
-        (201, 'text/event-stream', False),
-        (200, 'text/html', False),
-        (200, 'application/octet-stream', False),
-        (204, 'application/octet-stream', False),
+        (200, 'text/event-stream', 0, True),
+        (201, 'text/event-stream', 0, False),
+        (200, 'text/html', 0, False),
+        (200, 'application/octet-stream', 0, False),
+        (204, 'application/octet-stream', 0, False),
+        (204, 'application/octet-stream', 3, False),
+        (204, 'application/octet-stream', 2, True),
+        (200, 'text/html', 2, False),
     ],
 )
-def test_head_must_be_that_of_the_first_try(status, media_type, is_accepted):
+def test_head_must_be_that_of_the_first_try(
+    status, media_type, maximum, is_accepted
+):
     """Guards against a body of another kind in a stream."""
     caller = caller_with(1, 2)
     other = continuations.Continuation(
         caller.passed, continuations.Head(status, media_type)
     )
     try:
-        other.check_head()
+        other.check_head(maximum)
     except continuations.WrongContinuation:
         assert not is_accepted
     else:
--- a/tests/test_continuations.py
+++ b/tests/test_continuations.py
@@ -106,6 +106,36 @@
             received += part
 
 
+@pytest.mark.parametrize(
+    'answer_resumed',
+    [
+        stream(),
+        stream(b': ping\n\n'),
+        stream(b': ping\n\n', b'\n', b': ping\n'),
+        stream(b'event: end\n\n'),
+        plain(body=b'', extra='Content-Type: text/event-stream\r\n'),
+        lambda request: kit.stream_head(request, 'Connection: close\r\n'),
+        lambda request: kit.answer(request, b'', '204 No Content').replace(
+            b'Content-Length: 0\r\n', b''
+        ),
+    ],
+    ids=['chunked', 'comment', 'comments', 'field', 'length', 'close', '204'],
+)
+async def test_end_without_an_event_does_not_complete_a_stream(answer_resumed):
+    """Guards against a stream that ends as complete before its last event."""
+    respond = break_and_answer(answer_resumed)
+
+    async def respond_and_close(request, writer):
+        await respond(request, writer)
+        writer.close()
+
+    body, complete, sent = await call(respond_and_close)
+    assert not complete
+    assert body.startswith(FIRST_EVENTS)
+    assert b'token-' not in body.removeprefix(FIRST_EVENTS)
+    assert sent == 2
+
+
 @pytest.mark.parametrize(
     'resumed',
     [
@@ -256,6 +286,14 @@
     assert (body, complete, sent) == (first + resumed, True, 2)
 
 
+async def test_all_tokens_were_passed_on_before_the_break():
+    """Guards against cutting a stream that has reached its maximum."""
+    body, complete, _ = await call(
+        break_and_answer(stream()), Bergamotstream_Token_Counts='1000,2'
+    )
+    assert (body, complete) == (FIRST_EVENTS, True)
+
+
 @pytest.mark.parametrize('whole', [events(13), events(1, 2), events(20), b''])
 async def test_first_answer_to_a_resuming_caller_is_unchanged(whole):
     """Guards against judging a target by what a caller claims to have."""
@@ -300,6 +338,7 @@
         (events(1), "event '1' repeats events after '2'"),
         (events('c'), "event 'c' is no number after '2'"),
         (events(''), "event '' has no id after '2'"),
+        (b'', "ended without an event after '2'"),
     ],
 )
 async def test_wrong_start_is_logged_with_both_ids(monkeypatch, resumed, fault):
