Finish an engine's answer only with all its tokens

In the stand-alone mode callers could get a complete answer that misses tokens: an engine skipped one, or sent over 256 early ones, and then `done`.

Cause: `done` ended an attempt whatever had been delivered. The assembler keeps early tokens until the gap before them is filled, which never happened, and drops those beyond its bound.

Ruled out: tokens that come twice or early.

Now `output_tokens` of `done` must be the count of tokens delivered, else the attempt counts as lost and is resumed at the first missing token.

Not seen outside tests.

--- a/bergamotstream/engines/model.py
+++ b/bergamotstream/engines/model.py
@@ -250,7 +250,12 @@
 def _finished_event(
     attempt: engines.Attempt, body: Mapping[str, Any]
 ) -> events.AttemptFinished:
+    """Return the success; raises unless each token was delivered."""
     tokens = int(body['output_tokens'])
+    if tokens != attempt.sink.offset:
+        raise aiohttp.ClientPayloadError(
+            f'{attempt.sink.offset} of {tokens} tokens were delivered'
+        )
     return events.AttemptFinished(attempt.dispatch.attempt_id, tokens)
 
 
--- a/tests/test_engineclients.py
+++ b/tests/test_engineclients.py
@@ -12,6 +12,7 @@
     engines,
     events,
     records,
+    streamassembler,
 )
 from standins import (
     answers,
@@ -138,6 +139,66 @@
     assert seen[-1].offset == delivered
 
 
+class AssemblingSink:
+    """Counts tokens as an open answer does, in order and each once."""
+
+    def __init__(self, offset=0):
+        self._assembler = streamassembler.StreamAssembler('r1', offset)
+        self._assembler.switch_attempt('a1')
+
+    @property
+    def offset(self):
+        return self._assembler.offset
+
+    async def deliver(self, attempt_id, offset, tokens):
+        chunk = streamassembler.Chunk('r1', attempt_id, offset, tokens)
+        self._assembler.accept(chunk)
+
+
+def token_stream(offsets, output_tokens):
+    """Return a complete answer of an engine with tokens at ``offsets``."""
+    body = b''.join(
+        b'event: chunk\ndata: {"offset": %d, "text": "x "}\n\n' % offset
+        for offset in offsets
+    )
+    body += b'event: done\ndata: {"output_tokens": %d}\n\n' % output_tokens
+    return HEAD + b'%x\r\n%s\r\n0\r\n\r\n' % (len(body), body)
+
+
+@pytest.mark.parametrize('resume', [False, True])
+@pytest.mark.parametrize(
+    ('offsets', 'output_tokens', 'delivered'),
+    [
+        ((), 3, 1),
+        ((2,), 3, 1),
+        ((1, 3), 4, 2),
+        ((1,), 3, 2),
+        ((1, 2), 2, 3),
+        (range(2, 400), 400, 1),
+    ],
+)
+async def test_answer_that_misses_tokens_is_not_finished(
+    offsets, output_tokens, delivered, resume
+):
+    """Guards against an answer that is complete but for some tokens."""
+    async with scripted_server(token_stream(offsets, output_tokens)) as address:
+        seen = await run_attempt(
+            address, sink=AssemblingSink(offset=1), resume=resume
+        )
+    assert kinds_of(seen) == ['lost']
+    assert seen[-1].offset == delivered
+
+
+@pytest.mark.parametrize('offsets', [(1, 2), (0, 1, 2), (2, 1), (1, 1, 2)])
+async def test_answer_with_all_tokens_is_finished(offsets):
+    """Guards against a failure of tokens that come twice or early."""
+    async with scripted_server(token_stream(offsets, 3)) as address:
+        seen = await run_attempt(
+            address, sink=AssemblingSink(offset=1), resume=True
+        )
+    assert seen[-1] == events.AttemptFinished('a1', 3)
+
+
 @pytest.mark.parametrize('reply', [b'', HEAD, HEAD + CHUNK])
 async def test_silence_is_noticed_before_and_after_the_first_token(reply):
     """Guards against an attempt that waits without timeout."""
