Test streams that peers resume at the wrong event

A host that loses its links has a peer resume its streams. The peer passes on what its target sends, as it does not know what the caller has got; the first host holds it against the last event. No logic is changed.

--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -87,18 +87,59 @@
             for number in range(4)
         ]
         await asyncio.sleep(0.08)
-        # Several targets have failed, so that the host doubts its links.
-        core = system.daemons[0]._core
-        now_ms = system.daemons[0]._clock.now_ms()
-        for name in ('t4', 't5'):
-            core.reach.record_failure(
-                core.view.targets_by_id[name], now_ms, links.Symptoms()
-            )
+        doubt_links(system.daemons[0])
         cut.cut(['host-0'], 'reset')
         received = await asyncio.gather(*calls)
     assert received == [whole] * len(received)
 
 
+@pytest.mark.parametrize('shift', [-2, 1, EVENTS])
+async def test_stream_that_a_peer_resumes_wrongly_is_cut(monkeypatch, shift):
+    """Guards against a peer whose target does not go on where it should."""
+    whole = b''.join(kit.event(n) for n in range(1, EVENTS + 1))
+    right = cutcases.respond
+
+    async def respond(request, writer):
+        asked = int(request.headers.get('Last-Event-Id', 0))
+        if not asked:
+            await right(request, writer)
+            return
+        writer.write(kit.stream_head(request))
+        for number in range(max(asked + 1 + shift, 1), EVENTS + 1):
+            writer.write(kit.chunk(kit.event(number)))
+        writer.write(b'0\r\n\r\n')
+
+    monkeypatch.setattr(cutcases, 'respond', respond)
+    async with cutcases.running_system() as (system, cut):
+        calls = [
+            asyncio.ensure_future(_read_stream(system, 0)),
+            asyncio.ensure_future(system.call('/chat/1', b'1')),
+        ]
+        await asyncio.sleep(0.08)
+        doubt_links(system.daemons[0])
+        cut.cut(['host-0'], 'reset')
+        received, end = await asyncio.gather(*calls, return_exceptions=True)
+        resumed = [
+            request
+            for target in cut.targets
+            for request in target.received
+            if 'Last-Event-Id' in request.headers
+        ]
+    assert resumed
+    assert whole.startswith(received)
+    assert isinstance(end, aiohttp.ClientPayloadError)
+
+
+def doubt_links(daemon):
+    """Let several targets fail, so that a host doubts its links."""
+    core = daemon._core
+    now_ms = daemon._clock.now_ms()
+    for name in ('t4', 't5'):
+        core.reach.record_failure(
+            core.view.targets_by_id[name], now_ms, links.Symptoms()
+        )
+
+
 async def _read_stream(system, number):
     """Return the bytes of a stream, also if it is broken off."""
     received = bytearray()
