Merge the checks of streams that go on at another target

A block of comments decides nothing while several tries run: a second target that sent a comment and then nothing took over from a target that went on (test_second_target_with_comments_only_takes_ nothing_over, run after the change only).

--- a/bergamotstream/forwarding/ingress.py
+++ b/bergamotstream/forwarding/ingress.py
@@ -18,6 +18,7 @@
 from bergamotstream import clock, errors, metrics
 from bergamotstream.forwarding import (
     calleranswer,
+    continuations,
     dispatch,
     eventlog,
     exchangerecords,
@@ -495,12 +496,21 @@
         headers = callerformat.answer_headers(answer.headers)
         # Another target may complete the stream with a different length.
         headers.popall('Content-Length', None)
+        continuation = continuations.Continuation(
+            state.passed,
+            continuations.Head(answer.status, answer.content_type),
+        )
         splitter = relayedevents.EventSplitter()
         ending = dispatch.ending_of(answer)
         try:
-            await self._relay_events(served, record, answer, headers, splitter)
+            await self._relay_events(
+                served, record, answer, headers, splitter, continuation
+            )
             record.record_end(ending.framing, splitter)
-            await _check_stream_end(state, ending, splitter)
+            await _check_stream_end(state, ending, splitter, continuation)
+        except continuations.WrongContinuation as wrong:
+            # The target has answered, so it still runs.
+            raise dispatch.TargetErrorAnswer(str(wrong)) from wrong
         except dispatch.READ_FAULTS as broken:
             raise dispatch.TargetBroken(repr(broken)) from broken
         state.use_only(served)
@@ -520,10 +530,12 @@
         answer: dispatch.Answer,
         headers: multidict.CIMultiDict[str],
         splitter: relayedevents.EventSplitter,
+        continuation: continuations.Continuation,
     ) -> None:
         """Relay whole events until the end of what the target sends."""
         state = served.request
         last_chunk_ms = 0
+        continuation.check_head(state.job.request.max_answer_tokens)
         while True:
             chunk = await record.receive(answer.content.readany())
             if not chunk:
@@ -534,11 +546,13 @@
             )
             last_chunk_ms = now_ms
             for event in splitter.feed(chunk):
-                state.use_only(served)
-                await state.answer.write(  # noqa: WPS476 - in order
-                    answer.status, headers, event.encoded
-                )
-                state.last_event_id = event.event_id or state.last_event_id
+                continuation.check(event)
+                if _takes_over(served, event, continuation):
+                    await state.answer.write(  # noqa: WPS476 - in order
+                        answer.status, headers, event.encoded
+                    )
+                    continuation.record(event)
+                    state.last_event_id = event.event_id or state.last_event_id
             served.events = splitter.received_events
 
     def _fail(
@@ -579,10 +593,26 @@
         return response
 
 
+def _takes_over(
+    served: requeststate.Try,
+    event: relayedevents.RelayedEvent,
+    continuation: continuations.Continuation,
+) -> bool:
+    """Tell whether the caller gets an event, whose try then goes on alone.
+
+    A comment decides nothing while several tries run.
+    """
+    if not continuations.is_comment(event):
+        served.request.use_only(served)
+        return True
+    return len(served.request.running) <= 1 or continuation.has_joined
+
+
 async def _check_stream_end(
     state: requeststate.RequestState,
     ending: dispatch.Ending,
     splitter: relayedevents.EventSplitter,
+    continuation: continuations.Continuation,
 ) -> None:
     """Raise one of ``READ_FAULTS`` if a stream may have been broken off.
 
@@ -591,6 +621,7 @@
     """
     await dispatch.check_ending(ending)
     splitter.check_end()
+    continuation.check_end(state.job.request.max_answer_tokens)
     is_closed = ending.framing is dispatch.Framing.CLOSE
     if is_closed and not splitter.received_events and not state.last_event_id:
         raise ValueError('stream ended without an event')
--- a/tests/test_silenttargets.py
+++ b/tests/test_silenttargets.py
@@ -213,6 +213,22 @@
         await _until_left(system, two)
 
 
+@pytest.mark.parametrize('started_events', [0, 2])
+async def test_second_target_with_comments_only_takes_nothing_over(
+    started_events,
+):
+    """Guards against a target that wins with a comment and sends no event."""
+
+    async def comment(request, writer):
+        writer.write(kit.stream_head(request) + kit.chunk(b': alive\n\n'))
+        await asyncio.sleep(30)
+
+    first = fall_silent(started_events, 1.5)
+    async with calling('/chat/1', first, comment) as played:
+        status, _, body = await played[1]
+        assert (status, body) == (200, WHOLE_STREAM)
+
+
 async def test_both_targets_are_left_with_their_caller():
     """Guards against runs that go on after their caller has left."""
     async with calling('/chat/1', stay_silent, stay_silent) as played:
