Let no empty stream end a target that is silent

A second target that answered 200 with no event, or 204, counted as a whole success: the silent target was left and the caller's stream ended as complete. Such a try now fails while another one runs.

--- a/bergamotstream/forwarding/ingress.py
+++ b/bergamotstream/forwarding/ingress.py
@@ -622,6 +622,8 @@
     await dispatch.check_ending(ending)
     splitter.check_end()
     continuation.check_end(state.job.request.max_answer_tokens)
+    if len(state.running) > 1 and not splitter.received_events:
+        raise ValueError('stream ended without an event beside another try')
     is_closed = ending.framing is dispatch.Framing.CLOSE
     if is_closed and not splitter.received_events and not state.last_event_id:
         raise ValueError('stream ended without an event')
--- a/tests/test_silenttargets.py
+++ b/tests/test_silenttargets.py
@@ -229,6 +229,19 @@
         assert (status, body) == (200, WHOLE_STREAM)
 
 
+async def end_at_once(request, writer):
+    writer.write(kit.stream_head(request) + b'0\r\n\r\n')
+
+
+@pytest.mark.parametrize('started_events', [0, 2])
+async def test_answer_without_an_event_ends_no_silent_stream(started_events):
+    """Guards against an empty stream that counts as a whole success."""
+    first = fall_silent(started_events, 1.5)
+    async with calling('/chat/1', first, end_at_once) as played:
+        status, _, body = await played[1]
+        assert (status, body) == (200, WHOLE_STREAM)
+
+
 async def test_both_targets_are_left_with_their_caller():
     """Guards against runs that go on after their caller has left."""
     async with calling('/chat/1', stay_silent, stay_silent) as played:
