Keep failures of a target other than silence when it goes on

A target that was silent and went on also had an earlier refused or broken connection forgotten, so the suspicion of a crash behind it was never settled.

--- a/bergamotstream/forwarding/links.py
+++ b/bergamotstream/forwarding/links.py
@@ -174,7 +174,9 @@
         links = self._links_by_service.get(service)
         if links is None or links.is_lost:
             return
-        links.failures_by_target.pop(target_id, None)
+        failure = links.failures_by_target.get(target_id)
+        if failure is not None and failure.silent:
+            links.failures_by_target.pop(target_id)
         if not links.failures_by_target:
             self._links_by_service.pop(service)
 
