Name the host in the ids of reserved memory

A host and the peer that serves a request for it number their reservations on their own, so both could name the same memory under one id of a request.

--- a/bergamotstream/forwarding/scheduler.py
+++ b/bergamotstream/forwarding/scheduler.py
@@ -449,7 +449,13 @@
         for part in chosen.parts[1:]:
             if part.held_tokens:
                 self._tickets += 1
-                ticket = f'{job.request.attempt_id}-{self._tickets}'
+                ticket = '-'.join(
+                    (
+                        job.request.attempt_id,
+                        self._config.name,
+                        str(self._tickets),
+                    )
+                )
                 yield exchangerecords.Reservation(
                     part.entry, ticket, part.held_tokens
                 )
