Ask the next peer when one that serves a request is lost

A peer that may serve the request now counts as a destination as well. A request under which targets have ended is not sent beside a silent one either, as it is not sent again.

--- a/bergamotstream/forwarding/ingress.py
+++ b/bergamotstream/forwarding/ingress.py
@@ -101,7 +101,10 @@
             dependencies.meters,
         )
         self._retries = retrydecisions.RetryDecisions(
-            dependencies.core, dependencies.outcomes, dependencies.clock
+            dependencies.core,
+            dependencies.outcomes,
+            dependencies.clock,
+            self._relays,
         )
         self._silence = silence.SilenceMonitor(
             dependencies.core,
--- a/bergamotstream/forwarding/relayattempts.py
+++ b/bergamotstream/forwarding/relayattempts.py
@@ -70,19 +70,35 @@
         """
         if state.relayed_by or len(state.tried_peers) >= MAX_RELAYS:
             return None
+        if not self._is_needed(state):
+            return None
+        # As when it is placed: peers may have blamed it since it was admitted.
+        self._core.check_blame(state.job, self._clock.now_ms())
+        return self._choose(state)
+
+    def has_peer(self, state: requeststate.RequestState) -> bool:
+        """Tell whether a further try would go to a peer."""
+        return (
+            not state.relayed_by
+            and len(state.tried_peers) < MAX_RELAYS
+            and (self._is_needed(state) or self.is_possible(state))
+            and self._choose(state) is not None
+        )
+
+    def _is_needed(self, state: requeststate.RequestState) -> bool:
         service = state.job.service.name
-        is_needed = (
+        return (
             state.is_out_of_targets
             or state.tries_unsent >= MAX_UNSENT_BEFORE_RELAY
             or self._core.links.is_lost(service)
             or self._core.links.is_doubtful(service)
         )
-        if not is_needed:
-            return None
-        # As when it is placed: peers may have blamed it since it was admitted.
-        self._core.check_blame(state.job, self._clock.now_ms())
+
+    def _choose(
+        self, state: requeststate.RequestState
+    ) -> peerformat.HostState | None:
         return self._core.reach.choose_relay(
-            service, self._peers.live_peers(), state.tried_peers
+            state.job.service.name, self._peers.live_peers(), state.tried_peers
         )
 
     async def send(
@@ -138,7 +154,9 @@
                 is_lost = peer.entry.name not in self._peers.peers_by_name
                 if is_lost and not waiting.done():
                     handle_loss(served, self._clock.now_ms() - started_ms)
-            return await waiting
+            received = await waiting
+        served.is_silent = False
+        return received
 
     def record_sent(
         self, state: requeststate.RequestState, peer: peerformat.HostState
--- a/bergamotstream/forwarding/retrydecisions.py
+++ b/bergamotstream/forwarding/retrydecisions.py
@@ -14,6 +14,7 @@
     dispatch,
     fleetrecords,
     outcomes,
+    relayattempts,
     requeststate,
     scheduler,
 )
@@ -31,9 +32,11 @@
         core: scheduler.Scheduler,
         recorder: outcomes.OutcomeRecorder,
         time_source: clock.Clock,
+        relays: relayattempts.RelayAttempts,
     ) -> None:
-        """Decide by the state of ``core``."""
+        """Decide by the state of ``core`` and the peers that may serve."""
         self._core = core
+        self._relays = relays
         self._outcomes = recorder
         self._clock = time_source
 
@@ -73,15 +76,23 @@
     def may_try_beside(self, state: requeststate.RequestState) -> bool:
         """Decide on a further try while those that run are silent."""
         retry_policy = state.job.route.retry_policy
+        now_ms = self._clock.now_ms()
         return (
             retry_policy is not fleetrecords.RetryPolicy.ONLY_IF_NOT_RUN
             and state.is_silent
-            and self._core.has_target(
-                state.job, state.tried_target_ids, self._clock.now_ms()
-            )
+            and self._core.blame.may_retry(state.job.fingerprints, now_ms)
+            and self._has_destination(state, now_ms)
             and self._has_retry_left(state)
         )
 
+    def _has_destination(
+        self, state: requeststate.RequestState, now_ms: int
+    ) -> bool:
+        """Tell whether a target or a peer may get one more try."""
+        return self._core.has_target(
+            state.job, state.tried_target_ids, now_ms
+        ) or self._relays.has_peer(state)
+
     def _has_retry_left(self, state: requeststate.RequestState) -> bool:
         return self._core.may_retry(
             state.job, state.tries_sent, self._clock.now_ms()
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -250,3 +250,42 @@
             cutcases.hold_lookups = None
             serving.set()
         assert status in {0, 502, 504}
+
+
+class _Hold:
+    """Keeps the answers to the first request, and to those of its target."""
+
+    def __init__(self):
+        self.held = 0
+
+    async def wait(self):
+        self.held += 1
+        if self.held == 1:
+            await asyncio.sleep(30)
+
+
+async def test_request_of_a_lost_peer_goes_to_the_next_one(monkeypatch):
+    """Guards against a host that waits for a peer that is gone."""
+    hold = _Hold()
+    monkeypatch.setattr(cutcases, 'hold_lookups', hold)
+    async with cutcases.running_system(plain_targets=2) as (system, cut):
+        cut.cut(['host-0'], 'refused')
+        call = asyncio.ensure_future(system.call('/lookup/held', b'x', 0))
+        await system.until(lambda: hold.held)
+        first = system.daemons[0]
+        (name,) = (
+            daemon._entry.name
+            for daemon in system.daemons[1:]
+            if daemon._core.table.own()
+        )
+        apply_state = first._peers._apply_state
+
+        def ignore_lost(state, now_ms):
+            if state.entry.name != name:
+                apply_state(state, now_ms)
+
+        monkeypatch.setattr(first._peers, '_apply_state', ignore_lost)
+        first._peers.peers_by_name.pop(name)
+        status, _, _ = await call
+        assert status == 200
+        assert hold.held == 2
