--- a/bergamotstream/forwarding/ingress.py
+++ b/bergamotstream/forwarding/ingress.py
@@ -23,6 +23,7 @@
     eventlog,
     exchangerecords,
     fingerprints,
+    fleetrecords,
     outcomes,
     peerexchange,
     peerformat,
@@ -187,7 +188,7 @@
         await self._wait_for_configuration()
         now_ms = self._clock.now_ms()
         job = self._core.admit(caller_request, now_ms)
-        self._check_headers(request)
+        _check_headers(request, self._core.view.configuration)
         body = await self._read_body(request)
         job = fingerprints.identify(job, body)
         job = self._core.start_trial(job, now_ms)
@@ -221,15 +222,6 @@
             async with asyncio.timeout(CONFIGURATION_TIMEOUT_S):
                 await self._dependencies.configured.wait()
 
-    def _check_headers(self, request: web.BaseRequest) -> None:
-        configuration = self._core.view.configuration
-        size = sum(
-            len(name) + len(field) + HEADER_LINE_OVERHEAD_BYTES
-            for name, field in request.raw_headers
-        )
-        if configuration and size > configuration.limits.max_header_bytes:
-            raise errors.HeadersTooLarge(f'{size} bytes')
-
     async def _read_body(self, request: web.BaseRequest) -> bytes:
         configuration = self._core.view.configuration
         if configuration is None:
@@ -298,9 +290,21 @@
         """Raise the error of a try unless another one still runs."""
         if isinstance(error, errors.CallerGone) or not state.running:
             raise error
+        # The further try was not sent.
+        self._core.budget.give_back(state.job.service.name)
         self._silence.record_refusal(state, error)
 
     async def _try_once(self, served: requeststate.Try) -> web.StreamResponse:
+        """Try a target or a peer; raises ``TRY_FAULTS``."""
+        try:
+            return await self._try_destination(served)
+        except errors.ServiceError as error:
+            served.outcome = error.code
+            raise
+
+    async def _try_destination(
+        self, served: requeststate.Try
+    ) -> web.StreamResponse:
         """Try a target, or a peer if none can be tried over own links."""
         state = served.request
         peer = self._relays.choose_peer(state)
@@ -596,6 +600,19 @@
         return response
 
 
+def _check_headers(
+    request: web.BaseRequest,
+    configuration: fleetrecords.Configuration | None,
+) -> None:
+    """Raise ``HeadersTooLarge`` above the operators' limit."""
+    size = sum(
+        len(name) + len(field) + HEADER_LINE_OVERHEAD_BYTES
+        for name, field in request.raw_headers
+    )
+    if configuration and size > configuration.limits.max_header_bytes:
+        raise errors.HeadersTooLarge(f'{size} bytes')
+
+
 def _takes_over(
     served: requeststate.Try,
     event: relayedevents.RelayedEvent,
--- a/bergamotstream/forwarding/retrybudget.py
+++ b/bergamotstream/forwarding/retrybudget.py
@@ -55,6 +55,10 @@
         self._retries_by_service.add(service, now_ms)
         return True
 
+    def give_back(self, service: str) -> None:
+        """Return the last retry that was acquired and not sent."""
+        self._retries_by_service.remove_last(service)
+
     def _slack_share(self, now_ms: int) -> float:
         """Return the share of this host's fixed number that it may use."""
         if self._started_ms is None:
--- a/bergamotstream/forwarding/silence.py
+++ b/bergamotstream/forwarding/silence.py
@@ -22,8 +22,8 @@
 )
 
 MS_PER_S: Final = 1_000
-# Shortest interval at which a further try is considered.
-MIN_INTERVAL_MS: Final = 250
+# Interval at which a further try is considered again, as targets get room.
+CHECK_INTERVAL_MS: Final = 250
 
 Received = TypeVar('Received')
 # Starts one more try of a request.
@@ -65,14 +65,13 @@
             stack.callback(waiting.cancel)
             limit_ms = self._core.silence_limit_ms(served.job, started_ms)
             while limit_ms is not None:
-                limit_ms = max(limit_ms, MIN_INTERVAL_MS)
                 await asyncio.wait((waiting,), timeout=limit_ms / MS_PER_S)
                 if waiting.done():
                     break
                 now_ms = self._clock.now_ms()
                 if self.handle_silence(served, now_ms - started_ms):
                     self._outcomes.record_silent_target(served, assignment)
-                limit_ms = self._core.silence_limit_ms(served.job, now_ms)
+                limit_ms = CHECK_INTERVAL_MS
             received = await waiting
         self._handle_resumed(served, started_ms)
         return received
--- a/bergamotstream/forwarding/slidingwindows.py
+++ b/bergamotstream/forwarding/slidingwindows.py
@@ -24,6 +24,12 @@
         """Return how many events the window before ``now_ms`` holds."""
         return len(self._window(name, now_ms))
 
+    def remove_last(self, name: str) -> None:
+        """Drop the newest event of a name, if the window holds any."""
+        times = self._times_by_name.get(name)
+        if times:
+            times.pop()
+
     def forget(self, name: str) -> None:
         """Drop the events of a name."""
         self._times_by_name.pop(name, None)
--- a/tests/test_silenttargets.py
+++ b/tests/test_silenttargets.py
@@ -8,12 +8,13 @@
 import aiohttp
 import pytest
 
-from bergamotstream import clock
+from bergamotstream import clock, errors
 from bergamotstream.forwarding import (
     connections,
     eventlog,
     exchangerecords,
     reservations,
+    scheduler,
 )
 from bergamotstream.platform import documents
 from tests import platformkit as kit
@@ -242,6 +243,45 @@
         assert (status, body) == (200, WHOLE_STREAM)
 
 
+async def test_target_that_gets_room_late_is_tried_beside_a_silent_one():
+    """Guards against callers that time out before the next look for a target."""
+    first = fall_silent(2, 30)
+    async with (
+        kit.running_system(document=document()) as system,
+        kit.raw_target(first) as one,
+        kit.raw_target(goes_on) as two,
+    ):
+        await system.add_target('t1', one, service='model')
+        call = asyncio.ensure_future(system.call('/chat/1'))
+        await system.until(lambda: one.received)
+        started_s = asyncio.get_running_loop().time()
+        await asyncio.sleep(1.3)
+        await system.add_target('t2', two, service='model')
+        status, _, body = await call
+        assert (status, body) == (200, WHOLE_STREAM)
+        # Callers wait for two seconds between events.
+        assert asyncio.get_running_loop().time() - started_s < 2
+
+
+async def test_further_try_without_a_place_keeps_the_retry_budget(monkeypatch):
+    """Guards against retries that are counted and never sent."""
+    first = fall_silent(2, 2.5)
+    place = scheduler.Scheduler.place
+
+    def refuse_further(core, job, excluded, now_ms):
+        if excluded:
+            raise errors.Overloaded('full', retry_after_ms=1)
+        return place(core, job, excluded, now_ms)
+
+    monkeypatch.setattr(scheduler.Scheduler, 'place', refuse_further)
+    async with calling('/chat/1', first, goes_on) as played:
+        system, call, _, two = played
+        assert (await call)[2] == WHOLE_STREAM
+        assert not sends(two)
+        retries = system.daemons[0]._core.budget._retries_by_service
+        assert not retries.count('model', clock.Clock().now_ms())
+
+
 async def test_both_targets_are_left_with_their_caller():
     """Guards against runs that go on after their caller has left."""
     async with calling('/chat/1', stay_silent, stay_silent) as played:
