Bound the heads that announce an answer

A target that sent heads with status 102 or 103 without end kept an order until its time was over: callers saw 504 instead of 502, and the host read bytes without a limit.

Cause: the handler stopped counting the bytes before an answer's head at the first head of any status, also at one that only announces the answer (1xx). Such a head now leaves the count running, so that the limit of 1 MB before the head of an answer holds for them too. 101 ends the exchange and stays a head.

--- a/bergamotstream/forwarding/connections.py
+++ b/bergamotstream/forwarding/connections.py
@@ -28,6 +28,8 @@
 # Bytes received before the head of an answer is complete. The HTTP library skips
 # blank lines before a head, so its own limits do not count them.
 MAX_HEAD_BYTES: Final = 1_048_576
+# Statuses of heads that an answer's own head follows.
+INTERIM_STATUSES: Final = frozenset(range(100, 200)) - {101}
 
 
 class ConnectionLost(aiohttp.ClientError):
@@ -51,7 +53,7 @@
 
     def feed_data(self, data: Any, size: int = 0) -> None:
         """Note that a head is complete; called by the parser."""
-        self._is_head_missing = False
+        self._is_head_missing = data[0].code in INTERIM_STATUSES
         super().feed_data(data, size)
 
     def data_received(self, data: bytes) -> None:
