Give no request what a target wrote before it

On a new connection, bytes before the request were read as its answer too; so a refusal there was told to the caller although the request had been sent.

Cause: aiohttp keeps the parser of the last answer while a connection lies in the pool, queues what it parses there, and hands the queue to the next request. It looks at the queue only when a connection is given back. What arrives before the first request is kept as its tail and parsed as the first answer.

Now the handler aborts a connection that receives anything while no request waits, and drops a second head in the segment of an answer. The connector also looks at the socket before it hands a connection out, because bytes may lie there that the event loop has not read. A kept connection that has input, or has ended, is closed and the next one is taken. A new one that is not silent is ClientConnectorError: nothing was sent, so another target may get the request, also one that may run only once.

Orders are not affected while idle, as each has a connection of its own.

Connections are still shared by requests that were served (test_served_requests_share_...).

--- a/bergamotstream/forwarding/connections.py
+++ b/bergamotstream/forwarding/connections.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import functools
+import select
 import socket
 from typing import Any, Final
 
@@ -36,14 +37,29 @@
     """A connection ended before an answer; the request may have run."""
 
 
-class LimitedHeadHandler(aiohttp.client_proto.ResponseHandler):
-    """Aborts a connection that sends too much before the head of an answer."""
+class TargetHandler(aiohttp.client_proto.ResponseHandler):
+    """Receives one answer to each request.
+
+    Aborts a connection that sends too much before the head of an answer, or
+    anything while no request waits: no request can be told what that answers.
+    """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         """Wait for no answer yet."""
         super().__init__(loop)
+        # True once a request was to be sent on the connection.
+        self.is_used = False
         self._is_head_missing = False
         self._head_bytes = 0
+        self._body: Any = None
+
+    def expect_answer(self) -> bool:
+        """Prepare for a request; False if the connection must not be used.
+
+        It has ended, or has sent something before the request.
+        """
+        self.is_used = True
+        return self.is_connected() and not self._has_input()
 
     def set_response_params(self, **options: Any) -> None:
         """Start to receive the answer to a request; called by aiohttp."""
@@ -52,12 +68,21 @@
         super().set_response_params(**options)
 
     def feed_data(self, data: Any, size: int = 0) -> None:
-        """Note that a head is complete; called by the parser."""
-        self._is_head_missing = data[0].code in INTERIM_STATUSES
+        """Receive a head and its body; called by the parser."""
+        if not self._is_head_missing:
+            # Follows the answer in one segment.
+            self.force_close()
+            return
+        head, body = data
+        self._is_head_missing = head.code in INTERIM_STATUSES
+        self._body = body
         super().feed_data(data, size)
 
     def data_received(self, data: bytes) -> None:
-        """Count the bytes until the head is complete."""
+        """Receive bytes; count them until the head is complete."""
+        if data and self._is_idle():
+            self.abort()
+            return
         if self._is_head_missing:
             self._head_bytes += len(data)
         if self._head_bytes > MAX_HEAD_BYTES:
@@ -68,16 +93,56 @@
             return
         super().data_received(data)
 
+    def _is_idle(self) -> bool:
+        """Tell whether no request waits for an answer or the rest of one."""
+        if self._is_head_missing:
+            return False
+        return self._body is None or self._body.is_eof()
+
+    def _has_input(self) -> bool:
+        """Tell whether the socket holds unread bytes or its end."""
+        if self.transport is None:
+            return True
+        opened = self.transport.get_extra_info('socket')
+        poller = select.poll()
+        poller.register(opened.fileno(), select.POLLIN)
+        return bool(poller.poll(0))
+
 
 class TargetConnector(aiohttp.TCPConnector):
-    """Connector whose connections limit the head of an answer."""
+    """Connector whose connections take each answer for one request only."""
 
     def __init__(self, **options: Any) -> None:
         """Take the options of ``aiohttp.TCPConnector``."""
         super().__init__(limit=0, socket_factory=_open_socket, **options)
-        factory: Any = functools.partial(LimitedHeadHandler, loop=self._loop)
+        factory: Any = functools.partial(TargetHandler, loop=self._loop)
         self._factory = factory
 
+    async def connect(
+        self,
+        req: aiohttp.ClientRequest,
+        traces: list[aiohttp.tracing.Trace],
+        timeout: aiohttp.ClientTimeout,
+    ) -> aiohttp.connector.Connection:
+        """Return a connection on which nothing has arrived.
+
+        Raises ``ClientConnectorError`` if not even a new one is silent.
+        """
+        while True:
+            connection = await super().connect(  # noqa: WPS476 - in turn
+                req, traces, timeout
+            )
+            handler: Any = connection.protocol
+            is_new = not handler.is_used
+            if handler.expect_answer():
+                return connection
+            connection.close()
+            if is_new:
+                raise aiohttp.ClientConnectorError(
+                    req.connection_key,
+                    ConnectionAbortedError('not silent before a request'),
+                )
+
 
 class TrackedResponse(aiohttp.ClientResponse):
     """Response that knows how its connection has ended."""
--- a/tests/test_extraanswers.py
+++ b/tests/test_extraanswers.py
@@ -3,12 +3,16 @@
 import asyncio
 import contextlib
 
+import aiohttp
 import pytest
 
+from bergamotstream.forwarding import connections
 from tests import platformkit as kit
 
 PAUSE_S = 0.05
 ROUNDS = 4
+# Refusals of requests, as targets write them.
+REFUSALS = ('503 Busy', '429 Slow', '421 Other', '400 Bad')
 # Path and method of a request of each kind.
 KINDS = {
     'lookup': ('/lookup/', 'POST'),
@@ -16,6 +20,25 @@
     'order': ('/order/', 'POST'),
     'stream': ('/chat/', 'POST'),
 }
+REPEATABLE = ('lookup', 'get', 'stream')
+OTHER_ID = 'earlier'
+
+
+def refusal(status='503 Busy', attempt_id=OTHER_ID):
+    """Return a refusal; without ``attempt_id`` it names no request."""
+    echo = f'{kit.ATTEMPT}: {attempt_id}\r\n' if attempt_id else ''
+    return (
+        f'HTTP/1.1 {status}\r\n{echo}{kit.NOT_RUN}: 1\r\n'
+        f'Content-Length: 4\r\n\r\nfull'
+    ).encode()
+
+
+def success(attempt_id=OTHER_ID, body=b'other'):
+    """Return a success that belongs to ``attempt_id``."""
+    return (
+        f'HTTP/1.1 200 OK\r\n{kit.ATTEMPT}: {attempt_id}\r\n'
+        f'{kit.STAMP}: s.0\r\nContent-Length: {len(body)}\r\n\r\n'
+    ).encode() + body
 
 
 def own_answer(request):
@@ -79,6 +102,76 @@
         assert runs_by_id(*targets) == dict.fromkeys(ids, 1)
 
 
+@pytest.mark.parametrize('kind', KINDS)
+@pytest.mark.parametrize('attempt_id', [OTHER_ID, ''])
+@pytest.mark.parametrize('status', REFUSALS)
+async def test_refusal_on_an_idle_connection_is_no_answer(
+    kind, attempt_id, status
+):
+    """Guards against a refusal that comes before the request it ends."""
+
+    async def respond(request, writer):
+        writer.write(own_answer(request))
+        await asyncio.sleep(PAUSE_S / 2)
+        writer.write(refusal(status, attempt_id))
+
+    await check_all_served_once(kind, respond, PAUSE_S)
+
+
+@pytest.mark.parametrize('kind', KINDS)
+@pytest.mark.parametrize('extra', [success(), b'\0nonsense\r\n', b'\r\n'])
+async def test_bytes_on_an_idle_connection_are_no_answer(kind, extra):
+    """Guards against a success or nonsense that comes before the request."""
+
+    async def respond(request, writer):
+        writer.write(own_answer(request))
+        await asyncio.sleep(PAUSE_S / 2)
+        writer.write(extra)
+
+    await check_all_served_once(kind, respond, PAUSE_S)
+
+
+@pytest.mark.parametrize('kind', KINDS)
+@pytest.mark.parametrize('attempt_id', [OTHER_ID, ''])
+async def test_refusal_behind_an_answer_is_no_answer(kind, attempt_id):
+    """Guards against an extra answer in one segment with the own one."""
+
+    async def respond(request, writer):
+        writer.write(own_answer(request) + refusal(attempt_id=attempt_id))
+
+    await check_all_served_once(kind, respond)
+
+
+@pytest.mark.parametrize('kind', KINDS)
+@pytest.mark.parametrize('attempt_id', [OTHER_ID, ''])
+@pytest.mark.parametrize('cut', [1, 30, -6, -2])
+async def test_split_refusal_on_an_idle_connection_is_no_answer(
+    kind, attempt_id, cut
+):
+    """Guards against the second half of an extra answer."""
+    extra = refusal(attempt_id=attempt_id)
+
+    async def respond(request, writer):
+        writer.write(own_answer(request) + extra[:cut])
+        await asyncio.sleep(PAUSE_S / 2)
+        writer.write(extra[cut:])
+
+    await check_all_served_once(kind, respond, PAUSE_S)
+
+
+@pytest.mark.parametrize('kind', REPEATABLE)
+async def test_served_requests_share_a_connection(kind):
+    """Guards against a connection for each request, which has its price."""
+
+    async def respond(request, writer):
+        writer.write(own_answer(request))
+
+    async with two_targets(kind, respond) as (system, targets):
+        for number in range(ROUNDS):
+            assert (await call(system, kind, f'a{number}'))[0] == 200
+        assert sum(target.connections for target in targets) <= 2
+
+
 @pytest.mark.parametrize('head', ['HTTP/1.1 102 Wait\r\n\r\n', 'own'])
 async def test_endless_interim_heads_end_the_try(head):
     """Guards against heads that announce an answer without end."""
@@ -113,3 +206,37 @@
         writer.write(own_answer(request))
 
     await check_all_served_once(kind, respond)
+
+
+@pytest.mark.parametrize('attempt_id', ['', OTHER_ID, 'a1'])
+@pytest.mark.parametrize('reuse', [True, False])
+async def test_bytes_before_a_request_are_no_answer(
+    attempt_id, reuse, monkeypatch
+):
+    """Guards against a refusal that a new connection begins with.
+
+    Nothing was sent, so another target may get the request.
+    """
+    received = []
+    connect = aiohttp.TCPConnector.connect
+
+    async def connect_slowly(*arguments, **options):
+        connection = await connect(*arguments, **options)
+        await asyncio.sleep(PAUSE_S)
+        return connection
+
+    async def respond(reader, writer):
+        writer.write(refusal(attempt_id=attempt_id))
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            received.append(await reader.readuntil(b'\r\n\r\n'))
+        writer.close()
+
+    monkeypatch.setattr(aiohttp.TCPConnector, 'connect', connect_slowly)
+    server = await asyncio.start_server(respond, '127.0.0.1', 0)
+    address = '{0}:{1}'.format(*server.sockets[0].getsockname())
+    async with server, connections.open_session(reuse=reuse) as session:
+        with pytest.raises(aiohttp.ClientConnectorError):
+            await session.post(
+                f'http://{address}/', headers={kit.ATTEMPT: 'a1'}
+            )
+        assert not received
