Use a connection again only after a served request

A connection on which a try had been refused, had failed or had sent a broken stream went back to the pool, and the next try of the same request could get it. An earlier refusal written once more there bears the id of the request, so nothing tells it from a refusal of the new try: "not run" for a lookup or a stream that was running. Connections of rejected requests also came back with the rest of a body unread. dispatch.close was written to prevent that, but had no effect.

Cause: aiohttp gives a connection back at the end of the body, before the answer is checked. When dispatch.close ran, the response had no connection any more.

Now the response keeps its connection until it is released or closed. A second try follows only on a fault, and after a fault the connection is closed, so that two tries of one request never share one. Requests that may run only once have new connections as before, and another attempt of a caller has another id. The error of a peer is a complete answer of this project's own server; its connection is released as before.

Price: a connection for each 500 of a target.

Ruled out: an answer that comes before a long body has been sent. aiohttp closes such a connection (test_connection_of_an_unread_request_..., passes before and after).

Evidence: 15 of 15 cases of test_connection_of_a_failed_try_is_not_used_again (503, 429, 421, 400, 500; lookup, GET, stream) and the one of a broken stream failed before and pass now.

--- a/bergamotstream/forwarding/connections.py
+++ b/bergamotstream/forwarding/connections.py
@@ -145,7 +145,11 @@
 
 
 class TrackedResponse(aiohttp.ClientResponse):
-    """Response that knows how its connection has ended."""
+    """Response that knows how its connection has ended.
+
+    Its connection is used again only after ``read`` or ``release``, and not at
+    the end of its body, as the answer has yet to be checked.
+    """
 
     # Done when the connection is lost, with an exception after a reset.
     connection_lost: asyncio.Future[None] | None = None
@@ -165,6 +169,9 @@
             self.connection_lost.add_done_callback(_retrieve_exception)
         return await super().start(connection)
 
+    def _response_eof(self) -> None:
+        """Keep the connection at the end of the body; called by aiohttp."""
+
 
 def _retrieve_exception(connection_lost: asyncio.Future[None]) -> None:
     """Keep asyncio from logging a reset that no response waits for."""
--- a/bergamotstream/forwarding/peerrelay.py
+++ b/bergamotstream/forwarding/peerrelay.py
@@ -85,7 +85,7 @@
     except MALFORMED as broken:
         return dispatch.TargetBroken(f'{answer.status} of a peer: {broken!r}')
     finally:
-        answer.close()
+        answer.release()
     if error.code in REPEATABLE_CODES and error.run_state == 'not_run':
         return PeerRefused(error.code)
     return error
--- a/tests/test_extraanswers.py
+++ b/tests/test_extraanswers.py
@@ -159,6 +159,55 @@
     await check_all_served_once(kind, respond, PAUSE_S)
 
 
+@pytest.mark.parametrize('kind', REPEATABLE)
+@pytest.mark.parametrize('status', [*REFUSALS, '500 Fault'])
+async def test_connection_of_a_failed_try_is_not_used_again(kind, status):
+    """Guards against a refusal of an earlier try of the same request.
+
+    A target may also leave the rest of a rejected request unread.
+    """
+
+    async def respond(request, writer):
+        attempt_id = request.headers.get(kit.ATTEMPT, '')
+        text = refusal(status, attempt_id)
+        if status.startswith('500'):
+            text = text.replace(kit.NOT_RUN.encode(), b'X-None')
+        writer.write(text)
+
+    service = 'model' if kind == 'stream' else 'plain'
+    async with (
+        kit.running_system() as system,
+        kit.raw_target(respond) as target,
+    ):
+        await system.add_target('t1', target, service=service)
+        for number in range(40):
+            await call(system, kind, f'a{number}')
+            await asyncio.sleep(PAUSE_S)
+            if len(target.received) >= 2:
+                break
+        assert len(target.received) >= 2
+        assert target.connections == len(target.received)
+
+
+async def test_connection_of_a_broken_stream_is_not_used_again():
+    """Guards against tries of one request that share a connection."""
+
+    async def respond(request, writer):
+        body = kit.event(1) + b'id: 2\nda'
+        writer.write(kit.stream_head(request) + kit.chunk(body) + b'0\r\n\r\n')
+
+    async with (
+        kit.running_system() as system,
+        kit.raw_target(respond) as target,
+    ):
+        await system.add_target('t1', target, service='model')
+        for number in range(3):
+            with contextlib.suppress(aiohttp.ClientError):
+                await call(system, 'stream', f'a{number}')
+        assert len(target.received) >= 2
+        assert target.connections == len(target.received)
+
+
 @pytest.mark.parametrize('kind', REPEATABLE)
 async def test_served_requests_share_a_connection(kind):
     """Guards against a connection for each request, which has its price."""
@@ -240,3 +289,43 @@
                 f'http://{address}/', headers={kit.ATTEMPT: 'a1'}
             )
         assert not received
+
+
+@pytest.mark.parametrize('kind', ['lookup', 'order', 'stream'])
+async def test_connection_of_an_unread_request_is_not_used_again(kind):
+    """Guards against a request where the rest of a body is due.
+
+    A target may answer before it has read a body, and read on later.
+    """
+    heads = []
+
+    async def serve(reader, writer):
+        head = await reader.readuntil(b'\r\n\r\n')
+        heads.append(head)
+        fields = dict(
+            line.split(': ', 1) for line in head.decode().split('\r\n')[1:-2]
+        )
+        writer.write(own_answer(kit.Received(head.decode(), fields, b'')))
+        await asyncio.sleep(2 * PAUSE_S)
+        with contextlib.suppress(ConnectionError):
+            rest = await reader.read(20_000_000)
+            while rest:
+                assert not rest.strip(b'x'), rest.strip(b'x')[:80]
+                rest = await reader.read(20_000_000)
+        writer.close()
+
+    limits = {'max_header_bytes': 16_384, 'max_body_bytes': 20_000_000}
+    document = kit.configuration_document(limits=limits)
+    server = await asyncio.start_server(serve, '127.0.0.1', 0)
+    target = kit.RawTarget(None)
+    target.address = '{0}:{1}'.format(*server.sockets[0].getsockname())
+    service = 'model' if kind == 'stream' else 'plain'
+    async with server, kit.running_system(document=document) as system:
+        await system.add_target('t1', target, service=service)
+        for number in range(ROUNDS):
+            attempt_id = f'a{number}'
+            body = b'x' * 15_000_000
+            found = await call(system, kind, attempt_id, body)
+            assert found[0] == 200
+            assert attempt_id.encode() in found[1]
+        assert len(heads) == ROUNDS
