Skip an answer that names another request

A target that wrote an extra answer to another request while a request was on its way cost that request its run: callers of orders got 502 though the order had run, lookups and streams were sent to a second target and ran twice. PROTOCOL.md says that the id identifies an extra answer, and that it comes at the point where the next answer is expected; the own one follows.

Cause: the first head was taken for the answer, its id did not fit, and the connection was closed.

Now the connection knows the id of the request that it was handed out for. A head that names other requests only is skipped with its body, and the wait for the own head goes on, within the request's time and at most 8 answers and 128 KB of their bodies; more ends the try as a broken connection. The limit of 1 MB before the own head counts the skipped bytes too. Requests without an id (store, peers, probes, memory) skip nothing. Each skipped answer is logged: answer_skipped with id, address, foreign_id and status, and a counter by status. The recorder belongs to the session and not to the Dispatcher, so that answers are logged as well when the own one never comes.

--- a/bergamotstream/forwarding/connections.py
+++ b/bergamotstream/forwarding/connections.py
@@ -11,10 +11,13 @@
 import functools
 import select
 import socket
-from typing import Any, Final
+from collections.abc import Callable
+from typing import Any, Final, NamedTuple, TypeAlias
 
 import aiohttp
 
+from bergamotstream.platform import protocol
+
 # Time without acknowledgement after which a connection has failed, long enough
 # for the retransmission of a lost packet.
 UNACKNOWLEDGED_TIMEOUT_MS: Final = 1_500
@@ -31,34 +34,61 @@
 MAX_HEAD_BYTES: Final = 1_048_576
 # Statuses of heads that an answer's own head follows.
 INTERIM_STATUSES: Final = frozenset(range(100, 200)) - {101}
+# Answers to other requests that are skipped while a request waits for its own,
+# and the length of their bodies, which the HTTP library buffers.
+MAX_SKIPPED: Final = 8
+MAX_SKIPPED_BYTES: Final = 131_072
 
 
 class ConnectionLost(aiohttp.ClientError):
     """A connection ended before an answer; the request may have run."""
 
 
+class SkippedAnswer(NamedTuple):
+    """An answer to another request than the one that waits."""
+
+    # ``IP:port`` of the target.
+    address: str
+    attempt_id: str
+    foreign_id: str
+    status: int
+
+
+SkipRecorder: TypeAlias = Callable[[SkippedAnswer], None]
+
+
 class TargetHandler(aiohttp.client_proto.ResponseHandler):
     """Receives one answer to each request.
 
-    Aborts a connection that sends too much before the head of an answer, or
-    anything while no request waits: no request can be told what that answers.
+    Skips answers that name another request, which a target may send before
+    the own one. Aborts a connection that sends too much before the head of an
+    answer, or anything while no request waits: no request can be told what
+    that answers.
     """
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, record_skipped: SkipRecorder
+    ) -> None:
         """Wait for no answer yet."""
         super().__init__(loop)
+        self._record_skipped = record_skipped
         # True once a request was to be sent on the connection.
         self.is_used = False
         self._is_head_missing = False
         self._head_bytes = 0
         self._body: Any = None
+        self._attempt_id = ''
+        self._skipped_bodies: list[Any] = []
 
-    def expect_answer(self) -> bool:
+    def expect_answer(self, attempt_id: str) -> bool:
         """Prepare for a request; False if the connection must not be used.
 
-        It has ended, or has sent something before the request.
+        It has ended, or has sent something before the request. Without an
+        ``attempt_id`` no answer is skipped.
         """
         self.is_used = True
+        self._attempt_id = attempt_id
+        self._skipped_bodies.clear()
         return self.is_connected() and not self._has_input()
 
     def set_response_params(self, **options: Any) -> None:
@@ -74,6 +104,10 @@
             self.force_close()
             return
         head, body = data
+        if self._is_foreign(head):
+            self._skipped_bodies.append(body)
+            self._record_skip(head)
+            return
         self._is_head_missing = head.code in INTERIM_STATUSES
         self._body = body
         super().feed_data(data, size)
@@ -86,12 +120,40 @@
         if self._is_head_missing:
             self._head_bytes += len(data)
         if self._head_bytes > MAX_HEAD_BYTES:
-            self.set_exception(
-                aiohttp.ClientConnectionError('no head within the limit')
-            )
-            self.abort()
+            self._fail('no head within the limit')
             return
         super().data_received(data)
+        if self._is_head_missing and self._has_skipped_too_much():
+            self._fail('too many answers to other requests')
+
+    def _fail(self, reason: str) -> None:
+        self.set_exception(aiohttp.ClientConnectionError(reason))
+        self.abort()
+
+    def _is_foreign(self, head: Any) -> bool:
+        """Tell whether a head names other requests only."""
+        echoed = head.headers.getall(protocol.ATTEMPT_ID, ())
+        return bool(
+            self._attempt_id and echoed and self._attempt_id not in echoed
+        )
+
+    def _record_skip(self, head: Any) -> None:
+        transport: Any = self.transport
+        host, port = transport.get_extra_info('peername')[:2]
+        self._record_skipped(
+            SkippedAnswer(
+                f'{host}:{port}',
+                self._attempt_id,
+                head.headers[protocol.ATTEMPT_ID],
+                head.code,
+            )
+        )
+
+    def _has_skipped_too_much(self) -> bool:
+        size = sum(body.total_bytes for body in self._skipped_bodies)
+        return (
+            len(self._skipped_bodies) > MAX_SKIPPED or size > MAX_SKIPPED_BYTES
+        )
 
     def _is_idle(self) -> bool:
         """Tell whether no request waits for an answer or the rest of one."""
@@ -112,10 +174,12 @@
 class TargetConnector(aiohttp.TCPConnector):
     """Connector whose connections take each answer for one request only."""
 
-    def __init__(self, **options: Any) -> None:
+    def __init__(self, record_skipped: SkipRecorder, **options: Any) -> None:
         """Take the options of ``aiohttp.TCPConnector``."""
         super().__init__(limit=0, socket_factory=_open_socket, **options)
-        factory: Any = functools.partial(TargetHandler, loop=self._loop)
+        factory: Any = functools.partial(
+            TargetHandler, loop=self._loop, record_skipped=record_skipped
+        )
         self._factory = factory
 
     async def connect(
@@ -134,7 +198,7 @@
             )
             handler: Any = connection.protocol
             is_new = not handler.is_used
-            if handler.expect_answer():
+            if handler.expect_answer(req.headers.get(protocol.ATTEMPT_ID, '')):
                 return connection
             connection.close()
             if is_new:
@@ -217,12 +281,23 @@
     return opened
 
 
-def open_session(*, reuse: bool) -> aiohttp.ClientSession:
-    """Return a session; without ``reuse`` each request opens a connection."""
+def _ignore(skipped: SkippedAnswer) -> None:
+    """Record nothing."""
+
+
+def open_session(
+    *, reuse: bool, record_skipped: SkipRecorder = _ignore
+) -> aiohttp.ClientSession:
+    """Return a session; without ``reuse`` each request opens a connection.
+
+    ``record_skipped`` is called with each answer to another request.
+    """
     if reuse:
-        pool = TargetConnector(keepalive_timeout=POOL_IDLE_TIMEOUT_S)
+        pool = TargetConnector(
+            record_skipped, keepalive_timeout=POOL_IDLE_TIMEOUT_S
+        )
     else:
-        pool = TargetConnector(force_close=True)
+        pool = TargetConnector(record_skipped, force_close=True)
     return aiohttp.ClientSession(
         connector=pool,
         middlewares=(_send_once,),
--- a/bergamotstream/forwarding/hostdaemon.py
+++ b/bergamotstream/forwarding/hostdaemon.py
@@ -104,8 +104,12 @@
     async def run(self) -> None:
         """Serve until stopped."""
         self._log.write('started', host=self._entry.name, zone=self._entry.zone)
-        pooled = connections.open_session(reuse=True)
-        unpooled = connections.open_session(reuse=False)
+        pooled, unpooled = [
+            connections.open_session(
+                reuse=reuse, record_skipped=self._record_skipped
+            )
+            for reuse in (True, False)
+        ]
         async with pooled, unpooled:
             dependencies = ingress.Dependencies(
                 self._core,
@@ -229,6 +233,17 @@
         self._core.cold.update_host_count(hosts)
         self._core.limits.update_host_count(hosts)
 
+    def _record_skipped(self, skipped: connections.SkippedAnswer) -> None:
+        """Log an answer that a target sent for another request."""
+        self._meters.count('skipped_answers', str(skipped.status))
+        self._log.write(
+            'answer_skipped',
+            id=skipped.attempt_id,
+            address=skipped.address,
+            foreign_id=skipped.foreign_id,
+            status=skipped.status,
+        )
+
     def _read_gauges(self) -> dict[metrics.Series, float]:
         return {
             metrics.Series('target_limit_per_s', target_id): per_s
--- a/tests/test_extraanswers.py
+++ b/tests/test_extraanswers.py
@@ -159,6 +159,47 @@
     await check_all_served_once(kind, respond, PAUSE_S)
 
 
+@pytest.mark.parametrize('kind', KINDS)
+@pytest.mark.parametrize('status', REFUSALS)
+@pytest.mark.parametrize('pause_s', [0, PAUSE_S])
+async def test_refusal_of_another_request_is_skipped(kind, status, pause_s):
+    """Guards against a request that runs and whose answer is not read."""
+
+    async def respond(request, writer):
+        writer.write(refusal(status))
+        await asyncio.sleep(pause_s)
+        writer.write(own_answer(request))
+
+    await check_all_served_once(kind, respond)
+
+
+@pytest.mark.parametrize('kind', KINDS)
+@pytest.mark.parametrize('size', [0, 5, 40_000])
+async def test_success_of_another_request_is_skipped(kind, size):
+    """Guards against a late answer that costs the next request a run."""
+
+    async def respond(request, writer):
+        writer.write(success(body=b'x' * size) + own_answer(request))
+
+    await check_all_served_once(kind, respond)
+
+
+@pytest.mark.parametrize('kind', KINDS)
+async def test_skipped_answer_is_logged(kind, caplog):
+    """Guards against extra answers that nobody can count."""
+
+    async def respond(request, writer):
+        writer.write(refusal() + own_answer(request))
+
+    caplog.set_level('INFO')
+    async with two_targets(kind, respond) as (system, _):
+        assert (await call(system, kind, 'a1'))[0] == 200
+    logged = [line for line in caplog.messages if 'answer_skipped' in line]
+    assert len(logged) == 1
+    for part in ('id=a1', f'foreign_id={OTHER_ID}', 'status=503'):
+        assert part in logged[0]
+
+
 @pytest.mark.parametrize('kind', REPEATABLE)
 @pytest.mark.parametrize('status', [*REFUSALS, '500 Fault'])
 async def test_connection_of_a_failed_try_is_not_used_again(kind, status):
@@ -221,6 +262,29 @@
         assert sum(target.connections for target in targets) <= 2
 
 
+@pytest.mark.parametrize('kind', KINDS)
+async def test_endless_extra_answers_end_the_try(kind):
+    """Guards against a target that keeps a request with other answers."""
+    sent = []
+
+    async def respond(request, writer):
+        with contextlib.suppress(ConnectionError):
+            while True:
+                writer.write(refusal())
+                sent.append(1)
+                await writer.drain()
+                await asyncio.sleep(0)
+
+    async with two_targets(kind, respond) as (system, targets):
+        started = asyncio.get_running_loop().time()
+        status, _ = await call(system, kind, 'a1')
+        took_s = asyncio.get_running_loop().time() - started
+        assert status == 502
+        assert took_s < 0.5
+        if kind == 'order':
+            assert runs_by_id(*targets) == {'a1': 1}
+
+
 @pytest.mark.parametrize('head', ['HTTP/1.1 102 Wait\r\n\r\n', 'own'])
 async def test_endless_interim_heads_end_the_try(head):
     """Guards against heads that announce an answer without end."""
