Believe a refusal only if it names the request

Lookups and streams were told the same.

Cause: only an id that differs was checked; an answer without one passed, and Not-Executed or 421 in it was believed.

Targets echo the id in their responses (PROTOCOL.md), also in refusals. So a refusal counts only with the id of the request, exactly once. Otherwise it is UnprovenAnswer, an error answer: the request may have run, its caller is told 502, one that may run only once goes nowhere else, and the request is not suspected of a crash, as the target still answers. A request that bears no id is still believed to be refused by an answer without one (400 without an id).

A refusal that comes before the whole request has been sent is treated alike: with the id, the target has read this head, and its promise holds; without, it may be an earlier one. An earlier refusal of the same request cannot come, as no two tries of one request share a connection.

--- a/bergamotstream/forwarding/dispatch.py
+++ b/bergamotstream/forwarding/dispatch.py
@@ -66,6 +66,10 @@
     """The target answered with an error status, so it still runs."""
 
 
+class UnprovenAnswer(TargetErrorAnswer):
+    """The answer does not name the request, which may still be running."""
+
+
 class TargetTimedOut(TargetBroken):
     """The target sent nothing in time and another may be tried."""
 
@@ -170,11 +174,26 @@
 
 
 def _check_attempt_id(answer: Answer, attempt_id: str) -> None:
-    """Raise ``TargetBroken`` if the answer is another request's."""
+    """Raise ``TargetBroken`` if it cannot be told what the answer is about.
+
+    A refusal must name this request, and once: without the id it may be an
+    earlier one, and the request may have run.
+    """
     echoed = answer.headers.getall(protocol.ATTEMPT_ID, [])
     if any(echoed_id != attempt_id for echoed_id in echoed):
         answer.close()
         raise TargetBroken('the answer belongs to another request')
+    expected_echoes = 1 if attempt_id else 0
+    if _is_refusal(answer) and len(echoed) != expected_echoes:
+        answer.close()
+        raise UnprovenAnswer(f'status {answer.status} for {echoed}')
+
+
+def _is_refusal(answer: Answer) -> bool:
+    """Tell whether an answer states that a request did not run."""
+    return (
+        protocol.NOT_EXECUTED in answer.headers or answer.status == MISDIRECTED
+    )
 
 
 def _is_of_target(answer: Answer) -> bool:
@@ -188,8 +207,7 @@
 
 def _check_answer(answer: Answer) -> None:
     """Raise if the answer reports not run or has no stamp."""
-    not_run = protocol.NOT_EXECUTED in answer.headers
-    if not_run or answer.status == MISDIRECTED:
+    if _is_refusal(answer):
         answer.close()
         at_fault = answer.headers.get(protocol.AT_SERVER, '')
         raise TargetRefused(answer.status, at_fault)
--- a/tests/test_extraanswers.py
+++ b/tests/test_extraanswers.py
@@ -8,6 +8,8 @@
 
 from bergamotstream.forwarding import connections
 from tests import platformkit as kit
+from tests import test_cutlinks as cutcases
+from tests import test_relays as relaycases
 
 PAUSE_S = 0.05
 ROUNDS = 4
@@ -200,6 +202,82 @@
         assert part in logged[0]
 
 
+@pytest.mark.parametrize('kind', KINDS)
+@pytest.mark.parametrize('status', REFUSALS)
+async def test_refusal_without_an_id_promises_nothing(kind, status):
+    """Guards against "not run" for a request that has run.
+
+    A refusal that names no request may be an earlier one.
+    """
+
+    async def respond(request, writer):
+        writer.write(refusal(status, attempt_id=''))
+        await asyncio.sleep(PAUSE_S)
+        writer.write(own_answer(request))
+
+    async with two_targets(kind, respond) as (system, targets):
+        for number in range(ROUNDS):
+            attempt_id = f'a{number}'
+            status_code, _ = await call(system, kind, attempt_id)
+            assert status_code == 502
+            runs = runs_by_id(*targets)[attempt_id]
+            assert runs == 1 if kind == 'order' else runs <= 2
+
+
+@pytest.mark.parametrize('kind', KINDS)
+@pytest.mark.parametrize('echo', ['{0}\r\n{1}: {0}', '{0}, {0}', '{0} x'])
+async def test_refusal_with_an_unclear_id_promises_nothing(kind, echo):
+    """Guards against a refusal that is joined from two answers."""
+
+    async def respond(request, writer):
+        own_id = request.headers.get(kit.ATTEMPT, '')
+        writer.write(refusal(attempt_id=echo.format(own_id, kit.ATTEMPT)))
+
+    async with two_targets(kind, respond) as (system, targets):
+        for number in range(ROUNDS):
+            attempt_id = f'a{number}'
+            reading = call(system, kind, attempt_id)
+            status, _ = await asyncio.wait_for(reading, 4)
+            assert status in {502, 504}
+            if kind == 'order':
+                assert runs_by_id(*targets)[attempt_id] == 1
+
+
+@pytest.mark.parametrize('kind', KINDS)
+@pytest.mark.parametrize('status', REFUSALS)
+async def test_refusal_with_the_own_id_is_believed(kind, status):
+    """Guards against a request that is lost though a target is free."""
+    refused = []
+
+    async def respond(request, writer):
+        attempt_id = request.headers.get(kit.ATTEMPT, '')
+        if attempt_id in refused:
+            writer.write(own_answer(request))
+        else:
+            refused.append(attempt_id)
+            writer.write(refusal(status, attempt_id))
+
+    document = kit.configuration_document(
+        routes=[
+            kit.route('lookup', '/lookup/', 'idempotent'),
+            kit.route('order', '/order/', 'non_idempotent'),
+            kit.route(
+                'chat', '/chat/', 'streaming', service='model', resumable=True
+            ),
+        ]
+    )
+    service = 'model' if kind == 'stream' else 'plain'
+    async with (
+        kit.running_system(document=document) as system,
+        kit.raw_target(respond) as one,
+        kit.raw_target(respond) as two,
+    ):
+        await system.add_target('t1', one, service=service)
+        await system.add_target('t2', two, service=service)
+        assert (await call(system, kind, 'a1'))[0] == 200
+        assert [len(one.received), len(two.received)] == [1, 1]
+
+
 @pytest.mark.parametrize('kind', REPEATABLE)
 @pytest.mark.parametrize('status', [*REFUSALS, '500 Fault'])
 async def test_connection_of_a_failed_try_is_not_used_again(kind, status):
@@ -355,6 +433,36 @@
         assert not received
 
 
+@pytest.mark.parametrize('named', [True, False])
+async def test_refusal_of_a_request_that_is_being_sent(named):
+    """Guards against a wrong promise while a long body is under way.
+
+    A target that has read the head may refuse at once; only the id tells that
+    it has read this head.
+    """
+
+    async def serve(reader, writer):
+        head = await reader.readuntil(b'\r\n\r\n')
+        heads.append(head)
+        own_id = 'a1' if named else ''
+        writer.write(refusal(attempt_id=own_id))
+        with contextlib.suppress(ConnectionError):
+            await asyncio.sleep(PAUSE_S)
+        writer.close()
+
+    heads = []
+    limits = {'max_header_bytes': 16_384, 'max_body_bytes': 20_000_000}
+    document = kit.configuration_document(limits=limits)
+    server = await asyncio.start_server(serve, '127.0.0.1', 0)
+    target = kit.RawTarget(None)
+    target.address = '{0}:{1}'.format(*server.sockets[0].getsockname())
+    async with server, kit.running_system(document=document) as system:
+        await system.add_target('t1', target)
+        status, _ = await call(system, 'order', 'a1', b'x' * 15_000_000)
+        assert status == (503 if named else 502)
+        assert len(heads) == 1
+
+
 @pytest.mark.parametrize('kind', ['lookup', 'order', 'stream'])
 async def test_connection_of_an_unread_request_is_not_used_again(kind):
     """Guards against a request where the rest of a body is due.
@@ -393,3 +501,29 @@
             assert found[0] == 200
             assert attempt_id.encode() in found[1]
         assert len(heads) == ROUNDS
+
+
+@pytest.mark.parametrize('attempt_id', [OTHER_ID, ''])
+async def test_relayed_order_is_not_told_an_earlier_refusal(attempt_id):
+    """Guards against a wrong promise that passes from a peer to a caller."""
+    async with cutcases.running_system() as (system, cut):
+        await relaycases.lose_links(system, cut, ['host-0'])
+        for target in cut.targets:
+            answer = target._respond
+
+            async def respond(request, writer, answer=answer):
+                writer.write(refusal(attempt_id=attempt_id))
+                await asyncio.sleep(PAUSE_S)
+                await answer(request, writer)
+
+            target._respond = respond
+        for number in range(ROUNDS):
+            status, _ = await call(system, 'order', f'r{number}', b'relayed')
+            assert status == (200 if attempt_id else 502)
+    received = [
+        request.headers.get(kit.ATTEMPT, '')
+        for target in cut.targets
+        for request in target.received
+        if request.body == b'relayed'
+    ]
+    assert sorted(received) == [f'r{number}' for number in range(ROUNDS)]
