Take no answer that names no request

An answer with a stamp and without an id was passed to the caller as its own, also when it belonged to an earlier request.

Cause: only an id that differs was checked.

Evidence: test_success_without_an_id_is_no_answer 4 of 4 (lookup, GET, order, stream) failed before with 200 instead of 502 and pass now.

--- a/bergamotstream/forwarding/dispatch.py
+++ b/bergamotstream/forwarding/dispatch.py
@@ -174,28 +174,18 @@
 
 
 def _check_attempt_id(answer: Answer, attempt_id: str) -> None:
-    """Raise ``TargetBroken`` if it cannot be told what the answer is about.
+    """Raise ``UnprovenAnswer`` unless the answer names this request once.
 
-    A refusal must name this request, and once: without the id it may be an
-    earlier one, and the request may have run.
+    Targets echo the id in all answers. A refusal without it may be an earlier
+    one, and the request may have run.
     """
     echoed = answer.headers.getall(protocol.ATTEMPT_ID, [])
-    if any(echoed_id != attempt_id for echoed_id in echoed):
-        answer.close()
-        raise TargetBroken('the answer belongs to another request')
-    expected_echoes = 1 if attempt_id else 0
-    if _is_refusal(answer) and len(echoed) != expected_echoes:
+    expected = [attempt_id] if attempt_id else []
+    if echoed != expected:
         answer.close()
         raise UnprovenAnswer(f'status {answer.status} for {echoed}')
 
 
-def _is_refusal(answer: Answer) -> bool:
-    """Tell whether an answer states that a request did not run."""
-    return (
-        protocol.NOT_EXECUTED in answer.headers or answer.status == MISDIRECTED
-    )
-
-
 def _is_of_target(answer: Answer) -> bool:
     """Tell whether the intended target has sent an answer."""
     is_known = (
@@ -207,7 +197,8 @@
 
 def _check_answer(answer: Answer) -> None:
     """Raise if the answer reports not run or has no stamp."""
-    if _is_refusal(answer):
+    not_run = protocol.NOT_EXECUTED in answer.headers
+    if not_run or answer.status == MISDIRECTED:
         answer.close()
         at_fault = answer.headers.get(protocol.AT_SERVER, '')
         raise TargetRefused(answer.status, at_fault)
--- a/tests/test_extraanswers.py
+++ b/tests/test_extraanswers.py
@@ -224,6 +224,22 @@
             assert runs == 1 if kind == 'order' else runs <= 2
 
 
+@pytest.mark.parametrize('kind', KINDS)
+async def test_success_without_an_id_is_no_answer(kind):
+    """Guards against an earlier answer that a caller takes for its own."""
+
+    async def respond(request, writer):
+        echo = f'{kit.ATTEMPT}: {request.headers.get(kit.ATTEMPT, "")}\r\n'.encode()
+        writer.write(own_answer(request).replace(echo, b''))
+
+    async with two_targets(kind, respond) as (system, targets):
+        for number in range(ROUNDS):
+            status, _ = await call(system, kind, f'a{number}')
+            assert status == 502
+            if kind == 'order':
+                assert runs_by_id(*targets)[f'a{number}'] == 1
+
+
 @pytest.mark.parametrize('kind', KINDS)
 @pytest.mark.parametrize('echo', ['{0}\r\n{1}: {0}', '{0}, {0}', '{0} x'])
 async def test_refusal_with_an_unclear_id_promises_nothing(kind, echo):
