Give no memory order the answer to a request

Cause: orders bear no id, and only the status was read. An answer that bears an attempt id belongs to a request; the order now counts as unanswered, as the target may still carry it out.

--- a/bergamotstream/platform/targetmemory.py
+++ b/bergamotstream/platform/targetmemory.py
@@ -66,6 +66,8 @@
             },
             timeout=aiohttp.ClientTimeout(total=ORDER_TIMEOUT_S),
         ) as answer:
+            if protocol.ATTEMPT_ID in answer.headers:
+                raise OrderUnanswered('answer to a request')
             return answer.status == OK
     except (aiohttp.ClientError, TimeoutError, OSError) as fault:
         raise OrderUnanswered(repr(fault)) from fault
--- a/tests/test_extraanswers.py
+++ b/tests/test_extraanswers.py
@@ -7,6 +7,7 @@
 import pytest
 
 from bergamotstream.forwarding import connections
+from bergamotstream.platform import documents, targetmemory
 from tests import platformkit as kit
 from tests import test_cutlinks as cutcases
 from tests import test_relays as relaycases
@@ -543,3 +544,52 @@
         if request.body == b'relayed'
     ]
     assert sorted(received) == [f'r{number}' for number in range(ROUNDS)]
+
+
+MEMORY_EXTRAS = {
+    'idle': (b'', refusal()),
+    'idle_success': (b'', success()),
+    'crossing_success': (success(), b''),
+}
+
+
+@pytest.mark.parametrize('extra', MEMORY_EXTRAS)
+async def test_memory_order_is_not_answered_for_another_request(extra):
+    """Guards against memory that counts as reserved and is not.
+
+    The target has no memory to reserve.
+    """
+    before, after = MEMORY_EXTRAS[extra]
+    body = b'{"free":0}'
+    full = f'HTTP/1.1 409 Full\r\nContent-Length: {len(body)}\r\n\r\n'.encode()
+
+    async def respond(request, writer):
+        if request.request_line.startswith('GET'):
+            writer.write(own_answer(request))
+        else:
+            writer.write(before + full + body)
+        await asyncio.sleep(PAUSE_S / 2)
+        writer.write(after)
+
+    async with (
+        kit.raw_target(respond) as target,
+        connections.open_session(reuse=True) as session,
+    ):
+        entry = documents.decode_target_entry(
+            't1', kit.target_document(target.address)
+        )
+        for number in range(ROUNDS):
+            async with session.get(
+                f'http://{target.address}/',
+                headers={kit.ATTEMPT: f'a{number}'},
+            ) as answer:
+                assert await answer.read() == f'a{number}'.encode()
+            await asyncio.sleep(PAUSE_S)
+            if before:
+                with pytest.raises(targetmemory.OrderUnanswered):
+                    await targetmemory.reserve(session, entry, 't', 10, 100)
+            else:
+                assert not await targetmemory.reserve(
+                    session, entry, 't', 10, 100
+                )
+            await asyncio.sleep(PAUSE_S)
