Test extra answers that a busy host has not read

Adds the two cases that the tests of the changes before did not reach: bytes, or the end of a connection, that lie in the socket while the event loop stands still, and an answer to another request that is longer than may be skipped.

--- a/tests/test_extraanswers.py
+++ b/tests/test_extraanswers.py
@@ -2,6 +2,9 @@
 
 import asyncio
 import contextlib
+import socket
+import threading
+import time
 
 import aiohttp
 import pytest
@@ -450,6 +453,63 @@
         assert not received
 
 
+@pytest.mark.parametrize('extra', ['refusal', 'end'])
+async def test_unread_bytes_on_an_idle_connection_are_no_answer(extra):
+    """Guards against bytes that a busy host has not read.
+
+    The event loop stands still from the extra answer to the next request.
+    """
+    listener = socket.create_server(('127.0.0.1', 0))
+    address = '{0}:{1}'.format(*listener.getsockname())
+    answered, written = threading.Event(), threading.Event()
+    connections_made = []
+
+    def serve():
+        for number in range(2):
+            opened, _ = listener.accept()
+            connections_made.append(opened)
+            opened.recv(65_536)
+            opened.sendall(success(f'a{number}', b'own'))
+            answered.wait(5)
+            answered.clear()
+            if extra == 'end':
+                opened.shutdown(socket.SHUT_WR)
+            else:
+                opened.sendall(refusal(attempt_id=''))
+            written.set()
+
+    thread = threading.Thread(target=serve, daemon=True)
+    thread.start()
+    async with connections.open_session(reuse=True) as session:
+        for number in range(2):
+            async with session.get(
+                f'http://{address}/', headers={kit.ATTEMPT: f'a{number}'}
+            ) as response:
+                assert await response.read() == b'own'
+            written.clear()
+            answered.set()
+            assert written.wait(5)
+            time.sleep(PAUSE_S)
+    thread.join(5)
+    assert len(connections_made) == 2
+    for opened in (*connections_made, listener):
+        opened.close()
+
+
+@pytest.mark.parametrize('kind', KINDS)
+async def test_long_answer_of_another_request_ends_the_try(kind):
+    """Guards against a host that buffers an answer that nobody reads."""
+    size = 2 * connections.MAX_SKIPPED_BYTES
+
+    async def respond(request, writer):
+        writer.write(success(body=b'x' * size) + own_answer(request))
+
+    async with two_targets(kind, respond) as (system, targets):
+        assert (await call(system, kind, 'a1'))[0] == 502
+        if kind == 'order':
+            assert runs_by_id(*targets) == {'a1': 1}
+
+
 @pytest.mark.parametrize('named', [True, False])
 async def test_refusal_of_a_request_that_is_being_sent(named):
     """Guards against a wrong promise while a long body is under way.
