--- a/bergamotstream/forwarding/connections.py
+++ b/bergamotstream/forwarding/connections.py
@@ -9,11 +9,15 @@
 
 import asyncio
 import functools
+import select
 import socket
-from typing import Any, Final
+from collections.abc import Callable
+from typing import Any, Final, NamedTuple, TypeAlias
 
 import aiohttp
 
+from bergamotstream.platform import protocol
+
 # Time without acknowledgement after which a connection has failed: to the store,
 # long enough for the retransmission of a lost packet; to targets and peers, also
 # for a sound one that is silent for some seconds. A request that may run only
@@ -31,20 +35,64 @@
 # Bytes received before the head of an answer is complete. The HTTP library skips
 # blank lines before a head, so its own limits do not count them.
 MAX_HEAD_BYTES: Final = 1_048_576
+# Statuses of heads that an answer's own head follows.
+INTERIM_STATUSES: Final = frozenset(range(100, 200)) - {101}
+# Answers to other requests that are skipped while a request waits for its own,
+# and the length of their bodies, which the HTTP library buffers.
+MAX_SKIPPED: Final = 8
+MAX_SKIPPED_BYTES: Final = 131_072
 
 
 class ConnectionLost(aiohttp.ClientError):
     """A connection ended before an answer; the request may have run."""
 
 
-class LimitedHeadHandler(aiohttp.client_proto.ResponseHandler):
-    """Aborts a connection that sends too much before the head of an answer."""
+class SkippedAnswer(NamedTuple):
+    """An answer to another request than the one that waits."""
+
+    # ``IP:port`` of the target.
+    address: str
+    attempt_id: str
+    foreign_id: str
+    status: int
+
+
+SkipRecorder: TypeAlias = Callable[[SkippedAnswer], None]
+
+
+class TargetHandler(aiohttp.client_proto.ResponseHandler):
+    """Receives one answer to each request.
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+    Skips answers that name another request, which a target may send before
+    the own one. Aborts a connection that sends too much before the head of an
+    answer, or anything while no request waits: no request can be told what
+    that answers.
+    """
+
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, record_skipped: SkipRecorder
+    ) -> None:
         """Wait for no answer yet."""
         super().__init__(loop)
+        self._record_skipped = record_skipped
+        # True once a request was to be sent on the connection.
+        self.is_used = False
         self._is_head_missing = False
         self._head_bytes = 0
+        self._body: Any = None
+        self._attempt_id = ''
+        self._skipped_bodies: list[Any] = []
+
+    def expect_answer(self, attempt_id: str) -> bool:
+        """Prepare for a request; False if the connection must not be used.
+
+        It has ended, or has sent something before the request. Without an
+        ``attempt_id`` no answer is skipped.
+        """
+        self.is_used = True
+        self._attempt_id = attempt_id
+        self._skipped_bodies.clear()
+        return self.is_connected() and not self._has_input()
 
     def set_response_params(self, **options: Any) -> None:
         """Start to receive the answer to a request; called by aiohttp."""
@@ -53,27 +101,88 @@
         super().set_response_params(**options)
 
     def feed_data(self, data: Any, size: int = 0) -> None:
-        """Note that a head is complete; called by the parser."""
-        self._is_head_missing = False
+        """Receive a head and its body; called by the parser."""
+        if not self._is_head_missing:
+            # Follows the answer in one segment.
+            self.force_close()
+            return
+        head, body = data
+        if self._is_foreign(head):
+            self._skipped_bodies.append(body)
+            self._record_skip(head)
+            return
+        self._is_head_missing = head.code in INTERIM_STATUSES
+        self._body = body
         super().feed_data(data, size)
 
     def data_received(self, data: bytes) -> None:
-        """Count the bytes until the head is complete."""
+        """Receive bytes; count them until the head is complete."""
+        if data and self._is_idle():
+            self.abort()
+            return
         if self._is_head_missing:
             self._head_bytes += len(data)
         if self._head_bytes > MAX_HEAD_BYTES:
-            self.set_exception(
-                aiohttp.ClientConnectionError('no head within the limit')
-            )
-            self.abort()
+            self._fail('no head within the limit')
             return
         super().data_received(data)
+        if self._is_head_missing and self._has_skipped_too_much():
+            self._fail('too many answers to other requests')
+
+    def _fail(self, reason: str) -> None:
+        self.set_exception(aiohttp.ClientConnectionError(reason))
+        self.abort()
+
+    def _is_foreign(self, head: Any) -> bool:
+        """Tell whether a head names other requests only."""
+        echoed = head.headers.getall(protocol.ATTEMPT_ID, ())
+        return bool(
+            self._attempt_id and echoed and self._attempt_id not in echoed
+        )
+
+    def _record_skip(self, head: Any) -> None:
+        transport: Any = self.transport
+        host, port = transport.get_extra_info('peername')[:2]
+        self._record_skipped(
+            SkippedAnswer(
+                f'{host}:{port}',
+                self._attempt_id,
+                head.headers[protocol.ATTEMPT_ID],
+                head.code,
+            )
+        )
+
+    def _has_skipped_too_much(self) -> bool:
+        size = sum(body.total_bytes for body in self._skipped_bodies)
+        return (
+            len(self._skipped_bodies) > MAX_SKIPPED or size > MAX_SKIPPED_BYTES
+        )
+
+    def _is_idle(self) -> bool:
+        """Tell whether no request waits for an answer or the rest of one."""
+        if self._is_head_missing:
+            return False
+        return self._body is None or self._body.is_eof()
+
+    def _has_input(self) -> bool:
+        """Tell whether the socket holds unread bytes or its end."""
+        if self.transport is None:
+            return True
+        opened = self.transport.get_extra_info('socket')
+        poller = select.poll()
+        poller.register(opened.fileno(), select.POLLIN)
+        return bool(poller.poll(0))
 
 
 class TargetConnector(aiohttp.TCPConnector):
-    """Connector whose connections limit the head of an answer."""
+    """Connector whose connections take each answer for one request only."""
 
-    def __init__(self, unacknowledged_ms: int, **options: Any) -> None:
+    def __init__(
+        self,
+        record_skipped: SkipRecorder,
+        unacknowledged_ms: int,
+        **options: Any,
+    ) -> None:
         """Take the options of ``aiohttp.TCPConnector``."""
         super().__init__(
             limit=0,
@@ -82,12 +191,43 @@
             ),
             **options,
         )
-        factory: Any = functools.partial(LimitedHeadHandler, loop=self._loop)
+        factory: Any = functools.partial(
+            TargetHandler, loop=self._loop, record_skipped=record_skipped
+        )
         self._factory = factory
 
+    async def connect(
+        self,
+        req: aiohttp.ClientRequest,
+        traces: list[aiohttp.tracing.Trace],
+        timeout: aiohttp.ClientTimeout,
+    ) -> aiohttp.connector.Connection:
+        """Return a connection on which nothing has arrived.
+
+        Raises ``ClientConnectorError`` if not even a new one is silent.
+        """
+        while True:
+            connection = await super().connect(  # noqa: WPS476 - in turn
+                req, traces, timeout
+            )
+            handler: Any = connection.protocol
+            is_new = not handler.is_used
+            if handler.expect_answer(req.headers.get(protocol.ATTEMPT_ID, '')):
+                return connection
+            connection.close()
+            if is_new:
+                raise aiohttp.ClientConnectorError(
+                    req.connection_key,
+                    ConnectionAbortedError('not silent before a request'),
+                )
+
 
 class TrackedResponse(aiohttp.ClientResponse):
-    """Response that knows how its connection has ended."""
+    """Response that knows how its connection has ended.
+
+    Its connection is used again only after ``read`` or ``release``, and not at
+    the end of its body, as the answer has yet to be checked.
+    """
 
     # Done when the connection is lost, with an exception after a reset.
     connection_lost: asyncio.Future[None] | None = None
@@ -107,6 +247,9 @@
             self.connection_lost.add_done_callback(_retrieve_exception)
         return await super().start(connection)
 
+    def _response_eof(self) -> None:
+        """Keep the connection at the end of the body; called by aiohttp."""
+
 
 def _retrieve_exception(connection_lost: asyncio.Future[None]) -> None:
     """Keep asyncio from logging a reset that no response waits for."""
@@ -150,16 +293,30 @@
     return opened
 
 
+def _ignore(skipped: SkippedAnswer) -> None:
+    """Record nothing."""
+
+
 def open_session(
-    *, reuse: bool, unacknowledged_ms: int = TARGET_UNACKNOWLEDGED_MS
+    *,
+    reuse: bool,
+    record_skipped: SkipRecorder = _ignore,
+    unacknowledged_ms: int = TARGET_UNACKNOWLEDGED_MS,
 ) -> aiohttp.ClientSession:
-    """Return a session; without ``reuse`` each request opens a connection."""
+    """Return a session; without ``reuse`` each request opens a connection.
+
+    ``record_skipped`` is called with each answer to another request.
+    """
     if reuse:
         pool = TargetConnector(
-            unacknowledged_ms, keepalive_timeout=POOL_IDLE_TIMEOUT_S
+            record_skipped,
+            unacknowledged_ms,
+            keepalive_timeout=POOL_IDLE_TIMEOUT_S,
         )
     else:
-        pool = TargetConnector(unacknowledged_ms, force_close=True)
+        pool = TargetConnector(
+            record_skipped, unacknowledged_ms, force_close=True
+        )
     return aiohttp.ClientSession(
         connector=pool,
         middlewares=(_send_once,),
--- a/bergamotstream/forwarding/dispatch.py
+++ b/bergamotstream/forwarding/dispatch.py
@@ -10,7 +10,7 @@
 import collections
 import enum
 from collections.abc import Callable
-from typing import Final, NamedTuple, TypeAlias
+from typing import Any, Final, NamedTuple, TypeAlias
 
 import aiohttp
 import multidict
@@ -66,6 +66,10 @@
     """The target answered with an error status, so it still runs."""
 
 
+class UnprovenAnswer(TargetErrorAnswer):
+    """The answer does not name the request, which may still be running."""
+
+
 Answer: TypeAlias = aiohttp.ClientResponse
 # Errors that reading an answer may raise.
 READ_FAULTS: Final = (aiohttp.ClientError, OSError, ValueError)
@@ -166,11 +170,16 @@
 
 
 def _check_attempt_id(answer: Answer, attempt_id: str) -> None:
-    """Raise ``TargetBroken`` if the answer is another request's."""
+    """Raise ``UnprovenAnswer`` unless the answer names this request once.
+
+    Targets echo the id in all answers. A refusal without it may be an earlier
+    one, and the request may have run.
+    """
     echoed = answer.headers.getall(protocol.ATTEMPT_ID, [])
-    if any(echoed_id != attempt_id for echoed_id in echoed):
+    expected = [attempt_id] if attempt_id else []
+    if echoed != expected:
         answer.close()
-        raise TargetBroken('the answer belongs to another request')
+        raise UnprovenAnswer(f'status {answer.status} for {echoed}')
 
 
 def _is_of_target(answer: Answer) -> bool:
@@ -260,6 +269,15 @@
         await asyncio.shield(ending.closed)
 
 
+def discard(receiving: asyncio.Future[Any]) -> None:
+    """Cancel what nobody waits for any longer; close an answer it has got."""
+    if receiving.cancel() or receiving.cancelled() or receiving.exception():
+        return
+    received = receiving.result()
+    if isinstance(received, Answer):
+        received.close()
+
+
 def close(answer: Answer) -> None:
     """Return the connection to the pool if a success was read completely.
 
--- a/bergamotstream/forwarding/relayattempts.py
+++ b/bergamotstream/forwarding/relayattempts.py
@@ -148,13 +148,14 @@
         started_ms = self._clock.now_ms()
         waiting = asyncio.ensure_future(receiving)
         with contextlib.ExitStack() as stack:
-            stack.callback(waiting.cancel)
+            stack.callback(dispatch.discard, waiting)
             while not waiting.done():
                 await asyncio.wait((waiting,), timeout=PEER_CHECK_S)
                 is_lost = peer.entry.name not in self._peers.peers_by_name
                 if is_lost and not waiting.done():
                     handle_loss(served, self._clock.now_ms() - started_ms)
             received = await waiting
+            stack.pop_all()
         served.is_silent = False
         return received
 
--- a/bergamotstream/forwarding/silence.py
+++ b/bergamotstream/forwarding/silence.py
@@ -13,6 +13,7 @@
 
 from bergamotstream import clock, errors, metrics
 from bergamotstream.forwarding import (
+    dispatch,
     eventlog,
     exchangerecords,
     outcomes,
@@ -62,7 +63,7 @@
         started_ms = self._clock.now_ms()
         waiting = asyncio.ensure_future(receiving)
         with contextlib.ExitStack() as stack:
-            stack.callback(waiting.cancel)
+            stack.callback(dispatch.discard, waiting)
             limit_ms = self._core.silence_limit_ms(served.job, started_ms)
             while limit_ms is not None:
                 await asyncio.wait((waiting,), timeout=limit_ms / MS_PER_S)
@@ -73,6 +74,7 @@
                     self._outcomes.record_silent_target(served, assignment)
                 limit_ms = CHECK_INTERVAL_MS
             received = await waiting
+            stack.pop_all()
         self._handle_resumed(served, started_ms)
         return received
 
