Close the connections of test targets before the loop ends

Targets of tests that end with open connections left their writers to the garbage collector, which reported "Event loop is closed" and, in two runs of the then failing tests of extra answers, made pytest stop with SystemError "AST constructor recursion depth mismatch" (a fault of Python 3.11 when finalizers run while source is parsed; that the writers caused it is likely and not proved).

--- a/tests/platformkit.py
+++ b/tests/platformkit.py
@@ -216,6 +216,12 @@
 
     async def _serve(self, reader, writer):
         self.connections += 1
+        # Closed also if the test ends first, while its event loop runs.
+        with contextlib.closing(writer):
+            await self._serve_requests(reader, writer)
+            self.closed_by_host += 1
+
+    async def _serve_requests(self, reader, writer):
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
             while not writer.is_closing():
                 request = await _read_request(reader)
@@ -224,8 +230,6 @@
                     self._respond(request, writer)
                 )
                 await responding
-        self.closed_by_host += 1
-        writer.close()
 
 
 async def _read_request(reader):
