Read only fingerprints of 64 bits from records of blamed requests

What callers saw: one key under bergamotstream/blamed/ with more than 16 hexadecimal digits, or a sign, ended each host that read it, and each host that started then. Callers lost their connections and found no host.

Cause: decode_blamed_key took whatever int(rest, 16) takes: 180 digits, "-5", "0x12", "1_0", " 1". The number was blamed and put into the next message to the peers, whose field holds 64 bits. Encoding raised, and the task that sends messages ends the process when it fails.

Ruled out: the field of the message itself; it holds each real fingerprint.

Why it works: a record is written under 16 lower-case digits and nothing else is read, so no other number gets into the blame.

--- a/bergamotstream/platform/documents.py
+++ b/bergamotstream/platform/documents.py
@@ -8,6 +8,7 @@
 """
 
 import json
+import re
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any, Final
 
@@ -25,6 +26,7 @@
 # Defaults of an engine that states no usual lengths.
 DEFAULT_PROMPT_TOKENS: Final = 8_192
 DEFAULT_ANSWER_TOKENS: Final = 1_024
+_FINGERPRINT: Final = re.compile('[0-9a-f]{16}')
 
 
 class Undecodable(ValueError):
@@ -235,7 +237,6 @@
 
     ``rest`` is its key without the prefix; raises :class:`Undecodable`.
     """
-    try:
-        return int(rest, base=16)
-    except ValueError as fault:
-        raise Undecodable(f'blamed request: {fault}') from fault
+    if _FINGERPRINT.fullmatch(rest) is None:
+        raise Undecodable(f'blamed request: {rest!r}')
+    return int(rest, base=16)
