Decode documents of other writers with bounded depth, sizes and ranges

A target registered after the entry got no request.

Cause: RecursionError (arrays 100,000 deep), OverflowError (1e999 as a version) and AttributeError (a number where an object belongs) are no ValueError, and int() of 5,000 digits raises one where Undecodable was awaited. Fields without an upper bound passed and failed later: `born` of 65 bits in a message to peers ended the host once its target named a limit, read_per_s of 0 would divide by zero in each placement.

Ruled out: the JSON library ends the process itself (it raises at each depth that was tried); memory (an entry of 200 KB).

Why it works: outsidedata is the one place that decodes JSON of others. It bounds depth, digits, texts and addresses and raises one error; each field of the records has a range whose sums fit into messages to peers.

--- a/bergamotstream/platform/documents.py
+++ b/bergamotstream/platform/documents.py
@@ -7,16 +7,17 @@
 each of their fields is checked.
 """
 
+import contextlib
 import json
 import re
-from collections.abc import Callable, Iterable, Mapping
-from typing import Any, Final
+from collections.abc import Callable, Iterable, Iterator, Mapping
+from typing import Any, Final, TypeVar
 
+from bergamotstream import outsidedata
 from bergamotstream.forwarding import fleetrecords
 from bergamotstream.platform import protocol
 
 MS_PER_S: Final = 1_000
-MAX_PORT: Final = 65_535
 DEFAULT_WEIGHT: Final = 1
 DEFAULT_PRIORITY: Final = 1
 DEFAULT_ATTEMPTS: Final = 1
@@ -26,6 +27,21 @@
 # Defaults of an engine that states no usual lengths.
 DEFAULT_PROMPT_TOKENS: Final = 8_192
 DEFAULT_ANSWER_TOKENS: Final = 1_024
+
+
+# Ranges of the fields. All sums of them fit into the messages to peers.
+MAX_DURATION_MS: Final = 86_400_000
+MAX_COUNT: Final = 1_000_000_000
+MAX_TOKENS: Final = (1 << 31) - 1
+MAX_SLOTS: Final = 65_535
+MAX_RATE: Final = 1e12
+MIN_READ_PER_S: Final = 0.001
+# Version and start of a target, which others may count in JavaScript.
+MAX_VERSION: Final = 1 << 53
+MAX_STARTED_MS: Final = 1 << 53
+# A key of the store has 200 bytes at most.
+MAX_NAME: Final = 200
+Checked = TypeVar('Checked')
 _FINGERPRINT: Final = re.compile('[0-9a-f]{16}')
 
 
@@ -33,46 +49,73 @@
     """A document that is malformed or has an invalid field."""
 
 
+@contextlib.contextmanager
+def _decoding(subject: str) -> Iterator[None]:
+    """Raise ``Undecodable`` for what is missing, malformed or out of range."""
+    try:
+        yield
+    except (KeyError, outsidedata.Malformed) as fault:
+        raise Undecodable(f'{subject}: {fault}') from fault
+
+
 def decode_configuration(document: bytes) -> fleetrecords.Configuration:
     """Decode ``op/config``; raises :class:`Undecodable`."""
-    try:
-        return _configuration(json.loads(document))
-    except (KeyError, TypeError, ValueError) as fault:
-        raise Undecodable(f'configuration: {fault!r}') from fault
+    with _decoding('configuration'):
+        return _configuration(
+            outsidedata.mapping(outsidedata.decode_json(document))
+        )
 
 
 def _configuration(body: Mapping[str, Any]) -> fleetrecords.Configuration:
-    routes = [_route(entry) for entry in body['routes']]
-    limits = body.get('limits') or {}
+    routes = [_route(entry) for entry in _mappings(body['routes'])]
+    services = [_service(entry) for entry in _mappings(body['services'])]
+    limits = outsidedata.mapping(body.get('limits') or {})
     return fleetrecords.Configuration(
-        version=int(body['version']),
+        version=_whole(body['version'], highest=MAX_VERSION),
         routes_by_match={route.match: route for route in routes},
-        services_by_name={
-            entry['name']: _service(entry) for entry in body['services']
-        },
-        workspaces_by_key=_workspaces(body.get('tenants') or ()),
+        services_by_name={service.name: service for service in services},
+        workspaces_by_key=_workspaces(_mappings(body.get('tenants') or [])),
         requires_key=bool(body.get('tenants')),
         limits=fleetrecords.CallerLimits(
-            int(limits.get('max_header_bytes', DEFAULT_HEADER_BYTES)),
-            int(limits.get('max_body_bytes', DEFAULT_BODY_BYTES)),
+            _whole(limits.get('max_header_bytes', DEFAULT_HEADER_BYTES)),
+            _whole(limits.get('max_body_bytes', DEFAULT_BODY_BYTES)),
         ),
     )
 
 
+def _mappings(found: Any) -> list[dict[str, Any]]:
+    return [outsidedata.mapping(entry) for entry in outsidedata.listed(found)]
+
+
+def _whole(found: Any, lowest: int = 0, highest: int = MAX_COUNT) -> int:
+    """Return a whole number, which may be written as ``5.0``."""
+    if isinstance(found, float) and found.is_integer():
+        found = int(found)
+    return outsidedata.whole(found, lowest, highest)
+
+
+def _duration_ms(found: Any) -> int:
+    return _whole(found, highest=MAX_DURATION_MS)
+
+
 def _route(entry: Mapping[str, Any]) -> fleetrecords.Route:
-    kind = entry['kind']
+    kind = outsidedata.text(entry['kind'])
+    timeout_ms = _duration_ms(entry['timeout_ms'])
     return fleetrecords.Route(
-        name=entry['name'],
-        match=fleetrecords.RouteMatch(entry['host'].lower(), entry['prefix']),
+        name=outsidedata.text(entry['name']),
+        match=fleetrecords.RouteMatch(
+            outsidedata.text(entry['host']).lower(),
+            outsidedata.text(entry['prefix']),
+        ),
         streaming=kind == protocol.KIND_STREAMING,
         retry_policy=_retry_policy(kind, bool(entry.get('resumable'))),
-        timeout_ms=int(entry['timeout_ms']),
-        goal_ms=int(entry.get('goal_ms') or entry['timeout_ms']),
-        priority=int(entry.get('priority', DEFAULT_PRIORITY)),
+        timeout_ms=timeout_ms,
+        goal_ms=_duration_ms(entry.get('goal_ms') or timeout_ms),
+        priority=_whole(entry.get('priority', DEFAULT_PRIORITY), -MAX_COUNT),
         shares=_shares(entry),
-        max_targets=max(int(entry.get('attempts', DEFAULT_ATTEMPTS)), 1),
+        max_targets=max(_whole(entry.get('attempts', DEFAULT_ATTEMPTS)), 1),
         public=bool(entry.get('public')),
-        pause_goal_ms=int(entry.get('gap_target_ms') or 0),
+        pause_goal_ms=_duration_ms(entry.get('gap_target_ms') or 0),
     )
 
 
@@ -85,40 +128,53 @@
 
 
 def _shares(entry: Mapping[str, Any]) -> tuple[fleetrecords.Share, ...]:
-    split = entry.get('traffic_split')
-    if not split:
-        return (fleetrecords.Share(entry['service'], DEFAULT_WEIGHT),)
-    return tuple(
-        fleetrecords.Share(share['service'], int(share['weight']))
-        for share in split
-        if int(share['weight']) > 0
-    )
+    """Return the shares; without any weight, the route's own service."""
+    shares = [
+        fleetrecords.Share(
+            outsidedata.text(share['service']), _whole(share['weight'])
+        )
+        for share in _mappings(entry.get('traffic_split') or [])
+    ]
+    weighted = tuple(share for share in shares if share.weight)
+    if weighted:
+        return weighted
+    service = outsidedata.text(entry['service'])
+    return (fleetrecords.Share(service, DEFAULT_WEIGHT),)
 
 
 def _service(entry: Mapping[str, Any]) -> fleetrecords.Service:
     engine = entry.get('engine')
     return fleetrecords.Service(
-        name=entry['name'],
-        cold_requests_per_s=float(entry.get('cold_per_s', 0)),
-        engine=_engine(engine) if engine else None,
-        health_path=str(entry.get('health_path') or '/'),
+        name=outsidedata.text(entry['name']),
+        cold_requests_per_s=_rate(entry.get('cold_per_s') or 0),
+        engine=_engine(outsidedata.mapping(engine)) if engine else None,
+        health_path=outsidedata.text(entry.get('health_path') or '/'),
     )
 
 
+def _rate(found: Any, lowest: float = 0) -> float:
+    return outsidedata.number(found, lowest, MAX_RATE)
+
+
 def _engine(entry: Mapping[str, Any]) -> fleetrecords.EngineProfile:
-    usual = entry.get('usual') or {}
+    usual = outsidedata.mapping(entry.get('usual') or {})
     return fleetrecords.EngineProfile(
-        slots=int(entry['slots']),
-        memory_tokens=int(entry['kv_tokens']),
-        steps_in_pass=max(int(entry.get('stride', 1)), 1),
-        step_ms=float(entry['step_ms']),
-        step_ms_per_request=float(entry['per_seq_ms']),
-        step_ms_per_thousand_context=float(entry['context_per_k']),
-        prefill_tokens_per_ms=float(entry['read_per_s']) / MS_PER_S,
-        prefill_ms_per_million_pairs=float(entry['pairs_per_m']),
-        chunk_tokens=int(entry['chunk']),
-        usual_prompt_tokens=int(usual.get('prompt') or DEFAULT_PROMPT_TOKENS),
-        usual_answer_tokens=int(usual.get('answer') or DEFAULT_ANSWER_TOKENS),
+        slots=_whole(entry['slots'], 1, MAX_SLOTS),
+        memory_tokens=_whole(entry['kv_tokens'], 0, MAX_TOKENS),
+        steps_in_pass=max(_whole(entry.get('stride', 1)), 1),
+        step_ms=_rate(entry['step_ms']),
+        step_ms_per_request=_rate(entry['per_seq_ms']),
+        step_ms_per_thousand_context=_rate(entry['context_per_k']),
+        prefill_tokens_per_ms=_rate(entry['read_per_s'], MIN_READ_PER_S)
+        / MS_PER_S,
+        prefill_ms_per_million_pairs=_rate(entry['pairs_per_m']),
+        chunk_tokens=_whole(entry['chunk'], 0, MAX_TOKENS),
+        usual_prompt_tokens=_whole(
+            usual.get('prompt') or DEFAULT_PROMPT_TOKENS, 0, MAX_TOKENS
+        ),
+        usual_answer_tokens=_whole(
+            usual.get('answer') or DEFAULT_ANSWER_TOKENS, 0, MAX_TOKENS
+        ),
     )
 
 
@@ -129,10 +185,11 @@
     for entry in entries:
         priority = entry.get('priority')
         workspace = fleetrecords.Workspace(
-            entry['name'], None if priority is None else int(priority)
+            outsidedata.text(entry['name']),
+            None if priority is None else _whole(priority, -MAX_COUNT),
         )
-        for key in entry.get('api_keys') or ():
-            workspaces_by_key[key] = workspace
+        for key in outsidedata.listed(entry.get('api_keys') or []):
+            workspaces_by_key[outsidedata.text(key)] = workspace
     return workspaces_by_key
 
 
@@ -141,78 +198,63 @@
 ) -> fleetrecords.TargetEntry:
     """Decode the entry of a target; raises :class:`Undecodable`."""
     body = _json_object(document)
-    state = _field(body, 'state', _is_text)
+    state = _field(body, 'state', outsidedata.text)
     if state not in {protocol.STATE_READY, protocol.STATE_DRAINING}:
-        raise Undecodable(f'state {state!r}')
+        raise Undecodable(f'state {outsidedata.shown(state)}')
     return fleetrecords.TargetEntry(
-        target_id=target_id,
-        service=_field(body, 'service', _is_text),
-        address=_field(body, 'address', _is_address),
-        zone=_field(body, 'zone', _is_text),
-        slots=_field(body, 'slots', _is_positive),
+        target_id=_checked_id(target_id),
+        service=_field(body, 'service', outsidedata.text),
+        address=_field(body, 'address', outsidedata.address),
+        zone=_field(body, 'zone', outsidedata.text),
+        slots=_field(body, 'slots', _slots),
         leaving=state == protocol.STATE_DRAINING,
-        cold_ms=_field(body, 'cold_left_ms', _is_count, 0),
-        started_ms=_field(body, 'born', _is_count, 0),
+        cold_ms=_field(body, 'cold_left_ms', _duration_ms, 0),
+        started_ms=_field(body, 'born', _started_ms, 0),
     )
 
 
-def _json_object(document: bytes) -> Mapping[str, Any]:
-    try:
-        body = json.loads(document)
-    except ValueError as fault:
-        raise Undecodable(f'entry: {fault}') from fault
-    if not isinstance(body, dict):
-        raise Undecodable('entry is not an object')
-    return body
-
-
-def _field(
-    body: Mapping[str, Any],
-    name: str,
-    check: Callable[[Any], bool],
-    default: Any = None,
-) -> Any:
-    value = body.get(name, default)
-    if not check(value):
-        raise Undecodable(f'{name}: {value!r}')
-    return value
-
-
-def _is_text(value: Any) -> bool:
-    return isinstance(value, str) and bool(value)
+def _checked_id(target_id: str) -> str:
+    """Return an id that a header can hold."""
+    with _decoding('key'):
+        if ' ' in outsidedata.text(target_id, MAX_NAME):
+            raise outsidedata.Malformed('a space in it')
+    return target_id
 
 
-def _is_count(value: Any) -> bool:
-    return type(value) is int and value >= 0  # noqa: WPS516 - bool is no count
+def _slots(found: Any) -> int:
+    return outsidedata.whole(found, 1, MAX_SLOTS)
 
 
-def _is_positive(value: Any) -> bool:
-    return _is_count(value) and value > 0
+def _started_ms(found: Any) -> int:
+    return outsidedata.whole(found, highest=MAX_STARTED_MS)
 
 
-def _is_address(value: Any) -> bool:
-    if not isinstance(value, str):
-        return False
-    ip, _, port = value.rpartition(':')
-    parts = ip.split('.')
-    if len(parts) != 4 or not all(_is_octet(part) for part in parts):
-        return False
-    return port.isdecimal() and 0 < int(port) <= MAX_PORT
+def _json_object(document: bytes) -> Mapping[str, Any]:
+    with _decoding('entry'):
+        return outsidedata.mapping(outsidedata.decode_json(document))
 
 
-def _is_octet(text: str) -> bool:
-    return text.isascii() and text.isdecimal() and int(text) <= 255
+def _field(
+    body: Mapping[str, Any],
+    name: str,
+    check: Callable[[Any], Checked],
+    default: Any = None,
+) -> Checked:
+    try:
+        return check(body.get(name, default))
+    except outsidedata.Malformed as fault:
+        raise Undecodable(f'{name}: {fault}') from fault
 
 
 def decode_host_entry(name: str, document: bytes) -> fleetrecords.HostEntry:
     """Decode the registration of a host; raises :class:`Undecodable`."""
     body = _json_object(document)
     return fleetrecords.HostEntry(
-        name=name,
-        zone=_field(body, 'zone', _is_text),
-        caller_address=_field(body, 'caller_address', _is_address),
-        peer_address=_field(body, 'peer_address', _is_address),
-        incarnation=_field(body, 'incarnation', _is_count),
+        name=_checked_id(name),
+        zone=_field(body, 'zone', outsidedata.text),
+        caller_address=_field(body, 'caller_address', outsidedata.address),
+        peer_address=_field(body, 'peer_address', outsidedata.address),
+        incarnation=_field(body, 'incarnation', outsidedata.whole),
     )
 
 
@@ -238,5 +280,5 @@
     ``rest`` is its key without the prefix; raises :class:`Undecodable`.
     """
     if _FINGERPRINT.fullmatch(rest) is None:
-        raise Undecodable(f'blamed request: {rest!r}')
+        raise Undecodable(f'blamed request: {outsidedata.shown(rest)}')
     return int(rest, base=16)
