Believe no start of a target that lies in the future

What callers saw: an odd entry with the address of a sound target and `born` far in the future took the sound target out of use for good, as each address belongs to the target that started last. Written under the sound target's own id it counted as a restart, twice, so requests that were running were blamed for a crash that nobody had. An odd entry that was written again with each heartbeat filled the log lines of the kind `believed` (60 a second).

Cause: FleetView compared `born` alone, and reported each fault of an entry with each revision.

Ruled out: refusing such entries by this host's clock. A host whose clock is wrong would then lose all targets.

Why it works: a start over an hour from now ranks below all others, so it takes no address, gives its address back, and names no restart; the rest of the entry counts as before. The clock decides nothing but this order. A fault of an entry, a registration or a configuration is reported again only when it has changed or the subject was read in between.

--- a/bergamotstream/forwarding/fleetview.py
+++ b/bergamotstream/forwarding/fleetview.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable, Iterable, Iterator
 from typing import Final, NamedTuple, TypeAlias
 
+from bergamotstream import clock
 from bergamotstream.forwarding import fleetrecords
 from bergamotstream.platform import documents, protocol, store
 
@@ -21,6 +22,11 @@
 NEVER_MS: Final = -1_000_000
 # Deletions that are kept so that older items arriving later are ignored.
 MAX_TOMBSTONES: Final = 4_096
+# Subjects whose last fault is remembered, so that it is logged once.
+MAX_REPORTED: Final = 4_096
+# A target that says it started later than this after now is not believed.
+START_MARGIN_MS: Final = 3_600_000
+_CLOCK: Final = clock.Clock()
 
 
 class Change(NamedTuple):
@@ -38,8 +44,8 @@
 class FleetView:
     """The current view; all times are given in milliseconds."""
 
-    def __init__(self) -> None:
-        """Start with an empty view."""
+    def __init__(self, wall_ms: Callable[[], int] = _CLOCK.wall_ms) -> None:
+        """Start with an empty view; ``wall_ms`` returns the Unix time."""
         self.configuration: fleetrecords.Configuration | None = None
         self.targets_by_id: dict[str, fleetrecords.TargetEntry] = {}
         self.zones_out: set[str] = set()
@@ -52,6 +58,8 @@
         self._tombstones_by_key: dict[str, int] = {}
         self._hold_lapsed_until_ms = 0
         self._drop_at_ms_by_target: dict[str, int] = {}
+        self._wall_ms = wall_ms
+        self._faults_by_subject: dict[str, str] = {}
 
     def is_usable(self, entry: fleetrecords.TargetEntry, service: str) -> bool:
         """Tell whether a target may get new requests of a service."""
@@ -172,7 +180,9 @@
         try:
             decoded = documents.decode_configuration(item.document)
         except documents.Undecodable as fault:
-            yield Change('configuration', 'refused', item.revision, str(fault))
+            yield from self._report_once(
+                'configuration', 'refused', item.revision, str(fault)
+            )
             return
         known = self.configuration
         if known is not None and decoded.version <= known.version:
@@ -203,16 +213,25 @@
             entry = documents.decode_target_entry(target_id, item.document)
         except documents.Undecodable as fault:
             self.targets_by_id.pop(target_id, None)
-            yield Change(
+            yield from self._report_once(
                 f'target:{target_id}', 'unreadable', item.revision, str(fault)
             )
             return
         self._drop_at_ms_by_target.pop(target_id, None)
+        known = self.targets_by_id.get(target_id)
+        if known is not None and self._is_past(known):
+            if not self._is_past(entry):
+                entry = entry._replace(started_ms=known.started_ms)
+        elif known is not None:
+            # Nothing was known of its start, so a change is no restart.
+            known = known._replace(started_ms=entry.started_ms)
         if self._has_newer(entry):
-            yield Change(f'target:{target_id}', 'superseded', item.revision)
+            yield from self._report_once(
+                f'target:{target_id}', 'superseded', item.revision, ''
+            )
             return
+        self._faults_by_subject.pop(f'target:{target_id}', None)
         yield from self._drop_older(entry)
-        known = self.targets_by_id.get(target_id)
         self.targets_by_id[target_id] = entry
         yield Change(
             f'target:{target_id}',
@@ -234,10 +253,33 @@
     def _has_newer(self, entry: fleetrecords.TargetEntry) -> bool:
         """Tell whether a target that started later uses the address."""
         return any(
-            other.started_ms > entry.started_ms
+            self._start(other) > self._start(entry)
             for other in self._sharing_address(entry)
         )
 
+    def _start(self, entry: fleetrecords.TargetEntry) -> tuple[bool, int]:
+        """Return the order of starts: one in the future counts as the first.
+
+        Nothing but the order depends on the clock of this host, so one that is
+        wrong costs no target.
+        """
+        return self._is_past(entry), entry.started_ms
+
+    def _is_past(self, entry: fleetrecords.TargetEntry) -> bool:
+        """Tell whether a target says that it has started already."""
+        return entry.started_ms <= self._wall_ms() + START_MARGIN_MS
+
+    def _report_once(
+        self, subject: str, outcome: str, revision: int, detail: str
+    ) -> Iterator[Change]:
+        """Yield a fault unless it is the one reported last of its subject."""
+        fault = f'{outcome} {detail}'
+        if self._faults_by_subject.pop(subject, '') != fault:
+            yield Change(subject, outcome, revision, detail)
+        self._faults_by_subject[subject] = fault
+        if len(self._faults_by_subject) > MAX_REPORTED:
+            self._faults_by_subject.pop(next(iter(self._faults_by_subject)))
+
     def _drop_older(self, entry: fleetrecords.TargetEntry) -> Iterator[Change]:
         """Drop the targets that used the address before ``entry``.
 
@@ -275,7 +317,7 @@
                 name, item.document
             )
         except documents.Undecodable as fault:
-            yield Change(
+            yield from self._report_once(
                 f'host:{name}', 'unreadable', item.revision, str(fault)
             )
             return
--- a/tests/test_oddentries.py
+++ b/tests/test_oddentries.py
@@ -250,3 +250,48 @@
     except documents.Undecodable:
         return
     assert 0 <= decoded.incarnation < 1 << 63
+
+
+def test_start_in_the_future_takes_no_address():
+    """Guards against an entry that ends a sound target's use for good."""
+    view = oddkit.view_with_target()
+    changes = oddkit.put(view, 'odd', 6, born=1 << 52)
+    assert set(view.targets_by_id) == {'t1'}
+    assert [change.outcome for change in changes] == ['superseded']
+    oddkit.put(view, 't1', 7, seq=2)
+    assert set(view.targets_by_id) == {'t1'}
+
+
+def test_sound_target_takes_its_address_back():
+    """Guards against an odd entry that was there first."""
+    view = fleetview.FleetView()
+    oddkit.put(view, 'odd', 5, born=1 << 52)
+    oddkit.put(view, 't1', 6)
+    assert set(view.targets_by_id) == {'t1'}
+
+
+def test_start_in_the_future_is_no_restart():
+    """Guards against requests that are blamed for a crash nobody had."""
+    view = oddkit.view_with_target()
+    outcomes = [
+        change.outcome
+        for revision, born in ((6, 1 << 52), (7, 1_000))
+        for change in oddkit.put(view, 't1', revision, born=born)
+    ]
+    assert 'restarted' not in outcomes
+    assert view.targets_by_id['t1'].started_ms == 1_000
+
+
+def test_same_fault_of_an_entry_is_logged_once():
+    """Guards against a log that one writer fills with each heartbeat."""
+    view = fleetview.FleetView()
+    logged = [
+        change
+        for revision in range(5, 25)
+        for change in oddkit.put(view, 't1', revision, slots=0, seq=revision)
+    ]
+    assert len(logged) == 1
+    assert logged[0].subject == 'target:t1'
+    assert 'slots' in logged[0].detail
+    assert oddkit.put(view, 't1', 30)[0].outcome == 'ready'
+    assert oddkit.put(view, 't1', 31, slots=0)[0].outcome == 'unreadable'
