Leave out single items of the store that cannot be read

What callers saw: one item without a key, with a revision that is no number or with a value that is no base64 made the whole listing or watch unreadable, and the host stayed without news. An item that is no object, a revision of 1e999 or an answer that nests 100,000 deep ended the host. A page that leads to itself was read for ever.

Cause: an answer was decoded as a whole, and AttributeError, OverflowError and RecursionError were not awaited.

Ruled out: leaving out an item means deleting it. A known key whose item cannot be read stays as it is. A listing of which no item at all can be read is still no answer (test_storeanswers, unchanged).

Why it works: each item is decoded by itself; those left out are listed in the page and reported once as `believed subject=item:KEY outcome=unreadable` with the reason. Revisions and leases have a range, so they fit into messages.

--- a/bergamotstream/forwarding/fleetview.py
+++ b/bergamotstream/forwarding/fleetview.py
@@ -80,20 +80,33 @@
             for item in page.items
             for change in self._apply(item, now_ms)
         ]
+        for unreadable in page.unreadable:
+            changes.extend(
+                self._report_once(
+                    f'item:{unreadable.key}',
+                    'unreadable',
+                    page.revision,
+                    unreadable.reason,
+                )
+            )
         self.revision = max(self.revision, page.revision)
         return changes
 
     def replace_all(self, page: store.Page, now_ms: int) -> list[Change]:
-        """Apply a complete listing; keys that it lacks are deleted."""
+        """Apply a complete listing; keys that it lacks are deleted.
+
+        A known key whose item cannot be read stays as it is.
+        """
         if page.revision < self.revision:
             return []
         present = {item.key for item in page.items}
+        present.update(item.key for item in page.unreadable)
         gone = [
             store.Item(key, page.revision, None)
             for key in self.items_by_key
             if key not in present
         ]
-        complete = store.Page((*gone, *page.items), page.revision)
+        complete = page._replace(items=(*gone, *page.items))
         self._complete_since = page.revision
         return self.apply_changes(complete, now_ms)
 
--- a/bergamotstream/platform/store.py
+++ b/bergamotstream/platform/store.py
@@ -8,13 +8,13 @@
 
 import base64
 import contextlib
-import json
-from collections.abc import Iterator, Mapping, Sequence
+from collections.abc import Callable, Iterator, Mapping, Sequence
 from typing import Any, Final, NamedTuple
 
 import aiohttp
 import yarl
 
+from bergamotstream import outsidedata
 from bergamotstream.forwarding import hostsettings
 
 # The store answers in 4 ms; a call that takes this long is lost.
@@ -50,12 +50,20 @@
     document: bytes | None
 
 
+class UnreadableItem(NamedTuple):
+    """An item that is left out; ``key`` is empty if it cannot be read."""
+
+    key: str
+    reason: str
+
+
 class Page(NamedTuple):
     """Items and the revision of the store at which they were read."""
 
     items: tuple[Item, ...]
     # ``store_revision`` on the wire: of the whole store, not of an item.
     revision: int
+    unreadable: tuple[UnreadableItem, ...] = ()
 
 
 class StoreClient:
@@ -76,21 +84,31 @@
         The pages are not a snapshot, so the revision of the first one is
         returned: a watch from there repeats changes but misses none.
         """
-        items: list[Item] = []
-        after, revision = '', 0
-        while True:
-            query = (
-                {'prefix': prefix, 'after': after}
-                if after
-                else {'prefix': prefix}
-            )
-            _, body = await self._call('GET', '/kv-range', query=query)
-            with _decoding():
-                items.extend(_item(entry) for entry in body['items'])
-                revision = revision or int(body['store_revision'])
-            if not body.get('has_more') or not body['items']:
-                return Page(tuple(items), revision)
-            after = items[-1].key
+        pages: list[Page] = []
+        after, has_more = '', True
+        while has_more:
+            page, has_more = await self._read_page(prefix, after)
+            pages.append(page)
+            after = page.items[-1].key if has_more else after
+        return Page(
+            tuple(entry for page in pages for entry in page.items),
+            pages[0].revision,
+            tuple(entry for page in pages for entry in page.unreadable),
+        )
+
+    async def _read_page(self, prefix: str, after: str) -> tuple[Page, bool]:
+        """Read one page and whether more follow; raises ``StoreUnavailable``."""
+        query = {'prefix': prefix}
+        if after:
+            query['after'] = after
+        _, body = await self._call('GET', '/kv-range', query=query)
+        with _decoding():
+            page = _page(body, 'items')
+        if page.unreadable and not page.items:
+            raise StoreUnavailable(f'no readable item: {page.unreadable[0]}')
+        if page.items and page.items[-1].key == after:
+            raise StoreUnavailable('a page leads to no further one')
+        return page, bool(body.get('has_more') and page.items)
 
     async def watch(self, prefix: str, revision: int, wait_ms: int) -> Page:
         """Wait for changes after ``revision``; raises ``HistoryGone``."""
@@ -104,14 +122,13 @@
         if status == HISTORY_GONE:
             raise HistoryGone
         with _decoding():
-            events = tuple(_item(entry) for entry in body['events'])
-            return Page(events, int(body['store_revision']))
+            return _page(body, 'events')
 
     async def open_lease(self, ttl_ms: int) -> int:
         """Return the id of a new lease of ``ttl_ms`` milliseconds."""
         _, body = await self._call('POST', '/kv-lease', {'ttl_ms': ttl_ms})
         with _decoding():
-            return int(body['lease'])
+            return outsidedata.whole(body['lease'])
 
     async def renew_lease(self, lease: int) -> None:
         """Renew a lease; raises ``LeaseGone``."""
@@ -179,9 +196,9 @@
     if response.status not in expected:
         raise StoreUnavailable(f'status {response.status}')
     try:
-        decoded = json.loads(text) if text else {}
-    except ValueError as fault:
-        raise StoreUnavailable('answer is not JSON') from fault
+        decoded = outsidedata.decode_json(text) if text else {}
+    except outsidedata.Malformed as fault:
+        raise StoreUnavailable(f'malformed answer: {fault}') from fault
     return response.status, decoded if isinstance(decoded, dict) else {}
 
 
@@ -190,15 +207,64 @@
     """Raise ``StoreUnavailable`` if a field is missing or malformed."""
     try:
         yield
-    except (KeyError, TypeError, ValueError) as fault:
+    except (KeyError, outsidedata.Malformed) as fault:
         raise StoreUnavailable(f'malformed answer: {fault!r}') from fault
 
 
-def _item(entry: Mapping[str, Any]) -> Item:
-    if entry.get('tombstone'):
-        return Item(str(entry['key']), int(entry['rev']), None)
-    return Item(
-        str(entry['key']),
-        int(entry['rev']),
-        base64.b64decode(entry['value']),
+def _page(body: Mapping[str, Any], field: str) -> Page:
+    """Return the items of an answer; raises ``Malformed``."""
+    return page_of(
+        outsidedata.listed(body[field]),
+        outsidedata.whole(body['store_revision']),
+        _item,
     )
+
+
+def page_of(
+    entries: Sequence[Any], revision: int, read_item: Callable[[Any], Item]
+) -> Page:
+    """Return the items that ``read_item`` can read, and what it cannot.
+
+    It raises ``Malformed`` or ``KeyError`` for an entry that is left out.
+    """
+    items: list[Item] = []
+    unreadable: list[UnreadableItem] = []
+    for entry in entries:
+        try:
+            items.append(read_item(entry))
+        except (KeyError, outsidedata.Malformed) as fault:
+            unreadable.append(
+                UnreadableItem(
+                    _readable_key(entry),
+                    f'{fault} in {outsidedata.shown(entry)}',
+                )
+            )
+    return Page(tuple(items), revision, tuple(unreadable))
+
+
+def _readable_key(entry: Any) -> str:
+    """Return the key of an object or list, empty if it has none."""
+    try:
+        key = entry['key'] if isinstance(entry, dict) else entry[0]
+        return outsidedata.text(key)
+    except (LookupError, TypeError, outsidedata.Malformed):
+        return ''
+
+
+def read_value(encoded: Any) -> bytes:
+    """Return the bytes of standard base64 text; raises ``Malformed``."""
+    if not isinstance(encoded, str):
+        raise outsidedata.Malformed(f'value {outsidedata.shown(encoded)}')
+    try:
+        return base64.b64decode(encoded)
+    except ValueError as fault:
+        raise outsidedata.Malformed(f'value: {fault}') from fault
+
+
+def _item(entry: Any) -> Item:
+    fields = outsidedata.mapping(entry)
+    key = outsidedata.text(fields['key'])
+    revision = outsidedata.whole(fields['rev'])
+    if fields.get('tombstone'):
+        return Item(key, revision, None)
+    return Item(key, revision, read_value(fields['value']))
