Leave out single items of a peer that cannot be read

What callers saw: a host that fetches news from a peer ended when an item of the answer had a revision or key of another type, a hold time or revision was infinite, or the answer nested 100,000 deep. A revision over 64 bits was believed and would have ended the host with its next message. A hold time of any length kept targets that had gone. A query with a revision that is no number was answered with 500 and a stack trace.

Cause: the items of an update were not checked, and the query was given to int().

Ruled out: items that no peer of this version sends are harmless; peers of other versions run side by side, and the port is open to all machines of the system.

Why it works: updates are read as listings of the store are, item by item, with ranges; the hold time is at most that of a host itself; an odd query gets 400.

--- a/bergamotstream/forwarding/hostdaemon.py
+++ b/bergamotstream/forwarding/hostdaemon.py
@@ -333,7 +333,12 @@
         self, request: web.BaseRequest
     ) -> web.StreamResponse:
         if request.path == peerfetch.ITEMS_PATH:
-            revision = int(request.query.get('after', 0))
+            try:
+                revision = peerfetch.read_revision(
+                    request.query.get('after', '0')
+                )
+            except ValueError:
+                return web.Response(status=400)
             update = peerfetch.update_since(
                 self._core.view, revision, self._clock.now_ms()
             )
--- a/bergamotstream/forwarding/peerfetch.py
+++ b/bergamotstream/forwarding/peerfetch.py
@@ -10,11 +10,11 @@
 import base64
 import json
 import random
-from typing import Final, NamedTuple
+from typing import Any, Final, NamedTuple
 
 import aiohttp
 
-from bergamotstream import clock
+from bergamotstream import clock, outsidedata
 from bergamotstream.forwarding import (
     eventlog,
     fleetview,
@@ -31,6 +31,8 @@
 CHECK_INTERVAL_S: Final = 0.1
 FETCH_TIMEOUT_S: Final = 1.0
 ITEMS_PATH: Final = '/items'
+# An item of an update: key, revision and document.
+ITEM_FIELDS: Final = 3
 
 
 class ItemUpdate(NamedTuple):
@@ -154,26 +156,44 @@
     return json.dumps(body).encode()
 
 
+def read_revision(text: str) -> int:
+    """Return a revision from a query; raises ``Malformed``."""
+    if not (text.isascii() and text.isdecimal()):
+        raise outsidedata.Malformed(f'revision {outsidedata.shown(text)}')
+    return outsidedata.whole(outsidedata.decode_json(text))
+
+
 def decode(body: bytes) -> ItemUpdate:
     """Return the update; raises :class:`ValueError` if malformed."""
-    decoded = json.loads(body)
+    decoded = outsidedata.mapping(outsidedata.decode_json(body))
     try:
-        listed = tuple(
-            store.Item(key, revision, _decode_document(text))
-            for key, revision, text in decoded['items']
+        page = store.page_of(
+            outsidedata.listed(decoded['items']),
+            outsidedata.whole(decoded['revision']),
+            _read_item,
         )
+        hold_ms = outsidedata.whole(decoded['hold_ms'])
         return ItemUpdate(
-            store.Page(listed, int(decoded['revision'])),
+            page,
             bool(decoded['complete']),
-            int(decoded['hold_ms']),
+            min(hold_ms, fleetview.LAPSE_HOLD_MS),
         )
-    except (KeyError, TypeError) as fault:
-        raise ValueError(repr(fault)) from fault
+    except KeyError as fault:
+        raise outsidedata.Malformed(repr(fault)) from fault
 
 
-def _encode_document(document: bytes | None) -> str | None:
-    return None if document is None else base64.b64encode(document).decode()
+def _read_item(entry: Any) -> store.Item:
+    """Return an item; raises ``Malformed``."""
+    fields = outsidedata.listed(entry)
+    if len(fields) != ITEM_FIELDS:
+        raise outsidedata.Malformed(f'{len(fields)} fields')
+    key, revision, encoded = fields
+    return store.Item(
+        outsidedata.text(key),
+        outsidedata.whole(revision),
+        None if encoded is None else store.read_value(encoded),
+    )
 
 
-def _decode_document(text: str | None) -> bytes | None:
-    return None if text is None else base64.b64decode(text)
+def _encode_document(document: bytes | None) -> str | None:
+    return None if document is None else base64.b64encode(document).decode()
--- a/tests/test_oddanswers.py
+++ b/tests/test_oddanswers.py
@@ -3,11 +3,15 @@
 import asyncio
 import json
 
+import aiohttp
+import hypothesis
 import pytest
+from hypothesis import strategies
 
 from bergamotstream.forwarding import (
     connections,
     fleetview,
+    peerfetch,
 )
 from bergamotstream.platform import store
 from tests import oddkit
@@ -119,3 +123,95 @@
             )
             with pytest.raises(store.StoreUnavailable):
                 await client.open_lease(1_000)
+
+
+def update_body(**changes):
+    return json.dumps(
+        {'revision': 9, 'items': [], 'complete': False, 'hold_ms': 0} | changes
+    ).encode()
+
+
+ODD_UPDATES = {
+    'deep': b'[' * oddkit.DEEP,
+    'no_object': b'[]',
+    'infinite_revision': update_body(revision=float('inf')),
+    'huge_revision': update_body(revision=1 << 70),
+    'negative_revision': update_body(revision=-1),
+    'infinite_hold': update_body(hold_ms=float('inf')),
+    'hold_as_text': update_body(hold_ms='x'),
+    'items_as_number': update_body(items=5),
+}
+
+
+@pytest.mark.parametrize('kind', ODD_UPDATES)
+def test_odd_update_of_a_peer_is_refused(kind):
+    """Guards against an update that ends the task which asks peers."""
+    with pytest.raises(ValueError):
+        peerfetch.decode(ODD_UPDATES[kind])
+
+
+@pytest.mark.parametrize(
+    'odd',
+    [
+        5,
+        None,
+        ['a'],
+        ['a', 'x', ''],
+        ['a', 1 << 70, ''],
+        [5, 1, ''],
+        ['a', 1.5, ''],
+        ['\ud800', 1, ''],
+        ['a', 1, 5],
+        ['a', 1, 'é'],
+    ],
+)
+def test_odd_item_of_a_peer_costs_no_other_item(odd):
+    """Guards against news of a peer that one item makes unreadable."""
+    fine = ['servers/t1', 7, '']
+    update = peerfetch.decode(update_body(items=[odd, fine]))
+    view = fleetview.FleetView()
+    view.apply_changes(update.page, 0)
+    view.apply_changes(update.page, 0)
+    assert 'servers/t1' in view.items_by_key
+
+
+def test_peer_keeps_lapsed_targets_no_longer_than_a_host_does():
+    """Guards against targets that one answer keeps for ever."""
+    update = peerfetch.decode(update_body(hold_ms=1 << 40))
+    assert update.hold_ms <= fleetview.LAPSE_HOLD_MS
+
+
+@pytest.mark.parametrize(
+    'after', ['x', '9' * oddkit.LONG, '1e9', '-1', '', '99999999999999999999']
+)
+async def test_odd_revision_in_a_query_of_a_peer_is_refused(after):
+    """Guards against a fault of the program for what a peer asks."""
+    async with kit.running_system() as system:
+        url = f'http://{system.settings[0].peer_address}/items'
+        async with aiohttp.ClientSession() as session:
+            async with session.get(url, params={'after': after}) as response:
+                assert response.status == 400
+
+
+UPDATE = {
+    'revision': 9,
+    'items': [['servers/t1', 7, ''], ['servers/t2', 8, None]],
+    'complete': True,
+    'hold_ms': 10,
+}
+
+
+@hypothesis.given(
+    strategies.sampled_from(tuple(oddkit.paths_of(UPDATE))), oddkit.JSON
+)
+def test_any_part_of_an_update_is_applied_or_refused(path, part):
+    """Guards against an unexpected fault on any type in any place."""
+    body = json.dumps(oddkit.replaced(UPDATE, path, part)).encode()
+    try:
+        update = peerfetch.decode(body)
+    except ValueError:
+        return
+    view = fleetview.FleetView()
+    for _ in range(2):
+        view.replace_all(update.page, 0)
+    assert view.revision < 1 << 63
