Check addresses, numbers and sizes of peers' messages

What callers saw: one datagram with a peer address that has no valid port ended the host. A host name in it was looked up by a blocking call. A limit that is no number (NaN) failed in placements, as would a prefill time or an estimate. 300 bytes that state a list of four million empty entries stopped a host for 8 s. An age over 49 days, as on a machine that has been up for so long while the store has never answered, could not be sent and ended the host.

Cause: the schema bounds types, not values, and the reader followed each message up to 64 MB. Ages were not bounded when they were written.

Ruled out: a pointer out of the message (the library refuses it), and bytes that are no text (refused before).

Why it works: names and addresses are checked; a message is read up to 1 MB and has no more entries than bytes; estimates, limits and commitments out of range are left out one by one; ages end at 49 days. The fleet in tests/crashkit.py gave its hosts addresses such as h0:1, which nobody used and which are refused now; it has numeric ones instead. No assertion changed.

--- a/bergamotstream/forwarding/peerformat.py
+++ b/bergamotstream/forwarding/peerformat.py
@@ -5,13 +5,14 @@
 The datagram that carries the state of a host to its peers.
 """
 
+import math
 import pathlib
 from collections.abc import Collection, Iterable, Iterator
 from typing import Any, Final, NamedTuple
 
 import capnp
 
-from bergamotstream import errors
+from bergamotstream import errors, outsidedata
 from bergamotstream.forwarding import (
     commitments,
     crashblame,
@@ -23,6 +24,22 @@
     targethealth,
 )
 
+# Largest age that a message holds, about 49 days.
+MAX_AGE_MS: Final = (1 << 32) - 1
+# Limit of what a datagram is read as, several times the largest state.
+MAX_WORDS: Final = 131_072
+_LISTS: Final = (
+    'commitments',
+    'notes',
+    'blamed',
+    'crashedRuns',
+    'brokenRuns',
+    'limits',
+    'lostServices',
+    'failingTargets',
+    'reachedTargets',
+    'servedRequests',
+)
 SCHEMA: Final = capnp.load(str(pathlib.Path(__file__).with_name('peers.capnp')))
 
 
@@ -55,7 +72,7 @@
         sequence=state.sequence,
         ready=state.ready,
         storeRevision=state.store_revision,
-        storeAgeMs=max(now_ms - state.store_answered_ms, 0),
+        storeAgeMs=_age_ms(state.store_answered_ms, now_ms),
         commitments=[
             _encode_commitment(entry, now_ms) for entry in state.own_commitments
         ],
@@ -71,9 +88,9 @@
         blamed=[
             {
                 'fingerprint': entry.fingerprint,
-                'ageMs': entry.age_ms,
+                'ageMs': min(entry.age_ms, MAX_AGE_MS),
                 'crashes': entry.crashes,
-                'sinceAgeMs': entry.since_age_ms,
+                'sinceAgeMs': min(entry.since_age_ms, MAX_AGE_MS),
             }
             for entry in state.blame.blamed
         ],
@@ -88,7 +105,7 @@
             {
                 'fingerprint': entry.fingerprint,
                 'successes': entry.successes,
-                'ageMs': entry.age_ms,
+                'ageMs': min(entry.age_ms, MAX_AGE_MS),
             }
             for entry in state.blame.served
         ],
@@ -97,26 +114,50 @@
     return encoded
 
 
+def _age_ms(at_ms: int, now_ms: int) -> int:
+    return min(max(now_ms - at_ms, 0), MAX_AGE_MS)
+
+
 def decode(datagram: bytes, now_ms: int) -> HostState:
-    """Return the state; raises ``InvalidMessage`` if malformed."""
+    """Return the state; raises ``InvalidMessage`` if malformed.
+
+    Estimates, limits and commitments whose numbers are out of their range are
+    left out.
+    """
     try:
-        return _decode(SCHEMA.HostState.from_bytes_packed(datagram), now_ms)
-    except (capnp.KjException, UnicodeDecodeError) as fault:
+        message = SCHEMA.HostState.from_bytes_packed(
+            datagram, traversal_limit_in_words=MAX_WORDS
+        )
+        _check_length(message, len(datagram))
+        return _decode(message, now_ms)
+    except (capnp.KjException, ValueError) as fault:
         raise errors.InvalidMessage(str(fault)) from fault
 
 
+def _check_length(message: Any, received_bytes: int) -> None:
+    """Raise ``Malformed`` for more entries than the bytes can hold.
+
+    A list may state millions of entries without any content.
+    """
+    entries = sum(len(getattr(message, name)) for name in _LISTS)
+    if entries > received_bytes:
+        raise outsidedata.Malformed(
+            f'{entries} entries in {received_bytes} bytes'
+        )
+
+
 def _decode(message: Any, now_ms: int) -> HostState:
     return HostState(
         entry=fleetrecords.HostEntry(
-            name=message.name,
-            zone=message.zone,
-            caller_address=message.callerAddress,
-            peer_address=message.peerAddress,
-            incarnation=message.incarnation,
+            name=outsidedata.text(message.name),
+            zone=outsidedata.text(message.zone),
+            caller_address=outsidedata.address(message.callerAddress),
+            peer_address=outsidedata.address(message.peerAddress),
+            incarnation=outsidedata.whole(message.incarnation),
         ),
         sequence=message.sequence,
         ready=message.ready,
-        store_revision=message.storeRevision,
+        store_revision=outsidedata.whole(message.storeRevision),
         own_commitments=_LazyCommitments(message.commitments, now_ms),
         health_estimates=tuple(
             targethealth.HealthEstimate(
@@ -126,6 +167,8 @@
                 estimate.refusingMs,
             )
             for estimate in message.notes
+            if 0 <= estimate.failing <= 1
+            and 0 <= estimate.slowness <= targethealth.MAX_SLOWNESS
         ),
         store_answered_ms=now_ms - message.storeAgeMs,
         blame=crashblame.Report(
@@ -149,7 +192,12 @@
                 for entry in message.servedRequests
             ),
         ),
-        limits=tuple(_decode_limit(entry, now_ms) for entry in message.limits),
+        limits=tuple(
+            _decode_limit(entry, now_ms)
+            for entry in message.limits
+            if 0 <= entry.perS <= namedlimits.MAX_PER_S
+            and len(entry.sentAgesMs) <= namedlimits.MAX_SENT
+        ),
         link_report=links.Report(
             tuple(message.lostServices),
             _decode_times(message.failingTargets, now_ms),
@@ -166,7 +214,7 @@
         {
             'targetId': entry.target_id,
             'startedMs': entry.started_ms,
-            'ageMs': max(now_ms - entry.at_ms, 0),
+            'ageMs': _age_ms(entry.at_ms, now_ms),
         }
         for entry in entries
     ]
@@ -185,7 +233,7 @@
     encoded: dict[str, object] = {
         'targetId': limit.run.target_id,
         'startedMs': limit.run.started_ms,
-        'sentAgesMs': [max(now_ms - at_ms, 0) for at_ms in limit.sent_ms],
+        'sentAgesMs': [_age_ms(at_ms, now_ms) for at_ms in limit.sent_ms],
     }
     if limit.statement is None:
         return encoded
@@ -194,7 +242,7 @@
         'isTold': True,
         'isLimited': per_s is not None,
         'perS': per_s or 0,
-        'ageMs': max(now_ms - limit.statement.at_ms, 0),
+        'ageMs': _age_ms(limit.statement.at_ms, now_ms),
     }
 
 
@@ -228,7 +276,7 @@
 ) -> dict[str, object]:
     return {
         'targetId': entry.target_id,
-        'ageMs': max(now_ms - entry.placed_ms, 0),
+        'ageMs': _age_ms(entry.placed_ms, now_ms),
         'request': entry.request_hash,
         'readMs': entry.prefill_ms,
         'isPart': entry.is_part,
@@ -273,6 +321,7 @@
                 for target_id, entry in zip(
                     self._target_ids, self._entries, strict=True
                 )
+                if math.isfinite(entry.readMs + entry.value)
             )
         return iter(self._decoded)
 
--- a/tests/crashkit.py
+++ b/tests/crashkit.py
@@ -179,7 +179,7 @@
         )
         self.log = RecordedLog(fleet.clock)
         entry = fleetrecords.HostEntry(
-            name, 'z', f'{name}:1', f'{name}:2', self.started_ms
+            name, 'z', '127.0.0.1:1', '127.0.0.1:2', self.started_ms
         )
         meters = metrics.Metrics()
         self.outcomes = outcomes.OutcomeRecorder(
--- /dev/null
+++ b/tests/test_oddmessages.py
@@ -0,0 +1,202 @@
+"""Odd messages of peers, and odd headers of callers and targets."""
+
+import asyncio
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from bergamotstream import errors
+from bergamotstream.forwarding import peerformat
+from tests import oddkit
+from tests import platformkit as kit
+
+
+def state_message(**changes):
+    fields = {
+        'name': 'host-9',
+        'zone': 'rosario',
+        'callerAddress': '127.0.0.1:81',
+        'peerAddress': '127.0.0.1:82',
+        'incarnation': 1,
+        'sequence': 1,
+    } | changes
+    return peerformat.SCHEMA.HostState.new_message(**fields).to_bytes_packed()
+
+
+ODD_STATES = {
+    'no_peer_address': {'peerAddress': ''},
+    'peer_address_without_port': {'peerAddress': '127.0.0.1'},
+    'peer_address_by_name': {'peerAddress': 'peer.example:80'},
+    'port_out_of_range': {'peerAddress': '127.0.0.1:99999'},
+    'long_port': {'peerAddress': '127.0.0.1:' + '9' * oddkit.LONG},
+    'no_caller_address': {'callerAddress': 'x'},
+    'no_name': {'name': ''},
+    'name_over_two_lines': {'name': 'a\nb'},
+    'revision_too_large': {'storeRevision': (1 << 64) - 1},
+}
+
+
+@pytest.mark.parametrize('kind', ODD_STATES)
+def test_odd_state_of_a_peer_is_refused(kind):
+    """Guards against numbers and addresses that fail in each placement."""
+    with pytest.raises(errors.InvalidMessage):
+        state = peerformat.decode(state_message(**ODD_STATES[kind]), 0)
+        tuple(state.own_commitments)
+
+
+@pytest.mark.parametrize('kind', ODD_STATES)
+async def test_odd_message_of_a_peer_ends_no_host(kind):
+    """Guards against one datagram that ends a host or all its placements."""
+    async with (
+        kit.running_system() as system,
+        kit.raw_target(oddkit.answer_plain) as target,
+    ):
+        await system.add_target('t1', target)
+        host, _, port = system.settings[0].peer_address.rpartition(':')
+        loop = asyncio.get_running_loop()
+        transport, _ = await loop.create_datagram_endpoint(
+            asyncio.DatagramProtocol, remote_addr=(host, int(port))
+        )
+        transport.sendto(state_message(**ODD_STATES[kind]))
+        await asyncio.sleep(0.9)
+        transport.close()
+        assert oddkit.is_alive(system)
+        assert 'host-9' not in system.daemons[0]._peers.peers_by_name
+        status, _, _ = await system.call('/lookup/1')
+        assert status == 200
+
+
+ODD_PARTS = {
+    'failing_nan': {
+        'notes': [{'targetId': 't1', 'failing': float('nan'), 'slowness': 1}]
+    },
+    'slowness_infinite': {
+        'notes': [{'targetId': 't1', 'failing': 0, 'slowness': float('inf')}]
+    },
+    'limit_nan': {
+        'limits': [
+            {
+                'targetId': 't1',
+                'startedMs': 1_000,
+                'isTold': True,
+                'isLimited': True,
+                'perS': float('nan'),
+            }
+        ]
+    },
+    'limit_negative': {
+        'limits': [
+            {
+                'targetId': 't1',
+                'startedMs': 1_000,
+                'isTold': True,
+                'isLimited': True,
+                'perS': -1.0,
+            }
+        ]
+    },
+    'prefill_nan': {
+        'commitments': [{'targetId': 't1', 'readMs': float('nan')}]
+    },
+    'prefill_infinite': {
+        'commitments': [{'targetId': 't1', 'readMs': float('inf')}]
+    },
+    'value_negative_infinite': {
+        'commitments': [{'targetId': 't1', 'value': float('-inf')}]
+    },
+}
+
+
+@pytest.mark.parametrize('kind', ODD_PARTS)
+def test_odd_part_of_a_peers_state_costs_no_other_part(kind):
+    """Guards against a number that fails in each placement."""
+    fine = {
+        'commitments': {'targetId': 't2', 'readMs': 5.0, 'value': 1.0},
+        'notes': {'targetId': 't2', 'failing': 0.5, 'slowness': 2.0},
+        'limits': {'targetId': 't2', 'startedMs': 1, 'sentAgesMs': [5]},
+    }
+    changes = {
+        name: [*ODD_PARTS[kind].get(name, []), entry]
+        for name, entry in fine.items()
+    }
+    state = peerformat.decode(state_message(**changes), 0)
+    assert [entry.target_id for entry in state.own_commitments] == ['t2']
+    assert [entry.target_id for entry in state.health_estimates] == ['t2']
+    assert [entry.run.target_id for entry in state.limits] == ['t2']
+
+
+def test_age_of_seven_weeks_is_sent_to_peers():
+    """Guards against a host that ends where the store is away for long."""
+    state = peerformat.decode(state_message(), 0)
+    aged = peerformat.encode(state._replace(ready=True), 1 << 33)
+    assert peerformat.decode(aged, 0).ready
+
+
+@hypothesis.given(strategies.binary(max_size=400))
+def test_any_bytes_of_a_peer_are_decoded_or_refused(datagram):
+    """Guards against an unexpected fault on arbitrary bytes of a peer."""
+    try:
+        state = peerformat.decode(datagram, 0)
+        tuple(state.own_commitments)
+    except errors.InvalidMessage:
+        return
+    assert state.entry.name
+
+
+SOUND_STATE = state_message(
+    commitments=[{'targetId': 't1', 'readMs': 5.0, 'value': 1.0}],
+    notes=[{'targetId': 't1', 'failing': 0.5, 'slowness': 2.0}],
+    limits=[{'targetId': 't1', 'isTold': True, 'isLimited': True, 'perS': 2.0}],
+    lostServices=['plain'],
+    failingTargets=[{'targetId': 't1', 'startedMs': 1, 'ageMs': 5}],
+)
+
+
+@hypothesis.settings(max_examples=300)
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.integers(0, len(SOUND_STATE) - 1),
+            strategies.integers(0, 255),
+        ),
+        min_size=1,
+        max_size=4,
+    )
+)
+def test_damaged_message_of_a_peer_is_decoded_or_refused(damages):
+    """Guards against an unexpected fault on a damaged message."""
+    damaged = bytearray(SOUND_STATE)
+    for position, byte in damages:
+        damaged[position] = byte
+    try:
+        state = peerformat.decode(bytes(damaged), 0)
+        tuple(state.own_commitments)
+    except errors.InvalidMessage:
+        return
+    own = state._replace(sequence=2)
+    assert peerformat.encode(own, 0)
+
+
+def test_short_message_states_no_list_of_millions():
+    """Guards against a datagram of 300 bytes that stops a host for seconds."""
+    fields = {
+        'name': 'host-9',
+        'zone': 'rosario',
+        'callerAddress': '127.0.0.1:81',
+        'peerAddress': '127.0.0.1:82',
+        'incarnation': 1,
+    }
+    message = peerformat.SCHEMA.HostState.new_message(**fields)
+    encoded = bytearray(message.to_bytes())
+    data_words = int.from_bytes(encoded[12:14], 'little')
+    # The list of commitments, after four texts: entries of no size.
+    start = 16 + 8 * data_words + 8 * 4
+    pointer = 1 | (4_000_000 << 35)
+    encoded[start : start + 8] = pointer.to_bytes(8, 'little')
+    packed = b''.join(
+        b'\xff' + bytes(encoded[place : place + 8]) + b'\0'
+        for place in range(0, len(encoded), 8)
+    )
+    with pytest.raises(errors.InvalidMessage):
+        peerformat.decode(packed, 0)
