Refuse heads and refusals of peers that cannot be used

What callers saw: a head from a peer that is no ASCII was answered with a fault of the program (500). One whose method, path or headers hold a line end could not be sent, and the target that was chosen counted as broken. A refusal of a peer with `Retry-After: 1e999`, or one that nests 100,000 deep, ended the request with a fault of the program instead of a known error.

Cause: binascii.Error is only one of the errors of base64; the head was not checked; OverflowError and RecursionError were not awaited.

Why it works: a head is checked where it is decoded, and refusals are read like other JSON of others; a wait is between 0 and 60 s.

--- a/bergamotstream/forwarding/peerrelay.py
+++ b/bergamotstream/forwarding/peerrelay.py
@@ -6,13 +6,13 @@
 targets fail. A request passes one other host at most.
 """
 
-import json
-from typing import Any, Final
+import math
+from typing import Final
 
 import aiohttp
 import yarl
 
-from bergamotstream import errors
+from bergamotstream import errors, outsidedata, records
 from bergamotstream.forwarding import (
     dispatch,
     fleetrecords,
@@ -28,6 +28,13 @@
 MALFORMED: Final = (*dispatch.READ_FAULTS, KeyError, TypeError)
 MAX_ERROR_BYTES: Final = 65_536
 MS_PER_S: Final = 1_000
+# Longer waits that a peer names are used as this one.
+MAX_RETRY_AFTER_S: Final = 60.0
+_RUN_STATES_BY_TEXT: Final[dict[str, records.RunState]] = {
+    'not_run': 'not_run',
+    'may_have_run': 'may_have_run',
+    'ran': 'ran',
+}
 
 
 class PeerRefused(ConnectionError):
@@ -76,10 +83,10 @@
     """Return the error of a peer that has no answer of a target."""
     try:
         text = await answer.content.read(MAX_ERROR_BYTES)
-        body: dict[str, Any] = json.loads(text)
-        error = errors.get_error_by_code(body['code'])(
+        body = outsidedata.mapping(outsidedata.decode_json(text))
+        error = errors.get_error_by_code(outsidedata.text(body['code']))(
             'at a peer',
-            run_state=body['run_state'],
+            run_state=_RUN_STATES_BY_TEXT[outsidedata.text(body['run_state'])],
             retry_after_ms=_retry_after_ms(answer),
         )
     except MALFORMED as broken:
@@ -92,4 +99,8 @@
 
 
 def _retry_after_ms(answer: dispatch.Answer) -> int:
-    return round(float(answer.headers.get(protocol.RETRY_AFTER, 0)) * MS_PER_S)
+    """Return the wait that a peer names, 0 for none; raises ``ValueError``."""
+    wait_s = float(answer.headers.get(protocol.RETRY_AFTER, 0))
+    if math.isnan(wait_s):
+        return 0
+    return round(min(max(wait_s, 0), MAX_RETRY_AFTER_S) * MS_PER_S)
--- a/bergamotstream/forwarding/relayformat.py
+++ b/bergamotstream/forwarding/relayformat.py
@@ -8,7 +8,8 @@
 """
 
 import base64
-import binascii
+import re
+from collections.abc import Iterable
 from typing import Any, Final, NamedTuple
 
 import capnp
@@ -20,6 +21,9 @@
 
 RELAY_PATH: Final = '/requests'
 HEAD: Final = 'Relayed-Head'
+# What a method or the name of a header consists of.
+_TOKEN: Final = re.compile(r"[-!#$%&'*+.^_`|~0-9A-Za-z]+")
+_FORBIDDEN: Final = re.compile(r'[\0\r\n]')
 
 
 class RelayedHead(NamedTuple):
@@ -96,7 +100,7 @@
         message = peerformat.SCHEMA.RelayedRequest.from_bytes_packed(
             base64.b64decode(text, validate=True)
         )
-        return RelayedHead(
+        head = RelayedHead(
             sender=message.sender,
             method=message.method,
             target=message.target,
@@ -110,5 +114,26 @@
             last_event_id=message.lastEventId,
             is_counted=message.isCounted,
         )
-    except (capnp.KjException, UnicodeDecodeError, binascii.Error) as fault:
+    except (capnp.KjException, ValueError) as fault:
         raise errors.InvalidMessage(str(fault)) from fault
+    _check_head(head)
+    return head
+
+
+def _check_head(head: RelayedHead) -> None:
+    """Raise ``InvalidMessage`` for a head that no request can have."""
+    tokens = (head.method, *(name for name, _ in head.headers))
+    texts = (
+        head.target,
+        head.last_event_id,
+        *head.keys,
+        *(text for _, text in head.headers),
+    )
+    if not head.target.startswith('/') or not _are_sendable(tokens, texts):
+        raise errors.InvalidMessage('a head that cannot be sent')
+
+
+def _are_sendable(tokens: Iterable[str], texts: Iterable[str]) -> bool:
+    return all(map(_TOKEN.fullmatch, tokens)) and not any(
+        map(_FORBIDDEN.search, texts)
+    )
--- a/tests/test_oddmessages.py
+++ b/tests/test_oddmessages.py
@@ -7,7 +7,13 @@
 from hypothesis import strategies
 
 from bergamotstream import errors
-from bergamotstream.forwarding import peerformat
+from bergamotstream.forwarding import (
+    connections,
+    fleetrecords,
+    peerformat,
+    peerrelay,
+    relayformat,
+)
 from tests import oddkit
 from tests import platformkit as kit
 
@@ -178,6 +184,88 @@
     assert peerformat.encode(own, 0)
 
 
+def test_header_of_a_relayed_request_that_is_no_base64_is_refused():
+    """Guards against a fault of the program for what a peer sends."""
+    for text in ('é', 'AAA', '\udcff', '%%%%', ''):
+        with pytest.raises(errors.InvalidMessage):
+            relayformat.decode(text)
+
+
+@pytest.mark.parametrize(
+    'changes',
+    [
+        {'method': 'GET\r\nX: y'},
+        {'method': ''},
+        {'target': '/a\r\nX: y'},
+        {'target': 'a'},
+        {'headers': (('A\r\nB', 'c'),)},
+        {'headers': (('', 'c'),)},
+        {'headers': (('A', 'c\r\nB: d'),)},
+        {'last_event_id': 'a\r\nB: c'},
+    ],
+)
+def test_relayed_request_that_cannot_be_sent_is_refused(changes):
+    """Guards against a target that is blamed for a peer's message."""
+    head = relayformat.RelayedHead(
+        sender='host-9',
+        method='POST',
+        target='/lookup/1',
+        headers=(('Host', 'a'),),
+        keys=(),
+        remaining_ms=1_000,
+        tries_sent=0,
+        reached_target_ids=(),
+        last_event_id='',
+        is_counted=False,
+    )
+    assert relayformat.decode(relayformat.encode(head)) == head
+    with pytest.raises(errors.InvalidMessage):
+        relayformat.decode(relayformat.encode(head._replace(**changes)))
+
+
+@pytest.mark.parametrize(
+    ('body', 'retry_after'),
+    [
+        (b'[' * oddkit.DEEP, '1'),
+        (b'{"code": "overloaded", "run_state": "not_run"}', '1e999'),
+        (b'{"code": "overloaded", "run_state": "not_run"}', '1e300'),
+        (b'{"code": "overloaded", "run_state": "not_run"}', 'nan'),
+        (b'{"code": "overloaded", "run_state": "not_run"}', '-5'),
+        (b'{"code": ["a"], "run_state": "not_run"}', '1'),
+        (b'{"code": "overloaded", "run_state": ["a"]}', '1'),
+        (b'[]', '1'),
+    ],
+)
+async def test_odd_refusal_of_a_peer_is_a_known_error(body, retry_after):
+    """Guards against a fault of the program for what a peer answers."""
+
+    async def respond(reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(
+            f'HTTP/1.1 503 Busy\r\nRetry-After: {retry_after}\r\n'
+            f'Content-Length: {len(body)}\r\n\r\n'.encode()
+            + body
+        )
+        await writer.drain()
+
+    server = await asyncio.start_server(respond, '127.0.0.1', 0)
+    address = '{0}:{1}'.format(*server.sockets[0].getsockname())
+    peer = fleetrecords.HostEntry('host-9', 'rosario', address, address, 1)
+    async with server, connections.open_session(reuse=True) as session:
+        relay = peerrelay.PeerRelay(session, 'host-1')
+        head = relayformat.head_of(kit.make_request(), 'host-1', 1_000)
+        known = (
+            peerrelay.dispatch.TargetBroken,
+            peerrelay.PeerRefused,
+            errors.ServiceError,
+        )
+        with pytest.raises(known) as raised:
+            await relay.send(peer, head, b'')
+        if isinstance(raised.value, errors.ServiceError):
+            assert 0 <= raised.value.retry_after_ms <= 60_000
+            assert isinstance(raised.value.run_state, str)
+
+
 def test_short_message_states_no_list_of_millions():
     """Guards against a datagram of 300 bytes that stops a host for seconds."""
     fields = {
