Bound the counts in callers' headers

What callers saw: a token count, deadline or length hint of over 4,300 digits was answered with 500.

Cause: int() refuses texts of that length with a ValueError.

Ruled out: a count over 32 bits ends the host by its message to peers. Such requests were refused as overloaded before (5,000,000,000 tokens in either field); the bound no longer depends on that.

Why it works: a larger count is used as 2,147,483,647, so it stays too large for each target, and two of them fit into a message.

--- a/bergamotstream/platform/callerformat.py
+++ b/bergamotstream/platform/callerformat.py
@@ -16,6 +16,8 @@
 
 # Priorities on the wire range from 0, the most urgent, to 9.
 LOWEST_PRIORITY: Final = 9
+# Larger counts are used as this one; two of them fit into a message to peers.
+MAX_COUNT: Final = (1 << 31) - 1
 
 
 def parse_request(
@@ -129,6 +131,11 @@
 
 
 def _parse_count(text: str) -> int:
-    """Return a decimal integer, 0 for other text."""
+    """Return a decimal integer up to ``MAX_COUNT``, 0 for other text."""
     text = text.strip()
-    return int(text) if text.isascii() and text.isdecimal() else 0
+    if not (text.isascii() and text.isdecimal()):
+        return 0
+    digits = text.lstrip('0')
+    if len(digits) > len(str(MAX_COUNT)):
+        return MAX_COUNT
+    return min(int(digits or '0'), MAX_COUNT)
--- a/tests/test_oddmessages.py
+++ b/tests/test_oddmessages.py
@@ -266,6 +266,53 @@
             assert isinstance(raised.value.run_state, str)
 
 
+@pytest.mark.parametrize(
+    'counts',
+    [
+        '10,5000000000',
+        '10,' + '9' * oddkit.LONG,
+        '9' * oddkit.LONG,
+        '5000000000,10',
+        '٣,٣',
+    ],
+)
+async def test_odd_token_counts_of_a_caller_end_no_host(counts):
+    """Guards against one request whose size no message to peers can hold."""
+
+    async def respond(request, writer):
+        await asyncio.sleep(0.3)
+        events = kit.chunk(kit.event(1)) + kit.chunk(b'')
+        writer.write(kit.stream_head(request) + events)
+        await writer.drain()
+
+    async with (
+        kit.running_system() as system,
+        kit.raw_target(respond) as target,
+    ):
+        await system.add_target('t1', target, service='model', slots=8)
+        headers = {'Bergamotstream_Token_Counts': counts}
+        status, _, _ = await system.call('/chat/1', **headers)
+        assert status != 500
+        await asyncio.sleep(0.3)
+        assert oddkit.is_alive(system)
+        status, _, _ = await system.call('/chat/2')
+        assert status == 200
+
+
+@hypothesis.given(strategies.text(max_size=40))
+def test_any_header_of_a_caller_is_parsed(text):
+    """Guards against an unexpected fault on any count of a caller."""
+    request = kit.make_request(
+        **{
+            'Bergamotstream_Token_Counts': text,
+            'Bergamotstream_Deadline_Ms': text,
+            'Bergamotstream_Length_Hint': text,
+            'Bergamotstream_Prompt_Prefix': text,
+        }
+    )
+    assert 0 <= request.prompt_tokens < 1 << 32
+
+
 def test_short_message_states_no_list_of_millions():
     """Guards against a datagram of 300 bytes that stops a host for seconds."""
     fields = {
