Write log lines that hold bytes which are no text

What callers saw: a header of a target or caller with a byte over 127 that is no UTF-8 (At-Server, the attempt id) reached the log, and the line could not be encoded: the request, or the task, that wrote it failed.

Cause: HTTP headers are decoded with surrogate escapes, which UTF-8 refuses. Test hosts write no real lines, so no test with hosts shows it.

Evidence: 1 of 2 new tests failed before (UnicodeEncodeError); the other one shows that any named limit is read. Both pass, with the rest of tests/test_oddmessages.py and test_relays 62.

Why it works: such bytes are written as \udcff in place of failing.

--- a/bergamotstream/forwarding/eventlog.py
+++ b/bergamotstream/forwarding/eventlog.py
@@ -41,7 +41,9 @@
         if len(self._pending) > MAX_PENDING_BYTES:
             self.dropped += 1
         else:
-            self._pending += f'{self.format(record)}\n'.encode()
+            line = f'{self.format(record)}\n'
+            # Headers of others may hold bytes that are no text.
+            self._pending += line.encode(errors='backslashreplace')
         self._write_pending()
 
     def _write_pending(self) -> None:
--- a/tests/test_oddmessages.py
+++ b/tests/test_oddmessages.py
@@ -1,6 +1,8 @@
 """Odd messages of peers, and odd headers of callers and targets."""
 
 import asyncio
+import logging
+import os
 
 import hypothesis
 import pytest
@@ -9,7 +11,9 @@
 from bergamotstream import errors
 from bergamotstream.forwarding import (
     connections,
+    eventlog,
     fleetrecords,
+    namedlimits,
     peerformat,
     peerrelay,
     relayformat,
@@ -313,6 +317,26 @@
     assert 0 <= request.prompt_tokens < 1 << 32
 
 
+def test_text_that_is_no_utf8_is_logged():
+    """Guards against a line that ends the task which writes it."""
+    reading, writing = os.pipe()
+    handler = eventlog.PipeHandler(writing)
+    record = logging.LogRecord(
+        'a', logging.INFO, '', 0, 'event=x at=\udcff', (), None
+    )
+    handler.emit(record)
+    assert os.read(reading, 100) == b'event=x at=\\udcff\n'
+    os.close(reading)
+    os.close(writing)
+
+
+@hypothesis.given(strategies.lists(strategies.text(max_size=20), max_size=3))
+def test_any_named_limit_is_read(texts):
+    """Guards against an unexpected fault on any header of a target."""
+    per_s, _ = namedlimits.parse(texts, None)
+    assert per_s is None or 0 <= per_s <= namedlimits.MAX_PER_S
+
+
 def test_short_message_states_no_list_of_millions():
     """Guards against a datagram of 300 bytes that stops a host for seconds."""
     fields = {
