Name the field of a settings file with odd ports

What operators saw: a port that is a list or nothing ended the process with a stack trace that names no field, as did a file that nests 5,000 deep; a port as text, 0 or over 65,535 was taken and failed later.

Cause: int() of whatever is there; RecursionError is no ValueError.

Why it works: ports are read as other whole numbers with a range are.

--- a/bergamotstream/platform/bootsettings.py
+++ b/bergamotstream/platform/bootsettings.py
@@ -12,7 +12,7 @@
 from collections.abc import Mapping
 from typing import Any
 
-from bergamotstream import errors
+from bergamotstream import errors, outsidedata
 from bergamotstream.forwarding import hostsettings
 
 PATH_VARIABLE = 'BERGAMOTSTREAM_BOOT'
@@ -32,7 +32,7 @@
     try:
         text = pathlib.Path(path).read_text(encoding='utf-8')
         return decode(tomllib.loads(text))
-    except (OSError, ValueError) as fault:
+    except (OSError, ValueError, RecursionError) as fault:
         raise errors.InvalidSettings(f'{path}: {fault}') from fault
 
 
@@ -104,7 +104,14 @@
         setting = self._get(list, path)
         if len(setting) != 2:
             raise _invalid_field(path, 'must be the first and the last port')
-        return int(setting[0]), int(setting[1])
+        try:
+            first, last = [
+                outsidedata.whole(port, 1, outsidedata.MAX_PORT)
+                for port in setting
+            ]
+        except outsidedata.Malformed as fault:
+            raise _invalid_field(path, str(fault)) from fault
+        return first, last
 
     def _get(self, kind: type | tuple[type, ...], path: tuple[str, ...]) -> Any:
         setting: Any = self._tables
--- a/tests/test_oddentries.py
+++ b/tests/test_oddentries.py
@@ -7,15 +7,12 @@
 import pytest
 from hypothesis import strategies
 
-from bergamotstream.forwarding import (
-    fleetrecords,
-    fleetview,
-)
-from bergamotstream.platform import documents
+from bergamotstream import errors
+from bergamotstream.forwarding import fleetrecords, fleetview
+from bergamotstream.platform import bootsettings, documents
 from tests import oddkit
 from tests import platformkit as kit
 
-
 ODD_BLAMED = ('f' * 17, 'f' * 180, '-5', '0x12', '1_0', ' 1', '', 'g' * 16)
 
 
@@ -295,3 +292,39 @@
     assert 'slots' in logged[0].detail
     assert oddkit.put(view, 't1', 30)[0].outcome == 'ready'
     assert oddkit.put(view, 't1', 31, slots=0)[0].outcome == 'unreadable'
+
+
+SETTINGS = {
+    'node_name': 'a',
+    'ip': '127.0.0.1',
+    'zone': 'b',
+    'listen': {
+        'front': '127.0.0.1:1',
+        'readiness': '127.0.0.1:2',
+        'directory': '127.0.0.1:3',
+    },
+    'internal_ports': [4, 5],
+    'platform': {'address': '127.0.0.1:6'},
+    'bounds': {
+        'grace_s': 8,
+        'budget_ratio': 0.2,
+        'budget_window_s': 10,
+        'budget_slack': 5,
+    },
+}
+
+
+@pytest.mark.parametrize('port', [[], None, '4', 'x', 0, 99_999, True, 1.5])
+def test_odd_port_of_the_settings_is_named(port):
+    """Guards against a process that ends without saying which field is odd."""
+    assert bootsettings.decode(SETTINGS).peer_ports == (4, 5)
+    with pytest.raises(errors.InvalidSettings, match='internal_ports'):
+        bootsettings.decode(SETTINGS | {'internal_ports': [4, port]})
+
+
+def test_settings_that_nest_too_deep_are_refused(tmp_path):
+    """Guards against a process that ends without naming its settings file."""
+    path = tmp_path / 'settings.toml'
+    path.write_text('a = ' + '[' * 5_000 + ']' * 5_000)
+    with pytest.raises(errors.InvalidSettings):
+        bootsettings.load(str(path))
