Refuse bodies that nest too deep in the stand-alone mode

What callers saw: a body 100,000 levels deep was answered with a fault of the program instead of invalid_request. The same bytes in a bundle of a peer, an event of an engine or its answer raised RecursionError, which nothing awaits there, instead of the typed error.

Cause: RecursionError is no ValueError.

Why it works: these four places decode JSON as the hosts on the platform do.

--- a/bergamotstream/bundleformat.py
+++ b/bergamotstream/bundleformat.py
@@ -17,7 +17,7 @@
 
 import pydantic
 
-from bergamotstream import errors, records
+from bergamotstream import errors, outsidedata, records
 
 Document = dict[str, dict[str, Any]]
 
@@ -125,7 +125,7 @@
 ) -> records.Bundle:
     """Read what a peer sent; raises ``InvalidBundle``."""
     try:
-        fields = json.loads(_decompress(content))
+        fields = outsidedata.decode_json(_decompress(content))
     except (ValueError, zlib.error) as fault:
         raise errors.InvalidBundle(f'content: {fault}') from fault
     if not isinstance(fields, dict) or not _is_version(fields.get('version')):
--- a/bergamotstream/engines/model.py
+++ b/bergamotstream/engines/model.py
@@ -9,14 +9,19 @@
 
 import asyncio
 import contextlib
-import json
 from collections.abc import AsyncGenerator, AsyncIterator, Iterator, Mapping
 from typing import Any
 
 import aiohttp
 import pydantic
 
-from bergamotstream import engines, events, eventstream, records
+from bergamotstream import (
+    engines,
+    events,
+    eventstream,
+    outsidedata,
+    records,
+)
 
 CALL_TIMEOUT = aiohttp.ClientTimeout(total=2)
 # Loading weights takes much longer than other calls.
@@ -212,7 +217,7 @@
 
 
 def _decode_object(received: bytes) -> dict[str, Any]:
-    decoded = json.loads(received)
+    decoded = outsidedata.decode_json(received)
     if not isinstance(decoded, dict):
         raise ValueError('response is not a JSON object')
     return decoded
--- a/bergamotstream/eventstream.py
+++ b/bergamotstream/eventstream.py
@@ -11,6 +11,8 @@
 from collections.abc import Mapping
 from typing import Any, NamedTuple
 
+from bergamotstream import outsidedata
+
 CONTENT_TYPE = 'text/event-stream'
 HEARTBEAT = b':\n\n'
 DEFAULT_EVENT = 'message'
@@ -63,7 +65,7 @@
             lines.append(text.removeprefix(' '))
     if not lines:
         return None
-    body = json.loads('\n'.join(lines))
+    body = outsidedata.decode_json('\n'.join(lines))
     if not isinstance(body, dict):
         raise ValueError('event data is not a JSON object')
     return ServerEvent(event, body)
--- a/bergamotstream/httpbodies.py
+++ b/bergamotstream/httpbodies.py
@@ -6,12 +6,11 @@
 """
 
 import asyncio
-import json
 from typing import Any
 
 from aiohttp import web
 
-from bergamotstream import errors
+from bergamotstream import errors, outsidedata
 
 UPLOAD_TIMEOUT_S = 10
 
@@ -28,7 +27,7 @@
 def parse_object(received: bytes) -> dict[str, Any]:
     """Return a JSON object; raises ``invalid_request`` for anything else."""
     try:
-        body = json.loads(received)
+        body = outsidedata.decode_json(received)
     except ValueError as fault:
         raise errors.InvalidRequest(f'body: not JSON: {fault}') from None
     if not isinstance(body, dict):
