--- a/bergamotstream/forwarding/scheduler.py
+++ b/bergamotstream/forwarding/scheduler.py
@@ -545,7 +545,9 @@
 ) -> Iterator[commitments.Commitment]:
     """Yield the work on each target, starting with the decoding one."""
     generation = job.generation
-    request_hash = xxhash.xxh32_intdigest(job.request.attempt_id.encode())
+    request_hash = xxhash.xxh32_intdigest(
+        job.request.attempt_id.encode(errors='replace')
+    )
     for position, part in enumerate(chosen.parts):
         yield commitments.Commitment(
             target_id=part.entry.target_id,
--- a/tests/test_oddmessages.py
+++ b/tests/test_oddmessages.py
@@ -359,3 +359,27 @@
     )
     with pytest.raises(errors.InvalidMessage):
         peerformat.decode(packed, 0)
+
+
+async def test_id_of_a_request_that_is_no_text():
+    """Guards against an error of the host for an id that is not UTF-8."""
+
+    async def respond(request, writer):
+        writer.write(kit.answer(request))
+
+    async with (
+        kit.running_system() as system,
+        kit.raw_target(respond) as target,
+    ):
+        await system.add_target('t1', target)
+        reader, writer = await asyncio.open_connection(
+            *system.settings[0].caller_address.split(':')
+        )
+        writer.write(
+            f'GET /lookup/1 HTTP/1.1\r\nHost: {kit.HOST_NAME}\r\n'
+            f'Api-Key: {kit.KEY}\r\n{kit.ATTEMPT}: '.encode()
+            + b'\xff\xfe\r\n\r\n'
+        )
+        head = await reader.readuntil(b'\r\n\r\n')
+        writer.close()
+    assert b' 500 ' not in head.splitlines()[0]
