Say of a request that cannot be relayed that it has not run

Headers of a caller that are no UTF-8 cannot be written into the head for a peer. That counted as a broken answer of the peer, after which the request may have run, though nothing was sent.

--- a/bergamotstream/forwarding/peerrelay.py
+++ b/bergamotstream/forwarding/peerrelay.py
@@ -61,10 +61,15 @@
         ``TargetBroken`` if it may have, or the peer's own ``ServiceError``.
         """
         url = yarl.URL(f'http://{peer.peer_address}{relayformat.RELAY_PATH}')
+        try:
+            encoded = relayformat.encode(head)
+        except UnicodeEncodeError as fault:
+            # Header of a caller that is no UTF-8.
+            raise PeerRefused(repr(fault)) from fault
         try:
             answer = await self._session.post(
                 url,
-                headers={relayformat.HEAD: relayformat.encode(head)},
+                headers={relayformat.HEAD: encoded},
                 data=body or None,
             )
         except (
--- a/tests/test_oddmessages.py
+++ b/tests/test_oddmessages.py
@@ -383,3 +383,13 @@
         head = await reader.readuntil(b'\r\n\r\n')
         writer.close()
     assert b' 500 ' not in head.splitlines()[0]
+
+
+async def test_request_that_cannot_be_relayed_has_not_run():
+    """Guards against an unknown outcome of what was never sent to a peer."""
+    request = kit.make_request(X_Odd='\udcff')
+    head = relayformat.head_of(request, 'h0', 1_000)
+    entry = fleetrecords.HostEntry('h1', 'z', '127.0.0.1:1', '127.0.0.1:1', 1)
+    relay = peerrelay.PeerRelay(None, 'h0')
+    with pytest.raises(peerrelay.PeerRefused):
+        await relay.send(entry, head, b'')
