--- a/bergamotstream/forwarding/ingress.py
+++ b/bergamotstream/forwarding/ingress.py
@@ -258,13 +258,15 @@
         async with state.running as running:
             self._start_try(state)
             while True:
-                ended = await running.wait_for_end()  # noqa: WPS476 - in turn
+                ended, task = (
+                    await running.wait_for_end()  # noqa: WPS476 - in turn
+                )
                 try:
-                    return ended.result()
+                    return task.result()
                 except TRY_FAULTS as fault:
                     self._handle_fault(state, fault)
                 except errors.ServiceError as error:
-                    self._handle_error(state, error)
+                    self._handle_error(ended, error)
 
     def _start_try(self, state: requeststate.RequestState) -> None:
         started = state.add_try()
@@ -285,13 +287,14 @@
             raise self._retries.final_error(state) from fault
 
     def _handle_error(
-        self, state: requeststate.RequestState, error: errors.ServiceError
+        self, ended: requeststate.Try, error: errors.ServiceError
     ) -> None:
         """Raise the error of a try unless another one still runs."""
+        state = ended.request
         if isinstance(error, errors.CallerGone) or not state.running:
             raise error
-        # The further try was not sent.
-        self._core.budget.give_back(state.job.service.name)
+        if not ended.is_sent:
+            self._core.budget.give_back(state.job.service.name)
         self._silence.record_refusal(state, error)
 
     async def _try_once(self, served: requeststate.Try) -> web.StreamResponse:
--- a/bergamotstream/forwarding/runningtries.py
+++ b/bergamotstream/forwarding/runningtries.py
@@ -66,14 +66,14 @@
             self._tasks_by_try.pop(entry).cancel()
         return others
 
-    async def wait_for_end(self) -> TryTask:
+    async def wait_for_end(self) -> tuple[Entry, TryTask]:
         """Return the next try that has ended and was not cancelled."""
         while True:
             ended = await self._ended.get()
             for entry, task in tuple(self._tasks_by_try.items()):
                 if task is ended:
                     self._tasks_by_try.pop(entry)
-                    return ended
+                    return entry, ended
 
     def _handle_end(self, task: TryTask) -> None:
         if not task.cancelled():
