Send nothing new to a target whose answers say that it leaves

Callers saw requests go to targets that had said Server-Leaving: 1 and ended soon after; the header was read nowhere.

Why it works: the header sets the leaving of the run in fleetview, which is the one that the store sets and that all choices of a target read. The run is remembered, so no entry of it takes that back, also after a lapse; the next run starts without it. Heads count if the target has proved them as before (id echoed, stamp or not run, not 421), answers to probes also by the instance id.

Ruled out: telling peers. Each host learns it from its first answer at no cost, the rule binds only the host that passed it on, and one host's mistake would take a target from all, with nothing to refute it. A host that passes on an answer which a peer got is bound too, so the peer names the run in that answer (Relayed-Target). It is the target's statement, not the peer's conclusion; hosts of earlier builds pass the header on unread.

Work that runs there goes on. Targets keep no prompt after its request, so no cache there speaks for one more.

record_limit_change and the reading of heads move to targetstatements, unchanged. TargetRun moves to fleetrecords.

--- a/bergamotstream/forwarding/dispatch.py
+++ b/bergamotstream/forwarding/dispatch.py
@@ -156,7 +156,7 @@
         except (aiohttp.ClientError, OSError, ValueError) as broken:
             raise TargetBroken(repr(broken)) from broken
         _check_attempt_id(answer, outgoing.job.request.attempt_id)
-        if _is_of_target(answer):
+        if is_of_target(answer):
             self._record_head(outgoing.assignment, answer.headers)
         _check_answer(answer)
         return answer
@@ -182,15 +182,6 @@
         raise UnprovenAnswer(f'status {answer.status} for {echoed}')
 
 
-def _is_of_target(answer: Answer) -> bool:
-    """Tell whether the intended target has sent an answer."""
-    is_known = (
-        protocol.STAMP in answer.headers
-        or protocol.NOT_EXECUTED in answer.headers
-    )
-    return is_known and answer.status != MISDIRECTED
-
-
 def _check_answer(answer: Answer) -> None:
     """Raise if the answer reports not run or has no stamp."""
     not_run = protocol.NOT_EXECUTED in answer.headers
@@ -203,6 +194,15 @@
         raise TargetBroken(f'status {answer.status} without a stamp')
 
 
+def is_of_target(answer: Answer) -> bool:
+    """Tell whether the intended target has sent an answer."""
+    is_known = (
+        protocol.STAMP in answer.headers
+        or protocol.NOT_EXECUTED in answer.headers
+    )
+    return is_known and answer.status != MISDIRECTED
+
+
 def is_success(status: int) -> bool:
     """Tell whether a status is a success."""
     return status // STATUSES_IN_CLASS == SUCCESS_CLASS
--- a/bergamotstream/forwarding/fleetrecords.py
+++ b/bergamotstream/forwarding/fleetrecords.py
@@ -125,6 +125,13 @@
     started_ms: int
 
 
+class TargetRun(NamedTuple):
+    """One run of a target; what a run has said does not hold for the next."""
+
+    target_id: str
+    started_ms: int
+
+
 class HostEntry(NamedTuple):
     """A registered entry host of the system."""
 
@@ -133,3 +140,8 @@
     caller_address: str
     peer_address: str
     incarnation: int
+
+
+def run_of(target: TargetEntry) -> TargetRun:
+    """Return the present run of a target."""
+    return TargetRun(target.target_id, target.started_ms)
--- a/bergamotstream/forwarding/fleetview.py
+++ b/bergamotstream/forwarding/fleetview.py
@@ -21,6 +21,8 @@
 NEVER_MS: Final = -1_000_000
 # Deletions that are kept so that older items arriving later are ignored.
 MAX_TOMBSTONES: Final = 4_096
+# Runs of targets that are remembered to leave, also while they are not listed.
+MAX_LEAVING: Final = 4_096
 
 
 class Change(NamedTuple):
@@ -52,6 +54,8 @@
         self._tombstones_by_key: dict[str, int] = {}
         self._hold_lapsed_until_ms = 0
         self._drop_at_ms_by_target: dict[str, int] = {}
+        # Runs that have said so themselves; the oldest come first.
+        self._leaving_runs: dict[fleetrecords.TargetRun, None] = {}
 
     def is_usable(self, entry: fleetrecords.TargetEntry, service: str) -> bool:
         """Tell whether a target may get new requests of a service."""
@@ -61,6 +65,23 @@
             and entry.zone not in self.zones_out
         )
 
+    def record_leaving(self, run: fleetrecords.TargetRun) -> bool:
+        """Record that a run of a target has said that it leaves.
+
+        No entry of that run, however new, takes it back. Return whether it
+        is news.
+        """
+        if run in self._leaving_runs:
+            return False
+        self._leaving_runs[run] = None
+        if len(self._leaving_runs) > MAX_LEAVING:
+            self._leaving_runs.pop(next(iter(self._leaving_runs)))
+        known = self.targets_by_id.get(run.target_id)
+        if known is None or fleetrecords.run_of(known) != run:
+            return True
+        self.targets_by_id[run.target_id] = known._replace(leaving=True)
+        return not known.leaving
+
     def hold_after_reconnect(self, now_ms: int) -> None:
         """Keep targets whose entries expired while the store was away."""
         self.hold_lapsed(LAPSE_HOLD_MS, now_ms)
@@ -207,6 +228,8 @@
                 f'target:{target_id}', 'unreadable', item.revision, str(fault)
             )
             return
+        if fleetrecords.run_of(entry) in self._leaving_runs:
+            entry = entry._replace(leaving=True)
         self._drop_at_ms_by_target.pop(target_id, None)
         if self._has_newer(entry):
             yield Change(f'target:{target_id}', 'superseded', item.revision)
--- a/bergamotstream/forwarding/ingress.py
+++ b/bergamotstream/forwarding/ingress.py
@@ -348,10 +348,12 @@
         receive = functools.partial(
             self._relays.receive, served, peer, self._silence.handle_silence
         )
+        self._outcomes.statements.record_relayed(answer.headers)
         if dispatch.is_success(answer.status) and served.job.route.streaming:
             record = streamrecords.StreamRecord(receive, served)
             return await self._relay(served, record, answer)
         buffered = await receive(dispatch.read_buffered(answer))
+        relayformat.take_run(buffered.headers)
         is_success = dispatch.is_success(buffered.status)
         if is_success or len(served.request.running) <= 1:
             served.request.use_only(served)
@@ -467,6 +469,7 @@
             )
             return await self._relay(served, record, answer)
         buffered = await receive(dispatch.read_buffered(answer))
+        streamrecords.name_target(served.request, assignment, buffered.headers)
         if dispatch.is_success(buffered.status):
             self._outcomes.record_success(served, assignment)
             served.request.use_only(served)
@@ -500,7 +503,7 @@
     ) -> web.StreamResponse:
         """Relay a stream event by event; raises ``TargetBroken``."""
         state = served.request
-        headers = callerformat.answer_headers(answer.headers)
+        headers = record.headers_of(answer)
         # Another target may complete the stream with a different length.
         headers.popall('Content-Length', None)
         continuation = continuations.Continuation(
--- a/bergamotstream/forwarding/linkprobes.py
+++ b/bergamotstream/forwarding/linkprobes.py
@@ -12,7 +12,12 @@
 import aiohttp
 
 from bergamotstream import clock
-from bergamotstream.forwarding import fleetrecords, outcomes, scheduler
+from bergamotstream.forwarding import (
+    dispatch,
+    fleetrecords,
+    outcomes,
+    scheduler,
+)
 from bergamotstream.platform import protocol
 
 CHECK_INTERVAL_S: Final = 0.05
@@ -49,6 +54,16 @@
                 self._open.add(task)
                 task.add_done_callback(self._open.discard)
 
+    def _record_statements(
+        self, target: fleetrecords.TargetEntry, answer: dispatch.Answer
+    ) -> None:
+        """Record what a target says in an answer that is proved to be its."""
+        named = answer.headers.getall(protocol.INSTANCE_ID, ())
+        if named == [target.target_id] or dispatch.is_of_target(answer):
+            self._outcomes.statements.record(
+                fleetrecords.run_of(target), answer.headers, 'probe'
+            )
+
     async def _probe(self, target: fleetrecords.TargetEntry) -> None:
         sent_ms = self._clock.now_ms()
         answered: bool | None = True
@@ -60,8 +75,9 @@
                     total=ANSWER_TIMEOUT_S, sock_connect=CONNECT_TIMEOUT_S
                 ),
                 allow_redirects=False,
-            ):
+            ) as answer:
                 fault = ''
+                self._record_statements(target, answer)
         except aiohttp.ClientError as failed:
             answered, fault = False, repr(failed)
         except TimeoutError as silent:
--- a/bergamotstream/forwarding/namedlimits.py
+++ b/bergamotstream/forwarding/namedlimits.py
@@ -44,13 +44,6 @@
 MAX_SENT: Final = 256
 
 
-class TargetRun(NamedTuple):
-    """One run of a target; the next run starts without a limit."""
-
-    target_id: str
-    started_ms: int
-
-
 class Statement(NamedTuple):
     """What a run of a target has said last."""
 
@@ -62,7 +55,7 @@
 class LimitReport(NamedTuple):
     """What one host tells its peers of one run of a target."""
 
-    run: TargetRun
+    run: fleetrecords.TargetRun
     # ``None`` unless the target has told this host itself.
     statement: Statement | None
     sent_ms: tuple[int, ...]
@@ -71,7 +64,7 @@
 class Change(NamedTuple):
     """A limit that is new, differs from the one before or has ended."""
 
-    run: TargetRun
+    run: fleetrecords.TargetRun
     per_s: float | None
     previous_per_s: float | None
     # Age of the answer that says so.
@@ -85,18 +78,18 @@
         """Start without limits on the host ``name``."""
         super().__init__()
         self._name = name
-        self._own_by_run: dict[TargetRun, Statement] = {}
-        self._latest_by_run: dict[TargetRun, Statement] = {}
-        self._sent_by_run: dict[TargetRun, list[int]] = {}
+        self._own_by_run: dict[fleetrecords.TargetRun, Statement] = {}
+        self._latest_by_run: dict[fleetrecords.TargetRun, Statement] = {}
+        self._sent_by_run: dict[fleetrecords.TargetRun, list[int]] = {}
         self._heard_sent_by_run: dict[
-            TargetRun, dict[str, tuple[int, ...]]
+            fleetrecords.TargetRun, dict[str, tuple[int, ...]]
         ] = {}
 
     def record_sent(
         self, target: fleetrecords.TargetEntry, now_ms: int
     ) -> None:
         """Count a request, also to a target that has named no limit yet."""
-        run = run_of(target)
+        run = fleetrecords.run_of(target)
         limit_ms = now_ms - _window_ms(MIN_PER_S)
         recent = [at_ms for at_ms in self._own_sent(run) if at_ms > limit_ms]
         self._sent_by_run[run] = [*recent, now_ms][-MAX_SENT:]
@@ -113,7 +106,7 @@
         An answer without a limit ends one only if its request was placed
         after the limit was named: answers overtake each other.
         """
-        run = run_of(target)
+        run = fleetrecords.run_of(target)
         known = self._latest_by_run.get(run)
         if per_s is None and (known is None or placed_ms < known.at_ms):
             return None
@@ -140,7 +133,7 @@
 
         An entry may lapse while its target runs, and come back.
         """
-        kept = set(map(run_of, listed))
+        kept = set(map(fleetrecords.run_of, listed))
         for run in tuple(self._sent_by_run.keys() | self._latest_by_run.keys()):
             if run not in kept and self._used_ms(run) <= now_ms - UNLISTED_MS:
                 self._own_by_run.pop(run, None)
@@ -150,7 +143,7 @@
 
     def limit_of(self, target: fleetrecords.TargetEntry) -> float | None:
         """Return the limit in requests a second, ``None`` without one."""
-        latest = self._latest_by_run.get(run_of(target))
+        latest = self._latest_by_run.get(fleetrecords.run_of(target))
         return latest.per_s if latest else None
 
     def wait_ms(
@@ -173,7 +166,7 @@
         window_ms = _window_ms(per_s)
         allowed = max(int(per_s * window_ms / MS_PER_S), 1)
         own_allowed = math.ceil(allowed / min(senders, self._max_hosts))
-        run = run_of(target)
+        run = fleetrecords.run_of(target)
         own_ms = self._own_sent(run)
         all_ms = sorted([*own_ms, *self._heard_sent(run)])
         return max(
@@ -203,7 +196,7 @@
         }
 
     def _apply(
-        self, run: TargetRun, said: Statement, now_ms: int
+        self, run: fleetrecords.TargetRun, said: Statement, now_ms: int
     ) -> Change | None:
         """Apply a statement if it is the latest one of its run."""
         known = self._latest_by_run.get(
@@ -216,7 +209,7 @@
             return None
         return Change(run, said.per_s, known.per_s, now_ms - said.at_ms)
 
-    def _used_ms(self, run: TargetRun) -> int:
+    def _used_ms(self, run: fleetrecords.TargetRun) -> int:
         """Return when a run was last sent a request or told a limit."""
         latest = self._latest_by_run.get(run)
         said_ms = latest.at_ms if latest else fleetview.NEVER_MS
@@ -231,19 +224,14 @@
         names = (self._name, *peers)
         return self._name in rendezvous.choose(names, target_id, senders)
 
-    def _own_sent(self, run: TargetRun) -> list[int]:
+    def _own_sent(self, run: fleetrecords.TargetRun) -> list[int]:
         return self._sent_by_run.get(run, [])
 
-    def _heard_sent(self, run: TargetRun) -> Iterator[int]:
+    def _heard_sent(self, run: fleetrecords.TargetRun) -> Iterator[int]:
         for sent_ms in self._heard_sent_by_run.get(run, {}).values():
             yield from sent_ms
 
 
-def run_of(target: fleetrecords.TargetEntry) -> TargetRun:
-    """Return the present run of a target."""
-    return TargetRun(target.target_id, target.started_ms)
-
-
 def parse(
     texts: Iterable[str], known_per_s: float | None
 ) -> tuple[float | None, bool]:
--- a/bergamotstream/forwarding/outcomes.py
+++ b/bergamotstream/forwarding/outcomes.py
@@ -22,13 +22,13 @@
     fingerprints,
     fleetrecords,
     links,
-    namedlimits,
     relayedevents,
     requeststate,
     reservations,
     scheduler,
+    targetstatements,
 )
-from bergamotstream.platform import documents, protocol
+from bergamotstream.platform import documents
 
 # A target refuses a request at once for a helper that had ended before, and
 # after about 1.5 s for one that ended while it read its part.
@@ -65,6 +65,9 @@
         self._log = log
         self._clock = time_source
         self._meters = meters
+        self.statements = targetstatements.TargetStatements(
+            core, log, time_source
+        )
         # Called when peers should know what has failed, targets or links.
         self.tell_peers: Callable[[], None] = _tell_nobody
 
@@ -99,39 +102,9 @@
         assignment: exchangerecords.Assignment,
         headers: multidict.CIMultiDictProxy[str],
     ) -> None:
-        """Record the limit that a target names, or that it names none."""
+        """Record that a target answers, and what it says of itself."""
         self._record_answer(assignment.target, assignment.placed_ms)
-        limits = self._core.limits
-        target = assignment.target
-        known = limits.limit_of(target)
-        texts = headers.getall(protocol.SERVER_LIMIT, ())
-        per_s, is_valid = namedlimits.parse(texts, known)
-        if not is_valid:
-            self._log.write(
-                'limit_unreadable',
-                target=target.target_id,
-                texts=texts,
-                used_per_s=per_s,
-            )
-        change = limits.record_answer(
-            target, per_s, assignment.placed_ms, self._clock.now_ms()
-        )
-        if change is not None:
-            self.record_limit_change(change, 'target')
-
-    def record_limit_change(
-        self, change: namedlimits.Change, source: str
-    ) -> None:
-        """Log a limit that a target or a peer has told."""
-        self._log.write(
-            'limit_changed',
-            target=change.run.target_id,
-            started_ms=change.run.started_ms,
-            per_s=change.per_s,
-            previous_per_s=change.previous_per_s,
-            age_ms=change.age_ms,
-            source=source,
-        )
+        self.statements.record_head(assignment, headers)
 
     def record_first_byte(
         self,
--- a/bergamotstream/forwarding/peerexchange.py
+++ b/bergamotstream/forwarding/peerexchange.py
@@ -183,7 +183,7 @@
         self._core.links.hear(name, state.link_report)
         self._apply_blame(state, now_ms)
         for change in self._core.limits.hear(name, state.limits, now_ms):
-            self._outcomes.record_limit_change(change, name)
+            self._outcomes.statements.record_limit_change(change, name)
 
     def _apply_blame(self, state: peerformat.HostState, now_ms: int) -> None:
         process = crashcounts.PeerProcess(
--- a/bergamotstream/forwarding/peerformat.py
+++ b/bergamotstream/forwarding/peerformat.py
@@ -205,7 +205,7 @@
             entry.perS if entry.isLimited else None, now_ms - entry.ageMs
         )
     return namedlimits.LimitReport(
-        namedlimits.TargetRun(entry.targetId, entry.startedMs),
+        fleetrecords.TargetRun(entry.targetId, entry.startedMs),
         statement,
         tuple(now_ms - age_ms for age_ms in entry.sentAgesMs),
     )
--- a/bergamotstream/forwarding/relayformat.py
+++ b/bergamotstream/forwarding/relayformat.py
@@ -10,16 +10,25 @@
 import base64
 import binascii
 from typing import Any, Final, NamedTuple
+from urllib import parse as url_parts
 
 import capnp
 import multidict
 
 from bergamotstream import errors
-from bergamotstream.forwarding import exchangerecords, peerformat
+from bergamotstream.forwarding import (
+    exchangerecords,
+    fleetrecords,
+    peerformat,
+)
 from bergamotstream.platform import protocol
 
 RELAY_PATH: Final = '/requests'
 HEAD: Final = 'Relayed-Head'
+# Names the run of the target whose answer a peer passes on.
+TARGET: Final = 'Relayed-Target'
+# A time in ms of 64 bits has no more.
+MAX_TIME_DIGITS: Final = 19
 
 
 class RelayedHead(NamedTuple):
@@ -112,3 +121,23 @@
         )
     except (capnp.KjException, UnicodeDecodeError, binascii.Error) as fault:
         raise errors.InvalidMessage(str(fault)) from fault
+
+
+def encode_run(run: fleetrecords.TargetRun) -> str:
+    """Return the text that names a run of a target."""
+    return f'{run.started_ms} {url_parts.quote(run.target_id, safe="")}'
+
+
+def take_run(
+    headers: multidict.CIMultiDict[str],
+) -> fleetrecords.TargetRun | None:
+    """Remove the name of the target from the headers of an answer.
+
+    ``None`` if a host of an earlier version has not named it.
+    """
+    text, *others = headers.popall(TARGET, [''])
+    started, _, target_id = text.partition(' ')
+    is_time = started.isascii() and started.isdecimal()
+    if others or not is_time or len(started) > MAX_TIME_DIGITS:
+        return None
+    return fleetrecords.TargetRun(url_parts.unquote(target_id), int(started))
--- a/bergamotstream/forwarding/streamrecords.py
+++ b/bergamotstream/forwarding/streamrecords.py
@@ -9,14 +9,19 @@
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any, TypeAlias
 
+import multidict
+
 from bergamotstream.forwarding import (
     dispatch,
     exchangerecords,
+    fleetrecords,
     outcomes,
     peerexchange,
     relayedevents,
+    relayformat,
     requeststate,
 )
+from bergamotstream.platform import callerformat
 
 # Waits for the next bytes of a stream, and may give it up.
 Receiver: TypeAlias = Callable[[Coroutine[Any, Any, bytes]], Awaitable[bytes]]
@@ -30,6 +35,12 @@
         self.receive = receive
         self._served = served
 
+    def headers_of(self, answer: dispatch.Answer) -> multidict.CIMultiDict[str]:
+        """Return the headers to pass on, to the caller or to a peer."""
+        headers = callerformat.answer_headers(answer.headers)
+        relayformat.take_run(headers)
+        return headers
+
     def record_chunk(self, now_ms: int, gap_ms: int | None) -> None:
         """Record received bytes; the first ones have no gap."""
         request = self._served.request
@@ -64,6 +75,14 @@
         self._assignment = assignment
         self._peers = peers
 
+    def headers_of(self, answer: dispatch.Answer) -> multidict.CIMultiDict[str]:
+        """Return the headers to pass on, to the caller or to a peer."""
+        return name_target(
+            self._served.request,
+            self._assignment,
+            callerformat.answer_headers(answer.headers),
+        )
+
     def record_chunk(self, now_ms: int, gap_ms: int | None) -> None:
         """Record received bytes; the first ones have no gap."""
         if gap_ms is None:
@@ -86,3 +105,19 @@
     def record_success(self) -> None:
         """Record a complete answer."""
         self._outcomes.record_success(self._served, self._assignment)
+
+
+def name_target(
+    state: requeststate.RequestState,
+    assignment: exchangerecords.Assignment,
+    headers: multidict.CIMultiDict[str],
+) -> multidict.CIMultiDict[str]:
+    """Add the target to the headers of an answer that goes to a peer.
+
+    The peer passes the answer on to its caller, so what the target says of
+    itself binds the peer too.
+    """
+    if state.relayed_by:
+        run = fleetrecords.run_of(assignment.target)
+        headers[relayformat.TARGET] = relayformat.encode_run(run)
+    return headers
--- a/bergamotstream/platform/callerformat.py
+++ b/bergamotstream/platform/callerformat.py
@@ -90,6 +90,14 @@
     )
 
 
+def says_leaving(headers: multidict.CIMultiDictProxy[str]) -> bool:
+    """Tell whether an answer says that its target leaves."""
+    return any(
+        text.strip() == protocol.LEAVING_TEXT
+        for text in headers.getall(protocol.SERVER_LEAVING, ())
+    )
+
+
 def _end_to_end_headers(
     headers: multidict.CIMultiDictProxy[str],
 ) -> Iterable[tuple[str, str]]:
--- a/bergamotstream/platform/protocol.py
+++ b/bergamotstream/platform/protocol.py
@@ -19,6 +19,11 @@
 AT_SERVER = 'At-Server'
 # Requests a second that a target takes from all hosts together.
 SERVER_LIMIT = 'Server-Limit'
+# In all answers of a target that leaves.
+SERVER_LEAVING = 'Server-Leaving'
+LEAVING_TEXT = '1'
+# Names the target in its answers to health checks.
+INSTANCE_ID = 'Bergamotstream-Instance-Id'
 # Set by the system on requests to targets.
 EXPECT_INSTANCE = 'Bergamotstream-Expect-Instance'
 EXPECT_VERSION = 'Bergamotstream-Expect-Version'
--- a/tests/test_forwardingcore.py
+++ b/tests/test_forwardingcore.py
@@ -164,17 +164,17 @@
         ),
         limits=(
             namedlimits.LimitReport(
-                namedlimits.TargetRun('t1', 1_000),
+                fleetrecords.TargetRun('t1', 1_000),
                 namedlimits.Statement(1.1, 40),
                 (10, 30),
             ),
             namedlimits.LimitReport(
-                namedlimits.TargetRun('t2', 0),
+                fleetrecords.TargetRun('t2', 0),
                 namedlimits.Statement(None, 50),
                 (),
             ),
             namedlimits.LimitReport(
-                namedlimits.TargetRun('t3', 0), None, (20,)
+                fleetrecords.TargetRun('t3', 0), None, (20,)
             ),
         ),
         link_report=links.Report(
