--- a/bergamotstream/forwarding/fleetview.py
+++ b/bergamotstream/forwarding/fleetview.py
@@ -27,6 +27,8 @@
 # A target that says it started later than this after now is not believed.
 START_MARGIN_MS: Final = 3_600_000
 _CLOCK: Final = clock.Clock()
+# Runs of targets that are remembered to leave, also while they are not listed.
+MAX_LEAVING: Final = 4_096
 
 
 class Change(NamedTuple):
@@ -60,6 +62,8 @@
         self._drop_at_ms_by_target: dict[str, int] = {}
         self._wall_ms = wall_ms
         self._faults_by_subject: dict[str, str] = {}
+        # Runs that have said so themselves; the oldest come first.
+        self._leaving_runs: dict[fleetrecords.TargetRun, None] = {}
 
     def is_usable(self, entry: fleetrecords.TargetEntry, service: str) -> bool:
         """Tell whether a target may get new requests of a service."""
@@ -69,6 +73,23 @@
             and entry.zone not in self.zones_out
         )
 
+    def record_leaving(self, run: fleetrecords.TargetRun) -> bool:
+        """Record that a run of a target has said that it leaves.
+
+        No entry of that run, however new, takes it back. Return whether it
+        is news.
+        """
+        if run in self._leaving_runs:
+            return False
+        self._leaving_runs[run] = None
+        if len(self._leaving_runs) > MAX_LEAVING:
+            self._leaving_runs.pop(next(iter(self._leaving_runs)))
+        known = self.targets_by_id.get(run.target_id)
+        if known is None or fleetrecords.run_of(known) != run:
+            return True
+        self.targets_by_id[run.target_id] = known._replace(leaving=True)
+        return not known.leaving
+
     def hold_after_reconnect(self, now_ms: int) -> None:
         """Keep targets whose entries expired while the store was away."""
         self.hold_lapsed(LAPSE_HOLD_MS, now_ms)
@@ -230,6 +251,8 @@
                 f'target:{target_id}', 'unreadable', item.revision, str(fault)
             )
             return
+        if fleetrecords.run_of(entry) in self._leaving_runs:
+            entry = entry._replace(leaving=True)
         self._drop_at_ms_by_target.pop(target_id, None)
         known = self.targets_by_id.get(target_id)
         if known is not None and self._is_past(known):
