--- a/tests/hostprocesskit.py
+++ b/tests/hostprocesskit.py
@@ -57,24 +57,30 @@
             )
         )
         self.log = folder / f'{name}.log'
+        # Ports to which connections are refused while it exists.
+        self.cut_file = folder / f'{name}.cut'
         self.process = None
 
-    def start(self):
+    def start(self, root=ROOT):
+        """Start the host of the checkout, or of another work tree."""
         environment = os.environ | {
             'BERGAMOTSTREAM_BOOT': str(self.settings),
             'BERGAMOTSTREAM_LISTEN': f'{self.caller},{self.directory}',
+            'PYTHONPATH': str(root),
             boundhost.SOURCE_IP: self.source_ip,
+            boundhost.CUT_FILE: str(self.cut_file),
         }
-        module = 'tests.boundhost' if self.source_ip else PROGRAM
+        # The program of the tests by its path, as older builds have another.
+        program = (boundhost.__file__,) if self.source_ip else ('-m', PROGRAM)
         with self.log.open('ab') as log:
             self.process = subprocess.Popen(
                 [
                     sys.executable,
                     # SIGABRT then prints where a host hangs.
                     *('-X', 'faulthandler'),
-                    *('-m', module),
+                    *program,
                 ],
-                cwd=ROOT,
+                cwd=root,
                 env=environment,
                 stdout=log,
                 stderr=log,
