Keep the time that a target asks for with Retry-After

Callers' requests, retries and further tries went on to targets that had answered 503 with Retry-After; the header was read nowhere, and a refusal left a target out for 0.3 s whatever it asked.

Link probes leave such targets out, and a request is not relayed because of them: they are in reach.

A retry delay is the earliest time at which a target takes requests only if all usable ones are at a limit: one that was merely full for a moment no longer makes callers wait for the longest pause of another. The same delay is given after refused tries.

Ruled out: a flag in targethealth; its backoff is told to peers in part and ends with a success of an earlier request.

--- a/bergamotstream/forwarding/dispatch.py
+++ b/bergamotstream/forwarding/dispatch.py
@@ -104,7 +104,7 @@
 
 # Called with each head of an answer that comes from the intended target.
 HeadRecorder: TypeAlias = Callable[
-    [exchangerecords.Assignment, multidict.CIMultiDictProxy[str]], None
+    [exchangerecords.Assignment, int, multidict.CIMultiDictProxy[str]], None
 ]
 
 
@@ -157,7 +157,9 @@
             raise TargetBroken(repr(broken)) from broken
         _check_attempt_id(answer, outgoing.job.request.attempt_id)
         if is_of_target(answer):
-            self._record_head(outgoing.assignment, answer.headers)
+            self._record_head(
+                outgoing.assignment, answer.status, answer.headers
+            )
         _check_answer(answer)
         return answer
 
--- a/bergamotstream/forwarding/linkprobes.py
+++ b/bergamotstream/forwarding/linkprobes.py
@@ -61,7 +61,10 @@
         named = answer.headers.getall(protocol.INSTANCE_ID, ())
         if named == [target.target_id] or dispatch.is_of_target(answer):
             self._outcomes.statements.record(
-                fleetrecords.run_of(target), answer.headers, 'probe'
+                fleetrecords.run_of(target),
+                answer.status,
+                answer.headers,
+                'probe',
             )
 
     async def _probe(self, target: fleetrecords.TargetEntry) -> None:
--- a/bergamotstream/forwarding/namedlimits.py
+++ b/bergamotstream/forwarding/namedlimits.py
@@ -243,7 +243,7 @@
     listed = list(texts)
     if not listed:
         return None, True
-    readable = [_parse_one(text) for text in listed]
+    readable = [parse_number(text) for text in listed]
     valid = [per_s for per_s in readable if per_s is not None]
     all_valid = len(valid) == len(listed) == 1
     if valid:
@@ -253,7 +253,7 @@
     return UNREADABLE_PER_S, False
 
 
-def _parse_one(text: str) -> float | None:
+def parse_number(text: str) -> float | None:
     """Return a decimal number that is not negative, ``None`` for other text."""
     whole, _, fraction = text.strip().partition('.')
     digits = f'{whole}{fraction}'
--- a/bergamotstream/forwarding/outcomes.py
+++ b/bergamotstream/forwarding/outcomes.py
@@ -100,11 +100,12 @@
     def record_head(
         self,
         assignment: exchangerecords.Assignment,
+        status: int,
         headers: multidict.CIMultiDictProxy[str],
     ) -> None:
         """Record that a target answers, and what it says of itself."""
         self._record_answer(assignment.target, assignment.placed_ms)
-        self.statements.record_head(assignment, headers)
+        self.statements.record_head(assignment, status, headers)
 
     def record_first_byte(
         self,
--- a/bergamotstream/forwarding/reach.py
+++ b/bergamotstream/forwarding/reach.py
@@ -12,6 +12,7 @@
 from typing import Final
 
 from bergamotstream.forwarding import (
+    askedpauses,
     fleetrecords,
     fleetview,
     hostsettings,
@@ -33,6 +34,7 @@
         view: fleetview.FleetView,
         health: targethealth.TargetHealth,
         monitor: links.LinkMonitor,
+        pauses: askedpauses.AskedPauses,
         config: hostsettings.HostSettings,
         rng: random.Random,
     ) -> None:
@@ -40,6 +42,7 @@
         self._view = view
         self._health = health
         self._links = monitor
+        self._pauses = pauses
         self._zone = config.zone
         self._rng = rng
 
@@ -69,9 +72,13 @@
         )
 
     def has_unreachable_target(self, service: str, now_ms: int) -> bool:
-        """Tell whether this host fails to reach a target of a service."""
+        """Tell whether this host fails to reach a target of a service.
+
+        One that asks for a pause is in reach, and its time is kept.
+        """
         return any(
             not self._health.is_reachable(entry.target_id, now_ms)
+            and not self._pauses.is_pausing(entry, now_ms)
             for entry in self._usable(service)
         )
 
@@ -87,7 +94,11 @@
         """Return the targets to probe now, some of each doubtful service."""
         probed: list[fleetrecords.TargetEntry] = []
         for service in self._links.take_due_probes(now_ms):
-            usable = list(self._usable(service))
+            usable = [
+                entry
+                for entry in self._usable(service)
+                if not self._pauses.is_pausing(entry, now_ms)
+            ]
             self._rng.shuffle(usable)
             usable.sort(key=functools.partial(self._probe_rank, now_ms))
             probed.extend(usable[:PROBED_TARGETS])
--- a/bergamotstream/forwarding/retrydecisions.py
+++ b/bergamotstream/forwarding/retrydecisions.py
@@ -103,4 +103,8 @@
     ) -> errors.ServiceError:
         if state.may_have_run:
             return errors.TargetFailed(run_state='may_have_run')
-        return errors.Overloaded(retry_after_ms=self._core.retry_after_ms())
+        return errors.Overloaded(
+            retry_after_ms=self._core.refused_retry_ms(
+                state.job, self._clock.now_ms()
+            )
+        )
--- a/bergamotstream/forwarding/scheduler.py
+++ b/bergamotstream/forwarding/scheduler.py
@@ -15,6 +15,7 @@
 
 from bergamotstream import errors
 from bergamotstream.forwarding import (
+    askedpauses,
     coldlimits,
     commitments,
     crashblame,
@@ -92,11 +93,12 @@
         self.health = targethealth.TargetHealth()
         self.cold = coldlimits.ColdLimits()
         self.limits = namedlimits.NamedLimits(config.name)
+        self.pauses = askedpauses.AskedPauses(rng)
         self.budget = retrybudget.RetryBudget(config.bounds)
         self.blame = crashblame.CrashBlame()
         self.links = links.LinkMonitor()
         self.reach = reach.Reach(
-            self.view, self.health, self.links, config, rng
+            self.view, self.health, self.links, self.pauses, config, rng
         )
         self._config = config
         self._rng = rng
@@ -191,7 +193,8 @@
         if not candidates:
             raise errors.NoTarget(
                 self._no_target_detail(job, excluded, now_ms),
-                retry_after_ms=self._no_target_retry_ms(job, now_ms),
+                retry_after_ms=self._limited_retry_ms(job, now_ms)
+                or self._jitter(UNAVAILABLE_RETRY_MS),
             )
         if job.generation is None or job.service.engine is None:
             return self._place_plain(job, candidates, now_ms)
@@ -269,6 +272,10 @@
         """Return a retry delay for a request that has not run."""
         return self._jitter(RETRY_AFTER_MS)
 
+    def refused_retry_ms(self, job: exchangerecords.Job, now_ms: int) -> int:
+        """Return a retry delay for a request that targets have refused."""
+        return self._limited_retry_ms(job, now_ms) or self.retry_after_ms()
+
     def start_decoding(self, assignment: exchangerecords.Assignment) -> None:
         """Record the first token, which shows that all prefill is done."""
         first, *helper_ids = assignment.commitment_ids
@@ -351,18 +358,30 @@
     def _limit_wait_ms(
         self, entry: fleetrecords.TargetEntry, now_ms: int
     ) -> int | None:
-        return self.limits.wait_ms(entry, self.table.peer_names(), now_ms)
+        """Return the time until the limits of a target allow a request.
 
-    def _no_target_retry_ms(self, job: exchangerecords.Job, now_ms: int) -> int:
-        """Return a retry delay after which a limited target may have room."""
+        ``None`` if only other hosts send to it.
+        """
+        wait_ms = self.limits.wait_ms(entry, self.table.peer_names(), now_ms)
+        if wait_ms is None:
+            return None
+        return max(wait_ms, self.pauses.wait_ms(entry, now_ms))
+
+    def _limited_retry_ms(
+        self, job: exchangerecords.Job, now_ms: int
+    ) -> int | None:
+        """Return a retry delay after which a limited target may have room.
+
+        ``None`` if not all targets of the service are at their limits.
+        """
         waits_ms = [
             self._limit_wait_ms(entry, now_ms)
             for entry in self.view.targets_by_id.values()
             if self.is_usable(entry, job.service.name)
         ]
-        known_ms = [wait_ms for wait_ms in waits_ms if wait_ms]
-        if not known_ms:
-            return self._jitter(UNAVAILABLE_RETRY_MS)
+        known_ms = [wait_ms for wait_ms in waits_ms if wait_ms is not None]
+        if not known_ms or 0 in known_ms:
+            return None
         return min(known_ms) + self._jitter(RETRY_AFTER_MS)
 
     def _no_target_detail(
@@ -384,6 +403,7 @@
             and self.health.is_reachable_here(entry.target_id, now_ms)
             for entry in listed
         )
+        asked = sum(self.pauses.is_pausing(entry, now_ms) for entry in listed)
         limited = sum(
             self._limit_wait_ms(entry, now_ms) != 0 for entry in listed
         )
@@ -396,6 +416,7 @@
                 f'unreachable={unreachable}',
                 f'by_peers={by_peers}',
                 f'limited={limited}',
+                f'asked={asked}',
                 f'tried={len(excluded)}',
             )
         )
@@ -431,6 +452,7 @@
         target, *helpers = [part.entry for part in chosen.parts]
         self.cold.record_sent(target.target_id, now_ms)
         self.limits.record_sent(target, now_ms)
+        self.pauses.record_sent(target, now_ms)
         return exchangerecords.Assignment(
             target=target,
             helpers=tuple(helpers),
--- a/tests/test_namedlimits.py
+++ b/tests/test_namedlimits.py
@@ -185,7 +185,7 @@
             self._named_ms_by_target.setdefault(target_id, now_ms)
             self._told_ms_by_host.setdefault(host.name, now_ms)
         host.outcomes.record_head(
-            assignment, multidict.CIMultiDictProxy(headers)
+            assignment, 200, multidict.CIMultiDictProxy(headers)
         )
         self.served += 1
 
