Explain why no target could take a request

bergamotctl explain said that detail counts the reasons. It now names them, with targets that leave and those that asked for time. The new test is of new text, so it had nothing to fail on but the missing words.

--- a/bergamotstream/explanations.py
+++ b/bergamotstream/explanations.py
@@ -23,6 +23,15 @@
     'request_blamed': 'it has crashed targets before',
     'target_failed': 'its target failed and it could not be repeated',
 }
+# Counts in the detail of a request without a target, with their meanings.
+_TARGETS_BY_COUNT: Final[Mapping[str, str]] = {
+    'leaving': 'leave',
+    'zone_out': 'in a zone that is out',
+    'unreachable': 'left out after failures',
+    'limited': 'at a limit',
+    'asked': 'of them asked for time',
+    'tried': 'already tried',
+}
 _CUT_PREFIX: Final = 'cut_'
 _STATUS_PREFIX: Final = 'status_'
 
@@ -76,6 +85,8 @@
         return f'the answer was cut off: {_outcome_meaning(cause)}'
     if outcome == 'served':
         return _served_meaning(last.fields)
+    if outcome == 'no_target':
+        return _no_target_meaning(last.fields.get('detail', ''))
     return _outcome_meaning(outcome)
 
 
@@ -98,6 +109,20 @@
     )
 
 
+def _no_target_meaning(detail: str) -> str:
+    meaning = _MEANINGS_BY_OUTCOME['no_target']
+    counts = dict(word.split('=', 1) for word in detail.split() if '=' in word)
+    reasons = [
+        f'{counts[name]} {text}'
+        for name, text in _TARGETS_BY_COUNT.items()
+        if counts.get(name, '0') != '0'
+    ]
+    if not reasons:
+        return meaning
+    listed = ', '.join((f'of {counts.get("listed", "?")} targets', *reasons))
+    return f'{meaning}: {listed}'
+
+
 def _served_meaning(fields: Mapping[str, str]) -> str:
     meaning = _MEANINGS_BY_OUTCOME['served']
     if _exceeds(fields, 'first_ms', 'goal_ms'):
--- a/tests/test_explanations.py
+++ b/tests/test_explanations.py
@@ -46,6 +46,19 @@
         cmdline.main(['explain', 'a1', str(tmp_path / 'none')])
 
 
+def test_reasons_without_a_target_are_named():
+    """Guards against counts whose meaning only a page tells."""
+    line = (
+        'event=ended id=n1 outcome=no_target detail="service=plain listed=6'
+        ' leaving=2 zone_out=1 unreachable=0 by_peers=0 limited=3 asked=2'
+        ' tried=0"'
+    )
+    meaning = explanations.explain([line], 'n1').meaning
+    assert 'of 6 targets, 2 leave, 1 in a zone that is out' in meaning
+    assert '3 at a limit, 2 of them asked for time' in meaning
+    assert 'tried' not in meaning
+
+
 @pytest.mark.parametrize('order', [1, -1])
 def test_end_of_a_relayed_request_is_that_of_its_first_host(order):
     """Guards against an explanation by the log of the other host."""
