Log the build of a host when it starts

Cause: no log line or metric told which build a host runs, so operators could not tell old hosts from new ones while these are replaced.

Ruled out: git in the product, and a digest of the sources at each start. importlib.metadata needs an installed package, which the platform has not.

Evidence: test_log_tells_the_build_of_a_host failed before and passes now.

Conclusion: the started line names the version of the package. Commits with the same version stay alike until a landing raises it; hosts before this commit log no build.

--- a/bergamotstream/__init__.py
+++ b/bergamotstream/__init__.py
@@ -5,4 +5,6 @@
 A serving layer for language-model prompts of widely different lengths.
 """
 
-__version__ = '0.1.0'
+from bergamotstream import version
+
+__version__ = version.BUILD
--- a/bergamotstream/forwarding/hostdaemon.py
+++ b/bergamotstream/forwarding/hostdaemon.py
@@ -16,7 +16,14 @@
 
 from aiohttp import web
 
-from bergamotstream import clock, errors, exporters, framing, metrics
+from bergamotstream import (
+    clock,
+    errors,
+    exporters,
+    framing,
+    metrics,
+    version,
+)
 from bergamotstream.forwarding import (
     blamerecords,
     connections,
@@ -103,7 +110,12 @@
 
     async def run(self) -> None:
         """Serve until stopped."""
-        self._log.write('started', host=self._entry.name, zone=self._entry.zone)
+        self._log.write(
+            'started',
+            host=self._entry.name,
+            zone=self._entry.zone,
+            build=version.BUILD,
+        )
         pooled, unpooled = [
             connections.open_session(
                 reuse=reuse, record_skipped=self._record_skipped
--- a/tests/test_upgrades.py
+++ b/tests/test_upgrades.py
@@ -1,10 +1,14 @@
 """Hosts of an older build beside those of the checkout."""
 
+import re
 import subprocess
+import tomllib
 
 import pytest
 
-from tests import upgradekit
+import bergamotstream
+from tests import hostprocesskit, upgradekit
+from tests import platformkit as kit
 
 LAST_LANDING = 'fd8a66b'
 
@@ -42,3 +46,30 @@
         check=True,
     )
     assert str(tree) not in listed.stdout
+
+
+async def test_log_tells_the_build_of_a_host(tmp_path):
+    """Guards against hosts of which operators cannot tell the build."""
+    host = hostprocesskit.HostProcess(tmp_path, 'h0', kit.address())
+
+    async def has_started():
+        return 'event=started ' in host.log.read_text()
+
+    host.start()
+    try:
+        await hostprocesskit.wait_until(has_started, 10)
+    finally:
+        host.process.kill()
+        host.process.wait()
+    version = bergamotstream.__version__
+    assert re.search(
+        f'event=started .* build={re.escape(version)}$',
+        host.log.read_text(),
+        re.MULTILINE,
+    )
+
+
+def test_build_is_the_version_of_the_package():
+    """Guards against a build in the log that no package has."""
+    project = tomllib.loads((upgradekit.ROOT / 'pyproject.toml').read_text())
+    assert bergamotstream.__version__ == project['project']['version']
