Let targets refuse requests while builds are replaced

Cause: all targets of the kit were sound, so no refusal passed through a relay between the two builds.

Ruled out: refusals of the requests that check the configuration, which would look like a configuration that is not in force.

--- a/tests/upgradekit.py
+++ b/tests/upgradekit.py
@@ -41,6 +41,8 @@
 PAUSE_S = 0.02
 EVENTS = 20
 EVENT_GAP_S = 0.03
+# Requests that a sound target refuses without running them.
+REFUSED_SHARE = 0.03
 TIMEOUT_MS = 3_000
 # Callers ask the directory again after this time; every other one keeps its
 # connection to a host until the process is gone.
@@ -55,6 +57,8 @@
 CRASH_PERIOD_S = 1.0
 RESTART_S = 1.5
 CUT_S = 2.5
+# The body of requests that show which configuration is in force.
+CONFIGURATION_BODY = b'configuration'
 HEAL_S = 2.0
 # Time in which a request that a host has sent reaches a target of this process.
 ARRIVAL_S = 0.5
@@ -153,10 +157,12 @@
 class Targets:
     """All targets, and what reached them."""
 
-    def __init__(self, store):
+    def __init__(self, store, rng):
         self.arrivals = []
+        self.refused = 0
         self.cut_ip = ''
         self._store = store
+        self._rng = rng
         self._targets = {}
         self._busy = set()
         self._born = 1_000
@@ -227,6 +233,19 @@
         await self._store.put(f'servers/{name}', document)
 
     async def _respond(self, service, name, request, writer):
+        may_refuse = (
+            service in {'plain', 'model'} and request.body != CONFIGURATION_BODY
+        )
+        if may_refuse and self._rng.random() < REFUSED_SHARE:
+            self.refused += 1
+            writer.write(
+                kit.answer(
+                    request,
+                    status='503 Service Unavailable',
+                    extra=f'{kit.NOT_RUN}: 1\r\n',
+                )
+            )
+            return
         if kit.ATTEMPT in request.headers:
             self.arrivals.append(
                 Arrival(
@@ -452,7 +471,7 @@
         self._store = platformstore.PlatformStore(
             serving.parse_address(kit.address())
         )
-        self._targets = Targets(self._store)
+        self._targets = Targets(self._store, self._rng)
         self._ended = asyncio.Event()
         self._callers = None
 
@@ -590,8 +609,12 @@
 
     async def _check_configuration_at(self, host):
         async with aiohttp.ClientSession() as session:
-            added = await _call(session, host.caller, '/added/', 'c', b'c')
-            dropped = await _call(session, host.caller, '/dropped/', 'c', b'c')
+            added = await _call(
+                session, host.caller, '/added/', 'c', CONFIGURATION_BODY
+            )
+            dropped = await _call(
+                session, host.caller, '/dropped/', 'c', CONFIGURATION_BODY
+            )
         self._callers.figures['configuration checks'] += 1
         allowed = ({200}, {404})
         if host.name in self._stopping:
@@ -613,6 +636,7 @@
                 await asyncio.sleep(CRASH_PERIOD_S)
 
     def _check(self):
+        self._callers.figures['refused by targets'] = self._targets.refused
         self._callers.check_orders()
         arrivals = self._targets.arrivals
         crashed_s = [one.at_s for one in arrivals if one.body == b'crash']
