Wait for the streams of a test before their links are cut

The targets now hold their streams after three events, and the cut waits until the host has them; the checks are the same, and fail without the checks of continuations (3 of 3). Messages in tests of other builds hold the name and the addresses that each build sends, as others are refused.

--- a/bergamotstream/forwarding/targetstatements.py
+++ b/bergamotstream/forwarding/targetstatements.py
@@ -3,8 +3,8 @@
 ~~~~~~~~~~~~~~~~~
 
 What targets say of themselves in the headers of their answers: the request
-rate that they take, pauses that they ask for, and that they leave. Each change of what a host believes
-is logged once.
+rate that they take, pauses that they ask for, and that they leave. Each change
+of what a host believes is logged once.
 """
 
 from typing import Final
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -97,13 +97,13 @@
 async def test_stream_that_a_peer_resumes_wrongly_is_cut(monkeypatch, shift):
     """Guards against a peer whose target does not go on where it should."""
     whole = b''.join(kit.event(n) for n in range(1, EVENTS + 1))
-    right = cutcases.respond
 
     async def respond(request, writer):
         asked = int(request.headers.get('Last-Event-Id', 0))
         if not asked:
-            await right(request, writer)
-            return
+            events = b''.join(kit.event(n) for n in range(1, 4))
+            writer.write(kit.stream_head(request) + kit.chunk(events))
+            await asyncio.sleep(30)
         writer.write(kit.stream_head(request))
         for number in range(max(asked + 1 + shift, 1), EVENTS + 1):
             writer.write(kit.chunk(kit.event(number)))
@@ -115,7 +115,10 @@
             asyncio.ensure_future(_read_stream(system, 0)),
             asyncio.ensure_future(system.call('/chat/1', b'1')),
         ]
-        await asyncio.sleep(0.08)
+        table = system.daemons[0]._core.table
+        await system.until(
+            lambda: [entry.decoding for entry in table.own()] == [True, True]
+        )
         doubt_links(system.daemons[0])
         cut.cut(['host-0'], 'reset')
         received, end = await asyncio.gather(*calls, return_exceptions=True)
--- a/tests/test_upgrades.py
+++ b/tests/test_upgrades.py
@@ -146,6 +146,8 @@
     """Guards against hosts that refuse the state of a newer build."""
     message = newer_schema.HostState.new_message(
         name='h1',
+        zone='z',
+        callerAddress='127.0.0.1:1',
         peerAddress='127.0.0.1:2',
         sequence=5,
         acceptsRequests=True,
@@ -179,7 +181,12 @@
 def test_state_without_later_fields_is_read():
     """Guards against hosts that misread what an older build leaves out."""
     message = peerformat.SCHEMA.HostState.new_message(
-        name='h1', zone='z', sequence=1, ready=True
+        name='h1',
+        zone='z',
+        callerAddress='127.0.0.1:1',
+        peerAddress='127.0.0.1:2',
+        sequence=1,
+        ready=True,
     )
     state = peerformat.decode(message.to_bytes_packed(), 0)
     assert state.ready
