Wait for targets and peers by one function

silence.py and relayattempts.py each held the loop that waits for bytes, looks at intervals whether something has to be done and closes an answer that nobody takes. dispatch.receive serves both. targetstatements.py had its own copy of a status. Behaviour is unchanged: tests of silent targets (51), cut links (8), relays, forwarding and stream ends (176) pass; formatter, linter and type check are clean.

--- a/bergamotstream/forwarding/dispatch.py
+++ b/bergamotstream/forwarding/dispatch.py
@@ -8,9 +8,10 @@
 
 import asyncio
 import collections
+import contextlib
 import enum
-from collections.abc import Callable
-from typing import Any, Final, NamedTuple, TypeAlias
+from collections.abc import Callable, Coroutine
+from typing import Any, Final, NamedTuple, TypeAlias, TypeVar
 
 import aiohttp
 import multidict
@@ -70,6 +71,7 @@
     """The answer does not name the request, which may still be running."""
 
 
+Received = TypeVar('Received')
 Answer: TypeAlias = aiohttp.ClientResponse
 # Errors that reading an answer may raise.
 READ_FAULTS: Final = (aiohttp.ClientError, OSError, ValueError)
@@ -271,7 +273,30 @@
         await asyncio.shield(ending.closed)
 
 
-def discard(receiving: asyncio.Future[Any]) -> None:
+async def receive(
+    receiving: Coroutine[Any, Any, Received],
+    first_wait_s: float | None,
+    interval_s: float,
+    handle_silence: Callable[[], None],
+) -> Received:
+    """Return what is received; call ``handle_silence`` as long as nothing is.
+
+    It is called after ``first_wait_s`` and then in each interval, or never if
+    that is ``None``.
+    """
+    waiting = asyncio.ensure_future(receiving)
+    with contextlib.ExitStack() as stack:
+        stack.callback(_discard, waiting)
+        await asyncio.wait((waiting,), timeout=first_wait_s)
+        while not waiting.done():
+            handle_silence()
+            await asyncio.wait((waiting,), timeout=interval_s)
+        received = await waiting
+        stack.pop_all()
+    return received
+
+
+def _discard(receiving: asyncio.Future[Any]) -> None:
     """Cancel what nobody waits for any longer; close an answer it has got."""
     if receiving.cancel() or receiving.cancelled() or receiving.exception():
         return
--- a/bergamotstream/forwarding/relayattempts.py
+++ b/bergamotstream/forwarding/relayattempts.py
@@ -6,8 +6,7 @@
 writes the log events and metrics of it.
 """
 
-import asyncio
-import contextlib
+import functools
 from collections.abc import Callable, Coroutine
 from typing import Any, Final, TypeAlias, TypeVar
 
@@ -146,19 +145,27 @@
     ) -> Received:
         """Return what a peer sends; ``handle_loss`` is called if it is lost."""
         started_ms = self._clock.now_ms()
-        waiting = asyncio.ensure_future(receiving)
-        with contextlib.ExitStack() as stack:
-            stack.callback(dispatch.discard, waiting)
-            while not waiting.done():
-                await asyncio.wait((waiting,), timeout=PEER_CHECK_S)
-                is_lost = peer.entry.name not in self._peers.peers_by_name
-                if is_lost and not waiting.done():
-                    handle_loss(served, self._clock.now_ms() - started_ms)
-            received = await waiting
-            stack.pop_all()
+        received = await dispatch.receive(
+            receiving,
+            PEER_CHECK_S,
+            PEER_CHECK_S,
+            functools.partial(
+                self._handle_silent_peer, served, peer, handle_loss, started_ms
+            ),
+        )
         served.is_silent = False
         return received
 
+    def _handle_silent_peer(
+        self,
+        served: requeststate.Try,
+        peer: peerformat.HostState,
+        handle_loss: LossHandler,
+        since_ms: int,
+    ) -> None:
+        if peer.entry.name not in self._peers.peers_by_name:
+            handle_loss(served, self._clock.now_ms() - since_ms)
+
     def record_sent(
         self, state: requeststate.RequestState, peer: peerformat.HostState
     ) -> None:
--- a/bergamotstream/forwarding/silence.py
+++ b/bergamotstream/forwarding/silence.py
@@ -6,8 +6,7 @@
 or may be lost, so its try goes on, and another one is started beside it.
 """
 
-import asyncio
-import contextlib
+import functools
 from collections.abc import Callable, Coroutine
 from typing import Any, Final, TypeAlias, TypeVar
 
@@ -24,7 +23,7 @@
 
 MS_PER_S: Final = 1_000
 # Interval at which a further try is considered again, as targets get room.
-CHECK_INTERVAL_MS: Final = 250
+CHECK_INTERVAL_S: Final = 0.25
 
 Received = TypeVar('Received')
 # Starts one more try of a request.
@@ -61,23 +60,27 @@
     ) -> Received:
         """Return what a target sends, however long it is silent."""
         started_ms = self._clock.now_ms()
-        waiting = asyncio.ensure_future(receiving)
-        with contextlib.ExitStack() as stack:
-            stack.callback(dispatch.discard, waiting)
-            limit_ms = self._core.silence_limit_ms(served.job, started_ms)
-            while limit_ms is not None:
-                await asyncio.wait((waiting,), timeout=limit_ms / MS_PER_S)
-                if waiting.done():
-                    break
-                now_ms = self._clock.now_ms()
-                if self.handle_silence(served, now_ms - started_ms):
-                    self._outcomes.record_silent_target(served, assignment)
-                limit_ms = CHECK_INTERVAL_MS
-            received = await waiting
-            stack.pop_all()
+        limit_ms = self._core.silence_limit_ms(served.job, started_ms)
+        received = await dispatch.receive(
+            receiving,
+            None if limit_ms is None else limit_ms / MS_PER_S,
+            CHECK_INTERVAL_S,
+            functools.partial(
+                self._handle_silent_target, served, assignment, started_ms
+            ),
+        )
         self._handle_resumed(served, started_ms)
         return received
 
+    def _handle_silent_target(
+        self,
+        served: requeststate.Try,
+        assignment: exchangerecords.Assignment,
+        since_ms: int,
+    ) -> None:
+        if self.handle_silence(served, self._clock.now_ms() - since_ms):
+            self._outcomes.record_silent_target(served, assignment)
+
     def handle_silence(self, served: requeststate.Try, silent_ms: int) -> bool:
         """Start a try beside a silent one if that is allowed; tell if so."""
         is_news = not served.is_silent
--- a/bergamotstream/forwarding/targetstatements.py
+++ b/bergamotstream/forwarding/targetstatements.py
@@ -14,6 +14,7 @@
 from bergamotstream import clock
 from bergamotstream.forwarding import (
     askedpauses,
+    dispatch,
     eventlog,
     exchangerecords,
     fleetrecords,
@@ -23,7 +24,6 @@
 )
 from bergamotstream.platform import callerformat, protocol
 
-UNAVAILABLE: Final = 503
 MAX_LOGGED_TEXT: Final = 40
 
 
@@ -77,7 +77,7 @@
         """Record what a run of a target says in any answer to this host."""
         self.record_leaving(run, headers, source)
         asked = headers.getall(protocol.RETRY_AFTER, [])
-        if asked and status == UNAVAILABLE:
+        if asked and status == dispatch.UNAVAILABLE:
             self._record_asked(run, asked, source)
 
     def record_leaving(
