Log what a fetch of a peer's items brought and how long it took

The lines now hold bytes, both durations and the revisions; failed and successful fetches are counted. No logic changes.

--- a/bergamotstream/forwarding/hostdaemon.py
+++ b/bergamotstream/forwarding/hostdaemon.py
@@ -159,7 +159,12 @@
                 registration.run(),
                 self._peers.run(),
                 peerfetch.PeerFetch(
-                    pooled, self._peers, self._core, self._log, self._clock
+                    pooled,
+                    self._peers,
+                    self._core,
+                    self._log,
+                    self._clock,
+                    self._meters,
                 ).run(self._handle_changes),
                 blamerecords.BlameRecords(
                     client,
--- a/bergamotstream/forwarding/peerfetch.py
+++ b/bergamotstream/forwarding/peerfetch.py
@@ -14,7 +14,7 @@
 
 import aiohttp
 
-from bergamotstream import clock, outsidedata
+from bergamotstream import clock, metrics, outsidedata
 from bergamotstream.forwarding import (
     eventlog,
     fleetview,
@@ -55,6 +55,7 @@
         core: scheduler.Scheduler,
         log: eventlog.EventLog,
         time_source: clock.Clock,
+        meters: metrics.Metrics,
     ) -> None:
         """Fetch over ``session``."""
         self._session = session
@@ -62,6 +63,7 @@
         self._core = core
         self._log = log
         self._clock = time_source
+        self._meters = meters
         self._rng = random.Random()
         self._behind_since_ms: int | None = None
 
@@ -104,21 +106,38 @@
         limit = aiohttp.ClientTimeout(
             total=FETCH_TIMEOUT_S, sock_connect=store.CONNECT_TIMEOUT_S
         )
+        received = bytearray()
+        started_ms = self._clock.now_ms()
         try:
             async with self._session.get(url, timeout=limit) as response:
-                update = decode(await response.read())
+                async for part in response.content.iter_any():
+                    received.extend(part)
+                update = decode(bytes(received))
         except (aiohttp.ClientError, TimeoutError, ValueError) as fault:
+            self._meters.count('peer_fetches', 'failed')
             self._log.write(
-                'peer_fetch_failed', peer=peer.entry.name, fault=repr(fault)
+                'peer_fetch_failed',
+                peer=peer.entry.name,
+                fault=repr(fault),
+                before=known_revision,
+                peer_revision=peer.store_revision,
+                received_bytes=len(received),
+                waited_ms=self._clock.now_ms() - started_ms,
             )
             return
+        arrived_ms = self._clock.now_ms()
         report(self._apply(update))
+        self._meters.count('peer_fetches', 'fetched')
         self._log.write(
             'peer_fetched',
             peer=peer.entry.name,
             before=known_revision,
             revision=update.page.revision,
             complete=update.complete,
+            items=len(update.page.items),
+            received_bytes=len(received),
+            waited_ms=arrived_ms - started_ms,
+            applied_ms=self._clock.now_ms() - arrived_ms,
         )
 
     def _apply(self, update: ItemUpdate) -> list[fleetview.Change]:
