--- a/tests/platformkit.py
+++ b/tests/platformkit.py
@@ -1,6 +1,7 @@
 """Builds settings, documents and a small system on loopback for tests."""
 
 import asyncio
+import base64
 import contextlib
 import json
 import random
@@ -127,6 +128,11 @@
     return json.dumps(body | changes).encode()
 
 
+def base64_text(document):
+    """Return a document as the store sends it."""
+    return base64.b64encode(document).decode()
+
+
 def target_document(target_address, **changes):
     """Return the entry of a target."""
     body = {
@@ -293,7 +299,8 @@
 class System:
     """A store, hosts in this process and a caller."""
 
-    def __init__(self):
+    def __init__(self, stop_grace_ms=1_700):
+        self.stop_grace_ms = stop_grace_ms
         self.store = platformstore.PlatformStore(
             serving.parse_address(address())
         )
@@ -312,7 +319,9 @@
     async def start_host(self, name):
         """Start a host and wait until it serves."""
         store_address = '{0}:{1}'.format(*self.store._listener._address)
-        settings = make_settings(store_address, name, stop_grace_ms=1_700)
+        settings = make_settings(
+            store_address, name, stop_grace_ms=self.stop_grace_ms
+        )
         self.settings.append(settings)
         daemon = make_daemon(settings)
         self.daemons.append(daemon)
@@ -396,9 +405,9 @@
 
 
 @contextlib.asynccontextmanager
-async def running_system(hosts=1, document=None):
+async def running_system(hosts=1, document=None, stop_grace_ms=1_700):
     """Yield a started system."""
-    system = System()
+    system = System(stop_grace_ms)
     await system.start(hosts, document)
     try:
         yield system
