Send large items apart from news, deflated, and resume their transfer

Cause: a host that does not watch the store fetched everything that had changed in one answer with 1.0 s in all. A configuration of 550 KB is 750 KB in base64; sixty hosts asked the first one that had it at once, so no answer ended in time, what had come was thrown away and asked for again 0.1 s later. The repeats kept the links full: heartbeats and callers' answers were late too, and every small change waited behind the large one.

Ruled out: decoding (28 ms; hosts that were late used 6 to 15% of their processor in those seconds).

Now hosts tell two revisions: up to which they know the news, and up to which they have all documents. News name items above 16 KB without their documents, so small changes pass them by. A document is fetched on its own, deflated (566 KB of routes become 18 KB), from any peer that has it, two peers at a time for each sender, and from the byte at which an earlier transfer broke off. A transfer ends when nothing arrives for 1.0 s, however long it takes; that holds for answers of the store too. A host that watches the store asks from the revision up to which it is complete, so a document whose only holder has died comes from the store. Peers of older builds are asked for, and get, whole items as before.

--- a/bergamotstream/forwarding/blamerecords.py
+++ b/bergamotstream/forwarding/blamerecords.py
@@ -60,7 +60,7 @@
             entry.fingerprint
             for entry in self._blame.blamed(now_ms)[: crashblame.MAX_SHARED]
             if documents.blamed_key(entry.fingerprint)
-            not in self._view.items_by_key
+            not in self._view.items.by_key
         ]
         self._write_at_ms_by_fingerprint = {
             fingerprint: self._write_at_ms(fingerprint, now_ms)
--- a/bergamotstream/forwarding/fleetview.py
+++ b/bergamotstream/forwarding/fleetview.py
@@ -12,7 +12,7 @@
 from typing import Final, NamedTuple, TypeAlias
 
 from bergamotstream import clock
-from bergamotstream.forwarding import fleetrecords
+from bergamotstream.forwarding import fleetrecords, pendingitems, storeitems
 from bergamotstream.platform import documents, protocol, store
 
 # Entries that expired during an outage of the store are written again within
@@ -20,8 +20,6 @@
 LAPSE_HOLD_MS: Final = 2_200
 # Earlier than the start of any host's clock.
 NEVER_MS: Final = -1_000_000
-# Deletions that are kept so that older items arriving later are ignored.
-MAX_TOMBSTONES: Final = 4_096
 # Subjects whose last fault is remembered, so that it is logged once.
 MAX_REPORTED: Final = 4_096
 # A target that says it started later than this after now is not believed.
@@ -52,12 +50,8 @@
         self.targets_by_id: dict[str, fleetrecords.TargetEntry] = {}
         self.zones_out: set[str] = set()
         self.hosts_by_name: dict[str, fleetrecords.HostEntry] = {}
-        self.items_by_key: dict[str, store.Item] = {}
-        self.revision = 0
+        self.items = storeitems.StoreItems()
         self.store_answered_ms = NEVER_MS
-        # The first revision from which all deletions are known.
-        self._complete_since = 0
-        self._tombstones_by_key: dict[str, int] = {}
         self._hold_lapsed_until_ms = 0
         self._drop_at_ms_by_target: dict[str, int] = {}
         self._wall_ms = wall_ms
@@ -65,6 +59,11 @@
         # Runs that have said so themselves; the oldest come first.
         self._leaving_runs: dict[fleetrecords.TargetRun, None] = {}
 
+    @property
+    def revision(self) -> int:
+        """The revision up to which all changes are known."""
+        return self.items.revision
+
     def is_usable(self, entry: fleetrecords.TargetEntry, service: str) -> bool:
         """Tell whether a target may get new requests of a service."""
         return (
@@ -95,41 +94,46 @@
         self.hold_lapsed(LAPSE_HOLD_MS, now_ms)
 
     def apply_changes(self, page: store.Page, now_ms: int) -> list[Change]:
+        """Apply all changes that follow the complete revision."""
+        changes = self._apply_page(page, now_ms)
+        self.items.pending.resolve_until(page.revision)
+        return changes
+
+    def apply_news(self, news: storeitems.News, now_ms: int) -> list[Change]:
         """Apply the changes that follow the current revision."""
-        changes = [
-            change
-            for item in page.items
-            for change in self._apply(item, now_ms)
-        ]
-        for unreadable in page.unreadable:
-            changes.extend(
-                self._report_once(
-                    f'item:{unreadable.key}',
-                    'unreadable',
-                    page.revision,
-                    unreadable.reason,
-                )
-            )
-        self.revision = max(self.revision, page.revision)
+        changes = self._apply_page(news.page, now_ms)
+        for reference in news.references:
+            changes.extend(self._apply_reference(reference, now_ms))
         return changes
 
     def replace_all(self, page: store.Page, now_ms: int) -> list[Change]:
         """Apply a complete listing; keys that it lacks are deleted.
 
-        A known key whose item cannot be read stays as it is.
+        A known key whose item cannot be read stays as it is. Of a listing from
+        before the current revision, only items that are pending are taken.
         """
         if page.revision < self.revision:
+            return [
+                change
+                for item in page.items
+                if item.key in self.items.pending.by_key
+                for change in self._apply(item, now_ms)
+            ]
+        self.items.complete_since = page.revision
+        return self.apply_changes(
+            self.items.with_deletions(storeitems.News(page)), now_ms
+        )
+
+    def replace_by_news(
+        self, news: storeitems.News, now_ms: int
+    ) -> list[Change]:
+        """Apply a complete listing in which large items are only named."""
+        if news.page.revision < self.revision:
             return []
-        present = {item.key for item in page.items}
-        present.update(item.key for item in page.unreadable)
-        gone = [
-            store.Item(key, page.revision, None)
-            for key in self.items_by_key
-            if key not in present
-        ]
-        complete = page._replace(items=(*gone, *page.items))
-        self._complete_since = page.revision
-        return self.apply_changes(complete, now_ms)
+        self.items.complete_since = news.page.revision
+        return self.apply_news(
+            news._replace(page=self.items.with_deletions(news)), now_ms
+        )
 
     def drop_lapsed(self, now_ms: int) -> list[Change]:
         """Drop the targets whose entries were not renewed in time."""
@@ -140,26 +144,6 @@
         ]
         return [self._drop_target(target_id) for target_id in due]
 
-    def snapshot(self) -> store.Page:
-        """Return all items."""
-        return store.Page(tuple(self.items_by_key.values()), self.revision)
-
-    def changes_since(self, revision: int) -> store.Page | None:
-        """Return the changes since a revision, ``None`` if incomplete."""
-        if revision < self._complete_since:
-            return None
-        written = [
-            item
-            for item in self.items_by_key.values()
-            if item.revision > revision
-        ]
-        deleted = [
-            store.Item(key, deleted_at, None)
-            for key, deleted_at in self._tombstones_by_key.items()
-            if deleted_at > revision
-        ]
-        return store.Page((*written, *deleted), self.revision)
-
     def lapse_hold_ms(self, now_ms: int) -> int:
         """Return how much longer targets without entries are kept."""
         return max(self._hold_lapsed_until_ms - now_ms, 0)
@@ -170,15 +154,38 @@
             self._hold_lapsed_until_ms, now_ms + hold_ms
         )
 
+    def _apply_page(self, page: store.Page, now_ms: int) -> list[Change]:
+        changes = [
+            change
+            for item in page.items
+            for change in self._apply(item, now_ms)
+        ]
+        for unreadable in page.unreadable:
+            changes.extend(
+                self._report_once(
+                    f'item:{unreadable.key}',
+                    'unreadable',
+                    page.revision,
+                    unreadable.reason,
+                )
+            )
+        self.items.revision = max(self.revision, page.revision)
+        return changes
+
+    def _apply_reference(
+        self, reference: pendingitems.Reference, now_ms: int
+    ) -> Iterator[Change]:
+        if self.items.record_reference(reference, now_ms):
+            yield Change(
+                f'item:{reference.key}',
+                'pending',
+                reference.revision,
+                f'{reference.length} bytes',
+            )
+
     def _apply(self, item: store.Item, now_ms: int) -> Iterator[Change]:
-        if self._is_known(item):
+        if not self.items.record(item):
             return
-        if item.document is None:
-            self.items_by_key.pop(item.key, None)
-            self._add_tombstone(item)
-        else:
-            self.items_by_key[item.key] = item
-            self._tombstones_by_key.pop(item.key, None)
         for prefix, apply in self._appliers():
             if item.key.startswith(prefix):
                 yield from apply(item, item.key[len(prefix) :], now_ms)
@@ -193,19 +200,6 @@
             (protocol.BLAMED_PREFIX, self._apply_blamed),
         )
 
-    def _is_known(self, item: store.Item) -> bool:
-        known = self.items_by_key.get(item.key)
-        if known is not None:
-            return known.revision >= item.revision
-        return self._tombstones_by_key.get(item.key, 0) >= item.revision
-
-    def _add_tombstone(self, item: store.Item) -> None:
-        self._tombstones_by_key[item.key] = item.revision
-        if len(self._tombstones_by_key) > MAX_TOMBSTONES:
-            oldest = next(iter(self._tombstones_by_key))
-            dropped = self._tombstones_by_key.pop(oldest)
-            self._complete_since = max(self._complete_since, dropped)
-
     def _apply_configuration(
         self, item: store.Item, rest: str, now_ms: int
     ) -> Iterator[Change]:
--- a/bergamotstream/forwarding/hostdaemon.py
+++ b/bergamotstream/forwarding/hostdaemon.py
@@ -22,6 +22,7 @@
     exporters,
     framing,
     metrics,
+    outsidedata,
     version,
 )
 from bergamotstream.forwarding import (
@@ -34,12 +35,15 @@
     fleetview,
     hostsettings,
     ingress,
+    itemfetch,
+    largeitems,
     linkprobes,
     listensockets,
     outcomes,
     peerexchange,
     peerfetch,
     peerrelay,
+    peerupdates,
     relayformat,
     reservations,
     scheduler,
@@ -107,6 +111,7 @@
         self._runners: list[web.ServerRunner] = []
         self._tasks: list[asyncio.Task[None]] = []
         self._answer_relayed: Handler = _not_found
+        self._item_server = largeitems.ItemServer(self._core.view, self._log)
 
     async def run(self) -> None:
         """Serve until stopped."""
@@ -166,6 +171,14 @@
                     self._clock,
                     self._meters,
                 ).run(self._handle_changes),
+                itemfetch.ItemFetch(
+                    pooled,
+                    self._peers,
+                    self._core.view,
+                    self._log,
+                    self._clock,
+                    self._meters,
+                ).run(self._handle_changes),
                 blamerecords.BlameRecords(
                     client,
                     self._core.view,
@@ -367,19 +380,10 @@
     async def _answer_peer(
         self, request: web.BaseRequest
     ) -> web.StreamResponse:
-        if request.path == peerfetch.ITEMS_PATH:
-            try:
-                revision = peerfetch.read_revision(
-                    request.query.get('after', '0')
-                )
-            except ValueError:
-                return web.Response(status=400)
-            update = peerfetch.update_since(
-                self._core.view, revision, self._clock.now_ms()
-            )
-            return web.Response(
-                body=peerfetch.encode(update), content_type='application/json'
-            )
+        if request.path in {peerupdates.ITEMS_PATH, peerupdates.NEWS_PATH}:
+            return self._answer_with_items(request)
+        if request.path == largeitems.ITEM_PATH:
+            return await self._item_server.answer(request)
         if request.path == relayformat.RELAY_PATH:
             return await self._answer_relayed(request)
         if request.path == '/metrics':
@@ -387,6 +391,22 @@
             return web.Response(text=exporter.render(self._meters.snapshot()))
         return web.Response(status=404)
 
+    def _answer_with_items(self, request: web.BaseRequest) -> web.Response:
+        try:
+            revision = outsidedata.decimal(request.query.get('after', '0'))
+        except outsidedata.Malformed:
+            return web.Response(status=400)
+        view, now_ms = self._core.view, self._clock.now_ms()
+        if request.path == peerupdates.NEWS_PATH:
+            news = peerupdates.news_since(view, revision, now_ms)
+            return web.Response(
+                body=peerupdates.deflate(peerupdates.encode(news))
+            )
+        update = peerupdates.update_since(view, revision, now_ms)
+        return web.Response(
+            body=peerupdates.encode(update), content_type='application/json'
+        )
+
 
 async def _not_found(request: web.BaseRequest) -> web.StreamResponse:
     return web.Response(status=404)
--- /dev/null
+++ b/bergamotstream/forwarding/itemfetch.py
@@ -0,0 +1,256 @@
+"""
+Item fetch
+~~~~~~~~~~
+
+Fetches the documents of large items that this host knows to have changed. What
+has arrived is kept when a transfer breaks off, and another peer sends the rest.
+"""
+
+import asyncio
+import random
+import zlib
+from typing import Final, NamedTuple
+
+import aiohttp
+import yarl
+
+from bergamotstream import clock, metrics, outsidedata
+from bergamotstream.forwarding import (
+    bodyreads,
+    eventlog,
+    fleetview,
+    largeitems,
+    peerexchange,
+    peerfetch,
+    peerformat,
+    peerupdates,
+    pendingitems,
+    storeitems,
+    storetasks,
+)
+from bergamotstream.platform import store
+
+CHECK_INTERVAL_S: Final = 0.1
+OK: Final = 200
+
+
+class ItemRefused(ConnectionError):
+    """A peer does not send the item now."""
+
+
+FETCH_FAULTS: Final = (ItemRefused, *peerfetch.FETCH_FAULTS)
+
+
+class Head(NamedTuple):
+    """What a peer says of the document that follows."""
+
+    revision: int
+    length: int
+    offset: int
+    digest: str
+
+
+class Partial(NamedTuple):
+    """The part of a document that has arrived."""
+
+    head: Head
+    received: bytearray
+
+    def is_whole(self) -> bool:
+        """Tell whether all of the document is there."""
+        return len(self.received) == self.head.length
+
+
+class ItemFetch:
+    """Task that fetches the documents of pending items."""
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        peers: peerexchange.PeerExchange,
+        view: fleetview.FleetView,
+        log: eventlog.EventLog,
+        time_source: clock.Clock,
+        meters: metrics.Metrics,
+    ) -> None:
+        """Fetch over ``session``."""
+        self._session = session
+        self._peers = peers
+        self._view = view
+        self._log = log
+        self._clock = time_source
+        self._meters = meters
+        self._rng = random.Random()
+        self._partials_by_key: dict[str, Partial] = {}
+
+    async def run(self, report: storetasks.ChangeListener) -> None:
+        """Fetch pending items one after the other, until cancelled."""
+        while True:
+            await asyncio.sleep(CHECK_INTERVAL_S)
+            for reference in tuple(self._view.items.pending.by_key.values()):
+                await self._fetch_once(  # noqa: WPS476 - in turn
+                    reference, report
+                )
+            self._drop_needless()
+
+    async def _fetch_once(
+        self,
+        reference: pendingitems.Reference,
+        report: storetasks.ChangeListener,
+    ) -> None:
+        """Fetch from one peer that has the document, if there is one."""
+        peer = self._choose_holder(reference)
+        if peer is not None:
+            await self._fetch(peer, reference, report)
+
+    def _choose_holder(
+        self, reference: pendingitems.Reference
+    ) -> peerformat.HostState | None:
+        """Return a random peer that has the document, if there is one."""
+        holders = [
+            peer
+            for peer in self._peers.live_peers()
+            if peer.news_revision and peer.store_revision >= reference.revision
+        ]
+        return self._rng.choice(holders) if holders else None
+
+    async def _fetch(
+        self,
+        peer: peerformat.HostState,
+        reference: pendingitems.Reference,
+        report: storetasks.ChangeListener,
+    ) -> None:
+        started_ms = self._clock.now_ms()
+        key = reference.key
+        try:
+            partial = await self._receive(peer, reference)
+        except FETCH_FAULTS as fault:
+            kept = self._partials_by_key.get(key)
+            self._meters.count('item_fetches', 'failed')
+            self._log.write(
+                'item_fetch_failed',
+                key=key,
+                peer=peer.entry.name,
+                fault=repr(fault),
+                revision=reference.revision,
+                kept_bytes=len(kept.received) if kept else 0,
+                length=reference.length,
+                waited_ms=self._clock.now_ms() - started_ms,
+            )
+            return
+        self._partials_by_key.pop(key)
+        arrived_ms = self._clock.now_ms()
+        arrived = store.Item(
+            key, partial.head.revision, bytes(partial.received)
+        )
+        report(
+            self._view.apply_news(
+                storeitems.News(store.Page((arrived,), 0)), arrived_ms
+            )
+        )
+        self._meters.count('item_fetches', 'fetched')
+        self._log.write(
+            'item_fetched',
+            key=key,
+            peer=peer.entry.name,
+            revision=arrived.revision,
+            length=partial.head.length,
+            waited_ms=arrived_ms - started_ms,
+            applied_ms=self._clock.now_ms() - arrived_ms,
+        )
+
+    async def _receive(
+        self, peer: peerformat.HostState, reference: pendingitems.Reference
+    ) -> Partial:
+        """Return the whole document.
+
+        Raises one of ``FETCH_FAULTS``; what has arrived is kept.
+        """
+        connecting = aiohttp.ClientTimeout(sock_connect=store.CONNECT_TIMEOUT_S)
+        async with (
+            asyncio.timeout(peerfetch.HEAD_TIMEOUT_S) as limit,
+            self._session.get(
+                self._url(peer, reference), timeout=connecting
+            ) as response,
+        ):
+            if response.status != OK:
+                raise ItemRefused(f'status {response.status}')
+            partial = self._partial_for(
+                reference.key, _read_head(response, reference)
+            )
+            inflater = zlib.decompressobj()
+            async for part in bodyreads.parts_of(response, limit):
+                _extend(partial, inflater, part)
+        return self._check(reference.key, partial)
+
+    def _url(
+        self, peer: peerformat.HostState, reference: pendingitems.Reference
+    ) -> yarl.URL:
+        kept = self._partials_by_key.get(reference.key)
+        return yarl.URL(
+            f'http://{peer.entry.peer_address}{largeitems.ITEM_PATH}'
+        ).with_query(
+            key=reference.key,
+            revision=reference.revision,
+            offset=len(kept.received) if kept else 0,
+            digest=kept.head.digest if kept else '',
+        )
+
+    def _partial_for(self, key: str, head: Head) -> Partial:
+        """Return what the coming bytes extend; raises ``Malformed``."""
+        kept = self._partials_by_key.get(key)
+        if kept is None or not head.offset:
+            kept = Partial(head, bytearray())
+            self._partials_by_key[key] = kept
+        if (head.digest, head.offset) != (
+            kept.head.digest,
+            len(kept.received),
+        ):
+            raise outsidedata.Malformed('part of another document')
+        return kept
+
+    def _check(self, key: str, partial: Partial) -> Partial:
+        """Return a document that is whole; raises ``Malformed``."""
+        if not partial.is_whole():
+            raise outsidedata.Malformed('document is cut')
+        if largeitems.digest_of(bytes(partial.received)) != partial.head.digest:
+            self._partials_by_key.pop(key)
+            raise outsidedata.Malformed('document is not the one announced')
+        return partial
+
+    def _drop_needless(self) -> None:
+        """Drop parts of documents that are no longer pending."""
+        for key in tuple(self._partials_by_key):
+            if key not in self._view.items.pending.by_key:
+                self._partials_by_key.pop(key)
+
+
+def _read_head(
+    response: aiohttp.ClientResponse, reference: pendingitems.Reference
+) -> Head:
+    """Return what an answer holds; raises ``Malformed``."""
+    headers = response.headers
+    head = Head(
+        outsidedata.decimal(headers.get(largeitems.REVISION, '')),
+        outsidedata.decimal(headers.get(largeitems.LENGTH, '')),
+        outsidedata.decimal(headers.get(largeitems.OFFSET, '')),
+        outsidedata.text(headers.get(largeitems.DIGEST)),
+    )
+    if head.revision < reference.revision:
+        raise outsidedata.Malformed('older than the item that is pending')
+    if head.length > peerupdates.MAX_ITEM_BYTES:
+        raise outsidedata.Malformed('longer than any item')
+    return head
+
+
+def _extend(
+    partial: Partial, inflater: 'zlib._Decompress', part: bytes
+) -> None:
+    """Add a deflated part; raises ``Malformed`` for too many bytes."""
+    missing = partial.head.length - len(partial.received)
+    try:
+        partial.received.extend(inflater.decompress(part, missing + 1))
+    except zlib.error as fault:
+        raise outsidedata.Malformed(repr(fault)) from fault
+    if len(partial.received) > partial.head.length:
+        raise outsidedata.Malformed('longer than announced')
--- a/bergamotstream/forwarding/peerexchange.py
+++ b/bergamotstream/forwarding/peerexchange.py
@@ -131,7 +131,8 @@
             entry=self._entry,
             sequence=self._sequence,
             ready=self.ready,
-            store_revision=self._core.view.revision,
+            store_revision=self._core.view.items.complete_revision(),
+            news_revision=self._core.view.revision,
             own_commitments=tuple(self._core.table.own()),
             health_estimates=tuple(
                 self._core.health.own_estimates(
--- a/bergamotstream/forwarding/peerformat.py
+++ b/bergamotstream/forwarding/peerformat.py
@@ -49,6 +49,7 @@
     entry: fleetrecords.HostEntry
     sequence: int
     ready: bool
+    # Up to here the sender has all items with their documents.
     store_revision: int
     own_commitments: Collection[commitments.Commitment]
     health_estimates: tuple[targethealth.HealthEstimate, ...]
@@ -59,6 +60,8 @@
     link_report: links.Report = links.Report()
     # Whether it serves requests that peers send to it.
     accepts_requests: bool = False
+    # Up to here the sender knows all news; 0 for older builds, which send none.
+    news_revision: int = 0
 
 
 def encode(state: HostState, now_ms: int) -> bytes:
@@ -101,6 +104,7 @@
         failingTargets=_encode_times(state.link_report.failing, now_ms),
         reachedTargets=_encode_times(state.link_report.reached, now_ms),
         acceptsRequests=state.accepts_requests,
+        newsRevision=state.news_revision,
         servedRequests=[
             {
                 'fingerprint': entry.fingerprint,
@@ -204,6 +208,7 @@
             _decode_times(message.reachedTargets, now_ms),
         ),
         accepts_requests=message.acceptsRequests,
+        news_revision=outsidedata.whole(message.newsRevision),
     )
 
 
--- a/bergamotstream/forwarding/peers.capnp
+++ b/bergamotstream/forwarding/peers.capnp
@@ -35,6 +35,9 @@
   failingTargets @20 :List(TargetAge);
   # Targets that fail at a peer and that this host has reached since.
   reachedTargets @21 :List(TargetAge);
+  # Revision up to which this host knows which items have changed; it may still
+  # lack large ones. Above 0, the host answers /news and /item.
+  newsRevision @22 :UInt64;
 }
 
 struct TargetAge {
--- /dev/null
+++ b/bergamotstream/forwarding/peerupdates.py
@@ -0,0 +1,148 @@
+"""
+Peer updates
+~~~~~~~~~~~~
+
+What a host sends to a peer that is behind: news, in which large items are only
+named, or for peers of older builds all items with their documents.
+"""
+
+import base64
+import json
+import zlib
+from typing import Any, Final, NamedTuple
+
+from bergamotstream import outsidedata
+from bergamotstream.forwarding import fleetview, pendingitems
+from bergamotstream.platform import store
+
+ITEMS_PATH: Final = '/items'
+# Announced by ``newsRevision`` in the state of a host.
+NEWS_PATH: Final = '/news'
+# An item of an update: key, revision and document.
+ITEM_FIELDS: Final = 3
+# A reference: key, revision and length.
+REFERENCE_FIELDS: Final = 3
+# Longest item that is fetched; the store holds values of 1 MB.
+MAX_ITEM_BYTES: Final = 16_777_216
+# Longest update after inflating.
+MAX_UPDATE_BYTES: Final = 67_108_864
+
+
+class ItemUpdate(NamedTuple):
+    """Items for a host that is behind."""
+
+    page: store.Page
+    # True if all items are included; absent keys have been deleted.
+    complete: bool
+    # For how long targets whose entries lapsed are kept.
+    hold_ms: int
+    # Large items that changed and are not in the page.
+    references: tuple[pendingitems.Reference, ...] = ()
+
+
+def update_since(
+    view: fleetview.FleetView, revision: int, now_ms: int
+) -> ItemUpdate:
+    """Return the items that a peer at ``revision`` lacks."""
+    hold_ms = view.lapse_hold_ms(now_ms)
+    changes = view.items.changes_since(revision)
+    if changes is None:
+        return ItemUpdate(view.items.snapshot(), complete=True, hold_ms=hold_ms)
+    return ItemUpdate(changes, complete=False, hold_ms=hold_ms)
+
+
+def news_since(
+    view: fleetview.FleetView, revision: int, now_ms: int
+) -> ItemUpdate:
+    """Return the news that a peer at ``revision`` lacks."""
+    hold_ms = view.lapse_hold_ms(now_ms)
+    changes = view.items.changes_since(revision)
+    news = view.items.news_of(changes or view.items.snapshot(), revision)
+    return ItemUpdate(news.page, changes is None, hold_ms, news.references)
+
+
+def deflate(body: bytes) -> bytes:
+    """Return the body of an answer with news."""
+    return zlib.compress(body)
+
+
+def inflate(body: bytes) -> bytes:
+    """Return what was deflated; raises ``Malformed``."""
+    inflater = zlib.decompressobj()
+    try:
+        inflated = inflater.decompress(body, MAX_UPDATE_BYTES)
+    except zlib.error as fault:
+        raise outsidedata.Malformed(repr(fault)) from fault
+    if not inflater.eof:
+        raise outsidedata.Malformed('deflated body is cut or too long')
+    return inflated
+
+
+def encode(update: ItemUpdate) -> bytes:
+    """Return the JSON document of an update."""
+    listed = [
+        (entry.key, entry.revision, _encode_document(entry.document))
+        for entry in update.page.items
+    ]
+    body = {
+        'revision': update.page.revision,
+        'items': listed,
+        'complete': update.complete,
+        'hold_ms': update.hold_ms,
+        'large': update.references,
+    }
+    return json.dumps(body).encode()
+
+
+def decode(body: bytes) -> ItemUpdate:
+    """Return the update; raises :class:`ValueError` if malformed."""
+    decoded = outsidedata.mapping(outsidedata.decode_json(body))
+    try:
+        page = store.page_of(
+            outsidedata.listed(decoded['items']),
+            outsidedata.whole(decoded['revision']),
+            _read_item,
+        )
+        references = [
+            _read_reference(entry)
+            for entry in outsidedata.listed(decoded.get('large', []))
+        ]
+        hold_ms = outsidedata.whole(decoded['hold_ms'])
+        return ItemUpdate(
+            page,
+            bool(decoded['complete']),
+            min(hold_ms, fleetview.LAPSE_HOLD_MS),
+            tuple(references),
+        )
+    except KeyError as fault:
+        raise outsidedata.Malformed(repr(fault)) from fault
+
+
+def _read_item(entry: Any) -> store.Item:
+    """Return an item; raises ``Malformed``."""
+    fields = outsidedata.listed(entry)
+    if len(fields) != ITEM_FIELDS:
+        raise outsidedata.Malformed(f'{len(fields)} fields')
+    key, revision, encoded = fields
+    return store.Item(
+        outsidedata.text(key),
+        outsidedata.whole(revision),
+        None if encoded is None else store.read_value(encoded),
+    )
+
+
+def _read_reference(entry: Any) -> pendingitems.Reference:
+    """Return a reference; raises ``Malformed``."""
+    fields = outsidedata.listed(entry)
+    if len(fields) != REFERENCE_FIELDS:
+        raise outsidedata.Malformed(f'{len(fields)} fields of a reference')
+    key, revision, length = fields
+    return pendingitems.Reference(
+        outsidedata.text(key),
+        outsidedata.whole(revision),
+        outsidedata.whole(length, 0, MAX_ITEM_BYTES),
+    )
+
+
+def _encode_document(document: bytes | None) -> str | None:
+    return None if document is None else base64.b64encode(document).decode()
--- a/bergamotstream/forwarding/storetasks.py
+++ b/bergamotstream/forwarding/storetasks.py
@@ -67,7 +67,8 @@
             except store.HistoryGone:
                 self._complete = False
                 self._log.write(
-                    'store_history_gone', revision=self._view.revision
+                    'store_history_gone',
+                    revision=self._view.items.complete_revision(),
                 )
             except store.StoreUnavailable as fault:
                 self._handle_failure(fault)
@@ -87,7 +88,7 @@
             self._complete = True
             return
         page = await self._client.watch(
-            '', self._view.revision, WATCH_TIMEOUT_MS
+            '', self._view.items.complete_revision(), WATCH_TIMEOUT_MS
         )
         self._handle_success()
         self._report(self._view.apply_changes(page, self._clock.now_ms()))
--- a/bergamotstream/outsidedata.py
+++ b/bergamotstream/outsidedata.py
@@ -96,6 +96,19 @@
     return int(found)
 
 
+def decimal(digits: Any, highest: int = MAX_WHOLE) -> int:
+    """Return a whole number written in digits; raises :class:`Malformed`."""
+    is_decimal = (
+        isinstance(digits, str)
+        and digits.isascii()
+        and digits.isdecimal()
+        and len(digits) <= MAX_DIGITS
+    )
+    if not is_decimal:
+        raise Malformed(f'no decimal number: {shown(digits)}')
+    return whole(int(digits), 0, highest)
+
+
 def number(found: Any, lowest: float, highest: float) -> float:
     """Return a finite number in a range; raises :class:`Malformed`."""
     is_number = isinstance(found, (int, float)) and not isinstance(found, bool)
--- a/bergamotstream/platform/store.py
+++ b/bergamotstream/platform/store.py
@@ -6,6 +6,7 @@
 it is unknown whether a change was made.
 """
 
+import asyncio
 import base64
 import contextlib
 from collections.abc import Callable, Iterator, Mapping, Sequence
@@ -15,14 +16,14 @@
 import yarl
 
 from bergamotstream import outsidedata
-from bergamotstream.forwarding import hostsettings
+from bergamotstream.forwarding import bodyreads, hostsettings
 
-# The store answers in 4 ms; a call that takes this long is lost.
+# The store answers in 4 ms; a call whose answer does not begin by then is lost.
 CALL_TIMEOUT_S: Final = 1.0
 # The kernel retransmits a lost SYN only after a second, while a network path
 # that was interrupted may have recovered by then.
 CONNECT_TIMEOUT_S: Final = 0.3
-# How much longer than its wait a watch may take to answer.
+# How much longer than its wait a watch may take to begin its answer.
 WATCH_MARGIN_S: Final = 0.7
 MS_PER_S: Final = 1_000
 OK: Final = 200
@@ -177,29 +178,30 @@
     ) -> tuple[int, Mapping[str, Any]]:
         """Make a call; raises ``StoreUnavailable`` for other answers."""
         url = yarl.URL(self._origin + path).with_query(query)
-        limit = aiohttp.ClientTimeout(
-            total=timeout_s, sock_connect=CONNECT_TIMEOUT_S
-        )
+        connecting = aiohttp.ClientTimeout(sock_connect=CONNECT_TIMEOUT_S)
         try:
-            async with self._session.request(
-                method, url, json=body, timeout=limit
-            ) as response:
-                return await _read_answer(response, expected)
+            async with (
+                asyncio.timeout(timeout_s) as limit,
+                self._session.request(
+                    method, url, json=body, timeout=connecting
+                ) as response,
+            ):
+                text = await bodyreads.read(response, limit)
+                return _read_answer(response.status, text, expected)
         except (aiohttp.ClientError, TimeoutError, OSError) as fault:
             raise StoreUnavailable(repr(fault)) from fault
 
 
-async def _read_answer(
-    response: aiohttp.ClientResponse, expected: Sequence[int]
+def _read_answer(
+    status: int, text: bytes, expected: Sequence[int]
 ) -> tuple[int, Mapping[str, Any]]:
-    text = await response.read()
-    if response.status not in expected:
-        raise StoreUnavailable(f'status {response.status}')
+    if status not in expected:
+        raise StoreUnavailable(f'status {status}')
     try:
         decoded = outsidedata.decode_json(text) if text else {}
     except outsidedata.Malformed as fault:
         raise StoreUnavailable(f'malformed answer: {fault}') from fault
-    return response.status, decoded if isinstance(decoded, dict) else {}
+    return status, decoded if isinstance(decoded, dict) else {}
 
 
 @contextlib.contextmanager
--- a/tests/test_oddanswers.py
+++ b/tests/test_oddanswers.py
@@ -11,7 +11,7 @@
 from bergamotstream.forwarding import (
     connections,
     fleetview,
-    peerfetch,
+    peerupdates,
 )
 from bergamotstream.platform import store
 from tests import oddkit
@@ -76,7 +76,7 @@
     assert [item for item in page.items if item.key == 'servers/t1']
     view = fleetview.FleetView()
     changes = view.replace_all(page, 0)
-    assert 'servers/t1' in view.items_by_key
+    assert 'servers/t1' in view.items.by_key
     again = view.replace_all(page, 0)
     named = [change for change in changes if change.subject[:5] == 'item:']
     assert len(named) == len(page.unreadable)
@@ -147,7 +147,7 @@
 def test_odd_update_of_a_peer_is_refused(kind):
     """Guards against an update that ends the task which asks peers."""
     with pytest.raises(ValueError):
-        peerfetch.decode(ODD_UPDATES[kind])
+        peerupdates.decode(ODD_UPDATES[kind])
 
 
 @pytest.mark.parametrize(
@@ -168,16 +168,16 @@
 def test_odd_item_of_a_peer_costs_no_other_item(odd):
     """Guards against news of a peer that one item makes unreadable."""
     fine = ['servers/t1', 7, '']
-    update = peerfetch.decode(update_body(items=[odd, fine]))
+    update = peerupdates.decode(update_body(items=[odd, fine]))
     view = fleetview.FleetView()
     view.apply_changes(update.page, 0)
     view.apply_changes(update.page, 0)
-    assert 'servers/t1' in view.items_by_key
+    assert 'servers/t1' in view.items.by_key
 
 
 def test_peer_keeps_lapsed_targets_no_longer_than_a_host_does():
     """Guards against targets that one answer keeps for ever."""
-    update = peerfetch.decode(update_body(hold_ms=1 << 40))
+    update = peerupdates.decode(update_body(hold_ms=1 << 40))
     assert update.hold_ms <= fleetview.LAPSE_HOLD_MS
 
 
@@ -208,7 +208,7 @@
     """Guards against an unexpected fault on any type in any place."""
     body = json.dumps(oddkit.replaced(UPDATE, path, part)).encode()
     try:
-        update = peerfetch.decode(body)
+        update = peerupdates.decode(body)
     except ValueError:
         return
     view = fleetview.FleetView()
--- a/tests/test_upgrades.py
+++ b/tests/test_upgrades.py
@@ -19,7 +19,7 @@
 from tests import hostprocesskit, upgradekit
 from tests import platformkit as kit
 
-LAST_LANDING = 'fd8a66b'
+LAST_LANDING = 'b0e14ee'
 # Computed with the code of the last landing.
 REQUEST_FINGERPRINT = 0x1E24507876D81F20
 PART_FINGERPRINTS = (0xB9F1A8A52989FF85, 0x4D17038774B83791)
