Drop what has arrived of a document that turns out malformed

A peer that announces another length than it sends left bytes behind that no later answer fitted, so the document never arrived.

--- a/bergamotstream/forwarding/itemfetch.py
+++ b/bergamotstream/forwarding/itemfetch.py
@@ -125,6 +125,8 @@
         try:
             partial = await self._receive(peer, reference)
         except FETCH_FAULTS as fault:
+            if isinstance(fault, outsidedata.Malformed):
+                self._partials_by_key.pop(key, None)
             kept = self._partials_by_key.get(key)
             self._meters.count('item_fetches', 'failed')
             self._log.write(
@@ -164,7 +166,8 @@
     ) -> Partial:
         """Return the whole document.
 
-        Raises one of ``FETCH_FAULTS``; what has arrived is kept.
+        Raises one of ``FETCH_FAULTS``; what has arrived is kept unless it is
+        malformed.
         """
         connecting = aiohttp.ClientTimeout(sock_connect=store.CONNECT_TIMEOUT_S)
         async with (
@@ -181,7 +184,7 @@
             inflater = zlib.decompressobj()
             async for part in bodyreads.parts_of(response, limit):
                 _extend(partial, inflater, part)
-        return self._check(reference.key, partial)
+        return _check(partial)
 
     def _url(
         self, peer: peerformat.HostState, reference: pendingitems.Reference
@@ -209,15 +212,6 @@
             raise outsidedata.Malformed('part of another document')
         return kept
 
-    def _check(self, key: str, partial: Partial) -> Partial:
-        """Return a document that is whole; raises ``Malformed``."""
-        if not partial.is_whole():
-            raise outsidedata.Malformed('document is cut')
-        if largeitems.digest_of(bytes(partial.received)) != partial.head.digest:
-            self._partials_by_key.pop(key)
-            raise outsidedata.Malformed('document is not the one announced')
-        return partial
-
     def _drop_needless(self) -> None:
         """Drop parts of documents that are no longer pending."""
         for key in tuple(self._partials_by_key):
@@ -243,6 +237,15 @@
     return head
 
 
+def _check(partial: Partial) -> Partial:
+    """Return a document that is whole; raises ``Malformed``."""
+    if not partial.is_whole():
+        raise outsidedata.Malformed('document is cut')
+    if largeitems.digest_of(bytes(partial.received)) != partial.head.digest:
+        raise outsidedata.Malformed('document is not the one announced')
+    return partial
+
+
 def _extend(
     partial: Partial, inflater: 'zlib._Decompress', part: bytes
 ) -> None:
