Refuse requests while most hosts have a newer configuration

A host that knew from its peers that the configuration had changed went on by the old one, however long the new one took to arrive. It now refuses after 1.5 s, with 503 (not run) and a short Retry-After, if more than half of its ready peers have the document; otherwise it goes on, so that no change takes all hosts out. The one case of four that expects a refusal failed before.

--- a/bergamotstream/errors.py
+++ b/bergamotstream/errors.py
@@ -110,6 +110,9 @@
 ConfigurationUnknown = _declare(
     'configuration_unknown', 503, 'use another host or retry later'
 )
+ConfigurationOutdated = _declare(
+    'configuration_outdated', 503, 'ask for an address again and use that host'
+)
 ClaimsUnavailable = _declare(
     'claims_unavailable', 503, 'retry later with the same key'
 )
--- a/bergamotstream/explanations.py
+++ b/bergamotstream/explanations.py
@@ -17,6 +17,8 @@
     'no_target': 'no target could accept it; detail counts the reasons',
     'overloaded': 'no capacity within the time allowed; it has not run',
     'configuration_unknown': 'the host had not read a configuration yet',
+    'configuration_outdated': 'other hosts had a newer configuration, which'
+    ' the host had not received yet',
     'host_leaving': 'the host was stopping and could not finish it in time',
     'unknown_key': 'the key was not in the configuration of that revision',
     'unknown_route': 'no route had this host name and path',
--- a/bergamotstream/forwarding/fleetview.py
+++ b/bergamotstream/forwarding/fleetview.py
@@ -64,6 +64,10 @@
         """The revision up to which all changes are known."""
         return self.items.revision
 
+    def outdated_since_ms(self) -> int | None:
+        """Return since when a newer configuration is known to exist."""
+        return self.items.pending.since_ms(protocol.CONFIG_KEY)
+
     def is_usable(self, entry: fleetrecords.TargetEntry, service: str) -> bool:
         """Tell whether a target may get new requests of a service."""
         return (
--- a/bergamotstream/forwarding/ingress.py
+++ b/bergamotstream/forwarding/ingress.py
@@ -187,6 +187,9 @@
         """Read and admit a request; raises ``ServiceError``."""
         await self._wait_for_configuration()
         now_ms = self._clock.now_ms()
+        self._core.check_outdated(
+            now_ms, self._dependencies.peers.are_mostly_ahead
+        )
         job = self._core.admit(caller_request, now_ms)
         _check_headers(request, self._core.view.configuration)
         body = await self._read_body(request)
--- a/bergamotstream/forwarding/peerexchange.py
+++ b/bergamotstream/forwarding/peerexchange.py
@@ -115,6 +115,13 @@
         """Return the latest state of each peer that is not silent."""
         return list(self.peers_by_name.values())
 
+    def are_mostly_ahead(self) -> bool:
+        """Tell whether most peers have documents that this host lacks."""
+        own = self._core.view.items.complete_revision()
+        peers = [peer for peer in self.live_peers() if peer.ready]
+        ahead = [peer for peer in peers if peer.store_revision > own]
+        return len(ahead) * 2 > len(peers)
+
     def store_answered_ms(self) -> int:
         """Return when the store last answered this host or a live peer."""
         own_ms = self._core.view.store_answered_ms
--- a/bergamotstream/forwarding/scheduler.py
+++ b/bergamotstream/forwarding/scheduler.py
@@ -8,7 +8,7 @@
 """
 
 import random
-from collections.abc import Collection, Iterable, Iterator
+from collections.abc import Callable, Collection, Iterable, Iterator
 from typing import Final, NamedTuple
 
 import xxhash
@@ -70,6 +70,9 @@
 HINT_TOLERANCE: Final = 0.5
 # Retry delay before a caller tries another host.
 LEAVING_RETRY_MS: Final = 50
+# A configuration must be in force 2 s after its acknowledgement. News of it take
+# up to half a second.
+MAX_OUTDATED_MS: Final = 1_500
 # Time that it takes to send the final answer at a request's deadline.
 ANSWER_MARGIN_MS: Final = 30
 
@@ -125,6 +128,22 @@
         service = self._service_of(configuration, route)
         return make_job(request, route, service, workspace, now_ms)
 
+    def check_outdated(
+        self, now_ms: int, are_peers_ahead: Callable[[], bool]
+    ) -> None:
+        """Raise ``ConfigurationOutdated`` if a newer one is long overdue.
+
+        Not unless most peers have it, so that callers find another host.
+        """
+        since_ms = self.view.outdated_since_ms()
+        if since_ms is None or now_ms - since_ms <= MAX_OUTDATED_MS:
+            return
+        if are_peers_ahead():
+            raise errors.ConfigurationOutdated(
+                f'outdated_ms={now_ms - since_ms}',
+                retry_after_ms=LEAVING_RETRY_MS,
+            )
+
     def check_blame(self, job: exchangerecords.Job, now_ms: int) -> None:
         """Raise ``RequestBlamed`` for a request that crashes targets."""
         for fingerprint in job.fingerprints:
--- a/tests/test_bigconfigurations.py
+++ b/tests/test_bigconfigurations.py
@@ -12,6 +12,7 @@
     connections,
     hostdaemon,
     listensockets,
+    pendingitems,
     storewatchers,
 )
 from bergamotstream.platform import store
@@ -238,3 +239,42 @@
         with pytest.raises(store.StoreUnavailable):
             async with asyncio.timeout(2.0):
                 await client.read_all('')
+
+
+@pytest.mark.parametrize(
+    ('peers_have_it', 'pending_ms', 'expected'),
+    [(2, 1_600, 503), (1, 1_600, 200), (0, 1_600, 200), (2, 1_000, 200)],
+)
+async def test_host_without_the_configuration_of_its_peers_refuses(
+    peers_have_it, pending_ms, expected
+):
+    """Guards against requests that a host handles by a configuration which
+    it knows to be replaced, while others could serve them."""
+
+    async def respond(request, writer):
+        writer.write(kit.answer(request))
+
+    async with (
+        kit.running_system(3) as system,
+        kit.raw_target(respond) as target,
+    ):
+        await system.add_target('t1', target)
+        behind = system.daemons[0]
+        now_ms = behind._clock.now_ms()
+        view = behind._core.view
+        revision = view.revision + 10
+        reference = pendingitems.Reference('op/config', revision, 100)
+        view.items.pending.add(reference, now_ms - pending_ms)
+        peers = [
+            known._replace(
+                store_revision=revision if number < peers_have_it else 0
+            )
+            for number, known in enumerate(behind._peers.live_peers())
+        ]
+        behind._peers.live_peers = lambda: peers
+        status, headers, body = await system.call('/lookup/1')
+        assert status == expected
+        if expected == 503:
+            assert json.loads(body)['code'] == 'configuration_outdated'
+            assert float(headers['Retry-After']) > 0
+            assert not target.received
