Answer requests that a planned stop would cut

Reported by operators, and so here: in a planned stop of a host, requests that came late were passed on and cut without an answer at the end of the grace period, orders among them (LOST).

Cause: until 2.7 s after SIGTERM everything was admitted, however long it might last, and what was still open 0.4 s before the end was closed without a word.

Now a stopping host refuses at once, with 503 (not run), what may outlast its grace period, if another host takes callers; without one it goes on as before. 0.7 s before the end every open request gets an answer: 504 (may have run), or 503 (not run) if no target has got it. Answers of a stopping host that are streamed name "Connection: close" too.

--- a/bergamotstream/forwarding/calleranswer.py
+++ b/bergamotstream/forwarding/calleranswer.py
@@ -22,9 +22,10 @@
 class CallerAnswer:
     """The streamed answer on one connection."""
 
-    def __init__(self, request: web.BaseRequest) -> None:
-        """Start with nothing written."""
+    def __init__(self, request: web.BaseRequest, *, is_last: bool) -> None:
+        """Start with nothing written; ``is_last`` closes the connection."""
         self._request = request
+        self._is_last = is_last
         self._response: web.StreamResponse | None = None
 
     @property
@@ -46,6 +47,8 @@
         if response is None:
             response = web.StreamResponse(status=status, headers=headers)
             self._response = response
+            if self._is_last:
+                response.force_close()
         try:
             await self._send(response, encoded)
         except ConnectionError as fault:
--- a/bergamotstream/forwarding/hostdaemon.py
+++ b/bergamotstream/forwarding/hostdaemon.py
@@ -63,7 +63,9 @@
 STOP_MARGIN_MS: Final = 1_200
 # Callers have fetched a new answer of the directory by then.
 MIN_STOP_MS: Final = 3_200
-# Open requests are aborted this long before the grace period ends.
+# Open requests get their final answer this long before the grace period ends.
+ANSWER_MARGIN_MS: Final = 700
+# What is still open is aborted this long before the grace period ends.
 ABORT_MARGIN_MS: Final = 400
 # Timeout for the servers to close their connections.
 CLOSE_TIMEOUT_S: Final = 0.1
@@ -337,8 +339,13 @@
         self._log.write('stopping', open_requests=caller_ingress.open_requests)
         requested_ms = self._clock.now_ms()
         grace_end_ms = requested_ms + self._config.bounds.stop_grace_ms
-        end_ms = grace_end_ms - STOP_MARGIN_MS
-        caller_ingress.stop = scheduler.GracefulShutdown(requested_ms, end_ms)
+        caller_ingress.open.begin_stop(
+            scheduler.GracefulShutdown(
+                requested_ms,
+                grace_end_ms - STOP_MARGIN_MS,
+                grace_end_ms - ANSWER_MARGIN_MS,
+            )
+        )
         self._peers.ready = False
         self._peers.send_now()
         await registration.withdraw()
--- a/bergamotstream/forwarding/peerexchange.py
+++ b/bergamotstream/forwarding/peerexchange.py
@@ -115,6 +115,10 @@
         """Return the latest state of each peer that is not silent."""
         return list(self.peers_by_name.values())
 
+    def has_ready(self) -> bool:
+        """Tell whether another host takes requests of callers."""
+        return any(peer.ready for peer in self.live_peers())
+
     def are_mostly_ahead(self) -> bool:
         """Tell whether most peers have documents that this host lacks."""
         own = self._core.view.items.complete_revision()
--- a/bergamotstream/forwarding/scheduler.py
+++ b/bergamotstream/forwarding/scheduler.py
@@ -78,10 +78,13 @@
 
 
 class GracefulShutdown(NamedTuple):
-    """A graceful shutdown: when it was requested and when it must end."""
+    """A graceful shutdown and its times."""
 
     requested_ms: int
+    # Requests that would end later are refused.
     end_ms: int
+    # Requests that are open get their final answer.
+    answer_ms: int
 
 
 class Scheduler:
@@ -183,16 +186,18 @@
         job: exchangerecords.Job,
         shutdown: GracefulShutdown | None,
         now_ms: int,
+        *,
+        has_other_host: bool,
     ) -> None:
         """Raise ``HostLeaving`` for a job that may outlast the shutdown.
 
-        Callers use a cached answer of the directory for a while, so all jobs
-        are admitted at first.
+        Callers use a cached answer of the directory for a while. Without
+        another host, all jobs are admitted at first.
         """
-        if (
-            shutdown is None
-            or now_ms - shutdown.requested_ms <= ADMIT_AFTER_SHUTDOWN_MS
-        ):
+        if shutdown is None:
+            return
+        since_ms = now_ms - shutdown.requested_ms
+        if not has_other_host and since_ms <= ADMIT_AFTER_SHUTDOWN_MS:
             return
         if now_ms + longest_answer_ms(job) >= shutdown.end_ms:
             raise errors.HostLeaving(retry_after_ms=LEAVING_RETRY_MS)
