Count how long a change is overdue from the first one that is lacking

While changes come in quick succession, a host that lacks the newest one only counted from the first of them and would have refused requests. The time now starts again when a document arrives that a newer one has replaced.

--- a/bergamotstream/forwarding/fleetview.py
+++ b/bergamotstream/forwarding/fleetview.py
@@ -120,7 +120,7 @@
             return [
                 change
                 for item in page.items
-                if item.key in self.items.pending.by_key
+                if self.items.pending.is_pending(item.key)
                 for change in self._apply(item, now_ms)
             ]
         self.items.complete_since = page.revision
--- a/bergamotstream/forwarding/itemfetch.py
+++ b/bergamotstream/forwarding/itemfetch.py
@@ -87,7 +87,7 @@
         """Fetch pending items one after the other, until cancelled."""
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
-            for reference in tuple(self._view.items.pending.by_key.values()):
+            for reference in self._view.items.pending.references():
                 await self._fetch_once(  # noqa: WPS476 - in turn
                     reference, report
                 )
@@ -215,7 +215,7 @@
     def _drop_needless(self) -> None:
         """Drop parts of documents that are no longer pending."""
         for key in tuple(self._partials_by_key):
-            if key not in self._view.items.pending.by_key:
+            if not self._view.items.pending.is_pending(key):
                 self._partials_by_key.pop(key)
 
 
--- a/bergamotstream/forwarding/pendingitems.py
+++ b/bergamotstream/forwarding/pendingitems.py
@@ -6,7 +6,6 @@
 it has not received yet.
 """
 
-from collections.abc import Iterable
 from typing import NamedTuple
 
 
@@ -19,44 +18,66 @@
     length: int
 
 
+class Pending(NamedTuple):
+    """A reference, and for how long the item has been lacking."""
+
+    reference: Reference
+    # When the reference became known.
+    known_ms: int
+    # When the first reference became known that the host lacks.
+    since_ms: int
+
+
 class PendingItems:
     """References to the items that a host lacks."""
 
     def __init__(self) -> None:
         """Lack nothing."""
-        self.by_key: dict[str, Reference] = {}
-        self._since_ms_by_key: dict[str, int] = {}
+        self._by_key: dict[str, Pending] = {}
+
+    def references(self) -> list[Reference]:
+        """Return what is lacking."""
+        return [lacking.reference for lacking in self._by_key.values()]
+
+    def is_pending(self, key: str) -> bool:
+        """Tell whether an item is lacking."""
+        return key in self._by_key
 
     def add(self, reference: Reference, now_ms: int) -> bool:
         """Record an item that is lacking; return whether it is news."""
-        known = self.by_key.get(reference.key)
-        if known is not None and known.revision >= reference.revision:
-            return False
-        self.by_key[reference.key] = reference
-        self._since_ms_by_key.setdefault(reference.key, now_ms)
+        known = self._by_key.get(reference.key)
+        since_ms = now_ms
+        if known is not None:
+            if known.reference.revision >= reference.revision:
+                return False
+            since_ms = known.since_ms
+        self._by_key[reference.key] = Pending(reference, now_ms, since_ms)
         return True
 
     def resolve(self, key: str, revision: int) -> None:
         """Record that a key is known at a revision."""
-        known = self.by_key.get(key)
-        if known is not None and known.revision <= revision:
-            self.by_key.pop(key)
-            self._since_ms_by_key.pop(key)
+        known = self._by_key.get(key)
+        if known is None:
+            return
+        if known.reference.revision <= revision:
+            self._by_key.pop(key)
+        else:
+            self._by_key[key] = known._replace(since_ms=known.known_ms)
 
     def resolve_until(self, revision: int) -> None:
         """Record that all keys are known as they were at a revision."""
-        for key in tuple(self.by_key):
+        for key in tuple(self._by_key):
             self.resolve(key, revision)
 
     def since_ms(self, key: str) -> int | None:
         """Return since when a key is lacking, ``None`` if it is not."""
-        return self._since_ms_by_key.get(key)
+        known = self._by_key.get(key)
+        return None if known is None else known.since_ms
 
     def complete_revision(self, known_revision: int) -> int:
         """Return the last revision up to which nothing is lacking."""
-        lacking: Iterable[Reference] = self.by_key.values()
         earliest = min(
-            (reference.revision for reference in lacking),
+            (reference.revision for reference in self.references()),
             default=known_revision + 1,
         )
         return min(earliest - 1, known_revision)
--- a/bergamotstream/forwarding/storeitems.py
+++ b/bergamotstream/forwarding/storeitems.py
@@ -83,17 +83,16 @@
 
     def news_of(self, page: store.Page, after: int) -> News:
         """Return a page of these items as news for a peer at a revision."""
-        pending = self.pending.by_key
         large = [
             pendingitems.Reference(
                 item.key, item.revision, len(item.document or b'')
             )
             for item in page.items
-            if _is_large(item) and item.key not in pending
+            if _is_large(item) and not self.pending.is_pending(item.key)
         ]
         lacking = [
             reference
-            for reference in pending.values()
+            for reference in self.pending.references()
             if reference.revision > after
         ]
         small = tuple(item for item in page.items if not _is_large(item))
