Let targets of the soak say that they leave, and ask for pauses

One target of each service says for six seconds in its answers that it leaves, until its next run is listed; another one refuses with 503 and Retry-After. The soak checks by host, from what targets receive, that nothing comes 2 s after a host was told, and at most two requests in a pause that was asked for. A host that was stopped, killed, paused or cut off, and a target whose answers are lost, excuse it.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -13,7 +13,9 @@
 import asyncio
 import collections
 import contextlib
+import itertools
 import json
+import math
 import pathlib
 import random
 import signal
@@ -55,6 +57,14 @@
 LIMIT_WINDOW_S = 4.0
 LIMIT_RATIO = 1.5
 LIMIT_SLACK = 5
+# For a part of the faults' time the answers of one target of each service say
+# that it leaves, and another one refuses and asks each host for a pause.
+LEAVING_TARGETS = ('t0', 't3')
+ASKING_TARGETS = ('t1', 't4')
+STATEMENT_S = 6.0
+ASKED_S = 1.5
+ASKED_SLACK_S = 0.5
+MAX_IN_PAUSE = 2
 # Methods that HTTP calls idempotent, which a client might send again, and POST.
 METHODS = ('GET', 'PUT', 'POST')
 # How the links of a host to all targets fail: open ones are reset, or silent, or
@@ -97,6 +107,10 @@
         self._open = set()
         self._muted = set()
         self._link_faults_by_source = {}
+        # When answers were last lost or delayed, infinite while they are.
+        self.disturbed_s = -math.inf
+        # Of the connections to the target, by their port there.
+        self.sources_by_port = {}
         self._tasks = set()
         self._server = None
 
@@ -156,6 +170,8 @@
                 return
             inner_reader, inner_writer = await asyncio.open_connection(ip, port)
             stack.callback(inner_writer.close)
+            inner_port = inner_writer.get_extra_info('sockname')[1]
+            self.sources_by_port[inner_port] = source_ip
             self._open.add(writer)
             stack.callback(self._open.discard, writer)
             await asyncio.wait(
@@ -191,6 +207,7 @@
         self.service = service
         self.proxy = None
         self.drained_at_s = None
+        self.started_ms = 1_000
         self._soak = soak
         # Drawn for each target, so that other draws of a seed stay the same.
         chance = random.Random(f'{soak.seed} {name}')
@@ -198,6 +215,11 @@
         self._limited_from_s = chance.uniform(0, FAULT_PERIOD_S - LIMIT_S)
         self._named_at_s = None
         self._arrived_s = []
+        chance = random.Random(f'statements {soak.seed} {name}')
+        self.states_from_s = chance.uniform(0, FAULT_PERIOD_S - STATEMENT_S)
+        # When each host was told that this target leaves, or wants a pause.
+        self._told_s_by_source = {}
+        self._in_pause_by_source = collections.Counter()
         self._raw = kit.RawTarget(self._respond)
 
     async def start(self):
@@ -219,6 +241,17 @@
         self._soak.check_drain(self, attempt_id, now_s)
         self._soak.runs_by_attempt[attempt_id] += 1
         limit = self._name_limit(attempt_id, now_s)
+        if self._is_stating(now_s):
+            port = writer.get_extra_info('peername')[1]
+            source_ip = self.proxy.sources_by_port[port]
+            if self.name in LEAVING_TARGETS:
+                self._check_leaving(source_ip, attempt_id, now_s)
+                limit += 'Server-Leaving: 1\r\n'
+            elif self._ask_for_pause(source_ip, attempt_id, now_s):
+                self._soak.runs_by_attempt[attempt_id] -= 1
+                refusal = f'{kit.NOT_RUN}: 1\r\nRetry-After: {ASKED_S}\r\n'
+                writer.write(kit.answer(request, b'', '503 Busy', refusal))
+                return
         path = request.request_line.split()[1]
         if not path.startswith('/chat/'):
             await asyncio.sleep(self._soak.rng.uniform(0.005, 0.06))
@@ -248,6 +281,43 @@
         else:
             writer.close()
 
+    def _is_stating(self, now_s):
+        if self.name not in LEAVING_TARGETS + ASKING_TARGETS:
+            return False
+        age_s = now_s - self._soak.faults_from_s - self.states_from_s
+        return self._soak.faults_from_s > 0 and 0 <= age_s < STATEMENT_S
+
+    def _excused_until_s(self, source_ip):
+        """Return until when a host may have missed what it was told."""
+        disturbed_s = self._soak.disturbed_s_by_source[source_ip]
+        return max(self.proxy.disturbed_s, disturbed_s)
+
+    def _check_leaving(self, source_ip, attempt_id, now_s):
+        """Check that a host sends nothing long after it was told."""
+        told_s = self._told_s_by_source.setdefault(source_ip, now_s)
+        if told_s <= self._excused_until_s(source_ip):
+            self._told_s_by_source[source_ip] = now_s
+        elif now_s > told_s + DRAIN_S:
+            self._soak.violations.append(
+                f'{attempt_id} reaches {self.name}, which leaves'
+            )
+
+    def _ask_for_pause(self, source_ip, attempt_id, now_s):
+        """Tell whether to refuse and ask for a pause; check that it is kept."""
+        told_s = self._told_s_by_source.get(source_ip)
+        is_over = told_s is None or now_s >= told_s + ASKED_S
+        if is_over or told_s <= self._excused_until_s(source_ip):
+            self._told_s_by_source[source_ip] = now_s
+            self._in_pause_by_source[source_ip] = 0
+            return True
+        if now_s > told_s + ASKED_SLACK_S:
+            self._in_pause_by_source[source_ip] += 1
+        if self._in_pause_by_source[source_ip] > MAX_IN_PAUSE:
+            self._soak.violations.append(
+                f'{attempt_id} reaches {self.name} in the pause it asked for'
+            )
+        return False
+
     def _name_limit(self, attempt_id, now_s):
         """Return the header of a limit that is in force, and check it."""
         age_s = now_s - self._soak.faults_from_s - self._limited_from_s
@@ -280,6 +350,8 @@
         self._link_rng = random.Random(-seed)
         self.faults_from_s = 0
         self.last_fault_at_s = 0
+        # When a host was last stopped, killed, paused or cut off.
+        self.disturbed_s_by_source = collections.defaultdict(float)
         self.runs_by_attempt = collections.Counter()
         self.violations = []
         self.attempts = []
@@ -357,7 +429,10 @@
 
     async def _register(self, target, state):
         document = kit.target_document(
-            target.proxy.address, service=target.service, state=state
+            target.proxy.address,
+            service=target.service,
+            state=state,
+            born=target.started_ms,
         )
         await self._system.store.put(f'servers/{target.name}', document)
 
@@ -368,6 +443,9 @@
             for _ in range(LINK_CUTS):
                 group.create_task(self._cut_links())
             group.create_task(self._grow_configuration())
+            for target in self._targets:
+                if target.name in LEAVING_TARGETS:
+                    group.create_task(self._start_again(target))
             for _ in range(FAULTS):
                 kind = self.rng.choice(list(FAULT_KINDS))
                 start_s = self.rng.uniform(0, FAULT_PERIOD_S)
@@ -383,6 +461,10 @@
     def _record_fault_time(self):
         self.last_fault_at_s = asyncio.get_running_loop().time()
 
+    def _record_disturbed(self, host):
+        now_s = asyncio.get_running_loop().time()
+        self.disturbed_s_by_source[host.source_ip] = now_s
+
     async def _kill(self, duration_s):
         await self._stop_host(signal.SIGKILL, duration_s)
 
@@ -393,6 +475,7 @@
         host = self.rng.choice(self._hosts)
         if not host.is_running():
             return
+        self._record_disturbed(host)
         process = host.process
         process.send_signal(signal.SIGCONT)
         process.send_signal(number)
@@ -406,6 +489,7 @@
         if -code not in {0, signal.SIGKILL, signal.SIGTERM}:
             self.violations.append(f'{host.name} ends with {code}')
         await asyncio.sleep(duration_s / 4)
+        self._record_disturbed(host)
         if not host.is_running():
             host.start()
 
@@ -416,6 +500,7 @@
             process.send_signal(signal.SIGSTOP)
             await asyncio.sleep(duration_s)
             process.send_signal(signal.SIGCONT)
+            self._record_disturbed(host)
 
     async def _reload(self, duration_s):
         host = self.rng.choice(self._hosts)
@@ -435,15 +520,20 @@
 
     async def _fail_path(self, duration_s):
         proxy = self._random_proxy()
-        proxy.mode = self.rng.choice(('delay', 'reset', 'one_way'))
-        await asyncio.sleep(duration_s)
-        proxy.mode = ''
+        with self._disturbing(proxy):
+            proxy.mode = self.rng.choice(('delay', 'reset', 'one_way'))
+            await asyncio.sleep(duration_s)
+            proxy.mode = ''
 
     async def _reset_connections(self, duration_s):
-        self._random_proxy().reset()
+        proxy = self._random_proxy()
+        with self._disturbing(proxy):
+            proxy.reset()
 
     async def _mute_connections(self, duration_s):
-        self._random_proxy().mute()
+        proxy = self._random_proxy()
+        with self._disturbing(proxy):
+            proxy.mute()
 
     async def _grow_configuration(self):
         """Add routes at random times."""
@@ -464,6 +554,13 @@
                 'op/config', kit.configuration_document(version, routes=routes)
             )
 
+    async def _start_again(self, target):
+        """Let the next run of a target be ready that has said it leaves."""
+        await asyncio.sleep(target.states_from_s + STATEMENT_S)
+        target.started_ms += 1_000
+        is_draining = target.drained_at_s is not None
+        await self._register(target, 'draining' if is_draining else 'ready')
+
     async def _cut_links(self):
         """Cut one host, or all but one, off from all targets for a time."""
         start_s = self._link_rng.uniform(0, FAULT_PERIOD_S)
@@ -474,14 +571,22 @@
         cut = self._link_rng.sample(sources, count)
         await asyncio.sleep(start_s)
         self._record_fault_time()
-        for target in self._targets:
-            for source_ip in cut:
-                target.proxy.cut_link(source_ip, mode)
+        proxies = [target.proxy for target in self._targets]
+        self.disturbed_s_by_source |= dict.fromkeys(cut, math.inf)
+        for proxy, source_ip in itertools.product(proxies, cut):
+            proxy.cut_link(source_ip, mode)
         await asyncio.sleep(duration_s)
-        for target in self._targets:
-            for source_ip in cut:
-                target.proxy.heal_link(source_ip)
+        for proxy, source_ip in itertools.product(proxies, cut):
+            proxy.heal_link(source_ip)
         self._record_fault_time()
+        self.disturbed_s_by_source |= dict.fromkeys(cut, self.last_fault_at_s)
+
+    @contextlib.contextmanager
+    def _disturbing(self, proxy):
+        """Excuse hosts that miss what a target tells them."""
+        proxy.disturbed_s = math.inf
+        yield
+        proxy.disturbed_s = asyncio.get_running_loop().time()
 
     def _random_proxy(self):
         targets = [target.proxy for target in self._targets]
