--- a/bergamotstream/forwarding/largeitems.py
+++ b/bergamotstream/forwarding/largeitems.py
@@ -41,7 +41,7 @@
 BUSY: Final = 503
 
 
-class Asked(NamedTuple):
+class ItemQuery(NamedTuple):
     """What a peer asks for."""
 
     key: str
@@ -114,7 +114,7 @@
         await response.write_eof()
         return response
 
-    def _document_of(self, item: store.Item, asked: Asked) -> Document:
+    def _document_of(self, item: store.Item, asked: ItemQuery) -> Document:
         latest = self._latest
         if latest is None or latest.item != item:
             latest = _make_document(item, 0)
@@ -124,9 +124,9 @@
         return _make_document(item, min(asked.offset, latest.length))
 
 
-def read_asked(query: multidict.MultiMapping[str]) -> Asked:
+def read_asked(query: multidict.MultiMapping[str]) -> ItemQuery:
     """Return what a query asks for; raises ``Malformed``."""
-    return Asked(
+    return ItemQuery(
         outsidedata.text(query.get('key')),
         outsidedata.decimal(query.get('revision', '')),
         outsidedata.decimal(query.get('offset', '0')),
@@ -139,7 +139,7 @@
     return xxhash.xxh3_64_hexdigest(document)
 
 
-def _serves(item: store.Item, asked: Asked) -> bool:
+def _serves(item: store.Item, asked: ItemQuery) -> bool:
     return item.document is not None and item.revision >= asked.revision
 
 
--- a/bergamotstream/forwarding/peerfetch.py
+++ b/bergamotstream/forwarding/peerfetch.py
@@ -35,7 +35,7 @@
 FETCH_FAULTS: Final = (aiohttp.ClientError, TimeoutError, ValueError)
 
 
-class Question(NamedTuple):
+class Query(NamedTuple):
     """What a peer is asked for."""
 
     peer: peerformat.HostState
@@ -72,7 +72,7 @@
             await asyncio.sleep(CHECK_INTERVAL_S)
             peer = self._peer_ahead()
             if peer is not None:
-                await self._fetch(self._question_to(peer), report)
+                await self._fetch(self._query_to(peer), report)
 
     def _peer_ahead(self) -> peerformat.HostState | None:
         """Return a peer that has been ahead for some time."""
@@ -100,42 +100,42 @@
             return peer.news_revision > self._view.revision
         return peer.store_revision > self._view.items.complete_revision()
 
-    def _question_to(self, peer: peerformat.HostState) -> Question:
+    def _query_to(self, peer: peerformat.HostState) -> Query:
         """Return what to ask for; older builds send no news."""
         if peer.news_revision:
-            return Question(peer, peerupdates.NEWS_PATH, self._view.revision)
-        return Question(
+            return Query(peer, peerupdates.NEWS_PATH, self._view.revision)
+        return Query(
             peer, peerupdates.ITEMS_PATH, self._view.items.complete_revision()
         )
 
     async def _fetch(
-        self, question: Question, report: storetasks.ChangeListener
+        self, query: Query, report: storetasks.ChangeListener
     ) -> None:
         started_ms = self._clock.now_ms()
         received = bytearray()
         try:
-            update = await self._receive(question, received)
+            update = await self._receive(query, received)
         except FETCH_FAULTS as fault:
             self._meters.count('peer_fetches', 'failed')
             self._log.write(
                 'peer_fetch_failed',
-                peer=question.peer.entry.name,
-                path=question.path,
+                peer=query.peer.entry.name,
+                path=query.path,
                 fault=repr(fault),
-                before=question.after,
-                peer_revision=question.peer.store_revision,
+                before=query.after,
+                peer_revision=query.peer.store_revision,
                 received_bytes=len(received),
                 waited_ms=self._clock.now_ms() - started_ms,
             )
             return
         arrived_ms = self._clock.now_ms()
-        report(self._apply(question, update))
+        report(self._apply(query, update))
         self._meters.count('peer_fetches', 'fetched')
         self._log.write(
             'peer_fetched',
-            peer=question.peer.entry.name,
-            path=question.path,
-            before=question.after,
+            peer=query.peer.entry.name,
+            path=query.path,
+            before=query.after,
             revision=update.page.revision,
             complete=update.complete,
             items=len(update.page.items),
@@ -146,11 +146,11 @@
         )
 
     async def _receive(
-        self, question: Question, received: bytearray
+        self, query: Query, received: bytearray
     ) -> peerupdates.ItemUpdate:
         """Return the update; raises one of ``FETCH_FAULTS``."""
-        address = question.peer.entry.peer_address
-        url = f'http://{address}{question.path}?after={question.after}'
+        address = query.peer.entry.peer_address
+        url = f'http://{address}{query.path}?after={query.after}'
         connecting = aiohttp.ClientTimeout(sock_connect=store.CONNECT_TIMEOUT_S)
         async with (
             asyncio.timeout(HEAD_TIMEOUT_S) as limit,
@@ -159,17 +159,17 @@
             async for part in bodyreads.parts_of(response, limit):
                 received.extend(part)
         body = bytes(received)
-        if question.path == peerupdates.NEWS_PATH:
+        if query.path == peerupdates.NEWS_PATH:
             body = peerupdates.inflate(body)
         return peerupdates.decode(body)
 
     def _apply(
-        self, question: Question, update: peerupdates.ItemUpdate
+        self, query: Query, update: peerupdates.ItemUpdate
     ) -> list[fleetview.Change]:
         view, now_ms = self._view, self._clock.now_ms()
         if update.hold_ms:
             view.hold_lapsed(update.hold_ms, now_ms)
-        if question.path == peerupdates.ITEMS_PATH:
+        if query.path == peerupdates.ITEMS_PATH:
             if update.complete:
                 return view.replace_all(update.page, now_ms)
             return view.apply_changes(update.page, now_ms)
--- a/tests/test_largeitems.py
+++ b/tests/test_largeitems.py
@@ -434,6 +434,6 @@
     state = peerformat.HostState(
         entry, 1, True, 8, (), (), 0, news_revision=news_revision
     )
-    question = fetch._question_to(state)
-    assert (question.path, question.after) == (path, after)
+    query = fetch._query_to(state)
+    assert (query.path, query.after) == (path, after)
     assert fetch._is_ahead(state) == (not news_revision)
