Leave limits that have passed alone when a stop begins

asyncio refuses to move a limit between the moment it passes and the turn in which its request ends, so a stop in that moment ended the host at once with an error. Found by reading; the test failed before with RuntimeError.

--- a/bergamotstream/forwarding/openrequests.py
+++ b/bergamotstream/forwarding/openrequests.py
@@ -34,7 +34,9 @@
         now_s = asyncio.get_running_loop().time()
         for state, limit in self._limits_by_request.items():
             self._shorten(state)
-            limit.reschedule(now_s + self._remaining_s(state))
+            # One that has passed cannot be moved; its request is ending.
+            if not limit.expired():
+                limit.reschedule(now_s + self._remaining_s(state))
 
     @contextlib.asynccontextmanager
     async def limit(
--- a/tests/test_plannedstops.py
+++ b/tests/test_plannedstops.py
@@ -6,6 +6,8 @@
 import aiohttp
 import pytest
 
+from bergamotstream import clock
+from bergamotstream.forwarding import openrequests, requeststate, scheduler
 from tests import platformkit as kit
 
 GRACE_MS = 5_000
@@ -89,6 +91,42 @@
         assert (status, body['run_state']) == (503, 'not_run')
 
 
+async def test_stop_that_begins_as_the_time_of_a_request_ends():
+    """Guards against a host that fails at a stop, as a limit which has just
+    passed cannot be moved."""
+    opened = openrequests.OpenRequests(clock.Clock())
+    core = kit.make_scheduler()
+    now_ms = clock.Clock().now_ms()
+    job = kit.make_job(core, now_ms)._replace(end_ms=now_ms + 100)
+    state = requeststate.RequestState(job, b'', None)
+
+    async def serve():
+        async with opened.limit(state):
+            await asyncio.sleep(5)
+
+    serving = asyncio.ensure_future(serve())
+    await asyncio.sleep(0.01)
+    loop = asyncio.get_running_loop()
+    stopped = loop.create_future()
+
+    def begin_stop():
+        try:
+            opened.begin_stop(
+                scheduler.GracefulShutdown(now_ms, now_ms + 90, now_ms + 95)
+            )
+        except RuntimeError as fault:
+            stopped.set_exception(fault)
+        else:
+            stopped.set_result(None)
+
+    (limit,) = opened._limits_by_request.values()
+    # In the same turn of the event loop, after the limit has passed.
+    loop.call_at(limit.when() + 1e-9, begin_stop)
+    await stopped
+    with pytest.raises(TimeoutError):
+        await serving
+
+
 @pytest.mark.parametrize('path', PATHS)
 async def test_request_that_does_not_fit_before_a_stop_is_refused_at_once(path):
     """Guards against requests that a stopping host passes on and cuts, while
