Keep a stopping host from registering again

A host that had revoked its lease at a stop took the next renewal's answer for a lost lease and registered once more, so it stayed listed in the store for up to 3 s after its end. Seen in the log of a host that ended by itself; the test failed before.

--- a/bergamotstream/forwarding/storetasks.py
+++ b/bergamotstream/forwarding/storetasks.py
@@ -130,9 +130,10 @@
         self._entry = entry
         self._log = log
         self._lease = 0
+        self._is_withdrawn = False
 
     async def run(self) -> None:
-        """Register and renew until cancelled."""
+        """Register and renew until cancelled, or idle once withdrawn."""
         while True:
             try:
                 await self._renew()
@@ -146,6 +147,7 @@
 
     async def withdraw(self) -> None:
         """Remove the registration; without the store the lease expires."""
+        self._is_withdrawn = True
         if not self._lease:
             return
         try:
@@ -154,6 +156,8 @@
             self._log.write('withdrawal_unsure', fault=fault)
 
     async def _renew(self) -> None:
+        if self._is_withdrawn:
+            return
         if self._lease:
             await self._client.renew_lease(self._lease)
             return
@@ -164,3 +168,5 @@
         )
         self._lease = lease
         self._log.write('registered', lease=lease)
+        if self._is_withdrawn:
+            await self.withdraw()
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -500,6 +500,33 @@
         )
 
 
+async def test_stopping_host_does_not_register_again():
+    """Guards against a host that is listed again after its withdrawal, as it
+    takes the lease that it has revoked for a lost one."""
+
+    async def slow(request, writer):
+        await asyncio.sleep(2.2)
+        writer.write(kit.answer(request))
+
+    document = kit.configuration_document(
+        routes=[kit.route('lookup', '/lookup/', 'idempotent', timeout_ms=4_000)]
+    )
+    async with (
+        kit.running_system(1, document, 5_000) as system,
+        kit.raw_target(slow) as target,
+    ):
+        await system.add_target('t1', target)
+        call = asyncio.ensure_future(system.call('/lookup/1'))
+        await system.until(lambda: target.received)
+        system.daemons[0].request_stop()
+        key = f'bergamotstream/hosts/{system.settings[0].name}'
+        await system.until(lambda: key not in system.store.kv.items_by_key)
+        while not call.done():
+            assert key not in system.store.kv.items_by_key
+            await asyncio.sleep(0.02)
+        assert (await call)[0] == 200
+
+
 async def test_stopping_host_ends_without_open_requests():
     """Guards against hosts that are all stopping at the same time.
 
