Tell a broken watch of the store from an outage

The next watch was open 0.1 s later, but a watch answers only when something changes, so the store counted as away until the removal itself arrived 1.9 s later. After an outage of over 1.0 s, targets whose entries are removed are kept for 2.2 s, which is meant for entries that lapsed while the store was away.

Now the first watch after a failure waits for 50 ms only, so the host learns at once that the store answers. test_reset_watch_is_no_outage_of_the_store failed before; the keeping after a real outage has a test beside it.

--- a/bergamotstream/forwarding/storetasks.py
+++ b/bergamotstream/forwarding/storetasks.py
@@ -18,6 +18,9 @@
 # steady state a configuration must be in force within 2 s of its
 # acknowledgement.
 WATCH_TIMEOUT_MS: Final = 2_500
+# Wait of the first watch after a failure, which tells when the store answers
+# again; a longer wait would count as part of the outage.
+RECONNECT_WAIT_MS: Final = 50
 # Interval at which a host that does not watch checks whether it should.
 WATCH_CHECK_S: Final = 0.2
 FIRST_RETRY_DELAY_S: Final = 0.1
@@ -87,8 +90,11 @@
             self._report(self._view.replace_all(page, self._clock.now_ms()))
             self._complete = True
             return
+        is_failing = self._failing_since_ms is not None
         page = await self._client.watch(
-            '', self._view.items.complete_revision(), WATCH_TIMEOUT_MS
+            '',
+            self._view.items.complete_revision(),
+            RECONNECT_WAIT_MS if is_failing else WATCH_TIMEOUT_MS,
         )
         self._handle_success()
         self._report(self._view.apply_changes(page, self._clock.now_ms()))
--- a/tests/test_fleetview.py
+++ b/tests/test_fleetview.py
@@ -1,14 +1,21 @@
 """The view of the fleet after valid and invalid items."""
 
+import asyncio
 import json
 
 import hypothesis
 import pytest
 from hypothesis import strategies
 
-from bergamotstream.forwarding import fleetview, peerformat, peerupdates
+from bergamotstream import clock, errors
+from bergamotstream.forwarding import (
+    eventlog,
+    fleetview,
+    peerformat,
+    peerupdates,
+    storetasks,
+)
 from bergamotstream.platform import documents, store
-from bergamotstream import errors
 from tests import platformkit as kit
 
 
@@ -214,3 +221,69 @@
     late = apply(view, target(1, 8))
     assert [change.outcome for change in late] == ['superseded']
     assert set(view.targets_by_id) == {'t9'}
+
+
+class PolledStore:
+    """Answers watches as the store does: after their wait, or a change."""
+
+    def __init__(self, removed_after_s, failures=1):
+        self._start_s = asyncio.get_running_loop().time()
+        self._removed_after_s = removed_after_s
+        self._failures = failures
+        self.waits_ms = []
+
+    async def read_all(self, prefix):
+        return store.Page((target(1, 5),), 5)
+
+    async def watch(self, prefix, revision, wait_ms):
+        self.waits_ms.append(wait_ms)
+        if self._failures:
+            self._failures -= 1
+            raise store.StoreUnavailable('reset')
+        age_s = asyncio.get_running_loop().time() - self._start_s
+        until_change_s = max(self._removed_after_s - age_s, 0)
+        await asyncio.sleep(min(until_change_s, wait_ms / 1_000))
+        if until_change_s > wait_ms / 1_000 or revision >= 6:
+            return store.Page((), revision)
+        return store.Page((store.Item('servers/t1', 6, None),), 6)
+
+
+async def test_reset_watch_is_no_outage_of_the_store():
+    """Guards against requests to a target whose entry is removed while a
+    watch waits that replaces a broken one: the wait was taken for an outage,
+    after which targets without entries are kept for 2.2 s."""
+    view = fleetview.FleetView()
+    outcomes = []
+    client = PolledStore(removed_after_s=1.5)
+    watch = storetasks.StoreWatch(
+        client,
+        view,
+        eventlog.EventLog(clock.Clock()),
+        clock.Clock(),
+        outcomes.extend,
+        lambda: True,
+    )
+    watching = asyncio.ensure_future(watch.run())
+    await asyncio.sleep(1.8)
+    watching.cancel()
+    assert [change.outcome for change in outcomes] == ['ready', 'gone']
+    # Only the first watch after a failure is short.
+    assert client.waits_ms[2] > client.waits_ms[1]
+
+
+async def test_targets_are_kept_after_an_outage_of_the_store():
+    """Guards against dropping targets whose entries lapsed in an outage."""
+    view = fleetview.FleetView()
+    outcomes = []
+    watch = storetasks.StoreWatch(
+        PolledStore(removed_after_s=1.0, failures=5),
+        view,
+        eventlog.EventLog(clock.Clock()),
+        clock.Clock(),
+        outcomes.extend,
+        lambda: True,
+    )
+    watching = asyncio.ensure_future(watch.run())
+    await asyncio.sleep(3.0)
+    watching.cancel()
+    assert [change.outcome for change in outcomes] == ['ready', 'lapsed']
