Compute once, and only where needed, what news and stops need

- The list of peers is looked at only while a host stops and a request may outlast the stop, not for each request.
- A resumed transfer takes digest and length from the document that is kept and deflates the rest only.
- One check of the number of fields serves items and references, one interval both fetch tasks, one set-up both tests of broken watches.

Formatter, linter, types and the tests of the eight files concerned pass.

--- a/bergamotstream/forwarding/ingress.py
+++ b/bergamotstream/forwarding/ingress.py
@@ -199,10 +199,7 @@
         self._core.check_blame(job, now_ms)
         self._outcomes.record_trial(job)
         self._core.check_shutdown(
-            job,
-            self.open.stop,
-            now_ms,
-            has_other_host=self._dependencies.peers.has_ready(),
+            job, self.open.stop, now_ms, self._dependencies.peers.has_ready
         )
         is_last = self.open.stop is not None
         return requeststate.RequestState(
--- a/bergamotstream/forwarding/itemfetch.py
+++ b/bergamotstream/forwarding/itemfetch.py
@@ -30,7 +30,6 @@
 )
 from bergamotstream.platform import store
 
-CHECK_INTERVAL_S: Final = 0.1
 OK: Final = 200
 
 
@@ -86,7 +85,7 @@
     async def run(self, report: storetasks.ChangeListener) -> None:
         """Fetch pending items one after the other, until cancelled."""
         while True:
-            await asyncio.sleep(CHECK_INTERVAL_S)
+            await asyncio.sleep(peerfetch.CHECK_INTERVAL_S)
             for reference in self._view.items.pending.references():
                 await self._fetch_once(  # noqa: WPS476 - in turn
                     reference, report
--- a/bergamotstream/forwarding/largeitems.py
+++ b/bergamotstream/forwarding/largeitems.py
@@ -117,11 +117,13 @@
     def _document_of(self, item: store.Item, asked: ItemQuery) -> Document:
         latest = self._latest
         if latest is None or latest.item != item:
-            latest = _make_document(item, 0)
+            latest = _make_document(item)
             self._latest = latest
         if not asked.offset or asked.digest != latest.digest:
             return latest
-        return _make_document(item, min(asked.offset, latest.length))
+        offset = min(asked.offset, latest.length)
+        rest = (item.document or b'')[offset:]
+        return latest._replace(offset=offset, deflated=zlib.compress(rest))
 
 
 def read_asked(query: multidict.MultiMapping[str]) -> ItemQuery:
@@ -143,14 +145,10 @@
     return item.document is not None and item.revision >= asked.revision
 
 
-def _make_document(item: store.Item, offset: int) -> Document:
+def _make_document(item: store.Item) -> Document:
     document = item.document or b''
     return Document(
-        item,
-        offset,
-        digest_of(document),
-        len(document),
-        zlib.compress(document[offset:]),
+        item, 0, digest_of(document), len(document), zlib.compress(document)
     )
 
 
--- a/bergamotstream/forwarding/openrequests.py
+++ b/bergamotstream/forwarding/openrequests.py
@@ -10,11 +10,12 @@
 import asyncio
 import contextlib
 from collections.abc import AsyncIterator
+from typing import Final
 
 from bergamotstream import clock, errors
 from bergamotstream.forwarding import requeststate, scheduler
 
-MS_PER_S = 1_000
+MS_PER_S: Final = 1_000
 
 
 class OpenRequests:
--- a/bergamotstream/forwarding/peerupdates.py
+++ b/bergamotstream/forwarding/peerupdates.py
@@ -18,10 +18,9 @@
 ITEMS_PATH: Final = '/items'
 # Announced by ``newsRevision`` in the state of a host.
 NEWS_PATH: Final = '/news'
-# An item of an update: key, revision and document.
-ITEM_FIELDS: Final = 3
-# A reference: key, revision and length.
-REFERENCE_FIELDS: Final = 3
+# An item of an update: key, revision and document. A reference: key, revision
+# and length.
+ENTRY_FIELDS: Final = 3
 # Longest item that is fetched; the store holds values of 1 MB.
 MAX_ITEM_BYTES: Final = 16_777_216
 # Longest update after inflating.
@@ -120,10 +119,7 @@
 
 def _read_item(entry: Any) -> store.Item:
     """Return an item; raises ``Malformed``."""
-    fields = outsidedata.listed(entry)
-    if len(fields) != ITEM_FIELDS:
-        raise outsidedata.Malformed(f'{len(fields)} fields')
-    key, revision, encoded = fields
+    key, revision, encoded = _fields_of(entry)
     return store.Item(
         outsidedata.text(key),
         outsidedata.whole(revision),
@@ -133,10 +129,7 @@
 
 def _read_reference(entry: Any) -> pendingitems.Reference:
     """Return a reference; raises ``Malformed``."""
-    fields = outsidedata.listed(entry)
-    if len(fields) != REFERENCE_FIELDS:
-        raise outsidedata.Malformed(f'{len(fields)} fields of a reference')
-    key, revision, length = fields
+    key, revision, length = _fields_of(entry)
     return pendingitems.Reference(
         outsidedata.text(key),
         outsidedata.whole(revision),
@@ -144,5 +137,12 @@
     )
 
 
+def _fields_of(entry: Any) -> list[Any]:
+    fields = outsidedata.listed(entry)
+    if len(fields) != ENTRY_FIELDS:
+        raise outsidedata.Malformed(f'{len(fields)} fields')
+    return fields
+
+
 def _encode_document(document: bytes | None) -> str | None:
     return None if document is None else base64.b64encode(document).decode()
--- a/bergamotstream/forwarding/scheduler.py
+++ b/bergamotstream/forwarding/scheduler.py
@@ -186,8 +186,7 @@
         job: exchangerecords.Job,
         shutdown: GracefulShutdown | None,
         now_ms: int,
-        *,
-        has_other_host: bool,
+        has_other_host: Callable[[], bool],
     ) -> None:
         """Raise ``HostLeaving`` for a job that may outlast the shutdown.
 
@@ -196,10 +195,10 @@
         """
         if shutdown is None:
             return
-        since_ms = now_ms - shutdown.requested_ms
-        if not has_other_host and since_ms <= ADMIT_AFTER_SHUTDOWN_MS:
+        if now_ms + longest_answer_ms(job) < shutdown.end_ms:
             return
-        if now_ms + longest_answer_ms(job) >= shutdown.end_ms:
+        since_ms = now_ms - shutdown.requested_ms
+        if since_ms > ADMIT_AFTER_SHUTDOWN_MS or has_other_host():
             raise errors.HostLeaving(retry_after_ms=LEAVING_RETRY_MS)
 
     def place(
--- a/tests/test_fleetview.py
+++ b/tests/test_fleetview.py
@@ -248,42 +248,34 @@
         return store.Page((store.Item('servers/t1', 6, None),), 6)
 
 
-async def test_reset_watch_is_no_outage_of_the_store():
-    """Guards against requests to a target whose entry is removed while a
-    watch waits that replaces a broken one: the wait was taken for an outage,
-    after which targets without entries are kept for 2.2 s."""
-    view = fleetview.FleetView()
-    outcomes = []
-    client = PolledStore(removed_after_s=1.5)
+async def outcomes_of_watch(client, seconds):
+    """Watch a store for some time; return the outcomes of its changes."""
+    changes = []
     watch = storetasks.StoreWatch(
         client,
-        view,
+        fleetview.FleetView(),
         eventlog.EventLog(clock.Clock()),
         clock.Clock(),
-        outcomes.extend,
+        changes.extend,
         lambda: True,
     )
     watching = asyncio.ensure_future(watch.run())
-    await asyncio.sleep(1.8)
+    await asyncio.sleep(seconds)
     watching.cancel()
-    assert [change.outcome for change in outcomes] == ['ready', 'gone']
+    return [change.outcome for change in changes]
+
+
+async def test_reset_watch_is_no_outage_of_the_store():
+    """Guards against requests to a target whose entry is removed while a
+    watch waits that replaces a broken one: the wait was taken for an outage,
+    after which targets without entries are kept for 2.2 s."""
+    client = PolledStore(removed_after_s=1.5)
+    assert await outcomes_of_watch(client, 1.8) == ['ready', 'gone']
     # Only the first watch after a failure is short.
     assert client.waits_ms[2] > client.waits_ms[1]
 
 
 async def test_targets_are_kept_after_an_outage_of_the_store():
     """Guards against dropping targets whose entries lapsed in an outage."""
-    view = fleetview.FleetView()
-    outcomes = []
-    watch = storetasks.StoreWatch(
-        PolledStore(removed_after_s=1.0, failures=5),
-        view,
-        eventlog.EventLog(clock.Clock()),
-        clock.Clock(),
-        outcomes.extend,
-        lambda: True,
-    )
-    watching = asyncio.ensure_future(watch.run())
-    await asyncio.sleep(3.0)
-    watching.cancel()
-    assert [change.outcome for change in outcomes] == ['ready', 'lapsed']
+    client = PolledStore(removed_after_s=1.0, failures=5)
+    assert await outcomes_of_watch(client, 3.0) == ['ready', 'lapsed']
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -217,25 +217,25 @@
     """
     core = kit.make_scheduler()
     job = kit.make_job(core, answer=87 * 46, Bergamotstream_Length_Hint='800')
-    core.check_shutdown(job, None, 3_600, has_other_host=True)
+    core.check_shutdown(job, None, 3_600, has_other_host=lambda: True)
     core.check_shutdown(
         job,
         scheduler.GracefulShutdown(0, 20_000, 20_500),
         3_600,
-        has_other_host=True,
+        has_other_host=lambda: True,
     )
     core.check_shutdown(
         job,
         scheduler.GracefulShutdown(0, 6_800, 7_300),
         2_400,
-        has_other_host=False,
+        has_other_host=lambda: False,
     )
     with pytest.raises(errors.HostLeaving):
         core.check_shutdown(
             job,
             scheduler.GracefulShutdown(0, 6_800, 7_300),
             3_600,
-            has_other_host=False,
+            has_other_host=lambda: False,
         )
 
 
