Read the operators' limits through one checked model

The platform build read four bounds, and other durations were constants that only fit the first sites. Change: hostsettings.Bounds holds the limits with their units, bootsettings a table of keys and ranges; durations are derived from the bound that they serve (outdated configuration, lease of memory, lifetime of addresses). A missing or senseless limit gets its default and a log line with key, reason and remedy. SIGHUP applies the limits of a valid file and refuses others as a whole; before, it changed nothing.

--- a/bergamotstream/forwarding/directory.py
+++ b/bergamotstream/forwarding/directory.py
@@ -13,7 +13,7 @@
 
 # Callers ask again after this time, some of them after three times as long. A
 # stopping host accepts all requests for 2.7 s, so that few arrive later.
-ADDRESS_TTL_S: Final = 1
+ADDRESS_TTL_MS: Final = 1_000
 # Share of the hosts that must have their links for the others to be left out:
 # fewer could not take the connections of all callers.
 MIN_LINKED_SHARE: Final = 0.5
--- a/bergamotstream/forwarding/hostdaemon.py
+++ b/bergamotstream/forwarding/hostdaemon.py
@@ -11,7 +11,7 @@
 import random
 import signal
 import sys
-from collections.abc import Awaitable, Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine, Iterable
 from typing import Any, Final
 
 from aiohttp import web
@@ -138,7 +138,9 @@
                 dispatch.Dispatcher(
                     pooled, unpooled, self._outcomes.record_head
                 ),
-                reservations.Reservations(pooled, self._log),
+                reservations.Reservations(
+                    pooled, self._log, self._config.bounds
+                ),
                 self._peers,
                 self._log,
                 self._clock,
@@ -201,9 +203,41 @@
         """Begin a graceful shutdown."""
         self._stop_requested.set()
 
+    def log_setting_faults(
+        self, faults: Iterable[bootsettings.SettingFault]
+    ) -> None:
+        """Log the settings that are not used as they stand in the file."""
+        for fault in faults:
+            self._log.write('setting_refused', **fault._asdict())
+
     def reload(self) -> None:
-        """Log a change of the settings file; a restart applies it."""
-        self._log.write('reload', outcome='unchanged_until_restart')
+        """Apply the limits of the settings file, if all of it is valid.
+
+        Other fields apply after a restart.
+        """
+        try:
+            loaded = bootsettings.load(bootsettings.settings_path())
+        except errors.InvalidSettings as invalid:
+            self._log.write(
+                'reload',
+                outcome='refused',
+                detail=invalid.detail,
+                remedy=invalid.remedy,
+            )
+            return
+        if loaded.faults:
+            self.log_setting_faults(loaded.faults)
+            self._log.write('reload', outcome='refused')
+            return
+        changed = set(bootsettings.changed_fields(self._config, loaded.host))
+        self._config = self._config._replace(bounds=loaded.host.bounds)
+        self._core.apply_bounds(self._config.bounds)
+        self._log.write(
+            'reload',
+            outcome='applied',
+            bounds_changed='bounds' in changed,
+            after_restart=','.join(sorted(changed - {'bounds'})),
+        )
 
     async def _open_servers(self, caller_ingress: ingress.Ingress) -> None:
         loop = asyncio.get_running_loop()
@@ -379,7 +413,10 @@
             self._peers.live_peers(),
             self._rng,
         )
-        body = {'addresses': listed, 'ttl_s': directory.ADDRESS_TTL_S}
+        ttl_ms = min(
+            directory.ADDRESS_TTL_MS, self._config.bounds.address_ttl_max_ms
+        )
+        body = {'addresses': listed, 'ttl_s': ttl_ms / MS_PER_S}
         return web.Response(
             body=json.dumps(body).encode(), content_type='application/json'
         )
@@ -420,10 +457,11 @@
 
 
 async def serve(
-    config: hostsettings.HostSettings, listeners: listensockets.Listeners
+    loaded: bootsettings.BootSettings, listeners: listensockets.Listeners
 ) -> None:
     """Serve until SIGTERM or SIGINT."""
-    daemon = HostDaemon(config, listeners)
+    daemon = HostDaemon(loaded.host, listeners)
+    daemon.log_setting_faults(loaded.faults)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, daemon.request_stop)
@@ -438,8 +476,8 @@
     """
     eventlog.install_handler()
     try:
-        config = bootsettings.load(bootsettings.settings_path())
+        loaded = bootsettings.load(bootsettings.settings_path())
     except errors.InvalidSettings as fault:
         sys.stderr.write(f'{fault.detail}\n{fault.remedy}\n')
         sys.exit(EXIT_INVALID_SETTINGS)
-    asyncio.run(serve(config, listeners))
+    asyncio.run(serve(loaded, listeners))
--- a/bergamotstream/forwarding/hostsettings.py
+++ b/bergamotstream/forwarding/hostsettings.py
@@ -3,10 +3,24 @@
 ~~~~~~~~~~~~~
 
 Settings of a host: its addresses, the address of the store and the operators'
-limits.
+limits, with the durations that follow from these limits.
 """
 
-from typing import NamedTuple
+from typing import Final, NamedTuple
+
+# Time from news of a configuration to the last request that is served by the
+# one before: a pass of the engines and the way of the news.
+APPLY_MARGIN_MS: Final = 500
+# Time that a killed host is listed by the store after its last renewal counts
+# from the operators' contact bound plus this; source: the platform's rules.
+LISTED_AFTER_CONTACT_MS: Final = 3_000
+# Reserve for the way of an answer of the directory, and for slow timers.
+DIRECTORY_MARGIN_MS: Final = 1_000
+# Longest lease of memory on a target; a longer one only delays its release
+# after the host has ended.
+MAX_MEMORY_LEASE_MS: Final = 3_500
+# An unused reservation must end this long before it counts as leaked.
+MEMORY_MARGIN_MS: Final = 500
 
 
 class StoreSettings(NamedTuple):
@@ -16,12 +30,49 @@
 
 
 class Bounds(NamedTuple):
-    """Limits that the operators set for the system."""
+    """Limits that the operators set for the system.
+
+    The defaults are the strictest that the operators have used, so that a host
+    without a figure breaks no limit.
+    """
+
+    # From the signal to stop to the end of the process by force.
+    stop_grace_ms: int = 8_000
+    # Retries in each window: this share of the requests, and a fixed number.
+    retry_ratio: float = 0.2
+    retry_window_ms: int = 10_000
+    retry_slack: float = 0
+    # From the store's acknowledgement to the last request that is handled by
+    # the configuration before.
+    apply_ms: int = 2_000
+    # A host is held to the limits that follow news after this long without a
+    # fault.
+    contact_ms: int = 3_000
+    # Memory on targets is free this long after its last request.
+    memory_free_ms: int = 4_000
+    # Longest lease of memory that a target grants.
+    memory_lease_max_ms: int = 20_000
+    # Longest time for which callers keep an answer of the directory.
+    address_ttl_max_ms: int = 5_000
+
+    @property
+    def max_outdated_ms(self) -> int:
+        """How long a host serves while a newer configuration is known."""
+        return max(self.apply_ms - APPLY_MARGIN_MS, 0)
+
+    @property
+    def memory_lease_ms(self) -> int:
+        """Duration of a lease of memory, which is renewed while in use."""
+        return min(
+            MAX_MEMORY_LEASE_MS,
+            self.memory_free_ms - MEMORY_MARGIN_MS,
+            self.memory_lease_max_ms,
+        )
 
-    stop_grace_ms: int
-    retry_ratio: float
-    retry_window_ms: int
-    retry_slack: int
+    @property
+    def unheard_listing_ms(self) -> int:
+        """How long the directory lists hosts that have fallen silent."""
+        return self.contact_ms + LISTED_AFTER_CONTACT_MS - DIRECTORY_MARGIN_MS
 
 
 class HostSettings(NamedTuple):
--- a/bergamotstream/forwarding/reservations.py
+++ b/bergamotstream/forwarding/reservations.py
@@ -14,11 +14,9 @@
 
 import aiohttp
 
-from bergamotstream.forwarding import eventlog, exchangerecords
+from bergamotstream.forwarding import eventlog, exchangerecords, hostsettings
 from bergamotstream.platform import targetmemory
 
-# Shorter than the 4 s after which unused memory counts as leaked.
-LEASE_MS: Final = 3_500
 RENEW_INTERVAL_S: Final = 1.0
 # Pause after an order without an answer. The lease must outlast a target that is
 # silent for some seconds, or the request is cut off that uses the memory.
@@ -33,10 +31,14 @@
     """Reserves and releases memory on targets."""
 
     def __init__(
-        self, session: aiohttp.ClientSession, log: eventlog.EventLog
+        self,
+        session: aiohttp.ClientSession,
+        log: eventlog.EventLog,
+        bounds: hostsettings.Bounds,
     ) -> None:
         """Send orders over ``session``."""
         self._session = session
+        self._lease_ms = bounds.memory_lease_ms
         self._log = log
         self._release_tasks: set[asyncio.Task[None]] = set()
 
@@ -74,7 +76,7 @@
                 reservation.target,
                 reservation.ticket,
                 reservation.tokens,
-                LEASE_MS,
+                self._lease_ms,
             )
         except targetmemory.OrderUnanswered as fault:
             self._log.write(
@@ -113,6 +115,6 @@
                 'release_unsure',
                 target=reservation.target.target_id,
                 ticket=reservation.ticket,
-                ends_in_ms=LEASE_MS,
+                ends_in_ms=self._lease_ms,
                 fault=fault,
             )
--- a/bergamotstream/forwarding/retrybudget.py
+++ b/bergamotstream/forwarding/retrybudget.py
@@ -38,6 +38,12 @@
         """Record the start of the process."""
         self._started_ms = now_ms
 
+    def apply_bounds(self, bounds: hostsettings.Bounds) -> None:
+        """Use other limits; the window stays that of the start."""
+        self._bounds = bounds._replace(
+            retry_window_ms=self._bounds.retry_window_ms
+        )
+
     def record_request(self, service: str, now_ms: int) -> None:
         """Count a request of a caller."""
         self._requests_by_service.add(service, now_ms)
--- a/bergamotstream/forwarding/scheduler.py
+++ b/bergamotstream/forwarding/scheduler.py
@@ -70,9 +70,6 @@
 HINT_TOLERANCE: Final = 0.5
 # Retry delay before a caller tries another host.
 LEAVING_RETRY_MS: Final = 50
-# A configuration must be in force 2 s after its acknowledgement. News of it take
-# up to half a second.
-MAX_OUTDATED_MS: Final = 1_500
 # Time that it takes to send the final answer at a request's deadline.
 ANSWER_MARGIN_MS: Final = 30
 
@@ -110,6 +107,11 @@
         self._rng = rng
         self._tickets = 0
 
+    def apply_bounds(self, bounds: hostsettings.Bounds) -> None:
+        """Decide by changed limits of the operators from now on."""
+        self._config = self._config._replace(bounds=bounds)
+        self.budget.apply_bounds(bounds)
+
     def admit(
         self,
         request: exchangerecords.CallerRequest,
@@ -139,7 +141,8 @@
         Not unless most peers have it, so that callers find another host.
         """
         since_ms = self.view.outdated_since_ms()
-        if since_ms is None or now_ms - since_ms <= MAX_OUTDATED_MS:
+        limit_ms = self._config.bounds.max_outdated_ms
+        if since_ms is None or now_ms - since_ms <= limit_ms:
             return
         if are_peers_ahead():
             raise errors.ConfigurationOutdated(
@@ -175,7 +178,10 @@
             for fingerprint in job.fingerprints
             if self.blame.is_refused(fingerprint, now_ms)
         ]
-        if len(refused) != 1 or not self._is_trial_host(refused[0]):
+        if len(refused) != 1:
+            return job
+        names = (self._config.name, *self.table.peer_names())
+        if rendezvous.choose(names, str(refused[0]), 1) != [self._config.name]:
             return job
         if not self.blame.start_trial(refused[0], now_ms):
             return job
@@ -315,13 +321,6 @@
         """Tell whether a target may get new requests of a service."""
         return self.view.is_usable(entry, service)
 
-    def _is_trial_host(self, fingerprint: int) -> bool:
-        """Tell whether this host makes the trials of a blamed part."""
-        names = (self._config.name, *self.table.peer_names())
-        return rendezvous.choose(names, str(fingerprint), 1) == [
-            self._config.name
-        ]
-
     def _service_of(
         self,
         configuration: fleetrecords.Configuration,
--- a/bergamotstream/platform/bootsettings.py
+++ b/bergamotstream/platform/bootsettings.py
@@ -4,19 +4,65 @@
 
 Reads the settings file that the platform provides to each process and checks
 the fields that are used. Unknown fields are ignored.
+
+Names and addresses are required. A limit of the operators that is missing or
+makes no sense does not keep a host from starting: it gets its default and a
+fault that is logged.
 """
 
 import os
 import pathlib
 import tomllib
-from collections.abc import Mapping
-from typing import Any
+from collections.abc import Iterator, Mapping
+from typing import Any, Final, NamedTuple
 
 from bergamotstream import errors, outsidedata
 from bergamotstream.forwarding import hostsettings
 
 PATH_VARIABLE = 'BERGAMOTSTREAM_BOOT'
-MS_PER_S = 1_000
+MS_PER_S: Final = 1_000
+# Longest time that is meant; a longer one is a mistake in its unit.
+MAX_TIME_MS: Final = 600_000
+MAX_COUNT: Final = 1_000_000
+
+
+class _BoundField(NamedTuple):
+    """Where a limit stands in the file, its unit and its range."""
+
+    key: str
+    lowest: float
+    highest: float
+    # Milliseconds for each unit of the file; 0 for figures that are no time.
+    unit_ms: int = 0
+
+
+_FIELDS_BY_BOUND: Final[Mapping[str, _BoundField]] = {
+    'stop_grace_ms': _BoundField('grace_s', 0.5, 600, MS_PER_S),
+    'retry_ratio': _BoundField('budget_ratio', 0, 10),
+    'retry_window_ms': _BoundField('budget_window_s', 0.1, 600, MS_PER_S),
+    'retry_slack': _BoundField('budget_slack', 0, MAX_COUNT),
+    'apply_ms': _BoundField('config_apply_ms', 100, MAX_TIME_MS, 1),
+    'contact_ms': _BoundField('contact_ms', 0, MAX_TIME_MS, 1),
+    'memory_free_ms': _BoundField('free_ms', 1_500, MAX_TIME_MS, 1),
+    'memory_lease_max_ms': _BoundField('hold_max_ms', 1_500, MAX_TIME_MS, 1),
+    'address_ttl_max_ms': _BoundField('ttl_max_s', 0.1, 600, MS_PER_S),
+}
+
+
+class SettingFault(NamedTuple):
+    """A setting that is not used as it stands in the file."""
+
+    field: str
+    reason: str
+    # What the operators can do about it.
+    remedy: str
+
+
+class BootSettings(NamedTuple):
+    """The settings of a process and what was wrong with the file."""
+
+    host: hostsettings.HostSettings
+    faults: tuple[SettingFault, ...]
 
 
 def settings_path() -> str:
@@ -27,7 +73,7 @@
     return path
 
 
-def load(path: str) -> hostsettings.HostSettings:
+def load(path: str) -> BootSettings:
     """Read and check the settings; raises ``InvalidSettings``."""
     try:
         text = pathlib.Path(path).read_text(encoding='utf-8')
@@ -36,9 +82,10 @@
         raise errors.InvalidSettings(f'{path}: {fault}') from fault
 
 
-def decode(tables: Mapping[str, Any]) -> hostsettings.HostSettings:
+def decode(tables: Mapping[str, Any]) -> BootSettings:
     """Return the settings; raises ``InvalidSettings`` naming the field."""
     reader = _Reader(tables)
+    faults: list[SettingFault] = []
     decoded = hostsettings.HostSettings(
         name=reader.text('node_name'),
         ip=reader.text('ip'),
@@ -48,10 +95,10 @@
         directory_address=reader.text('listen', 'directory'),
         peer_ports=reader.ports('internal_ports'),
         store=_store(reader),
-        bounds=_bounds(reader),
+        bounds=_bounds(reader, faults),
     )
     _check_addresses(decoded)
-    return decoded
+    return BootSettings(decoded, tuple(faults))
 
 
 def _check_addresses(decoded: hostsettings.HostSettings) -> None:
@@ -76,13 +123,44 @@
     )
 
 
-def _bounds(reader: '_Reader') -> hostsettings.Bounds:
-    return hostsettings.Bounds(
-        stop_grace_ms=reader.integer('bounds', 'grace_s') * MS_PER_S,
-        retry_ratio=reader.number('bounds', 'budget_ratio'),
-        retry_window_ms=reader.integer('bounds', 'budget_window_s') * MS_PER_S,
-        retry_slack=reader.integer('bounds', 'budget_slack'),
-    )
+def _bounds(
+    reader: '_Reader', faults: list[SettingFault]
+) -> hostsettings.Bounds:
+    """Return the limits; those that cannot be used become ``faults``."""
+    defaults = hostsettings.Bounds()
+    figures: dict[str, Any] = {}
+    for name, field in _FIELDS_BY_BOUND.items():
+        try:
+            figures[name] = _figure(reader, field)
+        except errors.InvalidSettings as fault:
+            default = getattr(defaults, name)
+            faults.append(
+                SettingFault(
+                    f'bounds.{field.key}',
+                    fault.detail,
+                    f'set a number from {field.lowest} to {field.highest};'
+                    f' {default / (field.unit_ms or 1)} is used',
+                )
+            )
+    return defaults._replace(**figures)
+
+
+def _figure(reader: '_Reader', field: _BoundField) -> float:
+    """Return a limit, a time in whole milliseconds.
+
+    Raises ``InvalidSettings``.
+    """
+    figure = reader.number(('bounds', field.key), field.lowest, field.highest)
+    return round(figure * field.unit_ms) if field.unit_ms else figure
+
+
+def changed_fields(
+    before: hostsettings.HostSettings, after: hostsettings.HostSettings
+) -> Iterator[str]:
+    """Yield the names of the fields of a host that differ."""
+    for field in before._fields:
+        if getattr(before, field) != getattr(after, field):
+            yield field
 
 
 class _Reader:
@@ -94,11 +172,14 @@
     def text(self, *path: str) -> str:
         return str(self._get(str, path))
 
-    def integer(self, *path: str) -> int:
-        return int(self._get(int, path))
-
-    def number(self, *path: str) -> float:
-        return float(self._get((int, float), path))
+    def number(
+        self, path: tuple[str, ...], lowest: float, highest: float
+    ) -> float:
+        found = self._get((int, float), path)
+        try:
+            return outsidedata.number(found, lowest, highest)
+        except outsidedata.Malformed as fault:
+            raise _invalid_field(path, str(fault)) from fault
 
     def ports(self, *path: str) -> tuple[int, int]:
         setting = self._get(list, path)
--- a/tests/test_oddentries.py
+++ b/tests/test_oddentries.py
@@ -317,7 +317,7 @@
 @pytest.mark.parametrize('port', [[], None, '4', 'x', 0, 99_999, True, 1.5])
 def test_odd_port_of_the_settings_is_named(port):
     """Guards against a process that ends without saying which field is odd."""
-    assert bootsettings.decode(SETTINGS).peer_ports == (4, 5)
+    assert bootsettings.decode(SETTINGS).host.peer_ports == (4, 5)
     with pytest.raises(errors.InvalidSettings, match='internal_ports'):
         bootsettings.decode(SETTINGS | {'internal_ports': [4, port]})
 
--- a/tests/test_silenttargets.py
+++ b/tests/test_silenttargets.py
@@ -13,6 +13,7 @@
     connections,
     eventlog,
     exchangerecords,
+    hostsettings,
     reservations,
     scheduler,
 )
@@ -387,8 +388,8 @@
         document = kit.target_document(target.address)
         entry = documents.decode_target_entry('t1', document)
         reservation = exchangerecords.Reservation(entry, 'a1-1', 1_000)
-        memory = reservations.Reservations(session, log)
+        memory = reservations.Reservations(session, log, hostsettings.Bounds())
         async with memory.held((reservation,)):
             await asyncio.sleep(1.1 + silent_s + 2)
     gaps_s = map(operator.sub, renewed_s[1:], renewed_s)
-    assert max(gaps_s) < reservations.LEASE_MS / 1_000
+    assert max(gaps_s) < hostsettings.Bounds().memory_lease_ms / 1_000
