Divide large fleets into cells and call the store less

Most calls to the store were watches that were answered for each single change, by eight hosts, and retries of all hosts while the store was away.

Change: cells.py forms cells of hosts in a zone, with the targets of theirs; a fleet of up to 36 hosts stays one cell. Whole states go to the cell, summaries with what is free to four hosts of other cells a heartbeat, crashes and limits at once to all. A request for which a cell has no room, or which would be late, goes to a cell that has (placewaits.py). Cold targets get requests of as many hosts as their rate allows. Leases of 12 s are renewed each 4 s, and at once if the entry is gone; five hosts watch, or one in each cell, and collect changes for 0.15 s; while the store is away the others ask it every 3.2 s.

All tests but test_daemon and test_soak: 1,659 passed, 4 failed in test_bigconfigurations, whose small fleet counted as one in which all hosts watch; with that limit set as the number of watchers is, its 12 tests pass.

--- a/bergamotstream/forwarding/directory.py
+++ b/bergamotstream/forwarding/directory.py
@@ -17,6 +17,8 @@
 # Share of the hosts that must have their links for the others to be left out:
 # fewer could not take the connections of all callers.
 MIN_LINKED_SHARE: Final = 0.5
+# Hosts of other cells are listed as well while the own cell has fewer.
+MIN_CELL_HOSTS: Final = 4
 # Most addresses of one answer that callers use.
 MAX_ADDRESSES: Final = 64
 
--- a/bergamotstream/forwarding/hostdaemon.py
+++ b/bergamotstream/forwarding/hostdaemon.py
@@ -113,6 +113,8 @@
         self._runners: list[web.ServerRunner] = []
         self._tasks: list[asyncio.Task[None]] = []
         self._answer_relayed: Handler = _not_found
+        self._registration: storetasks.Registration | None = None
+        self._own_subject = f'host:{config.name}'
         self._item_server = largeitems.ItemServer(self._core.view, self._log)
 
     async def run(self) -> None:
@@ -155,6 +157,7 @@
             registration = storetasks.Registration(
                 client, self._entry, self._log
             )
+            self._registration = registration
             await self._open_servers(caller_ingress)
             self._start_tasks(
                 storetasks.StoreWatch(
@@ -164,6 +167,7 @@
                     self._clock,
                     self._handle_changes,
                     self._may_watch_store,
+                    self._is_first_watcher,
                 ).run(),
                 registration.run(),
                 self._peers.run(),
@@ -294,13 +298,26 @@
                 self._update_target(name, change.outcome, now_ms)
             elif kind == 'blamed':
                 self._outcomes.record_blamed(name)
+            elif change.subject == self._own_subject:
+                self._handle_own_entry(change)
         if changes:
             self._peers.schedule_delayed_send()
             self._check_readiness()
-        hosts = len(self._core.view.hosts_by_name)
-        self._core.budget.update_host_count(hosts)
-        self._core.cold.update_host_count(hosts)
-        self._core.limits.update_host_count(hosts)
+        self._update_cells()
+
+    def _handle_own_entry(self, change: fleetview.Change) -> None:
+        if change.outcome == 'gone' and self._registration is not None:
+            self._registration.report_gone()
+
+    def _update_cells(self) -> None:
+        """Form the cells again if the hosts have changed."""
+        cells = self._core.cells
+        change = cells.update(self._clock.now_ms())
+        if change is not None:
+            self._log.write('cell_changed', **change._asdict())
+        self._core.budget.update_host_count(cells.fleet_hosts)
+        self._core.cold.update_host_count(len(cells.members))
+        self._core.limits.update_host_count(len(cells.members))
 
     def _record_skipped(self, skipped: connections.SkippedAnswer) -> None:
         """Log an answer that a target sent for another request."""
@@ -314,15 +331,33 @@
         )
 
     def _read_gauges(self) -> dict[metrics.Series, float]:
-        return {
+        gauges = {
             metrics.Series('target_limit_per_s', target_id): per_s
             for target_id, per_s in self._core.limits.limits().items()
             if target_id in self._core.view.targets_by_id
         }
+        counts = {
+            'cells': self._core.cells.count,
+            'cell_hosts': len(self._core.cells.members),
+            'peers': len(self._peers.peers_by_name),
+            'contacts': len(self._peers.live_contacts()),
+        }
+        return gauges | {
+            metrics.Series(name, ''): float(count)
+            for name, count in counts.items()
+        }
 
     def _may_watch_store(self) -> bool:
         return storewatchers.should_watch(
-            self._entry.name, self._peers.live_peers(), self._clock.now_ms()
+            self._entry.name,
+            self._peers.live_peers(),
+            self._clock.now_ms(),
+            self._core.cells.count,
+        )
+
+    def _is_first_watcher(self) -> bool:
+        return storewatchers.is_first(
+            self._entry.name, self._peers.live_peers(), self._core.cells.count
         )
 
     def _update_target(self, target_id: str, outcome: str, now_ms: int) -> None:
@@ -405,12 +440,15 @@
     ) -> web.StreamResponse:
         if request.path != protocol.RESOLVE_PATH:
             return web.Response(status=404)
+        peers = self._peers.live_peers()
+        if sum(peer.ready for peer in peers) < directory.MIN_CELL_HOSTS:
+            peers.extend(self._peers.live_contacts())
         listed = directory.list_addresses(
             self._entry,
             self._peers.ready,
             bool(self._core.links.lost_services()),
-            self._core.view.hosts_by_name.values(),
-            self._peers.live_peers(),
+            self._registered_hosts(),
+            peers,
             self._rng,
         )
         ttl_ms = min(
@@ -421,6 +459,17 @@
             body=json.dumps(body).encode(), content_type='application/json'
         )
 
+    def _registered_hosts(self) -> Iterable[fleetrecords.HostEntry]:
+        """Return the hosts that the store lists, if some may still live.
+
+        They are listed while this host hears none of them: its links may have
+        failed. Entries of hosts that have ended lapse only after a while.
+        """
+        silent_ms = self._clock.now_ms() - self._peers.heard_ms
+        if silent_ms > self._config.bounds.unheard_listing_ms:
+            return ()
+        return self._core.view.hosts_by_name.values()
+
     async def _answer_peer(
         self, request: web.BaseRequest
     ) -> web.StreamResponse:
--- a/bergamotstream/forwarding/ingress.py
+++ b/bergamotstream/forwarding/ingress.py
@@ -29,6 +29,7 @@
     peerexchange,
     peerformat,
     peerrelay,
+    placewaits,
     relayattempts,
     relayedevents,
     relayformat,
@@ -47,11 +48,6 @@
 # After this time the store is unavailable and the caller should use another
 # host.
 CONFIGURATION_TIMEOUT_S: Final = 0.25
-# Delay before a waiting request is placed again: about a pass of an engine, or
-# this part of the request's goal if that is longer.
-MIN_PLACEMENT_RETRY_S: Final = 0.05
-PLACEMENT_RETRY_GOAL_RATIO: Final = 0.05
-
 # Requests of peers that are served at a time; more would delay the requests of
 # this host's own callers.
 MAX_OPEN_RELAYED: Final = 256
@@ -102,6 +98,9 @@
             dependencies.clock,
             dependencies.meters,
         )
+        self._waits = placewaits.PlaceWaits(
+            dependencies.core, self._relays, dependencies.clock
+        )
         self._retries = retrydecisions.RetryDecisions(
             dependencies.core,
             dependencies.outcomes,
@@ -321,6 +320,8 @@
             return await self._try_peer(served, peer)
         try:
             return await self._try_target(served)
+        except relayattempts.CellFull as full:
+            peer = full.peer
         except errors.NoTarget:
             state.is_out_of_targets = self._relays.is_possible(state)
             peer = self._relays.choose_peer(state)
@@ -378,7 +379,7 @@
             self._core.budget.record_request(
                 state.job.service.name, self._clock.now_ms()
             )
-        assignment = await self._place(state)
+        assignment = await self._waits.place(state)
         self._outcomes.record_placement(served, assignment)
         self._dependencies.peers.schedule_send()
         with contextlib.ExitStack() as stack:
@@ -394,26 +395,6 @@
                 self._outcomes.record_cancelled(served, assignment)
                 raise
 
-    async def _place(
-        self, state: requeststate.RequestState
-    ) -> exchangerecords.Assignment:
-        """Place a try; wait for capacity if the scheduler allows it."""
-        while True:
-            now_ms = self._clock.now_ms()
-            # Peers may have blamed the request since it was admitted.
-            self._core.check_blame(state.job, now_ms)
-            try:
-                return self._core.place(
-                    state.job, state.tried_target_ids, now_ms
-                )
-            except errors.Overloaded:
-                if not self._core.may_wait(state.job, now_ms):
-                    raise
-            goal_s = state.job.route.goal_ms / MS_PER_S
-            await asyncio.sleep(
-                max(MIN_PLACEMENT_RETRY_S, goal_s * PLACEMENT_RETRY_GOAL_RATIO)
-            )
-
     async def _reserve_and_send(
         self,
         served: requeststate.Try,
--- a/bergamotstream/forwarding/peerexchange.py
+++ b/bergamotstream/forwarding/peerexchange.py
@@ -3,20 +3,24 @@
 ~~~~~~~~~~~~~
 
 Sends the state of a host to its peers by datagram and applies the state that
-they send.
+they send. The peers are the hosts of its cell; hosts of other cells get a short
+summary now and then, and all hosts what is rare and concerns them all.
 """
 
 import asyncio
 import contextlib
-from collections.abc import Iterable
-from typing import Any, Final, cast
+import random
+from collections.abc import Set
+from typing import Any, Final, NamedTuple, cast
 
 from bergamotstream import clock, errors, framing
 from bergamotstream.forwarding import (
+    cellrooms,
     commitments,
     crashcounts,
     eventlog,
     fleetrecords,
+    fleetview,
     outcomes,
     peerformat,
     scheduler,
@@ -32,6 +36,28 @@
 # Heartbeat interval when nothing changes. Two heartbeats may be lost before a
 # peer counts as dead.
 HEARTBEAT_INTERVAL_S: Final = 0.8
+HEARTBEAT_INTERVAL_MS: Final = 800
+# Hosts of other cells that get a summary with each heartbeat. A host thus hears
+# five a second, and knows twelve at any time, however many there are.
+CONTACTS: Final = 4
+# A host of another cell that has been silent for longer is not relied on.
+FRESH_CONTACT_MS: Final = 1_500
+# All hosts are told of successive changes no more often than this.
+MIN_BROADCAST_INTERVAL_MS: Final = 200
+# Heartbeats in which all hosts are told of a change that concerns them.
+BROADCASTS: Final = 3
+# While crashes or limits are known, all hosts are told again after this time,
+# for those that have started since.
+BROADCAST_INTERVAL_MS: Final = 4_000
+# Longer than any process runs.
+NEVER_DUE_MS: Final = 1 << 62
+
+
+class Contact(NamedTuple):
+    """A host of another cell as of its last message."""
+
+    state: peerformat.HostState
+    received_ms: int
 
 
 class PeerExchange(asyncio.DatagramProtocol):
@@ -48,6 +74,17 @@
         """Send the state of the host ``entry``."""
         self.ready = False
         self.peers_by_name: dict[str, peerformat.HostState] = {}
+        self._contacts_by_name: dict[str, Contact] = {}
+        # Until when hosts of other cells, whose requests are served here, get
+        # each heartbeat.
+        self._partners_until_ms: dict[str, int] = {}
+        self._rng = random.Random()
+        # When a peer was last heard, or this process started.
+        self.heard_ms = time_source.now_ms()
+        self._heartbeat_ms = fleetview.NEVER_MS
+        self._told_all: tuple[Set[object], ...] = (set(), set())
+        self._told_all_ms = fleetview.NEVER_MS
+        self._broadcasts_left = 0
         self._entry = entry
         self._core = core
         self._outcomes = recorder
@@ -70,7 +107,12 @@
         except errors.InvalidMessage as fault:
             self._log.write('peer_message_refused', sender=addr, fault=fault)
             return
-        if state.entry.name != self._entry.name:
+        if state.entry.name == self._entry.name:
+            return
+        self.heard_ms = now_ms
+        if state.is_summary:
+            self._apply_summary(state, now_ms)
+        else:
             self._apply_state(state, now_ms)
 
     def error_received(self, exc: Exception) -> None:
@@ -107,14 +149,48 @@
             self._send_timer = None
         now_ms = self._clock.now_ms()
         self._sequence += 1
-        message = peerformat.encode(self._state(now_ms), now_ms)
-        for address in self._peer_addresses():
-            self._transport.sendto(message, framing.split_address(address))
+        state = self._state(now_ms)
+        addresses_by_name = self._addresses_by_name()
+        members = self._members() & addresses_by_name.keys()
+        self._send(state, [addresses_by_name[name] for name in members], now_ms)
+        outside = addresses_by_name.keys() - members
+        if outside:
+            told = self._choose_told(state, outside, now_ms)
+            self._send(
+                self._summary(state, now_ms),
+                [addresses_by_name[name] for name in told],
+                now_ms,
+            )
+
+    def add_partner(self, name: str, until_ms: int) -> None:
+        """Send a host of another cell, which waits for this one, heartbeats."""
+        address = self._addresses_by_name().get(name)
+        if address is None or name in self._members():
+            return
+        known_ms = self._partners_until_ms.get(name, until_ms)
+        self._partners_until_ms[name] = max(known_ms, until_ms)
+        now_ms = self._clock.now_ms()
+        self._sequence += 1
+        state = self._state(now_ms)
+        self._send(self._summary(state, now_ms), [address], now_ms)
 
     def live_peers(self) -> list[peerformat.HostState]:
         """Return the latest state of each peer that is not silent."""
         return list(self.peers_by_name.values())
 
+    def live_contacts(self) -> list[peerformat.HostState]:
+        """Return the hosts of other cells that were heard lately."""
+        oldest_ms = self._clock.now_ms() - FRESH_CONTACT_MS
+        return [
+            contact.state
+            for contact in self._contacts_by_name.values()
+            if contact.received_ms >= oldest_ms
+        ]
+
+    def is_heard(self, name: str) -> bool:
+        """Tell whether a host of any cell is not silent."""
+        return name in self.peers_by_name or name in self._contacts_by_name
+
     def has_ready(self) -> bool:
         """Tell whether another host takes requests of callers."""
         return any(peer.ready for peer in self.live_peers())
@@ -129,7 +205,10 @@
     def store_answered_ms(self) -> int:
         """Return when the store last answered this host or a live peer."""
         own_ms = self._core.view.store_answered_ms
-        heard = (peer.store_answered_ms for peer in self.live_peers())
+        heard = (
+            peer.store_answered_ms
+            for peer in (*self.live_peers(), *self.live_contacts())
+        )
         return max(own_ms, max(heard, default=own_ms))
 
     async def _wait_for_change(self) -> None:
@@ -155,19 +234,95 @@
             limits=self._core.limits.report(now_ms),
             link_report=self._core.links.report(self.peers_by_name.keys()),
             accepts_requests=True,
+            cell=self._core.cells.own,
+        )
+
+    def _summary(
+        self, state: peerformat.HostState, now_ms: int
+    ) -> peerformat.HostState:
+        """Return what hosts of other cells are told."""
+        return state._replace(
+            is_summary=True,
+            own_commitments=(),
+            health_estimates=(),
+            link_report=state.link_report._replace(failing=(), reached=()),
+            rooms=cellrooms.rooms(self._core, now_ms),
         )
 
-    def _peer_addresses(self) -> Iterable[str]:
+    def _send(
+        self,
+        state: peerformat.HostState,
+        addresses: list[str],
+        now_ms: int,
+    ) -> None:
+        if not addresses or self._transport is None:
+            return
+        message = peerformat.encode(state, now_ms)
+        for address in addresses:
+            self._transport.sendto(message, framing.split_address(address))
+
+    def _members(self) -> set[str]:
+        """Return the hosts that get the whole state.
+
+        A host that takes this one for a member of its cell relies on it too.
+        """
+        cells = self._core.cells
+        claimed = {
+            name
+            for name, state in self.peers_by_name.items()
+            if cells.includes_own(state.cell)
+        }
+        return claimed | cells.members
+
+    def _choose_told(
+        self, state: peerformat.HostState, outside: Set[str], now_ms: int
+    ) -> Set[str]:
+        """Return the hosts of other cells that get a summary now."""
+        is_heartbeat = now_ms - self._heartbeat_ms >= HEARTBEAT_INTERVAL_MS
+        news = _news_for_all(state)
+        interval_ms = BROADCAST_INTERVAL_MS
+        if news != self._told_all:
+            interval_ms = MIN_BROADCAST_INTERVAL_MS
+        elif not any(news):
+            interval_ms = NEVER_DUE_MS
+        if now_ms - self._told_all_ms >= interval_ms:
+            self._told_all = news
+            self._told_all_ms = now_ms
+            self._broadcasts_left = BROADCASTS
+        elif not is_heartbeat:
+            return set()
+        if is_heartbeat:
+            self._heartbeat_ms = now_ms
+        if self._broadcasts_left:
+            self._broadcasts_left -= 1
+            return outside
+        chosen = self._rng.sample(sorted(outside), min(CONTACTS, len(outside)))
+        return outside & {*chosen, *self._partners_until_ms}
+
+    def _addresses_by_name(self) -> dict[str, str]:
         registered = self._core.view.hosts_by_name
         known = {
             name: state.entry.peer_address
             for name, state in self.peers_by_name.items()
         }
+        known |= {
+            name: contact.state.entry.peer_address
+            for name, contact in self._contacts_by_name.items()
+        }
         known |= {
             name: entry.peer_address for name, entry in registered.items()
         }
         known.pop(self._entry.name, None)
-        return known.values()
+        return known
+
+    def _apply_summary(self, state: peerformat.HostState, now_ms: int) -> None:
+        """Apply what a host of another cell tells."""
+        name = state.entry.name
+        known = self._contacts_by_name.get(name)
+        if known is not None and _order(state) <= _order(known.state):
+            return
+        self._contacts_by_name[name] = Contact(state, now_ms)
+        self._apply_news_for_all(state, now_ms)
 
     def _apply_state(self, state: peerformat.HostState, now_ms: int) -> None:
         name = state.entry.name
@@ -193,6 +348,13 @@
             if estimate.refusing_ms:
                 self._outcomes.record_crash(estimate.target_id, 'refusing_peer')
         self._core.links.hear(name, state.link_report)
+        self._contacts_by_name.pop(name, None)
+        self._apply_news_for_all(state, now_ms)
+
+    def _apply_news_for_all(
+        self, state: peerformat.HostState, now_ms: int
+    ) -> None:
+        name = state.entry.name
         self._apply_blame(state, now_ms)
         for change in self._core.limits.hear(name, state.limits, now_ms):
             self._outcomes.statements.record_limit_change(change, name)
@@ -216,8 +378,43 @@
             self.schedule_send()
 
     def _expire_silent_peers(self) -> None:
-        for name in self._core.table.remove_silent_peers(self._clock.now_ms()):
+        now_ms = self._clock.now_ms()
+        self._contacts_by_name = {
+            name: contact
+            for name, contact in self._contacts_by_name.items()
+            if now_ms - contact.received_ms <= commitments.PEER_SILENCE_MS
+        }
+        self._partners_until_ms = {
+            name: until_ms
+            for name, until_ms in self._partners_until_ms.items()
+            if until_ms > now_ms
+        }
+        for name in self._core.table.remove_silent_peers(now_ms):
             self.peers_by_name.pop(name, None)
             self._log.write(
                 'peer_lost', peer=name, silent_ms=commitments.PEER_SILENCE_MS
             )
+
+
+def _order(state: peerformat.HostState) -> tuple[int, int]:
+    return state.entry.incarnation, state.sequence
+
+
+def _news_for_all(state: peerformat.HostState) -> tuple[Set[object], ...]:
+    """Return what all hosts must know, in a form that tells changes.
+
+    Crashes count over all hosts, and a limit binds all of them.
+    """
+    blame = state.blame
+    crashes = {
+        *blame.seen.crashes,
+        *blame.seen.broken,
+        *(entry.fingerprint for entry in blame.blamed),
+        *(entry[:2] for entry in blame.served),
+    }
+    limits = {
+        (report.run, report.statement.per_s)
+        for report in state.limits
+        if report.statement is not None
+    }
+    return crashes, limits
--- a/bergamotstream/forwarding/peerfetch.py
+++ b/bergamotstream/forwarding/peerfetch.py
@@ -76,9 +76,8 @@
 
     def _peer_ahead(self) -> peerformat.HostState | None:
         """Return a peer that has been ahead for some time."""
-        ahead = [
-            peer for peer in self._peers.live_peers() if self._is_ahead(peer)
-        ]
+        heard = (*self._peers.live_peers(), *self._peers.live_contacts())
+        ahead = [peer for peer in heard if self._is_ahead(peer)]
         if not ahead:
             self._behind_since_ms = None
             return None
--- a/bergamotstream/forwarding/peerformat.py
+++ b/bergamotstream/forwarding/peerformat.py
@@ -39,10 +39,21 @@
     'failingTargets',
     'reachedTargets',
     'servedRequests',
+    'rooms',
 )
 SCHEMA: Final = capnp.load(str(pathlib.Path(__file__).with_name('peers.capnp')))
 
 
+class ServiceRoom(NamedTuple):
+    """What the targets of one service in one cell have free."""
+
+    service: str
+    targets: int
+    free_slots: int
+    # Mean prefill that is pending on a target.
+    pending_ms: float
+
+
 class HostState(NamedTuple):
     """State that one host sends to its peers."""
 
@@ -62,6 +73,18 @@
     accepts_requests: bool = False
     # Up to here the sender knows all news; 0 for older builds, which send none.
     news_revision: int = 0
+    # Empty for older builds.
+    cell: str = ''
+    # Sent to a host of another cell, without commitments and estimates.
+    is_summary: bool = False
+    rooms: tuple[ServiceRoom, ...] = ()
+
+    def room_of(self, service: str) -> ServiceRoom | None:
+        """Return what the sender's cell has free for a service."""
+        for room in self.rooms:
+            if room.service == service:
+                return room
+        return None
 
 
 def encode(state: HostState, now_ms: int) -> bytes:
@@ -105,6 +128,17 @@
         reachedTargets=_encode_times(state.link_report.reached, now_ms),
         acceptsRequests=state.accepts_requests,
         newsRevision=state.news_revision,
+        cell=state.cell,
+        isSummary=state.is_summary,
+        rooms=[
+            {
+                'service': room.service,
+                'targets': room.targets,
+                'freeSlots': room.free_slots,
+                'pendingMs': room.pending_ms,
+            }
+            for room in state.rooms
+        ],
         servedRequests=[
             {
                 'fingerprint': entry.fingerprint,
@@ -209,6 +243,15 @@
         ),
         accepts_requests=message.acceptsRequests,
         news_revision=outsidedata.whole(message.newsRevision),
+        cell=str(message.cell),
+        is_summary=message.isSummary,
+        rooms=tuple(
+            ServiceRoom(
+                room.service, room.targets, room.freeSlots, room.pendingMs
+            )
+            for room in message.rooms
+            if room.pendingMs >= 0
+        ),
     )
 
 
--- a/bergamotstream/forwarding/peers.capnp
+++ b/bergamotstream/forwarding/peers.capnp
@@ -38,6 +38,21 @@
   # Revision up to which this host knows which items have changed; it may still
   # lack large ones. Above 0, the host answers /news and /item.
   newsRevision @22 :UInt64;
+  # Name of the sender's cell; empty for older builds.
+  cell @23 :Text;
+  # For a host of another cell: without commitments and notes.
+  isSummary @24 :Bool;
+  # What the sender's cell has free; only in summaries.
+  rooms @25 :List(ServiceRoom);
+}
+
+# What the targets of one service in one cell have free.
+struct ServiceRoom {
+  service @0 :Text;
+  targets @1 :UInt32;
+  freeSlots @2 :UInt32;
+  # Mean prefill that is pending on a target.
+  pendingMs @3 :Float32;
 }
 
 struct TargetAge {
--- a/bergamotstream/forwarding/reach.py
+++ b/bergamotstream/forwarding/reach.py
@@ -13,6 +13,7 @@
 
 from bergamotstream.forwarding import (
     askedpauses,
+    cells,
     fleetrecords,
     fleetview,
     hostsettings,
@@ -32,6 +33,7 @@
     def __init__(
         self,
         view: fleetview.FleetView,
+        cell_map: cells.Cells,
         health: targethealth.TargetHealth,
         monitor: links.LinkMonitor,
         pauses: askedpauses.AskedPauses,
@@ -40,6 +42,7 @@
     ) -> None:
         """Decide by what is known of targets and links."""
         self._view = view
+        self._cells = cell_map
         self._health = health
         self._links = monitor
         self._pauses = pauses
@@ -71,6 +74,18 @@
             peers, service, self._zone, excluded, self._rng
         )
 
+    def choose_with_room(
+        self,
+        service: str,
+        goal_ms: int,
+        contacts: Iterable[peerformat.HostState],
+        excluded: Collection[str],
+    ) -> peerformat.HostState | None:
+        """Return a host whose cell has room for a request, if any."""
+        return relaychoice.choose_with_room(
+            contacts, service, goal_ms, excluded, self._rng
+        )
+
     def has_unreachable_target(self, service: str, now_ms: int) -> bool:
         """Tell whether this host fails to reach a target of a service.
 
@@ -115,5 +130,7 @@
 
     def _usable(self, service: str) -> Iterator[fleetrecords.TargetEntry]:
         for entry in self._view.targets_by_id.values():
-            if self._view.is_usable(entry, service):
+            if self._view.is_usable(entry, service) and self._cells.serves(
+                entry
+            ):
                 yield entry
--- a/bergamotstream/forwarding/relayattempts.py
+++ b/bergamotstream/forwarding/relayattempts.py
@@ -2,8 +2,8 @@
 Relay attempts
 ~~~~~~~~~~~~~~
 
-Lets a peer serve a request that this host cannot serve over its own links, and
-writes the log events and metrics of it.
+Lets a peer serve a request that this host cannot serve over its own links, or
+for which its cell has no room, and writes the log events and metrics of it.
 """
 
 import functools
@@ -34,6 +34,15 @@
 LossHandler: TypeAlias = Callable[[requeststate.Try, int], bool]
 
 
+class CellFull(Exception):
+    """The own cell has no room for a request, and another one has."""
+
+    def __init__(self, peer: peerformat.HostState) -> None:
+        """Keep the host that should serve the request."""
+        super().__init__(peer.entry.name)
+        self.peer = peer
+
+
 class RelayAttempts:
     """Requests of this host that peers serve, and those of peers."""
 
@@ -56,8 +65,27 @@
 
     def is_possible(self, state: requeststate.RequestState) -> bool:
         """Tell whether a peer may reach targets that this host does not."""
-        return not state.relayed_by and self._core.reach.has_unreachable_target(
-            state.job.service.name, self._clock.now_ms()
+        return not state.relayed_by and (
+            self._has_unreachable_target(state)
+            or bool(self._peers.live_contacts())
+        )
+
+    def choose_overflow(
+        self, state: requeststate.RequestState
+    ) -> peerformat.HostState | None:
+        """Return a host of another cell that has room for a request.
+
+        A request passes one other host at most, before it is sent to a target.
+        """
+        if state.relayed_by or state.tried_peers or state.tries_sent:
+            return None
+        job = state.job
+        waited_ms = self._clock.now_ms() - job.arrived_ms
+        return self._core.reach.choose_with_room(
+            job.service.name,
+            job.route.goal_ms - waited_ms,
+            self._peers.live_contacts(),
+            state.tried_peers,
         )
 
     def choose_peer(
@@ -96,8 +124,20 @@
     def _choose(
         self, state: requeststate.RequestState
     ) -> peerformat.HostState | None:
-        return self._core.reach.choose_relay(
-            state.job.service.name, self._peers.live_peers(), state.tried_peers
+        service = state.job.service.name
+        choose = self._core.reach.choose_relay
+        chosen = None
+        if not state.is_out_of_targets or self._has_unreachable_target(state):
+            chosen = choose(
+                service, self._peers.live_peers(), state.tried_peers
+            )
+        return chosen or choose(
+            service, self._peers.live_contacts(), state.tried_peers
+        )
+
+    def _has_unreachable_target(self, state: requeststate.RequestState) -> bool:
+        return self._core.reach.has_unreachable_target(
+            state.job.service.name, self._clock.now_ms()
         )
 
     async def send(
@@ -163,7 +203,7 @@
         handle_loss: LossHandler,
         since_ms: int,
     ) -> None:
-        if peer.entry.name not in self._peers.peers_by_name:
+        if not self._peers.is_heard(peer.entry.name):
             handle_loss(served, self._clock.now_ms() - since_ms)
 
     def record_sent(
@@ -177,6 +217,7 @@
             id=state.job.request.attempt_id,
             peer=peer.entry.name,
             zone=peer.entry.zone,
+            cell=peer.cell,
             service=service,
             links_lost=self._core.links.is_lost(service),
             unsent=state.tries_unsent,
@@ -203,7 +244,8 @@
         )
 
     def record_received(self, state: requeststate.RequestState) -> None:
-        """Record a request that is served for a peer."""
+        """Record a request that is served for a peer, which hears of it."""
+        self._peers.add_partner(state.relayed_by, state.job.end_ms)
         self._meters.count('relayed_requests', 'received')
         self._log.write(
             'relay_received',
--- a/bergamotstream/forwarding/scheduler.py
+++ b/bergamotstream/forwarding/scheduler.py
@@ -8,7 +8,12 @@
 """
 
 import random
-from collections.abc import Callable, Collection, Iterable, Iterator
+from collections.abc import (
+    Callable,
+    Collection,
+    Iterable,
+    Iterator,
+)
 from typing import Final, NamedTuple
 
 import xxhash
@@ -16,6 +21,7 @@
 from bergamotstream import errors
 from bergamotstream.forwarding import (
     askedpauses,
+    cells,
     coldlimits,
     commitments,
     crashblame,
@@ -92,6 +98,7 @@
     ) -> None:
         """Start with an empty view of the fleet."""
         self.view = fleetview.FleetView()
+        self.cells = cells.Cells(config.name, config.zone, self.view)
         self.table = commitments.CommitmentTable()
         self.health = targethealth.TargetHealth()
         self.cold = coldlimits.ColdLimits()
@@ -101,7 +108,13 @@
         self.blame = crashblame.CrashBlame()
         self.links = links.LinkMonitor()
         self.reach = reach.Reach(
-            self.view, self.health, self.links, self.pauses, config, rng
+            self.view,
+            self.cells,
+            self.health,
+            self.links,
+            self.pauses,
+            config,
+            rng,
         )
         self._config = config
         self._rng = rng
@@ -180,7 +193,11 @@
         ]
         if len(refused) != 1:
             return job
-        names = (self._config.name, *self.table.peer_names())
+        names = {
+            self._config.name,
+            *self.table.peer_names(),
+            *self.view.hosts_by_name,
+        }
         if rendezvous.choose(names, str(refused[0]), 1) != [self._config.name]:
             return job
         if not self.blame.start_trial(refused[0], now_ms):
@@ -317,10 +334,6 @@
         """End the commitments of an attempt."""
         self._end_commitments(assignment.commitment_ids)
 
-    def is_usable(self, entry: fleetrecords.TargetEntry, service: str) -> bool:
-        """Tell whether a target may get new requests of a service."""
-        return self.view.is_usable(entry, service)
-
     def _service_of(
         self,
         configuration: fleetrecords.Configuration,
@@ -371,12 +384,29 @@
     ) -> bool:
         target_id = entry.target_id
         return (
-            self.is_usable(entry, job.service.name)
+            self.view.is_usable(entry, job.service.name)
+            and self.cells.serves(entry)
             and self.health.is_reachable(target_id, now_ms)
-            and self.cold.may_send(target_id, job.service, now_ms)
+            and self._is_warm(entry, job.service, now_ms)
             and self._limit_wait_ms(entry, now_ms) == 0
         )
 
+    def _is_warm(
+        self,
+        entry: fleetrecords.TargetEntry,
+        service: fleetrecords.Service,
+        now_ms: int,
+    ) -> bool:
+        """Tell whether a target is not cold, or has room for one request."""
+        if not self.cold.is_limited(entry.target_id, service, now_ms):
+            return True
+        return (
+            self.cells.owns(entry)
+            and self._config.name
+            in coldlimits.senders(entry, service, self.cells.members)
+            and self.cold.may_send(entry.target_id, service, now_ms)
+        )
+
     def _limit_wait_ms(
         self, entry: fleetrecords.TargetEntry, now_ms: int
     ) -> int | None:
@@ -384,6 +414,10 @@
 
         ``None`` if only other hosts send to it.
         """
+        if self.limits.limit_of(entry) is not None and not self.cells.owns(
+            entry
+        ):
+            return None
         wait_ms = self.limits.wait_ms(entry, self.table.peer_names(), now_ms)
         if wait_ms is None:
             return None
@@ -399,7 +433,7 @@
         waits_ms = [
             self._limit_wait_ms(entry, now_ms)
             for entry in self.view.targets_by_id.values()
-            if self.is_usable(entry, job.service.name)
+            if self.view.is_usable(entry, job.service.name)
         ]
         known_ms = [wait_ms for wait_ms in waits_ms if wait_ms is not None]
         if not known_ms or 0 in known_ms:
@@ -616,6 +650,16 @@
         )
 
 
+def is_forecast_late(
+    job: exchangerecords.Job, assignment: exchangerecords.Assignment
+) -> bool:
+    """Tell whether the first token is expected after the request's goal."""
+    if job.generation is None:
+        return False
+    waited_ms = assignment.placed_ms - job.arrived_ms
+    return waited_ms + assignment.forecast_ms > job.route.goal_ms
+
+
 def usual_pause_ms(service: fleetrecords.Service) -> float:
     """Return the longest usual gap between events of a full target."""
     engine = service.engine
--- a/bergamotstream/forwarding/storetasks.py
+++ b/bergamotstream/forwarding/storetasks.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 from typing import Final
 
@@ -25,12 +26,22 @@
 WATCH_CHECK_S: Final = 0.2
 FIRST_RETRY_DELAY_S: Final = 0.1
 MAX_RETRY_DELAY_S: Final = 0.8
+# The same for hosts that others ask the store for; every call has its price,
+# also while the store is away.
+MAX_LATER_RETRY_DELAY_S: Final = 3.2
+# Changes within this time after an answer come with the next one. Targets that
+# start or leave do so in groups.
+COLLECT_S: Final = 0.15
 # A host cannot serve until it has read the store once.
 MAX_INITIAL_RETRY_DELAY_S: Final = 0.2
 # Failures that last this long are an outage, during which entries may lapse.
 OUTAGE_MS: Final = 1_000
-LEASE_TTL_MS: Final = 3_000
-LEASE_RENEW_S: Final = 1.0
+# Peers tell by their silence that a host has ended, so its entry, which forms the
+# cells, may outlast it. Two renewals may be lost.
+LEASE_TTL_MS: Final = 12_000
+LEASE_RENEW_S: Final = 4.0
+# Interval of the tries while the store does not answer.
+LEASE_RETRY_S: Final = 2.0
 MS_PER_S: Final = 1_000
 
 ChangeListener = Callable[[list[fleetview.Change]], None]
@@ -47,9 +58,15 @@
         time_source: clock.Clock,
         report: ChangeListener,
         may_watch: Callable[[], bool],
+        is_first: Callable[[], bool],
     ) -> None:
-        """Call ``report`` with changes; pause while not ``may_watch``."""
+        """Call ``report`` with changes; pause while not ``may_watch``.
+
+        ``is_first`` tells whether this host asks often while nobody gets an
+        answer.
+        """
         self._may_watch = may_watch
+        self._is_first = is_first
         self._client = client
         self._view = view
         self._log = log
@@ -81,6 +98,12 @@
                 )
                 continue
             retry_delay_s = FIRST_RETRY_DELAY_S
+            await asyncio.sleep(self._pause_s())
+
+    def _pause_s(self) -> float:
+        """Return the pause before the next watch."""
+        is_current = self._complete and self._failing_since_ms is None
+        return COLLECT_S if is_current else 0
 
     async def _read_or_watch(self) -> None:
         """Read all items once, then wait for one batch of changes."""
@@ -100,8 +123,10 @@
         self._report(self._view.apply_changes(page, self._clock.now_ms()))
 
     def _max_retry_delay_s(self) -> float:
+        if not self._complete:
+            return MAX_INITIAL_RETRY_DELAY_S
         return (
-            MAX_RETRY_DELAY_S if self._complete else MAX_INITIAL_RETRY_DELAY_S
+            MAX_RETRY_DELAY_S if self._is_first() else MAX_LATER_RETRY_DELAY_S
         )
 
     def _handle_failure(self, fault: store.StoreUnavailable) -> None:
@@ -137,10 +162,17 @@
         self._log = log
         self._lease = 0
         self._is_withdrawn = False
+        self._is_gone = asyncio.Event()
+
+    def report_gone(self) -> None:
+        """Register again at once, as the store lists this host no more."""
+        if self._lease and not self._is_withdrawn:
+            self._is_gone.set()
 
     async def run(self) -> None:
         """Register and renew until cancelled, or idle once withdrawn."""
         while True:
+            pause_s = LEASE_RENEW_S
             try:
                 await self._renew()
             except store.LeaseGone:
@@ -149,7 +181,11 @@
                 continue
             except store.StoreUnavailable as fault:
                 self._log.write('registration_unsure', fault=fault)
-            await asyncio.sleep(LEASE_RENEW_S)
+                pause_s = LEASE_RETRY_S
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(pause_s):
+                    await self._is_gone.wait()
+            self._is_gone.clear()
 
     async def withdraw(self) -> None:
         """Remove the registration; without the store the lease expires."""
--- a/tests/test_bigconfigurations.py
+++ b/tests/test_bigconfigurations.py
@@ -81,6 +81,7 @@
 
     monkeypatch.setattr(kit, 'make_daemon', make_daemon)
     monkeypatch.setattr(storewatchers, 'STORE_WATCHERS', WATCHERS)
+    monkeypatch.setattr(storewatchers, 'SMALL_FLEET', WATCHERS)
     return links
 
 
--- a/tests/test_fleetview.py
+++ b/tests/test_fleetview.py
@@ -258,6 +258,7 @@
         clock.Clock(),
         changes.extend,
         lambda: True,
+        lambda: True,
     )
     watching = asyncio.ensure_future(watch.run())
     await asyncio.sleep(seconds)
--- a/tests/test_largeitems.py
+++ b/tests/test_largeitems.py
@@ -174,6 +174,7 @@
         clock.Clock(),
         lambda _: None,
         lambda: True,
+        lambda: True,
     )
     with contextlib.suppress(asyncio.CancelledError):
         await watch.run()
@@ -305,7 +306,9 @@
         storeitems.News(store.Page((), item.revision), (reference,)), 0
     )
     turn = iter(states)
-    peers = types.SimpleNamespace(live_peers=lambda: [next(turn, states[-1])])
+    peers = types.SimpleNamespace(
+        live_peers=lambda: [next(turn, states[-1])], live_contacts=list
+    )
     async with connections.open_session(reuse=True) as session:
         fetching = asyncio.ensure_future(
             itemfetch.ItemFetch(
