End a stopped host at once

Cause: after its stop a host frees all objects and runs the exit handlers of its libraries before the process ends. Withdrawing the registration, up to a second while the store is away, also came before the drain instead of beside it. Change: the process ends with os._exit once the log is written; a host has nothing else to save. The withdrawal runs beside the drain. Measured: test_stopped_host_ends_whatever_its_libraries_do fails before and passes; tests of host processes pass.

--- a/bergamotstream/forwarding/eventlog.py
+++ b/bergamotstream/forwarding/eventlog.py
@@ -46,6 +46,11 @@
             self._pending += line.encode(errors='backslashreplace')
         self._write_pending()
 
+    def flush(self) -> None:
+        """Write what is pending, as far as the reader takes it now."""
+        if self._pending:
+            self._write_pending()
+
     def _write_pending(self) -> None:
         try:
             written = os.write(self._descriptor, self._pending)
--- a/bergamotstream/forwarding/hostdaemon.py
+++ b/bergamotstream/forwarding/hostdaemon.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import json
+import os
 import random
 import signal
 import sys
@@ -417,10 +418,10 @@
         )
         self._peers.ready = False
         self._peers.send_now()
-        await registration.withdraw()
         abort_ms = grace_end_ms - ABORT_MARGIN_MS
-        await asyncio.sleep(
-            min(MIN_STOP_MS, abort_ms - requested_ms) / MS_PER_S
+        await asyncio.gather(
+            registration.withdraw(),
+            asyncio.sleep(min(MIN_STOP_MS, abort_ms - requested_ms) / MS_PER_S),
         )
         while caller_ingress.open_requests and self._clock.now_ms() < abort_ms:
             await asyncio.sleep(OPEN_REQUESTS_CHECK_S)
@@ -521,12 +522,17 @@
 def main(listeners: listensockets.Listeners) -> None:
     """Run an entry host; ``listeners`` are open already.
 
-    Exits with ``EXIT_INVALID_SETTINGS`` for invalid settings.
+    Exits with ``EXIT_INVALID_SETTINGS`` for invalid settings. A host that has
+    stopped ends at once: it has nothing left to save, and to free all objects
+    takes a slow machine longer than the rest of the grace period.
     """
-    eventlog.install_handler()
+    handler = eventlog.install_handler()
     try:
         loaded = bootsettings.load(bootsettings.settings_path())
     except errors.InvalidSettings as fault:
         sys.stderr.write(f'{fault.detail}\n{fault.remedy}\n')
         sys.exit(EXIT_INVALID_SETTINGS)
-    asyncio.run(serve(loaded, listeners))
+    with asyncio.Runner() as runner:
+        runner.run(serve(loaded, listeners))
+        handler.flush()
+        os._exit(0)  # noqa: WPS437 - skips the end of the interpreter
--- a/tests/test_hostprocess.py
+++ b/tests/test_hostprocess.py
@@ -157,3 +157,43 @@
     assert code == 2
     assert 'listen.readiness' in log
     assert 'listen.directory' in log
+
+
+EXIT_HANDLER = """
+import atexit, time
+atexit.register(time.sleep, 20)
+"""
+
+
+async def test_stopped_host_ends_whatever_its_libraries_do(tmp_path):
+    """Guards against hosts that are killed at the end of their grace time.
+
+    On slow machines the end of the interpreter took longer than what was left
+    of it; here a library's exit handler does.
+    """
+    root = tmp_path / 'root'
+    root.mkdir()
+    package = hostprocesskit.ROOT / 'bergamotstream'
+    (root / 'bergamotstream').symlink_to(package)
+    (root / 'sitecustomize.py').write_text(EXIT_HANDLER)
+    system = kit.System()
+    await system.store.start()
+    await system.store.put('op/config', kit.configuration_document())
+    address = '{0}:{1}'.format(*system.store._listener._address)
+    host = hostprocesskit.HostProcess(tmp_path, 'h1', address)
+    try:
+        host.start(root)
+        async with asyncio.timeout(10):
+            while 'event=readiness' not in host.log.read_text():
+                await asyncio.sleep(0.05)
+        host.signal(signal.SIGTERM)
+        # The grace time.
+        async with asyncio.timeout(8):
+            while host.process.poll() is None:
+                await asyncio.sleep(0.05)
+        assert host.process.returncode == 0
+        assert 'event=stopped' in host.log.read_text()
+    finally:
+        host.process.kill()
+        host.process.wait()
+        await system.store.stop()
