Tell all hosts only of crashes that were seen here

Cause: a blamed request, and a disputed one without a success here, counted as news for all hosts, so that after a crash each host of a large fleet wrote to each other one, with three heartbeats and again every 4 s. A host that was refused by limited targets took those of other cells for free ones and named no time to come back. Change: only own crashes, own successes and limits told to this host are sent to all; what is repeated for hosts that have started since is sent once. Retry delays and details of a refusal count the targets that the host may use.

--- a/bergamotstream/forwarding/peerexchange.py
+++ b/bergamotstream/forwarding/peerexchange.py
@@ -280,15 +280,14 @@
         """Return the hosts of other cells that get a summary now."""
         is_heartbeat = now_ms - self._heartbeat_ms >= HEARTBEAT_INTERVAL_MS
         news = _news_for_all(state)
-        interval_ms = BROADCAST_INTERVAL_MS
-        if news != self._told_all:
+        is_changed = news != self._told_all
+        interval_ms = BROADCAST_INTERVAL_MS if any(news) else NEVER_DUE_MS
+        if is_changed:
             interval_ms = MIN_BROADCAST_INTERVAL_MS
-        elif not any(news):
-            interval_ms = NEVER_DUE_MS
         if now_ms - self._told_all_ms >= interval_ms:
             self._told_all = news
             self._told_all_ms = now_ms
-            self._broadcasts_left = BROADCASTS
+            self._broadcasts_left = BROADCASTS if is_changed else 1
         elif not is_heartbeat:
             return set()
         if is_heartbeat:
@@ -403,14 +402,14 @@
 def _news_for_all(state: peerformat.HostState) -> tuple[Set[object], ...]:
     """Return what all hosts must know, in a form that tells changes.
 
-    Crashes count over all hosts, and a limit binds all of them.
+    Crashes count over all hosts, and a limit binds all of them. Only what this
+    host has seen itself is told, as all others judge by the same evidence.
     """
     blame = state.blame
     crashes = {
         *blame.seen.crashes,
         *blame.seen.broken,
-        *(entry.fingerprint for entry in blame.blamed),
-        *(entry[:2] for entry in blame.served),
+        *(entry[:2] for entry in blame.served if entry.successes),
     }
     limits = {
         (report.run, report.statement.per_s)
--- a/bergamotstream/forwarding/scheduler.py
+++ b/bergamotstream/forwarding/scheduler.py
@@ -434,6 +434,7 @@
             self._limit_wait_ms(entry, now_ms)
             for entry in self.view.targets_by_id.values()
             if self.view.is_usable(entry, job.service.name)
+            and self.cells.serves(entry)
         ]
         known_ms = [wait_ms for wait_ms in waits_ms if wait_ms is not None]
         if not known_ms or 0 in known_ms:
@@ -467,6 +468,7 @@
             (
                 f'service={job.service.name}',
                 f'listed={len(listed)}',
+                f'in_cell={sum(map(self.cells.serves, listed))}',
                 f'leaving={sum(entry.leaving for entry in listed)}',
                 f'zone_out={out}',
                 f'unreachable={unreachable}',
--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -277,6 +277,30 @@
     assert wire.sent - before < 50 * 40 + 3 * 100
 
 
+def test_hosts_that_saw_no_crash_tell_only_their_cell():
+    """Guards against messages of each host to all while a request is blamed."""
+    wire, exchanges = run_fleet(100)
+    before = wire.sent
+    beat(wire, exchanges, 5)
+    calm = wire.sent - before
+    for number, witness in enumerate(exchanges[:2]):
+        blame = witness._core.blame
+        for run in range(3):
+            name = f't{number}{run}'
+            blame.counts.suspect(
+                target(name, 'rosario'), (7,), wire.now, broken=True
+            )
+            blame.counts.confirm(name, wire.now)
+        witness.send_now()
+    beat(wire, exchanges, 5)
+    assert all(
+        exchange._core.blame.is_refused(7, wire.now) for exchange in exchanges
+    )
+    before = wire.sent
+    beat(wire, exchanges, 5)
+    assert wire.sent - before <= calm + 2 * 5 * 100
+
+
 def test_host_that_started_later_learns_of_crashes():
     """Guards against a request that is sent by hosts that start after it."""
     wire, exchanges = run_fleet(100)
