Learn of other hosts without a pause after the first read

Cause: a host paused for 0.15 s after its first read of the store and after watches without changes, so it knew the other hosts later.

--- a/bergamotstream/forwarding/storetasks.py
+++ b/bergamotstream/forwarding/storetasks.py
@@ -74,6 +74,8 @@
         self._report = report
         self._failing_since_ms: int | None = None
         self._complete = False
+        # Whether the last answer was a watch's and held changes.
+        self._has_changed = False
 
     async def run(self) -> None:
         """Watch the store until cancelled."""
@@ -98,15 +100,12 @@
                 )
                 continue
             retry_delay_s = FIRST_RETRY_DELAY_S
-            await asyncio.sleep(self._pause_s())
-
-    def _pause_s(self) -> float:
-        """Return the pause before the next watch."""
-        is_current = self._complete and self._failing_since_ms is None
-        return COLLECT_S if is_current else 0
+            if self._has_changed:
+                await asyncio.sleep(COLLECT_S)
 
     async def _read_or_watch(self) -> None:
         """Read all items once, then wait for one batch of changes."""
+        self._has_changed = False
         if not self._complete:
             page = await self._client.read_all('')
             self._handle_success()
@@ -120,6 +119,7 @@
             RECONNECT_WAIT_MS if is_failing else WATCH_TIMEOUT_MS,
         )
         self._handle_success()
+        self._has_changed = bool(page.items)
         self._report(self._view.apply_changes(page, self._clock.now_ms()))
 
     def _max_retry_delay_s(self) -> float:
--- a/tests/test_bigconfigurations.py
+++ b/tests/test_bigconfigurations.py
@@ -261,6 +261,10 @@
     ):
         await system.add_target('t1', target)
         behind = system.daemons[0]
+        # Hosts learn of each other after they have become ready.
+        await system.until(
+            lambda: sum(peer.ready for peer in behind._peers.live_peers()) == 2
+        )
         now_ms = behind._clock.now_ms()
         view = behind._core.view
         revision = view.revision + 10
--- a/tests/test_storecalls.py
+++ b/tests/test_storecalls.py
@@ -33,7 +33,8 @@
         if self.away:
             raise store.StoreUnavailable('away')
         await asyncio.sleep(self._change_s)
-        return store.Page((), revision + 1)
+        changed = store.Item('servers/t1', revision + 1, None)
+        return store.Page((changed,), revision + 1)
 
     async def open_lease(self, ttl_ms):
         self.leases += 1
