--- a/tests/test_bigconfigurations.py
+++ b/tests/test_bigconfigurations.py
@@ -148,8 +148,9 @@
         kit.running_system(HOSTS) as system,
         kit.raw_target(None) as target,
     ):
-        await system.add_target('t1', target)
         await open_links(system, links)
+        # Hosts that do not watch the store learn of it over the links.
+        await system.add_target('t1', target)
         await system.store.put('op/config', make_document(version=2))
         await asyncio.sleep(0.1)
         await system.store.put(
