Sum up a cell only for messages that tell of it

Cause: on a fleet of several cells each message of a host to its cell also summed all loads of the cell for a summary that went to nobody, a decision's work at each placement, first token and end. The hosts of all cells were joined in three places, the heartbeat interval stood twice, a comment named a wrong number of contacts, and two test files held one settings file. Change: the summary is made if some host gets it; PeerExchange.heard_hosts joins the hosts; the interval is one constant; oddkit.SETTINGS serves both files. Nothing else is sent, at no other time. Measured: test_cell_is_summed_up_for_a_heartbeat_only fails before and passes; 270 tests of cells, items, settings and entries pass, formatter, linter and types.

--- a/bergamotstream/forwarding/itemfetch.py
+++ b/bergamotstream/forwarding/itemfetch.py
@@ -106,10 +106,9 @@
         self, reference: pendingitems.Reference
     ) -> peerformat.HostState | None:
         """Return a random peer that has the document, if there is one."""
-        heard = (*self._peers.live_peers(), *self._peers.live_contacts())
         holders = [
             peer
-            for peer in heard
+            for peer in self._peers.heard_hosts()
             if peer.news_revision and peer.store_revision >= reference.revision
         ]
         return self._rng.choice(holders) if holders else None
--- a/bergamotstream/forwarding/peerexchange.py
+++ b/bergamotstream/forwarding/peerexchange.py
@@ -35,10 +35,10 @@
 MAX_SEND_DELAY_S: Final = 0.15
 # Heartbeat interval when nothing changes. Two heartbeats may be lost before a
 # peer counts as dead.
-HEARTBEAT_INTERVAL_S: Final = 0.8
 HEARTBEAT_INTERVAL_MS: Final = 800
+MS_PER_S: Final = 1_000
 # Hosts of other cells that get a summary with each heartbeat. A host thus hears
-# five a second, and knows twelve at any time, however many there are.
+# five a second, and knows about eight, however many there are.
 CONTACTS: Final = 4
 # A host of another cell that has been silent for longer is not relied on.
 FRESH_CONTACT_MS: Final = 1_500
@@ -154,8 +154,9 @@
         members = self._members() & addresses_by_name.keys()
         self._send(state, [addresses_by_name[name] for name in members], now_ms)
         outside = addresses_by_name.keys() - members
-        if outside:
-            told = self._choose_told(state, outside, now_ms)
+        told = self._choose_told(state, outside, now_ms) if outside else ()
+        if told:
+            # Summing up the cell costs as much as a decision, so not each time.
             self._send(
                 self._summary(state, now_ms),
                 [addresses_by_name[name] for name in told],
@@ -187,6 +188,10 @@
             if contact.received_ms >= oldest_ms
         ]
 
+    def heard_hosts(self) -> list[peerformat.HostState]:
+        """Return the hosts of all cells that were heard lately."""
+        return [*self.live_peers(), *self.live_contacts()]
+
     def is_heard(self, name: str) -> bool:
         """Tell whether a host of any cell is not silent."""
         return name in self.peers_by_name or name in self._contacts_by_name
@@ -205,15 +210,12 @@
     def store_answered_ms(self) -> int:
         """Return when the store last answered this host or a live peer."""
         own_ms = self._core.view.store_answered_ms
-        heard = (
-            peer.store_answered_ms
-            for peer in (*self.live_peers(), *self.live_contacts())
-        )
+        heard = (host.store_answered_ms for host in self.heard_hosts())
         return max(own_ms, max(heard, default=own_ms))
 
     async def _wait_for_change(self) -> None:
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(HEARTBEAT_INTERVAL_S):
+            async with asyncio.timeout(HEARTBEAT_INTERVAL_MS / MS_PER_S):
                 await self._changed.wait()
 
     def _state(self, now_ms: int) -> peerformat.HostState:
--- a/bergamotstream/forwarding/peerfetch.py
+++ b/bergamotstream/forwarding/peerfetch.py
@@ -76,8 +76,9 @@
 
     def _peer_ahead(self) -> peerformat.HostState | None:
         """Return a peer that has been ahead for some time."""
-        heard = (*self._peers.live_peers(), *self._peers.live_contacts())
-        ahead = [peer for peer in heard if self._is_ahead(peer)]
+        ahead = [
+            peer for peer in self._peers.heard_hosts() if self._is_ahead(peer)
+        ]
         if not ahead:
             self._behind_since_ms = None
             return None
--- a/tests/oddkit.py
+++ b/tests/oddkit.py
@@ -6,6 +6,20 @@
 from bergamotstream.platform import store
 from tests import platformkit as kit
 
+# A settings file of the platform without bounds.
+SETTINGS = {
+    'node_name': 'a',
+    'ip': '127.0.0.1',
+    'zone': 'b',
+    'listen': {
+        'front': '127.0.0.1:1',
+        'readiness': '127.0.0.1:2',
+        'directory': '127.0.0.1:3',
+    },
+    'internal_ports': [4, 5],
+    'platform': {'address': '127.0.0.1:6'},
+}
+
 DEEP = 100_000
 LONG = 5_000
 SOUND = '10.0.0.1:80'
--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -247,6 +247,21 @@
     assert per_host[200] < 40
 
 
+def test_cell_is_summed_up_for_a_heartbeat_only(monkeypatch):
+    """Guards against a sum over all loads for each message of a host."""
+    wire, exchanges = run_fleet(100)
+    summed = []
+    monkeypatch.setattr(
+        peerexchange.cellrooms, 'rooms', lambda *_: summed.append(1) or ()
+    )
+    beat(wire, exchanges)
+    assert len(summed) == len(exchanges)
+    for _ in range(20):
+        wire.now += 2
+        exchanges[0].send_now()
+    assert len(summed) == len(exchanges)
+
+
 def test_hosts_know_some_of_other_cells():
     """Guards against cells that cannot pass a request on."""
     _, exchanges = run_fleet(200)
--- a/tests/test_hostsettings.py
+++ b/tests/test_hostsettings.py
@@ -13,21 +13,9 @@
 from bergamotstream.forwarding import hostsettings
 from bergamotstream.platform import bootsettings
 from standins import platformstore, serving
-from tests import hostprocesskit
+from tests import hostprocesskit, oddkit
 from tests import platformkit as kit
 
-TABLES = {
-    'node_name': 'a',
-    'ip': '127.0.0.1',
-    'zone': 'b',
-    'listen': {
-        'front': '127.0.0.1:1',
-        'readiness': '127.0.0.1:2',
-        'directory': '127.0.0.1:3',
-    },
-    'internal_ports': [4, 5],
-    'platform': {'address': '127.0.0.1:6'},
-}
 # The bounds of the large deployment's small twin.
 TWIN_BOUNDS = {
     'grace_s': 8.0,
@@ -52,7 +40,7 @@
 
 def decode(**bounds):
     """Return the settings with these bounds."""
-    return bootsettings.decode(TABLES | {'bounds': bounds})
+    return bootsettings.decode(oddkit.SETTINGS | {'bounds': bounds})
 
 
 @pytest.mark.parametrize(
@@ -94,7 +82,7 @@
 
 def test_missing_bounds_do_not_stop_a_host():
     """Guards against hosts that all end because of an optional figure."""
-    loaded = bootsettings.decode(TABLES)
+    loaded = bootsettings.decode(oddkit.SETTINGS)
     assert loaded.host.bounds == hostsettings.Bounds()
     assert {fault.field for fault in loaded.faults} == {
         f'bounds.{key}' for key in TWIN_BOUNDS
@@ -109,7 +97,9 @@
 )
 def test_any_bounds_give_durations_in_their_order(bounds):
     """Guards against a duration that breaks the bound that it serves."""
-    found = bootsettings.decode(TABLES | {'bounds': bounds}).host.bounds
+    found = bootsettings.decode(
+        oddkit.SETTINGS | {'bounds': bounds}
+    ).host.bounds
     assert 0 <= found.max_outdated_ms < found.apply_ms
     assert 0 < found.memory_lease_ms < found.memory_free_ms
     assert found.memory_lease_ms <= found.memory_lease_max_ms
@@ -207,4 +197,4 @@
 def test_required_field_is_named():
     """Guards against a process that ends without naming the field."""
     with pytest.raises(errors.InvalidSettings, match='node_name'):
-        bootsettings.decode(TABLES | {'node_name': 5})
+        bootsettings.decode(oddkit.SETTINGS | {'node_name': 5})
--- a/tests/test_largeitems.py
+++ b/tests/test_largeitems.py
@@ -306,9 +306,7 @@
         storeitems.News(store.Page((), item.revision), (reference,)), 0
     )
     turn = iter(states)
-    peers = types.SimpleNamespace(
-        live_peers=lambda: [next(turn, states[-1])], live_contacts=list
-    )
+    peers = types.SimpleNamespace(heard_hosts=lambda: [next(turn, states[-1])])
     async with connections.open_session(reuse=True) as session:
         fetching = asyncio.ensure_future(
             itemfetch.ItemFetch(
--- a/tests/test_oddentries.py
+++ b/tests/test_oddentries.py
@@ -294,17 +294,7 @@
     assert oddkit.put(view, 't1', 31, slots=0)[0].outcome == 'unreadable'
 
 
-SETTINGS = {
-    'node_name': 'a',
-    'ip': '127.0.0.1',
-    'zone': 'b',
-    'listen': {
-        'front': '127.0.0.1:1',
-        'readiness': '127.0.0.1:2',
-        'directory': '127.0.0.1:3',
-    },
-    'internal_ports': [4, 5],
-    'platform': {'address': '127.0.0.1:6'},
+SETTINGS = oddkit.SETTINGS | {
     'bounds': {
         'grace_s': 8,
         'budget_ratio': 0.2,
