Follow a store that returns from a copy into its new history

Callers saw: after the store had come back from a copy, no host applied the next configuration.

Cause: a revision was compared with one of another history. After the return the store assigns revisions again, so the listing seemed to be older than the view and was dropped; the watch from the old revision got 410 and began again without a pause (11,064 calls in 6 s by three hosts). `Store-Era` was not read.

Change: a revision means something only with the era that the store names (`store.Position`), in listings, watches, news and documents between hosts, and leases. The first listing of a later era replaces all that is known. What the copy brings back that had left since (targets, a zone out of service) and what it lacks is held for 2.2 s, until its writers have written it again. Refused watches are repeated with growing pauses.

Checks that changed: positions in place of revisions in test_fleetview, test_largeitems; stubs return leases.

--- a/bergamotstream/forwarding/blamerecords.py
+++ b/bergamotstream/forwarding/blamerecords.py
@@ -92,7 +92,9 @@
                 'blame_unrecorded', keys=','.join(keys), fault=repr(fault)
             )
         else:
-            self._log.write('blame_recorded', keys=','.join(keys), lease=lease)
+            self._log.write(
+                'blame_recorded', keys=','.join(keys), lease=lease.number
+            )
         # A written record reaches the view later; a failed write is repeated.
         retry_at_ms = self._clock.now_ms() + RETRY_MS
         self._write_at_ms_by_fingerprint |= dict.fromkeys(
--- a/bergamotstream/forwarding/fleetview.py
+++ b/bergamotstream/forwarding/fleetview.py
@@ -12,7 +12,13 @@
 from typing import Final, NamedTuple, TypeAlias
 
 from bergamotstream import clock
-from bergamotstream.forwarding import fleetrecords, pendingitems, storeitems
+from bergamotstream.forwarding import (
+    faultreports,
+    fleetrecords,
+    helditems,
+    pendingitems,
+    storeitems,
+)
 from bergamotstream.platform import documents, protocol, store
 
 # Entries that expired during an outage of the store are written again within
@@ -20,8 +26,6 @@
 LAPSE_HOLD_MS: Final = 2_200
 # Earlier than the start of any host's clock.
 NEVER_MS: Final = -1_000_000
-# Subjects whose last fault is remembered, so that it is logged once.
-MAX_REPORTED: Final = 4_096
 # A target that says it started later than this after now is not believed.
 START_MARGIN_MS: Final = 3_600_000
 _CLOCK: Final = clock.Clock()
@@ -51,13 +55,21 @@
         self.zones_out: set[str] = set()
         self.hosts_by_name: dict[str, fleetrecords.HostEntry] = {}
         self.items = storeitems.StoreItems()
+        self._held = helditems.HeldItems()
         self.store_answered_ms = NEVER_MS
         self._hold_lapsed_until_ms = 0
         self._drop_at_ms_by_target: dict[str, int] = {}
         self._wall_ms = wall_ms
-        self._faults_by_subject: dict[str, str] = {}
+        self._faults = faultreports.FaultReports()
         # Runs that have said so themselves; the oldest come first.
         self._leaving_runs: dict[fleetrecords.TargetRun, None] = {}
+        self._appliers: tuple[tuple[str, _Applier], ...] = (
+            (protocol.CONFIG_KEY, self._apply_configuration),
+            (protocol.ZONES_OUT_PREFIX, self._apply_zone_out),
+            (protocol.TARGETS_PREFIX, self._apply_target),
+            (protocol.HOSTS_PREFIX, self._apply_host),
+            (protocol.BLAMED_PREFIX, self._apply_blamed),
+        )
 
     @property
     def revision(self) -> int:
@@ -98,24 +110,47 @@
         self.hold_lapsed(LAPSE_HOLD_MS, now_ms)
 
     def apply_changes(self, page: store.Page, now_ms: int) -> list[Change]:
-        """Apply all changes that follow the complete revision."""
+        """Apply all changes that follow the complete revision.
+
+        Those of another history are ignored.
+        """
+        if self.items.is_other_history(page):
+            return []
         changes = self._apply_page(page, now_ms)
         self.items.pending.resolve_until(page.revision)
         return changes
 
     def apply_news(self, news: storeitems.News, now_ms: int) -> list[Change]:
-        """Apply the changes that follow the current revision."""
+        """Apply the changes that follow the current revision.
+
+        Those of another history are ignored.
+        """
+        if self.items.is_other_history(news.page):
+            return []
         changes = self._apply_page(news.page, now_ms)
-        for reference in news.references:
-            changes.extend(self._apply_reference(reference, now_ms))
+        changes.extend(
+            Change(
+                f'item:{reference.key}',
+                'pending',
+                reference.revision,
+                f'{reference.length} bytes',
+            )
+            for reference in news.references
+            if self.items.record_reference(reference, now_ms)
+        )
         return changes
 
     def replace_all(self, page: store.Page, now_ms: int) -> list[Change]:
         """Apply a complete listing; keys that it lacks are deleted.
 
         A known key whose item cannot be read stays as it is. Of a listing from
-        before the current revision, only items that are pending are taken.
+        before the current revision, only items that are pending are taken. One
+        of a later history replaces all that is known.
         """
+        if page.era > self.items.era:
+            return self.start_history(storeitems.News(page), now_ms)
+        if self.items.is_other_history(page):
+            return []
         if page.revision < self.revision:
             return [
                 change
@@ -131,7 +166,12 @@
     def replace_by_news(
         self, news: storeitems.News, now_ms: int
     ) -> list[Change]:
-        """Apply a complete listing in which large items are only named."""
+        """Apply a complete listing in which large items are only named.
+
+        One of a later history replaces all that is known.
+        """
+        if news.page.era > self.items.era:
+            return self.start_history(news, now_ms)
         if news.page.revision < self.revision:
             return []
         self.items.complete_since = news.page.revision
@@ -139,14 +179,52 @@
             news._replace(page=self.items.with_deletions(news)), now_ms
         )
 
+    def start_history(self, news: storeitems.News, now_ms: int) -> list[Change]:
+        """Apply the first listing of a store that has returned from a copy.
+
+        The copy lacks what was written after it, until its writers write it
+        again. So for a while targets that it lacks are kept, those that have
+        left since stay away, and a zone out of service stays out. A run of a
+        target that leaves has no way back.
+        """
+        before = self.items.position()
+        for entry in tuple(self.targets_by_id.values()):
+            if entry.leaving:
+                self.record_leaving(fleetrecords.run_of(entry))
+        page = self.items.with_deletions(news)
+        held = self._held.hold_doubtful(
+            page, self.items, self.zones_out, now_ms + LAPSE_HOLD_MS
+        )
+        self.items.start_history(page.era, held)
+        self.items.complete_since = page.revision
+        if before.revision:
+            self.hold_lapsed(LAPSE_HOLD_MS, now_ms)
+        changes = self.apply_news(news._replace(page=page), now_ms)
+        if not before.revision:
+            return changes
+        detail = (
+            f'era {before.era} to {page.era}, revision {before.revision} '
+            f'before, {len(held)} items held'
+        )
+        returned = Change('store', 'returned', page.revision, detail)
+        return [returned, *changes]
+
     def drop_lapsed(self, now_ms: int) -> list[Change]:
-        """Drop the targets whose entries were not renewed in time."""
+        """Drop the targets whose entries were not renewed in time.
+
+        Held items that nobody has corrected take effect.
+        """
+        changes = [
+            change
+            for item in self._held.take_due(now_ms)
+            for change in self._take_effect(item, now_ms)
+        ]
         due = [
             target_id
             for target_id, at_ms in self._drop_at_ms_by_target.items()
             if at_ms <= now_ms
         ]
-        return [self._drop_target(target_id) for target_id in due]
+        return [*changes, *map(self._drop_target, due)]
 
     def lapse_hold_ms(self, now_ms: int) -> int:
         """Return how much longer targets without entries are kept."""
@@ -176,34 +254,16 @@
         self.items.revision = max(self.revision, page.revision)
         return changes
 
-    def _apply_reference(
-        self, reference: pendingitems.Reference, now_ms: int
-    ) -> Iterator[Change]:
-        if self.items.record_reference(reference, now_ms):
-            yield Change(
-                f'item:{reference.key}',
-                'pending',
-                reference.revision,
-                f'{reference.length} bytes',
-            )
-
     def _apply(self, item: store.Item, now_ms: int) -> Iterator[Change]:
-        if not self.items.record(item):
-            return
-        for prefix, apply in self._appliers():
+        if self.items.record(item) and not self._held.is_held(item):
+            yield from self._take_effect(item, now_ms)
+
+    def _take_effect(self, item: store.Item, now_ms: int) -> Iterator[Change]:
+        for prefix, apply in self._appliers:
             if item.key.startswith(prefix):
                 yield from apply(item, item.key[len(prefix) :], now_ms)
                 return
 
-    def _appliers(self) -> Iterable[tuple[str, _Applier]]:
-        return (
-            (protocol.CONFIG_KEY, self._apply_configuration),
-            (protocol.ZONES_OUT_PREFIX, self._apply_zone_out),
-            (protocol.TARGETS_PREFIX, self._apply_target),
-            (protocol.HOSTS_PREFIX, self._apply_host),
-            (protocol.BLAMED_PREFIX, self._apply_blamed),
-        )
-
     def _apply_configuration(
         self, item: store.Item, rest: str, now_ms: int
     ) -> Iterator[Change]:
@@ -264,7 +324,7 @@
                 f'target:{target_id}', 'superseded', item.revision, ''
             )
             return
-        self._faults_by_subject.pop(f'target:{target_id}', None)
+        self._faults.forget(f'target:{target_id}')
         yield from self._drop_older(entry)
         self.targets_by_id[target_id] = entry
         yield Change(
@@ -307,12 +367,8 @@
         self, subject: str, outcome: str, revision: int, detail: str
     ) -> Iterator[Change]:
         """Yield a fault unless it is the one reported last of its subject."""
-        fault = f'{outcome} {detail}'
-        if self._faults_by_subject.pop(subject, '') != fault:
+        if self._faults.is_new(subject, f'{outcome} {detail}'):
             yield Change(subject, outcome, revision, detail)
-        self._faults_by_subject[subject] = fault
-        if len(self._faults_by_subject) > MAX_REPORTED:
-            self._faults_by_subject.pop(next(iter(self._faults_by_subject)))
 
     def _drop_older(self, entry: fleetrecords.TargetEntry) -> Iterator[Change]:
         """Drop the targets that used the address before ``entry``.
--- /dev/null
+++ b/bergamotstream/forwarding/helditems.py
@@ -0,0 +1,69 @@
+"""
+Held items
+~~~~~~~~~~
+
+Items of a store that has returned from a copy which contradict what was known
+before. The copy may be older than that, so they take effect only if their
+writers have not corrected them after some time.
+"""
+
+from collections.abc import Collection
+
+from bergamotstream.forwarding import storeitems
+from bergamotstream.platform import protocol, store
+
+
+class HeldItems:
+    """Items by key that have been recorded, but have no effect yet."""
+
+    def __init__(self) -> None:
+        """Hold nothing."""
+        self._by_key: dict[str, store.Item] = {}
+        self._until_ms = 0
+
+    def hold_doubtful(
+        self,
+        page: store.Page,
+        known: storeitems.StoreItems,
+        zones_out: Collection[str],
+        until_ms: int,
+    ) -> set[str]:
+        """Hold what a copy brings back that has left since; return the keys."""
+        self._by_key = {
+            item.key: item
+            for item in page.items
+            if self._is_gone_target(item, known) or _is_zone(item, zones_out)
+        }
+        self._until_ms = until_ms
+        return set(self._by_key)
+
+    def is_held(self, item: store.Item) -> bool:
+        """Tell whether an item is held; another one of its key releases it."""
+        held = self._by_key.get(item.key)
+        if held is not None and held != item:
+            self._by_key.pop(item.key)
+        return held == item
+
+    def take_due(self, now_ms: int) -> list[store.Item]:
+        """Return the items that nobody has corrected, once the time is up."""
+        if now_ms < self._until_ms:
+            return []
+        due = list(self._by_key.values())
+        self._by_key.clear()
+        return due
+
+    def _is_gone_target(
+        self, item: store.Item, known: storeitems.StoreItems
+    ) -> bool:
+        """Tell whether an item lists a target that had been deleted."""
+        return (
+            item.key.startswith(protocol.TARGETS_PREFIX)
+            and item.document is not None
+            and (known.is_deleted(item.key) or item.key in self._by_key)
+        )
+
+
+def _is_zone(item: store.Item, zones_out: Collection[str]) -> bool:
+    """Tell whether an item returns a zone that is out of service."""
+    zone = item.key.removeprefix(protocol.ZONES_OUT_PREFIX)
+    return item.document is None and zone != item.key and zone in zones_out
--- a/bergamotstream/forwarding/hostdaemon.py
+++ b/bergamotstream/forwarding/hostdaemon.py
@@ -43,6 +43,7 @@
     outcomes,
     peerexchange,
     peerfetch,
+    peerformat,
     peerrelay,
     peerupdates,
     relayformat,
@@ -299,6 +300,8 @@
                 self._update_target(name, change.outcome, now_ms)
             elif kind == 'blamed':
                 self._outcomes.record_blamed(name)
+            elif kind == 'store':
+                self._meters.count('store_histories', change.outcome)
             elif change.subject == self._own_subject:
                 self._handle_own_entry(change)
         if changes:
@@ -351,11 +354,23 @@
     def _may_watch_store(self) -> bool:
         return storewatchers.should_watch(
             self._entry.name,
-            self._peers.live_peers(),
+            self._watching_peers(),
             self._clock.now_ms(),
             self._core.cells.count,
         )
 
+    def _watching_peers(self) -> list[peerformat.HostState]:
+        """Return the peers that this host may leave the store to.
+
+        Older builds do not follow a store that returns from a copy.
+        """
+        era = self._core.view.items.era
+        return [
+            peer
+            for peer in self._peers.live_peers()
+            if peer.store_era or not era
+        ]
+
     def _is_first_watcher(self) -> bool:
         return storewatchers.is_first(
             self._entry.name, self._peers.live_peers(), self._core.cells.count
@@ -486,17 +501,17 @@
         return web.Response(status=404)
 
     def _answer_with_items(self, request: web.BaseRequest) -> web.Response:
+        view, now_ms = self._core.view, self._clock.now_ms()
         try:
-            revision = outsidedata.decimal(request.query.get('after', '0'))
+            known = peerupdates.read_position(request.query, view.items)
         except outsidedata.Malformed:
             return web.Response(status=400)
-        view, now_ms = self._core.view, self._clock.now_ms()
         if request.path == peerupdates.NEWS_PATH:
-            news = peerupdates.news_since(view, revision, now_ms)
+            news = peerupdates.news_since(view, known, now_ms)
             return web.Response(
                 body=peerupdates.deflate(peerupdates.encode(news))
             )
-        update = peerupdates.update_since(view, revision, now_ms)
+        update = peerupdates.update_since(view, known, now_ms)
         return web.Response(
             body=peerupdates.encode(update), content_type='application/json'
         )
--- a/bergamotstream/forwarding/itemfetch.py
+++ b/bergamotstream/forwarding/itemfetch.py
@@ -105,11 +105,16 @@
     def _choose_holder(
         self, reference: pendingitems.Reference
     ) -> peerformat.HostState | None:
-        """Return a random peer that has the document, if there is one."""
+        """Return a random peer that has the document, if there is one.
+
+        Older builds name no era, so they are asked like those of the same one.
+        """
         holders = [
             peer
             for peer in self._peers.heard_hosts()
-            if peer.news_revision and peer.store_revision >= reference.revision
+            if peer.news_revision
+            and peer.store_era in {0, self._view.items.era}
+            and peer.store_revision >= reference.revision
         ]
         return self._rng.choice(holders) if holders else None
 
@@ -120,6 +125,7 @@
         report: storetasks.ChangeListener,
     ) -> None:
         started_ms = self._clock.now_ms()
+        era = self._view.items.era
         key = reference.key
         try:
             partial = await self._receive(peer, reference)
@@ -146,7 +152,7 @@
         )
         report(
             self._view.apply_news(
-                storeitems.News(store.Page((arrived,), 0)), arrived_ms
+                storeitems.News(store.Page((arrived,), 0, era=era)), arrived_ms
             )
         )
         self._meters.count('item_fetches', 'fetched')
@@ -196,6 +202,7 @@
             revision=reference.revision,
             offset=len(kept.received) if kept else 0,
             digest=kept.head.digest if kept else '',
+            era=self._view.items.era,
         )
 
     def _partial_for(self, key: str, head: Head) -> Partial:
--- a/bergamotstream/forwarding/largeitems.py
+++ b/bergamotstream/forwarding/largeitems.py
@@ -50,6 +50,8 @@
     # Where to go on, if the document still is the one with ``digest``.
     offset: int
     digest: str
+    # History that the revision belongs to; 0 from older builds.
+    era: int
 
 
 class Document(NamedTuple):
@@ -82,7 +84,8 @@
         except outsidedata.Malformed as fault:
             return web.Response(status=400, text=str(fault))
         item = self._view.items.by_key.get(asked.key)
-        if item is None or not _serves(item, asked):
+        is_known = asked.era in {0, self._view.items.era}
+        if item is None or not is_known or not _serves(item, asked):
             return web.Response(status=NOT_FOUND)
         try:
             async with asyncio.timeout(MAX_WAIT_S):
@@ -133,6 +136,7 @@
         outsidedata.decimal(query.get('revision', '')),
         outsidedata.decimal(query.get('offset', '0')),
         query.get('digest', ''),
+        outsidedata.decimal(query.get('era', '0')),
     )
 
 
--- a/bergamotstream/forwarding/peerexchange.py
+++ b/bergamotstream/forwarding/peerexchange.py
@@ -202,9 +202,9 @@
 
     def are_mostly_ahead(self) -> bool:
         """Tell whether most peers have documents that this host lacks."""
-        own = self._core.view.items.complete_revision()
+        own = self._core.view.items.complete_position()
         peers = [peer for peer in self.live_peers() if peer.ready]
-        ahead = [peer for peer in peers if peer.store_revision > own]
+        ahead = [peer for peer in peers if peer.complete_position() > own]
         return len(ahead) * 2 > len(peers)
 
     def store_answered_ms(self) -> int:
@@ -223,6 +223,7 @@
             entry=self._entry,
             sequence=self._sequence,
             ready=self.ready,
+            store_era=self._core.view.items.era,
             store_revision=self._core.view.items.complete_revision(),
             news_revision=self._core.view.revision,
             own_commitments=tuple(self._core.table.own()),
--- a/bergamotstream/forwarding/peerfetch.py
+++ b/bergamotstream/forwarding/peerfetch.py
@@ -11,6 +11,7 @@
 from typing import Final, NamedTuple
 
 import aiohttp
+import yarl
 
 from bergamotstream import clock, metrics
 from bergamotstream.forwarding import (
@@ -23,6 +24,7 @@
     scheduler,
     storeitems,
     storetasks,
+    storewatchers,
 )
 from bergamotstream.platform import store
 
@@ -40,8 +42,8 @@
 
     peer: peerformat.HostState
     path: str
-    # The changes after this revision are asked for.
-    after: int
+    # The changes after this position are asked for.
+    after: store.Position
 
 
 class PeerFetch:
@@ -96,17 +98,31 @@
         return chosen
 
     def _is_ahead(self, peer: peerformat.HostState) -> bool:
+        items = self._view.items
+        era = peer.store_era or self._era_of_older_builds()
         if peer.news_revision:
-            return peer.news_revision > self._view.revision
-        return peer.store_revision > self._view.items.complete_revision()
+            known = store.Position(era, peer.news_revision)
+            return known > items.position()
+        known = store.Position(era, peer.store_revision)
+        return known > items.complete_position()
+
+    def _era_of_older_builds(self) -> int:
+        """Return the era of the revisions of peers that name none.
+
+        These may be left behind in an earlier history, so they are followed
+        only while this host does not reach the store itself.
+        """
+        silent_ms = self._clock.now_ms() - self._view.store_answered_ms
+        if silent_ms < storewatchers.FRESH_ANSWER_MS:
+            return 0
+        return self._view.items.era
 
     def _query_to(self, peer: peerformat.HostState) -> Query:
         """Return what to ask for; older builds send no news."""
+        items = self._view.items
         if peer.news_revision:
-            return Query(peer, peerupdates.NEWS_PATH, self._view.revision)
-        return Query(
-            peer, peerupdates.ITEMS_PATH, self._view.items.complete_revision()
-        )
+            return Query(peer, peerupdates.NEWS_PATH, items.position())
+        return Query(peer, peerupdates.ITEMS_PATH, items.complete_position())
 
     async def _fetch(
         self, query: Query, report: storetasks.ChangeListener
@@ -122,7 +138,9 @@
                 peer=query.peer.entry.name,
                 path=query.path,
                 fault=repr(fault),
-                before=query.after,
+                era=query.after.era,
+                before=query.after.revision,
+                peer_era=query.peer.store_era,
                 peer_revision=query.peer.store_revision,
                 received_bytes=len(received),
                 waited_ms=self._clock.now_ms() - started_ms,
@@ -135,7 +153,8 @@
             'peer_fetched',
             peer=query.peer.entry.name,
             path=query.path,
-            before=query.after,
+            before=query.after.revision,
+            era=update.page.era,
             revision=update.page.revision,
             complete=update.complete,
             items=len(update.page.items),
@@ -150,7 +169,9 @@
     ) -> peerupdates.ItemUpdate:
         """Return the update; raises one of ``FETCH_FAULTS``."""
         address = query.peer.entry.peer_address
-        url = f'http://{address}{query.path}?after={query.after}'
+        url = yarl.URL(f'http://{address}{query.path}').with_query(
+            after=query.after.revision, era=query.after.era
+        )
         connecting = aiohttp.ClientTimeout(sock_connect=store.CONNECT_TIMEOUT_S)
         async with (
             asyncio.timeout(HEAD_TIMEOUT_S) as limit,
--- a/bergamotstream/forwarding/peerformat.py
+++ b/bergamotstream/forwarding/peerformat.py
@@ -23,6 +23,7 @@
     servedcounts,
     targethealth,
 )
+from bergamotstream.platform import store
 
 # Largest age that a message holds, about 49 days.
 MAX_AGE_MS: Final = (1 << 32) - 1
@@ -78,6 +79,12 @@
     # Sent to a host of another cell, without commitments and estimates.
     is_summary: bool = False
     rooms: tuple[ServiceRoom, ...] = ()
+    # History of the store that both revisions belong to; 0 for older builds.
+    store_era: int = 0
+
+    def complete_position(self) -> store.Position:
+        """Return up to where the sender has all documents."""
+        return store.Position(self.store_era, self.store_revision)
 
     def room_of(self, service: str) -> ServiceRoom | None:
         """Return what the sender's cell has free for a service."""
@@ -128,6 +135,7 @@
         reachedTargets=_encode_times(state.link_report.reached, now_ms),
         acceptsRequests=state.accepts_requests,
         newsRevision=state.news_revision,
+        storeEra=state.store_era,
         cell=state.cell,
         isSummary=state.is_summary,
         rooms=[
@@ -245,6 +253,7 @@
         news_revision=outsidedata.whole(message.newsRevision),
         cell=str(message.cell),
         is_summary=message.isSummary,
+        store_era=outsidedata.whole(message.storeEra),
         rooms=tuple(
             ServiceRoom(
                 room.service, room.targets, room.freeSlots, room.pendingMs
--- a/bergamotstream/forwarding/peers.capnp
+++ b/bergamotstream/forwarding/peers.capnp
@@ -44,6 +44,9 @@
   isSummary @24 :Bool;
   # What the sender's cell has free; only in summaries.
   rooms @25 :List(ServiceRoom);
+  # History of the store that storeRevision and newsRevision belong to; 0 for
+  # older builds.
+  storeEra @26 :UInt64;
 }
 
 # What the targets of one service in one cell have free.
--- a/bergamotstream/forwarding/peerupdates.py
+++ b/bergamotstream/forwarding/peerupdates.py
@@ -9,10 +9,11 @@
 import base64
 import json
 import zlib
+from collections.abc import Mapping
 from typing import Any, Final, NamedTuple
 
 from bergamotstream import outsidedata
-from bergamotstream.forwarding import fleetview, pendingitems
+from bergamotstream.forwarding import fleetview, pendingitems, storeitems
 from bergamotstream.platform import store
 
 ITEMS_PATH: Final = '/items'
@@ -40,26 +41,41 @@
 
 
 def update_since(
-    view: fleetview.FleetView, revision: int, now_ms: int
+    view: fleetview.FleetView, known: store.Position, now_ms: int
 ) -> ItemUpdate:
-    """Return the items that a peer at ``revision`` lacks."""
+    """Return the items that a peer at ``known`` lacks."""
     hold_ms = view.lapse_hold_ms(now_ms)
-    changes = view.items.changes_since(revision)
+    changes = view.items.changes_since(known)
     if changes is None:
         return ItemUpdate(view.items.snapshot(), complete=True, hold_ms=hold_ms)
     return ItemUpdate(changes, complete=False, hold_ms=hold_ms)
 
 
 def news_since(
-    view: fleetview.FleetView, revision: int, now_ms: int
+    view: fleetview.FleetView, known: store.Position, now_ms: int
 ) -> ItemUpdate:
-    """Return the news that a peer at ``revision`` lacks."""
+    """Return the news that a peer at ``known`` lacks."""
     hold_ms = view.lapse_hold_ms(now_ms)
-    changes = view.items.changes_since(revision)
-    news = view.items.news_of(changes or view.items.snapshot(), revision)
+    changes = view.items.changes_since(known)
+    after = 0 if changes is None else known.revision
+    news = view.items.news_of(changes or view.items.snapshot(), after)
     return ItemUpdate(news.page, changes is None, hold_ms, news.references)
 
 
+def read_position(
+    query: Mapping[str, str], items: storeitems.StoreItems
+) -> store.Position:
+    """Return the position that a peer asks from; raises ``Malformed``.
+
+    Peers of older builds name no era.
+    """
+    era = query.get('era')
+    return store.Position(
+        items.assumed_era() if era is None else outsidedata.decimal(era),
+        outsidedata.decimal(query.get('after', '0')),
+    )
+
+
 def deflate(body: bytes) -> bytes:
     """Return the body of an answer with news."""
     return zlib.compress(body)
@@ -84,6 +100,7 @@
         for entry in update.page.items
     ]
     body = {
+        'era': update.page.era,
         'revision': update.page.revision,
         'items': listed,
         'complete': update.complete,
@@ -101,7 +118,7 @@
             outsidedata.listed(decoded['items']),
             outsidedata.whole(decoded['revision']),
             _read_item,
-        )
+        )._replace(era=outsidedata.whole(decoded.get('era', 0)))
         references = [
             _read_reference(entry)
             for entry in outsidedata.listed(decoded.get('large', []))
--- a/bergamotstream/forwarding/storeitems.py
+++ b/bergamotstream/forwarding/storeitems.py
@@ -7,6 +7,7 @@
 their documents so far.
 """
 
+from collections.abc import Collection
 from typing import Final, NamedTuple
 
 from bergamotstream.forwarding import pendingitems
@@ -16,6 +17,8 @@
 MAX_TOMBSTONES: Final = 4_096
 # Documents above this length are sent apart from the news of other items.
 LARGE_BYTES: Final = 16_384
+# Revision of an item that is known from an earlier history only.
+UNDATED: Final = 0
 
 
 class News(NamedTuple):
@@ -32,21 +35,68 @@
         """Know nothing."""
         self.by_key: dict[str, store.Item] = {}
         self.pending = pendingitems.PendingItems()
+        # The history of the store that all revisions belong to.
+        self.era = 0
         # Up to here all changes are known, of pending items that they exist.
         self.revision = 0
         # The first revision from which all deletions are known.
         self.complete_since = 0
+        # Whether another history is known to have come before.
+        self._has_restarted = False
         self._tombstones_by_key: dict[str, int] = {}
 
     def complete_revision(self) -> int:
         """Return up to which revision all documents are known."""
         return self.pending.complete_revision(self.revision)
 
+    def position(self) -> store.Position:
+        """Return up to where all changes are known."""
+        return store.Position(self.era, self.revision)
+
+    def complete_position(self) -> store.Position:
+        """Return up to where all documents are known."""
+        return store.Position(self.era, self.complete_revision())
+
+    def assumed_era(self) -> int:
+        """Return the era of a revision that an older build has sent.
+
+        After another history it may belong to either, so it is unknown.
+        """
+        return 0 if self._has_restarted else self.era
+
+    def is_other_history(self, page: store.Page) -> bool:
+        """Tell whether a page names another history than that of the items."""
+        return page.era not in {0, self.era}
+
+    def is_deleted(self, key: str) -> bool:
+        """Tell whether a key is known to have been deleted."""
+        return key in self._tombstones_by_key
+
+    def start_history(self, era: int, news: Collection[str]) -> None:
+        """Forget all revisions, so that each item of ``era`` replaces ours.
+
+        Items of the keys in ``news`` count as news even if they are unchanged.
+        """
+        self._has_restarted = self._has_restarted or self.revision > 0
+        self.era = era
+        self.revision = 0
+        self.complete_since = 0
+        self.pending = pendingitems.PendingItems()
+        self._tombstones_by_key.clear()
+        self.by_key = {
+            key: item._replace(revision=UNDATED)
+            for key, item in self.by_key.items()
+            if key not in news
+        }
+
     def record(self, item: store.Item) -> bool:
         """Record an item; return whether it is news."""
         self.pending.resolve(item.key, item.revision)
         if self._is_known(item.key, item.revision):
             return False
+        if self._is_confirmed(item):
+            self.by_key[item.key] = item
+            return False
         if item.document is None:
             self.by_key.pop(item.key, None)
             self._add_tombstone(item)
@@ -65,11 +115,14 @@
 
     def snapshot(self) -> store.Page:
         """Return all items as far as they are complete."""
-        return store.Page(tuple(self.by_key.values()), self.complete_revision())
-
-    def changes_since(self, revision: int) -> store.Page | None:
-        """Return the changes since a revision, ``None`` if incomplete."""
-        if revision < self.complete_since:
+        return store.Page(
+            tuple(self.by_key.values()), self.complete_revision(), era=self.era
+        )
+
+    def changes_since(self, known: store.Position) -> store.Page | None:
+        """Return the changes since a position, ``None`` if incomplete."""
+        revision = known.revision
+        if known.era != self.era or revision < self.complete_since:
             return None
         written = [
             item for item in self.by_key.values() if item.revision > revision
@@ -79,7 +132,9 @@
             for key, deleted_at in self._tombstones_by_key.items()
             if deleted_at > revision
         ]
-        return store.Page((*written, *deleted), self.complete_revision())
+        return store.Page(
+            (*written, *deleted), self.complete_revision(), era=self.era
+        )
 
     def news_of(self, page: store.Page, after: int) -> News:
         """Return a page of these items as news for a peer at a revision."""
@@ -96,7 +151,9 @@
             if reference.revision > after
         ]
         small = tuple(item for item in page.items if not _is_large(item))
-        return News(store.Page(small, self.revision), (*large, *lacking))
+        return News(
+            store.Page(small, self.revision, era=self.era), (*large, *lacking)
+        )
 
     def with_deletions(self, news: News) -> store.Page:
         """Return a complete listing with the keys that it lacks as deleted."""
@@ -111,6 +168,15 @@
         ]
         return page._replace(items=(*gone, *page.items))
 
+    def _is_confirmed(self, item: store.Item) -> bool:
+        """Tell whether an item is the one known from an earlier history."""
+        known = self.by_key.get(item.key)
+        return (
+            known is not None
+            and known.revision == UNDATED
+            and known.document == item.document
+        )
+
     def _is_known(self, key: str, revision: int) -> bool:
         known = self.by_key.get(key)
         if known is not None:
--- a/bergamotstream/forwarding/storetasks.py
+++ b/bergamotstream/forwarding/storetasks.py
@@ -12,7 +12,12 @@
 from typing import Final
 
 from bergamotstream import clock
-from bergamotstream.forwarding import eventlog, fleetrecords, fleetview
+from bergamotstream.forwarding import (
+    eventlog,
+    fleetrecords,
+    fleetview,
+    storeitems,
+)
 from bergamotstream.platform import documents, protocol, store
 
 # Maximum wait of a watch; a dead connection is detected after this time. In
@@ -76,50 +81,78 @@
         self._complete = False
         # Whether the last answer was a watch's and held changes.
         self._has_changed = False
+        self._retry_delay_s = FIRST_RETRY_DELAY_S
 
     async def run(self) -> None:
         """Watch the store until cancelled."""
-        retry_delay_s = FIRST_RETRY_DELAY_S
         while True:
             if self._complete and not self._may_watch():
                 await asyncio.sleep(WATCH_CHECK_S)
-                continue
-            try:
-                await self._read_or_watch()
-            except store.HistoryGone:
-                self._complete = False
-                self._log.write(
-                    'store_history_gone',
-                    revision=self._view.items.complete_revision(),
-                )
-            except store.StoreUnavailable as fault:
-                self._handle_failure(fault)
-                await asyncio.sleep(retry_delay_s)
-                retry_delay_s = min(
-                    retry_delay_s * 2, self._max_retry_delay_s()
+            elif not await self._read_or_watch():
+                await asyncio.sleep(self._retry_delay_s)
+                self._retry_delay_s = min(
+                    self._retry_delay_s * 2, self._max_retry_delay_s()
                 )
-                continue
-            retry_delay_s = FIRST_RETRY_DELAY_S
-            if self._has_changed:
+            elif self._has_changed:
                 await asyncio.sleep(COLLECT_S)
 
-    async def _read_or_watch(self) -> None:
-        """Read all items once, then wait for one batch of changes."""
+    async def _read_or_watch(self) -> bool:
+        """Read all items once, then wait for one batch of changes.
+
+        Return false if that has failed.
+        """
         self._has_changed = False
-        if not self._complete:
-            page = await self._client.read_all('')
-            self._handle_success()
-            self._report(self._view.replace_all(page, self._clock.now_ms()))
-            self._complete = True
-            return
+        try:
+            if self._complete:
+                await self._watch()
+            else:
+                await self._read_all()
+        except store.HistoryGone as gone:
+            self._complete = False
+            self._log.write(
+                'store_history_gone',
+                fault=gone,
+                **self._view.items.complete_position()._asdict(),
+            )
+            return False
+        except store.StoreUnavailable as fault:
+            self._handle_failure(fault)
+            return False
+        return True
+
+    async def _read_all(self) -> None:
+        """Apply a complete listing.
+
+        One from before what was known when it was asked for shows that the
+        store has lost changes, even if it names no new era.
+        """
+        known = self._view.items.position()
+        page = await self._client.read_all('')
+        self._handle_success()
+        is_older = page.era == known.era and page.revision < known.revision
+        now_ms = self._clock.now_ms()
+        if is_older and self._view.items.era == known.era:
+            listing = storeitems.News(page)
+            self._report(self._view.start_history(listing, now_ms))
+        else:
+            self._report(self._view.replace_all(page, now_ms))
+        self._complete = True
+
+    async def _watch(self) -> None:
+        """Wait for one batch of changes; raises ``HistoryGone``."""
+        known = self._view.items.complete_position()
         is_failing = self._failing_since_ms is not None
         page = await self._client.watch(
             '',
-            self._view.items.complete_revision(),
+            known.revision,
             RECONNECT_WAIT_MS if is_failing else WATCH_TIMEOUT_MS,
         )
         self._handle_success()
+        if page.era != known.era:
+            raise store.HistoryGone(f'era {known.era} has ended')
         self._has_changed = bool(page.items)
+        # Not after a listing: a store may refuse each watch that follows one.
+        self._retry_delay_s = FIRST_RETRY_DELAY_S
         self._report(self._view.apply_changes(page, self._clock.now_ms()))
 
     def _max_retry_delay_s(self) -> float:
@@ -160,7 +193,7 @@
         self._client = client
         self._entry = entry
         self._log = log
-        self._lease = 0
+        self._lease: store.Lease | None = None
         self._is_withdrawn = False
         self._is_gone = asyncio.Event()
 
@@ -175,10 +208,13 @@
             pause_s = LEASE_RENEW_S
             try:
                 await self._renew()
-            except store.LeaseGone:
-                self._log.write('registration_lost', lease=self._lease)
-                self._lease = 0
-                continue
+            except store.LeaseGone as gone:
+                self._log.write('registration_lost', fault=gone)
+                if self._lease is None:
+                    pause_s = FIRST_RETRY_DELAY_S
+                else:
+                    self._lease = None
+                    continue
             except store.StoreUnavailable as fault:
                 self._log.write('registration_unsure', fault=fault)
                 pause_s = LEASE_RETRY_S
@@ -209,6 +245,6 @@
             {key: documents.encode_host_entry(self._entry)}, lease
         )
         self._lease = lease
-        self._log.write('registered', lease=lease)
+        self._log.write('registered', **lease._asdict())
         if self._is_withdrawn:
             await self.withdraw()
--- a/bergamotstream/platform/store.py
+++ b/bergamotstream/platform/store.py
@@ -29,6 +29,8 @@
 OK: Final = 200
 NOT_FOUND: Final = 404
 HISTORY_GONE: Final = 410
+# Rises by one when the store returns from a copy of an earlier state.
+ERA_HEADER: Final = 'Store-Era'
 
 
 class StoreUnavailable(ConnectionError):
@@ -58,6 +60,18 @@
     reason: str
 
 
+class Position(NamedTuple):
+    """A revision within one history of the store; later ones compare greater.
+
+    A store that returns from a copy starts a new history, in which it assigns
+    revisions of the previous one again.
+    """
+
+    # 0 if the source of the revision names none.
+    era: int
+    revision: int
+
+
 class Page(NamedTuple):
     """Items and the revision of the store at which they were read."""
 
@@ -65,6 +79,23 @@
     # ``store_revision`` on the wire: of the whole store, not of an item.
     revision: int
     unreadable: tuple[UnreadableItem, ...] = ()
+    # History that the revisions belong to; see :class:`Position`.
+    era: int = 0
+
+
+class Lease(NamedTuple):
+    """A lease; another history assigns its number again."""
+
+    number: int
+    era: int
+
+
+class _Answer(NamedTuple):
+    """An answer of the store; the era is 0 until one has been named."""
+
+    status: int
+    body: Mapping[str, Any]
+    era: int
 
 
 class StoreClient:
@@ -78,6 +109,9 @@
         """Use ``session`` for all calls."""
         self._origin = f'http://{config.address}'
         self._session = session
+        # The latest one that an answer has named, which also stands for those
+        # that name none.
+        self._era = 0
 
     async def read_all(self, prefix: str) -> Page:
         """Read all items below ``prefix``, page by page.
@@ -91,10 +125,13 @@
             page, has_more = await self._read_page(prefix, after)
             pages.append(page)
             after = page.items[-1].key if has_more else after
+        if len({page.era for page in pages}) > 1:
+            raise StoreUnavailable('the store has returned from a copy')
         return Page(
             tuple(entry for page in pages for entry in page.items),
             pages[0].revision,
             tuple(entry for page in pages for entry in page.unreadable),
+            pages[0].era,
         )
 
     async def _read_page(self, prefix: str, after: str) -> tuple[Page, bool]:
@@ -102,69 +139,74 @@
         query = {'prefix': prefix}
         if after:
             query['after'] = after
-        _, body = await self._call('GET', '/kv-range', query=query)
+        answer = await self._call('GET', '/kv-range', query=query)
         with _decoding():
-            page = _page(body, 'items')
+            page = _page(answer, 'items')
         if page.unreadable and not page.items:
             raise StoreUnavailable(f'no readable item: {page.unreadable[0]}')
         if page.items and page.items[-1].key == after:
             raise StoreUnavailable('a page leads to no further one')
-        return page, bool(body.get('has_more') and page.items)
+        return page, bool(answer.body.get('has_more') and page.items)
 
     async def watch(self, prefix: str, revision: int, wait_ms: int) -> Page:
         """Wait for changes after ``revision``; raises ``HistoryGone``."""
-        status, body = await self._call(
+        answer = await self._call(
             'GET',
             '/kv-watch',
             query={'prefix': prefix, 'after': revision, 'wait_ms': wait_ms},
             timeout_s=wait_ms / MS_PER_S + WATCH_MARGIN_S,
             expected=(OK, HISTORY_GONE),
         )
-        if status == HISTORY_GONE:
-            raise HistoryGone
+        if answer.status == HISTORY_GONE:
+            raise HistoryGone(f'revision {revision}, era {answer.era}')
         with _decoding():
-            return _page(body, 'events')
+            return _page(answer, 'events')
 
-    async def open_lease(self, ttl_ms: int) -> int:
-        """Return the id of a new lease of ``ttl_ms`` milliseconds."""
-        _, body = await self._call('POST', '/kv-lease', {'ttl_ms': ttl_ms})
+    async def open_lease(self, ttl_ms: int) -> Lease:
+        """Return a new lease of ``ttl_ms`` milliseconds."""
+        answer = await self._call('POST', '/kv-lease', {'ttl_ms': ttl_ms})
         with _decoding():
-            return outsidedata.whole(body['lease'])
+            return Lease(outsidedata.whole(answer.body['lease']), answer.era)
 
-    async def renew_lease(self, lease: int) -> None:
+    async def renew_lease(self, lease: Lease) -> None:
         """Renew a lease; raises ``LeaseGone``."""
-        status, _ = await self._call(
-            'POST', f'/kv-keep/{lease}', expected=(OK, NOT_FOUND)
+        answer = await self._call(
+            'POST', f'/kv-keep/{lease.number}', expected=(OK, NOT_FOUND)
         )
-        if status == NOT_FOUND:
-            raise LeaseGone
+        _check_lease(answer, lease)
 
-    async def revoke_lease(self, lease: int) -> None:
-        """Revoke a lease and delete its keys; an expired one is no error."""
-        await self._call(
-            'DELETE', f'/kv-lease-end/{lease}', expected=(OK, NOT_FOUND)
-        )
+    async def revoke_lease(self, lease: Lease) -> None:
+        """Revoke a lease and delete its keys; an expired one is no error.
+
+        A lease of an earlier history is left alone: its number may belong to
+        another host by now.
+        """
+        if self._era == lease.era:
+            await self._call(
+                'DELETE',
+                f'/kv-lease-end/{lease.number}',
+                expected=(OK, NOT_FOUND),
+            )
 
     async def put_all(
-        self, documents_by_key: Mapping[str, bytes], lease: int
+        self, documents_by_key: Mapping[str, bytes], lease: Lease
     ) -> None:
         """Write keys unconditionally under a lease; raises ``LeaseGone``."""
         writes = [
             {
                 'key': key,
                 'value': base64.b64encode(document).decode(),
-                'lease': lease,
+                'lease': lease.number,
             }
             for key, document in documents_by_key.items()
         ]
-        status, _ = await self._call(
+        answer = await self._call(
             'POST',
             '/kv-txn',
             {'expected': [], 'writes': writes, 'deletes': []},
             expected=(OK, NOT_FOUND),
         )
-        if status == NOT_FOUND:
-            raise LeaseGone
+        _check_lease(answer, lease)
 
     async def _call(
         self,
@@ -175,7 +217,7 @@
         query: Mapping[str, Any] | None = None,
         timeout_s: float = CALL_TIMEOUT_S,
         expected: Sequence[int] = (OK,),
-    ) -> tuple[int, Mapping[str, Any]]:
+    ) -> _Answer:
         """Make a call; raises ``StoreUnavailable`` for other answers."""
         url = yarl.URL(self._origin + path).with_query(query)
         connecting = aiohttp.ClientTimeout(sock_connect=CONNECT_TIMEOUT_S)
@@ -187,21 +229,41 @@
                 ) as response,
             ):
                 text = await bodyreads.read(response, limit)
-                return _read_answer(response.status, text, expected)
+                era = _read_era(response.headers.get(ERA_HEADER))
+                status = response.status
+                decoded = _read_answer(status, text, expected)
         except (aiohttp.ClientError, TimeoutError, OSError) as fault:
             raise StoreUnavailable(repr(fault)) from fault
+        self._era = max(self._era, era)
+        return _Answer(status, decoded, era or self._era)
+
+
+def _read_era(header: str | None) -> int:
+    """Return the era that an answer names, 0 for none that can be read."""
+    try:
+        return outsidedata.decimal(header)
+    except outsidedata.Malformed:
+        return 0
+
+
+def _check_lease(answer: _Answer, lease: Lease) -> None:
+    """Raise ``LeaseGone`` if a lease does not exist in the store's history."""
+    if answer.status == NOT_FOUND:
+        raise LeaseGone(f'lease {lease.number}')
+    if answer.era != lease.era:
+        raise LeaseGone(f'lease {lease.number}, era {lease.era}')
 
 
 def _read_answer(
     status: int, text: bytes, expected: Sequence[int]
-) -> tuple[int, Mapping[str, Any]]:
+) -> Mapping[str, Any]:
     if status not in expected:
         raise StoreUnavailable(f'status {status}')
     try:
         decoded = outsidedata.decode_json(text) if text else {}
     except outsidedata.Malformed as fault:
         raise StoreUnavailable(f'malformed answer: {fault}') from fault
-    return status, decoded if isinstance(decoded, dict) else {}
+    return decoded if isinstance(decoded, dict) else {}
 
 
 @contextlib.contextmanager
@@ -213,13 +275,14 @@
         raise StoreUnavailable(f'malformed answer: {fault!r}') from fault
 
 
-def _page(body: Mapping[str, Any], field: str) -> Page:
+def _page(answer: _Answer, field: str) -> Page:
     """Return the items of an answer; raises ``Malformed``."""
-    return page_of(
-        outsidedata.listed(body[field]),
-        outsidedata.whole(body['store_revision']),
+    page = page_of(
+        outsidedata.listed(answer.body[field]),
+        outsidedata.whole(answer.body['store_revision']),
         _item,
     )
+    return page._replace(era=answer.era)
 
 
 def page_of(
--- a/standins/platformstore.py
+++ b/standins/platformstore.py
@@ -3,11 +3,15 @@
 ~~~~~~~~~~~~~~
 
 Speaks the published calls of the platform's metadata store over the store of
-the other stand-ins. ``fault`` names how it misbehaves.
+the other stand-ins. ``fault`` names how it misbehaves. It may also return from
+a copy of an earlier state, after which the operators and the targets write
+what they had written again.
 """
 
 import asyncio
 import base64
+import contextlib
+import copy
 from collections.abc import Awaitable, Callable
 from typing import Any, Final, Literal
 
@@ -16,12 +20,14 @@
 from bergamotstream import clock, records
 from standins import kvstore, serving
 
-Fault = Literal['', 'busy', 'reset', 'silent', 'lost']
+Fault = Literal['', 'busy', 'reset', 'silent', 'lost', 'away']
 
 MS_PER_S: Final = 1_000
 EXPIRY_S: Final = 0.05
 PAGE_ITEMS: Final = 500
 BUSY: Final = 503
+HISTORY_GONE: Final = 410
+ERA: Final = 'Store-Era'
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
@@ -35,6 +41,10 @@
         self.fault: Fault = ''
         self.history_gone = False
         self.calls = 0
+        # 0: no answer names one.
+        self.era = 1
+        self._outside_documents: dict[str, bytes] = {}
+        self._open: set[asyncio.Transport] = set()
         self._clock = clock.Clock()
         self._changed = asyncio.Condition()
         app = web.Application(middlewares=[self._count_and_fail])
@@ -64,14 +74,49 @@
 
     async def put(self, key: str, document: bytes) -> None:
         """Write a key as the operators or a target do."""
+        self._outside_documents[key] = document
         self.kv.put(key, document)
         await self._wake()
 
     async def delete(self, *keys: str) -> None:
         """Delete keys."""
+        for key in keys:
+            self._outside_documents.pop(key, None)
         self.kv.delete(list(keys))
         await self._wake()
 
+    def take_copy(self) -> kvstore.KvStore:
+        """Return a copy of the present state."""
+        return copy.deepcopy(self.kv)
+
+    def go_away(self) -> None:
+        """Answer nobody, and abort all connections."""
+        self.fault = 'away'
+        for transport in tuple(self._open):
+            transport.abort()
+
+    async def come_back(self, copied: kvstore.KvStore) -> None:
+        """Serve from a copy, in which nothing is written again yet."""
+        self.kv = copied
+        self.era += 1
+        self.fault = ''
+        await self._wake()
+
+    async def write_again(self) -> None:
+        """Write what the operators and the targets had written since."""
+        gone = [
+            key
+            for key in self.kv.items_by_key
+            if key.startswith(('op/', 'servers/'))
+            and key not in self._outside_documents
+        ]
+        self.kv.delete(gone)
+        for key, document in self._outside_documents.items():
+            known = self.kv.get(key)
+            if known is None or known.value != document:
+                self.kv.put(key, document)
+        await self._wake()
+
     async def _wake(self) -> None:
         async with self._changed:
             self._changed.notify_all()
@@ -95,7 +140,20 @@
             await handler(request)
         if self.fault and request.transport is not None:
             request.transport.abort()
-        return await handler(request)
+        response = await self._handle(request, handler)
+        if self.era:
+            response.headers[ERA] = str(self.era)
+        return response
+
+    async def _handle(
+        self, request: web.Request, handler: Handler
+    ) -> web.StreamResponse:
+        """Handle a call, which ends early if the store goes away."""
+        with contextlib.ExitStack() as stack:
+            if request.transport is not None:
+                self._open.add(request.transport)
+                stack.callback(self._open.discard, request.transport)
+            return await handler(request)
 
     async def _range(self, request: web.Request) -> web.Response:
         after = request.query.get('after', '')
@@ -114,8 +172,10 @@
 
     async def _watch(self, request: web.Request) -> web.Response:
         if self.history_gone:
-            return web.Response(status=410)
+            return web.Response(status=HISTORY_GONE)
         after = int(request.query['after'])
+        if after > self.kv.revision:
+            return web.Response(status=HISTORY_GONE)
         wait_s = int(request.query['wait_ms']) / MS_PER_S
         prefix = request.query['prefix']
         try:
--- a/tests/crashkit.py
+++ b/tests/crashkit.py
@@ -216,7 +216,7 @@
         """Stand in for the client of the store."""
         if self.fleet.store.away:
             raise store.StoreUnavailable('away')
-        return 1
+        return store.Lease(1, 0)
 
     async def put_all(self, documents_by_key, lease):
         """Write records, which do not expire here."""
--- a/tests/test_fleetview.py
+++ b/tests/test_fleetview.py
@@ -180,12 +180,16 @@
     view.replace_all(store.Page((target(1, 5), configuration(7, 6)), 9), 0)
     apply(view, target(2, 10), store.Item('servers/t1', 11, None))
     for revision in (0, 9, 10, 11):
-        update = peerupdates.update_since(view, revision, 0)
+        update = peerupdates.update_since(view, store.Position(0, revision), 0)
         assert peerupdates.decode(peerupdates.encode(update)) == update
         assert update.complete == (revision < 9)
     known = fleetview.FleetView()
     known.replace_all(store.Page((target(1, 5),), 9), 0)
-    apply(known, *peerupdates.update_since(view, 9, 0).page.items, revision=11)
+    apply(
+        known,
+        *peerupdates.update_since(view, store.Position(0, 9), 0).page.items,
+        revision=11,
+    )
     assert set(known.targets_by_id) == {'t2'}
 
 
@@ -195,7 +199,7 @@
     apply(view, target(1, 5))
     view.hold_after_reconnect(1_000)
     apply(view, store.Item('servers/t1', 8, None), now_ms=1_000)
-    update = peerupdates.update_since(view, 5, 1_500)
+    update = peerupdates.update_since(view, store.Position(0, 5), 1_500)
     assert update.hold_ms == fleetview.LAPSE_HOLD_MS - 500
     other = fleetview.FleetView()
     apply(other, target(1, 5))
--- a/tests/test_largeitems.py
+++ b/tests/test_largeitems.py
@@ -63,7 +63,7 @@
 def pass_news(source, destination):
     """Bring a view up to date as a host does; return what is pending."""
     sent = peerupdates.encode(
-        peerupdates.news_since(source, destination.revision, 0)
+        peerupdates.news_since(source, destination.items.position(), 0)
     )
     update = peerupdates.decode(peerupdates.inflate(peerupdates.deflate(sent)))
     news = storeitems.News(update.page, update.references)
@@ -436,5 +436,5 @@
         entry, 1, True, 8, (), (), 0, news_revision=news_revision
     )
     query = fetch._query_to(state)
-    assert (query.path, query.after) == (path, after)
+    assert (query.path, query.after) == (path, (0, after))
     assert fetch._is_ahead(state) == (not news_revision)
--- a/tests/test_storecalls.py
+++ b/tests/test_storecalls.py
@@ -38,7 +38,7 @@
 
     async def open_lease(self, ttl_ms):
         self.leases += 1
-        return self.leases
+        return store.Lease(self.leases, 0)
 
     async def put_all(self, documents, lease):
         if self.away:
@@ -107,7 +107,7 @@
         await asyncio.sleep(0.2)
 
     async def gone_once(lease):
-        if lease == 1:
+        if lease.number == 1:
             raise store.LeaseGone
 
     running = asyncio.ensure_future(registration.run())
