Bound what a target sends that is no answer, and the turn of one connection

Cause: each pair of line ends was an event, written by itself in a loop without a turn for other tasks; one read held over 100,000. Blocks without data had no bound. The same class: 8 MB of events split in one go, 43,000 chunks of one byte parsed in one read, of targets and of callers, long events searched again with each byte.

Change: 64 events, then a turn; a run of blank lines is one block; blocks without data or id are bounded; connections are read 16 KB at a time; framing may exceed the body by 1 MB. What exceeds a bound ends the try like an error answer, and `answer_limit_exceeded` names the bound and its figures.

--- a/bergamotstream/forwarding/connections.py
+++ b/bergamotstream/forwarding/connections.py
@@ -16,6 +16,7 @@
 
 import aiohttp
 
+from bergamotstream.forwarding import answerlimits, boundedreads
 from bergamotstream.platform import protocol
 
 # Time without acknowledgement after which a connection has failed: to the store,
@@ -32,9 +33,6 @@
 POOL_IDLE_TIMEOUT_S: Final = 2.0
 # Longest header line of a target's answer.
 MAX_FIELD_BYTES: Final = 32_768
-# Bytes received before the head of an answer is complete. The HTTP library skips
-# blank lines before a head, so its own limits do not count them.
-MAX_HEAD_BYTES: Final = 1_048_576
 # Statuses of heads that an answer's own head follows.
 INTERIM_STATUSES: Final = frozenset(range(100, 200)) - {101}
 # Answers to other requests that are skipped while a request waits for its own,
@@ -78,11 +76,17 @@
         # True once a request was to be sent on the connection.
         self.is_used = False
         self._is_head_missing = False
-        self._head_bytes = 0
+        # Of the head and all that comes after it.
+        self._received_bytes = 0
         self._body: Any = None
         self._attempt_id = ''
         self._skipped_bodies: list[Any] = []
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Bound each read; called by the event loop."""
+        boundedreads.bound(transport)
+        super().connection_made(transport)
+
     def expect_answer(self, attempt_id: str) -> bool:
         """Prepare for a request; False if the connection must not be used.
 
@@ -97,7 +101,8 @@
     def set_response_params(self, **options: Any) -> None:
         """Start to receive the answer to a request; called by aiohttp."""
         self._is_head_missing = True
-        self._head_bytes = 0
+        self._received_bytes = 0
+        self._body = None
         super().set_response_params(**options)
 
     def feed_data(self, data: Any, size: int = 0) -> None:
@@ -116,22 +121,40 @@
         super().feed_data(data, size)
 
     def data_received(self, data: bytes) -> None:
-        """Receive bytes; count them until the head is complete."""
+        """Receive bytes; count those that are no body."""
         if data and self._is_idle():
             self.abort()
             return
-        if self._is_head_missing:
-            self._head_bytes += len(data)
-        if self._head_bytes > MAX_HEAD_BYTES:
-            self._fail('no head within the limit')
+        self._received_bytes += len(data)
+        if not self._is_head_missing:
+            super().data_received(data)
+            self._check_framing()
             return
-        super().data_received(data)
-        if self._is_head_missing and self._has_skipped_too_much():
-            self._fail('too many answers to other requests')
+        try:
+            answerlimits.check(
+                'head_bytes', self._received_bytes, answerlimits.MAX_HEAD_BYTES
+            )
+            super().data_received(data)
+            if self._is_head_missing:
+                self._check_skipped()
+        except answerlimits.LimitExceeded as exceeded:
+            self.set_exception(exceeded)
+            self.abort()
 
-    def _fail(self, reason: str) -> None:
-        self.set_exception(aiohttp.ClientConnectionError(reason))
-        self.abort()
+    def _check_framing(self) -> None:
+        """Abort a body whose chunks hold little more than their framing."""
+        body = self._body
+        if body is None or body.is_eof():
+            return
+        framing_bytes = self._received_bytes - body.total_bytes
+        allowed = answerlimits.MAX_HEAD_BYTES + body.total_bytes
+        if framing_bytes > allowed:
+            body.set_exception(
+                answerlimits.LimitExceeded(
+                    'framing_bytes', framing_bytes, allowed
+                )
+            )
+            self.abort()
 
     def _is_foreign(self, head: Any) -> bool:
         """Tell whether a head names other requests only."""
@@ -152,10 +175,15 @@
             )
         )
 
-    def _has_skipped_too_much(self) -> bool:
-        size = sum(body.total_bytes for body in self._skipped_bodies)
-        return (
-            len(self._skipped_bodies) > MAX_SKIPPED or size > MAX_SKIPPED_BYTES
+    def _check_skipped(self) -> None:
+        """Raise ``LimitExceeded`` for too many answers to other requests."""
+        answerlimits.check(
+            'skipped_answers', len(self._skipped_bodies), MAX_SKIPPED
+        )
+        answerlimits.check(
+            'skipped_bytes',
+            sum(body.total_bytes for body in self._skipped_bodies),
+            MAX_SKIPPED_BYTES,
         )
 
     def _is_idle(self) -> bool:
--- a/bergamotstream/forwarding/continuations.py
+++ b/bergamotstream/forwarding/continuations.py
@@ -20,7 +20,6 @@
 MAX_DIGITS: Final = 18
 MAX_SHOWN_CHARACTERS: Final = 64
 _COMMENT_OR_BLANK: Final = re.compile(rb'(?::[^\r\n]*+|[\r\n])*+')
-_DATA_FIELD: Final = re.compile(rb'(?:^|[\r\n])data(?:[:\r\n])')
 
 
 class WrongContinuation(ValueError):
@@ -56,7 +55,7 @@
 
     def record(self, event: relayedevents.RelayedEvent) -> None:
         """Record an event; a block without id or data has no place."""
-        if not event.event_id and not _DATA_FIELD.search(event.encoded):
+        if not relayedevents.has_place(event):
             return
         self.count += 1
         self.is_last_named = bool(event.event_id)
--- a/bergamotstream/forwarding/dispatch.py
+++ b/bergamotstream/forwarding/dispatch.py
@@ -7,7 +7,6 @@
 """
 
 import asyncio
-import collections
 import contextlib
 import enum
 from collections.abc import Callable, Coroutine
@@ -19,6 +18,7 @@
 
 from bergamotstream import eventstream
 from bergamotstream.forwarding import (
+    answerlimits,
     connections,
     exchangerecords,
     fleetrecords,
@@ -32,8 +32,6 @@
 STATUSES_IN_CLASS: Final = 100
 # The connection has already closed when this timeout starts.
 ENDING_TIMEOUT_S: Final = 0.5
-# Maximum size of a buffered answer.
-MAX_BUFFERED_BYTES: Final = 8_388_608
 
 
 class TargetUnreachable(ConnectionError):
@@ -216,12 +214,23 @@
     """Read a complete answer; raises ``TargetBroken``."""
     received = bytearray()
     ending = ending_of(answer)
+    splitter = relayedevents.EventSplitter()
     try:
         async for chunk in answer.content.iter_any():
             received += chunk
-            _check_body_length(received)
+            answerlimits.check(
+                'buffered_bytes',
+                len(received),
+                answerlimits.MAX_BUFFERED_BYTES,
+            )
+            if answer.content_type == eventstream.CONTENT_TYPE:
+                await _skip_events(splitter, chunk)
         await check_ending(ending)
-        _check_last_event(answer, received)
+        splitter.check_end()
+    except answerlimits.LimitExceeded as exceeded:
+        answer.close()
+        # The target has answered, so it still runs.
+        raise TargetErrorAnswer(str(exceeded)) from exceeded
     except READ_FAULTS as broken:
         answer.close()
         raise TargetBroken(repr(broken)) from broken
@@ -317,15 +326,10 @@
         answer.close()
 
 
-def _check_last_event(answer: Answer, received: bytearray) -> None:
-    """Raise ``ValueError`` if an event stream ends inside an event."""
-    if answer.content_type == eventstream.CONTENT_TYPE:
-        splitter = relayedevents.EventSplitter()
-        # Splits everything and keeps no event.
-        collections.deque(splitter.feed(bytes(received)), maxlen=0)
-        splitter.check_end()
-
-
-def _check_body_length(received: bytearray) -> None:
-    if len(received) > MAX_BUFFERED_BYTES:
-        raise ValueError('answer exceeds the buffer limit')
+async def _skip_events(
+    splitter: relayedevents.EventSplitter, chunk: bytes
+) -> None:
+    """Split a chunk and keep no event."""
+    for _ in splitter.feed(chunk):
+        if splitter.is_turn_over():
+            await asyncio.sleep(0)  # noqa: WPS476 - a turn for other tasks
--- a/bergamotstream/forwarding/hostdaemon.py
+++ b/bergamotstream/forwarding/hostdaemon.py
@@ -28,6 +28,7 @@
 )
 from bergamotstream.forwarding import (
     blamerecords,
+    boundedreads,
     connections,
     directory,
     dispatch,
@@ -259,7 +260,7 @@
         await self._serve(self._config.caller_address, caller_ingress.handle)
 
     async def _serve(self, address: str, handler: Handler) -> None:
-        server = web.Server(
+        server = boundedreads.BoundedServer(
             handler,
             handler_cancellation=True,
             access_log=None,
--- a/bergamotstream/forwarding/ingress.py
+++ b/bergamotstream/forwarding/ingress.py
@@ -17,6 +17,7 @@
 
 from bergamotstream import clock, errors, metrics
 from bergamotstream.forwarding import (
+    answerlimits,
     calleranswer,
     continuations,
     dispatch,
@@ -508,7 +509,10 @@
             )
             record.record_end(ending.framing, splitter)
             await _check_stream_end(state, ending, splitter, continuation)
-        except continuations.WrongContinuation as wrong:
+        except (
+            continuations.WrongContinuation,
+            answerlimits.LimitExceeded,
+        ) as wrong:
             # The target has answered, so it still runs.
             raise dispatch.TargetErrorAnswer(str(wrong)) from wrong
         except dispatch.READ_FAULTS as broken:
@@ -553,6 +557,8 @@
                     )
                     continuation.record(event)
                     state.last_event_id = event.event_id or state.last_event_id
+                if splitter.is_turn_over():
+                    await asyncio.sleep(0)  # noqa: WPS476 - others' turn
             served.events = splitter.received_events
 
     def _fail(
--- a/bergamotstream/forwarding/outcomes.py
+++ b/bergamotstream/forwarding/outcomes.py
@@ -15,6 +15,7 @@
 
 from bergamotstream import clock, metrics
 from bergamotstream.forwarding import (
+    answerlimits,
     crashblame,
     dispatch,
     eventlog,
@@ -528,6 +529,25 @@
             waited_ms=now_ms - assignment.placed_ms,
             last_event=served.request.last_event_id,
         )
+        if isinstance(fault.__cause__, answerlimits.LimitExceeded):
+            self._record_limit(fault.__cause__, served, assignment)
+
+    def _record_limit(
+        self,
+        exceeded: answerlimits.LimitExceeded,
+        served: requeststate.Try,
+        assignment: exchangerecords.Assignment,
+    ) -> None:
+        """Record an answer that was ended for its bytes."""
+        self._meters.count('answer_limits', exceeded.limit)
+        self._log.write(
+            'answer_limit_exceeded',
+            id=served.job.request.attempt_id,
+            target=assignment.target.target_id,
+            limit=exceeded.limit,
+            received=exceeded.received,
+            allowed=exceeded.allowed,
+        )
 
     @record_fault.register
     def _not_reserved(
--- a/bergamotstream/forwarding/relayedevents.py
+++ b/bergamotstream/forwarding/relayedevents.py
@@ -10,13 +10,18 @@
 from collections.abc import Iterator
 from typing import Final, NamedTuple
 
-# Larger than any event that a model engine sends.
-MAX_EVENT_BYTES: Final = 1_048_576
-# A line end and a blank line, with any of the three line ends of the format. A
+from bergamotstream.forwarding import answerlimits
+
+# Events that are handled before other tasks of the host get a turn.
+EVENTS_IN_TURN: Final = 64
+# A line end and blank lines, with any of the three line ends of the format. A
 # carriage return at the end of the bytes may be the first half of a line end.
 _END_OF_EVENT: Final = re.compile(
-    rb'(?>\r\n|\n|\r)(?:\r\n|\n|(?<=\r)\r|\r(?=[^\n]))'
+    rb'(?>\r\n|\n|\r)(?:\r\n|\n|(?<=\r)\r|\r(?=[^\n]))++'
 )
+# Longest part of the end of an event that may precede the next bytes.
+_END_BYTES: Final = 3
+_DATA_FIELD: Final = re.compile(rb'(?:^|[\r\n])data(?:[:\r\n])')
 _COMMENT: Final = b':'
 _LINE_ENDS: Final = b'\r\n'
 _ID_FIELD: Final = b'id:'
@@ -36,6 +41,9 @@
         """Start with nothing received."""
         self.received_events = 0
         self._pending = b''
+        # Without data or id, since the last event that had one.
+        self._empty_blocks = 0
+        self._empty_bytes = 0
 
     @property
     def rest(self) -> bytes:
@@ -50,18 +58,47 @@
     def feed(self, received: bytes) -> Iterator[RelayedEvent]:
         """Yield the events that are complete after ``received``.
 
-        Raises :class:`ValueError` for an event that is too long.
+        Raises ``LimitExceeded`` for an event that is too long, or for too much
+        that is none.
         """
         unsplit = self._pending + received
         start = 0
-        for found in _END_OF_EVENT.finditer(unsplit):
+        # What is pending has been searched before.
+        searched = max(len(self._pending) - _END_BYTES, 0)
+        for found in _END_OF_EVENT.finditer(unsplit, searched):
             encoded = unsplit[start : found.end()]
             start = found.end()
+            event = RelayedEvent(encoded, _event_id(encoded))
             self.received_events += 1
-            yield RelayedEvent(encoded, _event_id(encoded))
+            self._check_empty(event)
+            yield event
         self._pending = unsplit[start:]
-        if len(self._pending) > MAX_EVENT_BYTES:
-            raise ValueError('event longer than the limit')
+        answerlimits.check(
+            'event_bytes', len(self._pending), answerlimits.MAX_EVENT_BYTES
+        )
+
+    def is_turn_over(self) -> bool:
+        """Tell whether other tasks should run before the next event."""
+        return not self.received_events % EVENTS_IN_TURN
+
+    def _check_empty(self, event: RelayedEvent) -> None:
+        if has_place(event):
+            self._empty_blocks = 0
+            self._empty_bytes = 0
+            return
+        self._empty_blocks += 1
+        self._empty_bytes += len(event.encoded)
+        answerlimits.check(
+            'empty_blocks', self._empty_blocks, answerlimits.MAX_EMPTY_BLOCKS
+        )
+        answerlimits.check(
+            'empty_bytes', self._empty_bytes, answerlimits.MAX_EMPTY_BYTES
+        )
+
+
+def has_place(event: RelayedEvent) -> bool:
+    """Tell whether an event has an id or data, and so a place in its stream."""
+    return bool(event.event_id or _DATA_FIELD.search(event.encoded))
 
 
 def _is_part_of_event(line: bytes) -> bool:
