Keep limits for callers away from messages between hosts

Cause: the peer that serves such a request applied the operators' limit to the message between the hosts, whose header holds the caller's head in Base64 and is a third longer. The same class: the peer's body limit, the header lines of the HTTP library, and refusals of a peer that knows another configuration ended a request that the first host had admitted.

Change: limits for callers are checked once, where callers send; long heads go in several header lines; refusals that find fault with an admitted request let another peer serve it, else the caller gets 503.

--- a/bergamotstream/forwarding/ingress.py
+++ b/bergamotstream/forwarding/ingress.py
@@ -130,7 +130,9 @@
     ) -> web.StreamResponse:
         """Serve a request of a peer whose links to targets fail."""
         try:
-            head = relayformat.decode(request.headers.get(relayformat.HEAD, ''))
+            head = relayformat.decode(
+                request.headers.getall(relayformat.HEAD, [])
+            )
         except errors.InvalidMessage as fault:
             self._dependencies.log.write('relay_unreadable', fault=fault)
             return calleranswer.error_answer(fault, '')
@@ -169,7 +171,9 @@
         relayed: relayformat.RelayedHead | None,
     ) -> web.StreamResponse:
         try:
-            state = await self._admit(request, caller_request)
+            state = await self._admit(
+                request, caller_request, is_relayed=relayed is not None
+            )
             if relayed is not None:
                 self._accept_relayed(state, relayed)
         except errors.ServiceError as error:
@@ -184,16 +188,24 @@
         self,
         request: web.BaseRequest,
         caller_request: exchangerecords.CallerRequest,
+        *,
+        is_relayed: bool,
     ) -> requeststate.RequestState:
-        """Read and admit a request; raises ``ServiceError``."""
+        """Read and admit a request; raises ``ServiceError``.
+
+        The operators' limits bound what callers send. The host that relays a
+        request has checked them, and its message is longer.
+        """
         await self._wait_for_configuration()
         now_ms = self._clock.now_ms()
         self._core.check_outdated(
             now_ms, self._dependencies.peers.are_mostly_ahead
         )
         job = self._core.admit(caller_request, now_ms)
-        _check_headers(request, self._core.view.configuration)
-        body = await self._read_body(request)
+        limits = None if is_relayed else self._limits()
+        if limits is not None:
+            _check_headers(request, limits)
+        body = await _read_body(request, limits)
         job = fingerprints.identify(job, body)
         job = self._core.start_trial(job, now_ms)
         self._core.check_blame(job, now_ms)
@@ -229,16 +241,11 @@
             async with asyncio.timeout(CONFIGURATION_TIMEOUT_S):
                 await self._dependencies.configured.wait()
 
-    async def _read_body(self, request: web.BaseRequest) -> bytes:
+    def _limits(self) -> fleetrecords.CallerLimits:
         configuration = self._core.view.configuration
         if configuration is None:
             raise errors.ConfigurationUnknown
-        received = bytearray()
-        async for chunk in request.content.iter_any():
-            received += chunk
-            if len(received) > configuration.limits.max_body_bytes:
-                raise errors.BodyTooLarge
-        return bytes(received)
+        return configuration.limits
 
     async def _serve_with_timeout(
         self, state: requeststate.RequestState
@@ -599,16 +606,27 @@
         return response
 
 
+async def _read_body(
+    request: web.BaseRequest, limits: fleetrecords.CallerLimits | None
+) -> bytes:
+    """Return a body; raises ``BodyTooLarge`` above the operators' limit."""
+    received = bytearray()
+    async for chunk in request.content.iter_any():
+        received += chunk
+        if limits and len(received) > limits.max_body_bytes:
+            raise errors.BodyTooLarge
+    return bytes(received)
+
+
 def _check_headers(
-    request: web.BaseRequest,
-    configuration: fleetrecords.Configuration | None,
+    request: web.BaseRequest, limits: fleetrecords.CallerLimits
 ) -> None:
     """Raise ``HeadersTooLarge`` above the operators' limit."""
     size = sum(
         len(name) + len(field) + HEADER_LINE_OVERHEAD_BYTES
         for name, field in request.raw_headers
     )
-    if configuration and size > configuration.limits.max_header_bytes:
+    if size > limits.max_header_bytes:
         raise errors.HeadersTooLarge(f'{size} bytes')
 
 
--- a/bergamotstream/forwarding/peerrelay.py
+++ b/bergamotstream/forwarding/peerrelay.py
@@ -10,6 +10,7 @@
 from typing import Final
 
 import aiohttp
+import multidict
 import yarl
 
 from bergamotstream import errors, outsidedata, records
@@ -20,9 +21,21 @@
 )
 from bergamotstream.platform import protocol
 
-# Refusals after which another peer may serve the request.
+# Refusals after which another peer may serve the request. This host has admitted
+# it, so a peer that finds fault with it knows another configuration, or is of
+# an earlier version.
 REPEATABLE_CODES: Final = frozenset(
-    ('no_target', 'host_leaving', 'configuration_unknown')
+    (
+        'no_target',
+        'host_leaving',
+        'configuration_unknown',
+        'configuration_outdated',
+        'unknown_route',
+        'unknown_key',
+        'headers_too_large',
+        'body_too_large',
+        'invalid_message',
+    )
 )
 # Errors that an answer may raise that no host of this version has written.
 MALFORMED: Final = (*dispatch.READ_FAULTS, KeyError, TypeError)
@@ -62,14 +75,16 @@
         """
         url = yarl.URL(f'http://{peer.peer_address}{relayformat.RELAY_PATH}')
         try:
-            encoded = relayformat.encode(head)
+            encoded = multidict.CIMultiDict(
+                (relayformat.HEAD, line) for line in relayformat.encode(head)
+            )
         except UnicodeEncodeError as fault:
             # Header of a caller that is no UTF-8.
             raise PeerRefused(repr(fault)) from fault
         try:
             answer = await self._session.post(
                 url,
-                headers={relayformat.HEAD: encoded},
+                headers=encoded,
                 data=body or None,
             )
         except (
--- a/bergamotstream/forwarding/relayformat.py
+++ b/bergamotstream/forwarding/relayformat.py
@@ -26,6 +26,8 @@
 
 RELAY_PATH: Final = '/requests'
 HEAD: Final = 'Relayed-Head'
+# Part of a head in one header line, below the limits of the HTTP library.
+MAX_LINE_CHARACTERS: Final = 24_576
 # What a method or the name of a header consists of.
 _TOKEN: Final = re.compile(r"[-!#$%&'*+.^_`|~0-9A-Za-z]+")
 _FORBIDDEN: Final = re.compile(r'[\0\r\n]')
@@ -86,8 +88,11 @@
     return head._replace(**progress)
 
 
-def encode(head: RelayedHead) -> str:
-    """Return the text of the header."""
+def encode(head: RelayedHead) -> list[str]:
+    """Return the texts of the header's lines.
+
+    Hosts of earlier versions read one only.
+    """
     message = peerformat.SCHEMA.RelayedRequest.new_message(
         sender=head.sender,
         method=head.method,
@@ -100,14 +105,18 @@
         lastEventId=head.last_event_id,
         isCounted=head.is_counted,
     )
-    return base64.b64encode(message.to_bytes_packed()).decode()
+    text = base64.b64encode(message.to_bytes_packed()).decode()
+    return [
+        text[start : start + MAX_LINE_CHARACTERS]
+        for start in range(0, len(text), MAX_LINE_CHARACTERS)
+    ]
 
 
-def decode(text: str) -> RelayedHead:
+def decode(lines: Iterable[str]) -> RelayedHead:
     """Return the head; raises ``InvalidMessage`` if malformed."""
     try:
         message = peerformat.SCHEMA.RelayedRequest.from_bytes_packed(
-            base64.b64decode(text, validate=True)
+            base64.b64decode(''.join(lines), validate=True)
         )
         head = RelayedHead(
             sender=message.sender,
