Pace reads by the time they take, and search only the end of buffered events

Reads of 16 KB hold 2,700 such chunks; a buffered answer needs no events, only its end.

Change: a read that took 2 ms to parse is followed by one of half the size, one that took none by one of twice the size. The end of a buffered stream is searched backward.

--- a/bergamotstream/forwarding/connections.py
+++ b/bergamotstream/forwarding/connections.py
@@ -16,7 +16,7 @@
 
 import aiohttp
 
-from bergamotstream.forwarding import answerlimits, boundedreads
+from bergamotstream.forwarding import answerlimits, pacedreads
 from bergamotstream.platform import protocol
 
 # Time without acknowledgement after which a connection has failed: to the store,
@@ -80,11 +80,12 @@
         self._received_bytes = 0
         self._body: Any = None
         self._attempt_id = ''
+        self._pace = pacedreads.Pace()
         self._skipped_bodies: list[Any] = []
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Bound each read; called by the event loop."""
-        boundedreads.bound(transport)
+        self._pace.attach(transport)
         super().connection_made(transport)
 
     def expect_answer(self, attempt_id: str) -> bool:
@@ -121,40 +122,45 @@
         super().feed_data(data, size)
 
     def data_received(self, data: bytes) -> None:
-        """Receive bytes; count those that are no body."""
+        """Receive bytes, in a turn whose length bounds the next one."""
         if data and self._is_idle():
             self.abort()
             return
         self._received_bytes += len(data)
-        if not self._is_head_missing:
-            super().data_received(data)
-            self._check_framing()
-            return
+        self._pace.start()
         try:
+            self._check_head()
+            super().data_received(data)
+            self._check_answer()
+        except answerlimits.LimitExceeded as exceeded:
+            self._fail(exceeded)
+        self._pace.end(len(data))
+
+    def _check_head(self) -> None:
+        """Raise ``LimitExceeded`` for too many bytes without a head."""
+        if self._is_head_missing:
             answerlimits.check(
                 'head_bytes', self._received_bytes, answerlimits.MAX_HEAD_BYTES
             )
-            super().data_received(data)
-            if self._is_head_missing:
-                self._check_skipped()
-        except answerlimits.LimitExceeded as exceeded:
-            self.set_exception(exceeded)
-            self.abort()
 
-    def _check_framing(self) -> None:
-        """Abort a body whose chunks hold little more than their framing."""
-        body = self._body
-        if body is None or body.is_eof():
-            return
-        framing_bytes = self._received_bytes - body.total_bytes
-        allowed = answerlimits.MAX_HEAD_BYTES + body.total_bytes
-        if framing_bytes > allowed:
-            body.set_exception(
-                answerlimits.LimitExceeded(
-                    'framing_bytes', framing_bytes, allowed
-                )
+    def _check_answer(self) -> None:
+        """Raise ``LimitExceeded`` for bytes that are not the answer's."""
+        if self._is_head_missing:
+            self._check_skipped()
+        elif self._body is not None and not self._body.is_eof():
+            body_bytes = self._body.total_bytes
+            answerlimits.check(
+                'framing_bytes',
+                self._received_bytes - body_bytes,
+                answerlimits.MAX_HEAD_BYTES + body_bytes,
             )
-            self.abort()
+
+    def _fail(self, exceeded: answerlimits.LimitExceeded) -> None:
+        if self._is_head_missing:
+            self.set_exception(exceeded)
+        else:
+            self._body.set_exception(exceeded)
+        self.abort()
 
     def _is_foreign(self, head: Any) -> bool:
         """Tell whether a head names other requests only."""
--- a/bergamotstream/forwarding/dispatch.py
+++ b/bergamotstream/forwarding/dispatch.py
@@ -214,7 +214,6 @@
     """Read a complete answer; raises ``TargetBroken``."""
     received = bytearray()
     ending = ending_of(answer)
-    splitter = relayedevents.EventSplitter()
     try:
         async for chunk in answer.content.iter_any():
             received += chunk
@@ -223,10 +222,9 @@
                 len(received),
                 answerlimits.MAX_BUFFERED_BYTES,
             )
-            if answer.content_type == eventstream.CONTENT_TYPE:
-                await _skip_events(splitter, chunk)
         await check_ending(ending)
-        splitter.check_end()
+        if answer.content_type == eventstream.CONTENT_TYPE:
+            relayedevents.check_end(bytes(received))
     except answerlimits.LimitExceeded as exceeded:
         answer.close()
         # The target has answered, so it still runs.
@@ -324,12 +322,3 @@
         answer.release()
     else:
         answer.close()
-
-
-async def _skip_events(
-    splitter: relayedevents.EventSplitter, chunk: bytes
-) -> None:
-    """Split a chunk and keep no event."""
-    for _ in splitter.feed(chunk):
-        if splitter.is_turn_over():
-            await asyncio.sleep(0)  # noqa: WPS476 - a turn for other tasks
--- a/bergamotstream/forwarding/hostdaemon.py
+++ b/bergamotstream/forwarding/hostdaemon.py
@@ -28,7 +28,6 @@
 )
 from bergamotstream.forwarding import (
     blamerecords,
-    boundedreads,
     connections,
     directory,
     dispatch,
@@ -42,6 +41,7 @@
     linkprobes,
     listensockets,
     outcomes,
+    pacedreads,
     peerexchange,
     peerfetch,
     peerformat,
@@ -260,7 +260,7 @@
         await self._serve(self._config.caller_address, caller_ingress.handle)
 
     async def _serve(self, address: str, handler: Handler) -> None:
-        server = boundedreads.BoundedServer(
+        server = pacedreads.PacedServer(
             handler,
             handler_cancellation=True,
             access_log=None,
--- /dev/null
+++ b/bergamotstream/forwarding/pacedreads.py
@@ -0,0 +1,78 @@
+"""
+Paced reads
+~~~~~~~~~~~
+
+Bounds the time for which the bytes of one connection are parsed before the
+tasks of others get a turn. The parser calls back for each chunk of a body, so
+the time depends on what the bytes are: a chunk may hold a single byte.
+"""
+
+import asyncio
+from typing import Any, Final
+
+from aiohttp import web
+
+from bergamotstream import clock
+
+FIRST_READ_BYTES: Final = 16_384
+MIN_READ_BYTES: Final = 1_024
+MAX_READ_BYTES: Final = 65_536
+# A read that takes this long is followed by one of half the size.
+LONG_TURN_MS: Final = 2
+_CLOCK: Final = clock.Clock()
+
+
+class Pace:
+    """The size of the next read of one connection."""
+
+    def __init__(self) -> None:
+        """Wait for the connection."""
+        self._transport: Any = None
+        self._started_ms = 0
+
+    def attach(self, transport: asyncio.BaseTransport) -> None:
+        """Bound the reads of ``transport``."""
+        self._transport = transport
+        # An attribute of asyncio's transports, which have no setter for it.
+        self._transport.max_size = FIRST_READ_BYTES
+
+    def start(self) -> None:
+        """Record that the bytes of a read are about to be parsed."""
+        self._started_ms = _CLOCK.now_ms()
+
+    def end(self, read_bytes: int) -> None:
+        """Choose the size of the next read by the time that this one took."""
+        turn_ms = _CLOCK.now_ms() - self._started_ms
+        transport = self._transport
+        if turn_ms >= LONG_TURN_MS:
+            transport.max_size = max(transport.max_size // 2, MIN_READ_BYTES)
+        elif not turn_ms and read_bytes >= transport.max_size:
+            transport.max_size = min(transport.max_size * 2, MAX_READ_BYTES)
+
+
+class PacedHandler(web.RequestHandler):
+    """Connection of a caller or a peer, with paced reads."""
+
+    __slots__ = ('_pace',)
+
+    _pace: Pace
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Bound the reads; called by the event loop."""
+        self._pace = Pace()
+        self._pace.attach(transport)
+        super().connection_made(transport)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what was read; called by the event loop."""
+        self._pace.start()
+        super().data_received(data)
+        self._pace.end(len(data))
+
+
+class PacedServer(web.Server):
+    """Server whose connections have paced reads."""
+
+    def __call__(self) -> web.RequestHandler:
+        """Return the handler of a new connection."""
+        return PacedHandler(self, loop=self._loop, **self._kwargs)
--- a/bergamotstream/forwarding/relayedevents.py
+++ b/bergamotstream/forwarding/relayedevents.py
@@ -19,6 +19,8 @@
 _END_OF_EVENT: Final = re.compile(
     rb'(?>\r\n|\n|\r)(?:\r\n|\n|(?<=\r)\r|\r(?=[^\n]))++'
 )
+# The end of an event in reversed bytes.
+_REVERSED_BLANK_LINE: Final = re.compile(rb'(?>\n\r|\n|\r)(?:\n\r|\n|\r)')
 # Longest part of the end of an event that may precede the next bytes.
 _END_BYTES: Final = 3
 _DATA_FIELD: Final = re.compile(rb'(?:^|[\r\n])data(?:[:\r\n])')
@@ -52,8 +54,7 @@
 
     def check_end(self) -> None:
         """Raise :class:`ValueError` if the bytes end inside an event."""
-        if any(map(_is_part_of_event, self._pending.splitlines(keepends=True))):
-            raise ValueError('stream ended inside an event')
+        check_end(self._pending)
 
     def feed(self, received: bytes) -> Iterator[RelayedEvent]:
         """Yield the events that are complete after ``received``.
@@ -96,6 +97,20 @@
         )
 
 
+def check_end(body: bytes) -> None:
+    """Raise :class:`ValueError` if a whole stream ends inside an event.
+
+    Only its last bytes are searched: it may hold millions of events.
+    """
+    end = body[-answerlimits.MAX_EVENT_BYTES :]
+    last = _REVERSED_BLANK_LINE.search(
+        end[::-1]  # noqa: WPS478 - faster than reversed()
+    )
+    rest = end if last is None else end[len(end) - last.start() :]
+    if any(map(_is_part_of_event, rest.splitlines(keepends=True))):
+        raise ValueError('stream ended inside an event')
+
+
 def has_place(event: RelayedEvent) -> bool:
     """Tell whether an event has an id or data, and so a place in its stream."""
     return bool(event.event_id or _DATA_FIELD.search(event.encoded))
