Bound what a host holds of all answers together

Reported by operators of a similar system: a machine kept the bytes that faulty workers sent without end until it ran out of memory, and the requests of other callers ended with it. It can happen here.

Cause: each answer was bounded, their sum was not. The traceback of the fault that ended an answer kept its bytes, and trailers were bounded to 1 MB.

Change: HeldBytes counts bodies that are passed on as a whole and events that are not complete, over all answers. Above a quarter of the memory that `limits.memory_mb` leaves, the largest answer ends like one that exceeds its own bound. Ended answers drop their bytes at once; framing may exceed the body by 64 KB.

--- a/bergamotstream/forwarding/answerlimits.py
+++ b/bergamotstream/forwarding/answerlimits.py
@@ -9,9 +9,11 @@
 from typing import Final
 
 # Bytes received before the head of an answer is complete. The HTTP library skips
-# blank lines before a head, so its own limits do not count them. As many bytes
-# of chunk sizes, extensions and trailers may exceed those of the body.
+# blank lines before a head, so its own limits do not count them.
 MAX_HEAD_BYTES: Final = 1_048_576
+# By how much chunk sizes, extensions and trailers may exceed the body. The HTTP
+# library keeps trailers until they are complete.
+MAX_FRAMING_BYTES: Final = 65_536
 # An answer that is passed on as a whole.
 MAX_BUFFERED_BYTES: Final = 8_388_608
 # Larger than any event that a model engine sends.
--- a/bergamotstream/forwarding/connections.py
+++ b/bergamotstream/forwarding/connections.py
@@ -33,6 +33,8 @@
 POOL_IDLE_TIMEOUT_S: Final = 2.0
 # Longest header line of a target's answer.
 MAX_FIELD_BYTES: Final = 32_768
+# Bytes of an answer that wait for their reader; reading pauses at twice as many.
+READ_BUFFER_BYTES: Final = 16_384
 # Statuses of heads that an answer's own head follows.
 INTERIM_STATUSES: Final = frozenset(range(100, 200)) - {101}
 # Answers to other requests that are skipped while a request waits for its own,
@@ -78,6 +80,8 @@
         self._is_head_missing = False
         # Of the head and all that comes after it.
         self._received_bytes = 0
+        # Up to the read that completed the head, without its part of the body.
+        self._head_bytes = 0
         self._body: Any = None
         self._attempt_id = ''
         self._pace = pacedreads.Pace()
@@ -103,6 +107,7 @@
         """Start to receive the answer to a request; called by aiohttp."""
         self._is_head_missing = True
         self._received_bytes = 0
+        self._head_bytes = 0
         self._body = None
         super().set_response_params(**options)
 
@@ -149,10 +154,12 @@
             self._check_skipped()
         elif self._body is not None and not self._body.is_eof():
             body_bytes = self._body.total_bytes
+            other_bytes = self._received_bytes - body_bytes
+            self._head_bytes = self._head_bytes or other_bytes
             answerlimits.check(
                 'framing_bytes',
-                self._received_bytes - body_bytes,
-                answerlimits.MAX_HEAD_BYTES + body_bytes,
+                other_bytes - self._head_bytes,
+                answerlimits.MAX_FRAMING_BYTES + body_bytes,
             )
 
     def _fail(self, exceeded: answerlimits.LimitExceeded) -> None:
@@ -368,4 +375,5 @@
         ),
         max_line_size=MAX_FIELD_BYTES,
         max_field_size=MAX_FIELD_BYTES,
+        read_bufsize=READ_BUFFER_BYTES,
     )
--- a/bergamotstream/forwarding/dispatch.py
+++ b/bergamotstream/forwarding/dispatch.py
@@ -22,6 +22,7 @@
     connections,
     exchangerecords,
     fleetrecords,
+    heldbytes,
     relayedevents,
 )
 from bergamotstream.platform import callerformat, protocol
@@ -210,21 +211,13 @@
     return status // STATUSES_IN_CLASS == SUCCESS_CLASS
 
 
-async def read_buffered(answer: Answer) -> BufferedAnswer:
+async def read_buffered(
+    answer: Answer, held: heldbytes.HeldBytes
+) -> BufferedAnswer:
     """Read a complete answer; raises ``TargetBroken``."""
-    received = bytearray()
-    ending = ending_of(answer)
     try:
-        async for chunk in answer.content.iter_any():
-            received += chunk
-            answerlimits.check(
-                'buffered_bytes',
-                len(received),
-                answerlimits.MAX_BUFFERED_BYTES,
-            )
-        await check_ending(ending)
-        if answer.content_type == eventstream.CONTENT_TYPE:
-            relayedevents.check_end(bytes(received))
+        with held.open(answer.content.set_exception) as holding:
+            body = await _read_body(answer, holding)
     except answerlimits.LimitExceeded as exceeded:
         answer.close()
         # The target has answered, so it still runs.
@@ -236,10 +229,25 @@
     return BufferedAnswer(
         answer.status,
         callerformat.answer_headers(answer.headers),
-        bytes(received),
+        body,
     )
 
 
+async def _read_body(answer: Answer, holding: heldbytes.Holding) -> bytes:
+    """Return a complete body; raises one of ``READ_FAULTS``."""
+    ending = ending_of(answer)
+    async for chunk in answer.content.iter_any():
+        holding.extend(chunk)
+        answerlimits.check(
+            'buffered_bytes', holding.size, answerlimits.MAX_BUFFERED_BYTES
+        )
+    await check_ending(ending)
+    body = bytes(holding.buffer)
+    if answer.content_type == eventstream.CONTENT_TYPE:
+        relayedevents.check_end(body)
+    return body
+
+
 class Ending(NamedTuple):
     """How the end of an answer is recognised."""
 
--- /dev/null
+++ b/bergamotstream/forwarding/heldbytes.py
@@ -0,0 +1,102 @@
+"""
+Held bytes
+~~~~~~~~~~
+
+Bounds what a host holds of all answers together: bodies that are passed on as a
+whole, and events that are not complete yet. Each answer has a bound of its own,
+but several faulty targets may reach it for many requests at a time.
+"""
+
+import types
+from collections.abc import Callable
+from typing import TypeAlias
+
+from bergamotstream.forwarding import answerlimits
+
+# Ends an answer: nothing more of it is read, and what is held is dropped.
+AnswerEnder: TypeAlias = Callable[[answerlimits.LimitExceeded], None]
+
+
+class HeldBytes:
+    """The bytes of all answers; above the bound the largest one ends.
+
+    Sound answers are short, so they go on beside those that never end.
+    """
+
+    def __init__(self, allowed: int) -> None:
+        """Hold at most ``allowed`` bytes."""
+        self.allowed = allowed
+        self.total = 0
+        self._holdings: dict[Holding, None] = {}
+
+    def open(self, end: AnswerEnder) -> 'Holding':
+        """Return the holding of a new answer, which ``end`` ends."""
+        return Holding(self, end)
+
+    def add(self, holding: 'Holding', added: int) -> None:
+        """Count bytes of a holding, and end others until all are allowed."""
+        self._holdings[holding] = None
+        self.total += added
+        while self.total > self.allowed:
+            largest = max(self._holdings, key=_size)
+            exceeded = answerlimits.LimitExceeded(
+                'held_bytes', self.total, self.allowed
+            )
+            self.remove(largest)
+            largest.end(exceeded)
+
+    def remove(self, holding: 'Holding') -> None:
+        """Forget a holding whose bytes are dropped."""
+        if holding in self._holdings:
+            self._holdings.pop(holding)
+            self.total -= holding.size
+
+
+class Holding:
+    """The bytes that are held of one answer."""
+
+    def __init__(self, held: HeldBytes, end: AnswerEnder) -> None:
+        """Hold nothing."""
+        self.size = 0
+        # Emptied at the end: the traceback of a fault keeps it for longer.
+        self.buffer = bytearray()
+        self._held = held
+        self._end = end
+        self._is_ended = False
+
+    def __enter__(self) -> 'Holding':
+        """Hold bytes until the end of a block."""
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        fault: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        """Drop the bytes."""
+        self._held.remove(self)
+        self.buffer.clear()
+
+    def extend(self, received: bytes) -> None:
+        """Add bytes to the buffer, unless the answer has ended."""
+        if not self._is_ended:
+            self.buffer += received
+            self.resize(len(self.buffer))
+
+    def resize(self, size: int) -> None:
+        """Hold this many bytes from now on, unless the answer has ended."""
+        if not self._is_ended and size != self.size:
+            added = size - self.size
+            self.size = size
+            self._held.add(self, added)
+
+    def end(self, exceeded: answerlimits.LimitExceeded) -> None:
+        """End the answer."""
+        self._is_ended = True
+        self.buffer.clear()
+        self._end(exceeded)
+
+
+def _size(holding: Holding) -> int:
+    return holding.size
--- a/bergamotstream/forwarding/hostdaemon.py
+++ b/bergamotstream/forwarding/hostdaemon.py
@@ -346,6 +346,8 @@
             'cell_hosts': len(self._core.cells.members),
             'peers': len(self._peers.peers_by_name),
             'contacts': len(self._peers.live_contacts()),
+            'held_bytes': self._core.held.total,
+            'held_bytes_limit': self._core.held.allowed,
         }
         return gauges | {
             metrics.Series(name, ''): float(count)
--- a/bergamotstream/forwarding/hostsettings.py
+++ b/bergamotstream/forwarding/hostsettings.py
@@ -23,6 +23,15 @@
 MEMORY_MARGIN_MS: Final = 500
 
 
+# The least that the operators have given a host.
+DEFAULT_MEMORY_MB: Final = 160
+# What a host needs without any answer: the interpreter, the libraries and the
+# state of a large fleet.
+RESERVED_MEMORY_MB: Final = 80
+MIN_HELD_MB: Final = 8
+BYTES_PER_MB: Final = 1_000_000
+
+
 class StoreSettings(NamedTuple):
     """The platform's store."""
 
@@ -88,6 +97,18 @@
     peer_ports: tuple[int, int]
     store: StoreSettings
     bounds: Bounds
+    # Memory of the process; above it the platform ends the host.
+    memory_mb: float = DEFAULT_MEMORY_MB
+
+    @property
+    def held_bytes(self) -> int:
+        """Return how much a host may hold of all answers together.
+
+        A quarter of what is free, as buffers that grow are copied and the
+        kernel holds what has not been read.
+        """
+        free_mb = self.memory_mb - RESERVED_MEMORY_MB
+        return round(max(free_mb / 4, MIN_HELD_MB) * BYTES_PER_MB)
 
     @property
     def peer_address(self) -> str:
--- a/bergamotstream/forwarding/ingress.py
+++ b/bergamotstream/forwarding/ingress.py
@@ -10,7 +10,8 @@
 import asyncio
 import contextlib
 import functools
-from typing import Final, NamedTuple
+from collections.abc import Awaitable, Callable
+from typing import Final, NamedTuple, TypeAlias
 
 import multidict
 from aiohttp import web
@@ -63,6 +64,10 @@
 )
 
 
+# Writes an encoded event to a caller.
+EventWriter: TypeAlias = Callable[[bytes], Awaitable[web.StreamResponse]]
+
+
 class Dependencies(NamedTuple):
     """Components that requests are served with."""
 
@@ -370,7 +375,9 @@
         if dispatch.is_success(answer.status) and served.job.route.streaming:
             record = streamrecords.StreamRecord(receive, served)
             return await self._relay(served, record, answer)
-        buffered = await receive(dispatch.read_buffered(answer))
+        buffered = await receive(
+            dispatch.read_buffered(answer, self._core.held)
+        )
         relayformat.take_run(buffered.headers)
         is_success = dispatch.is_success(buffered.status)
         if is_success or len(served.request.running) <= 1:
@@ -466,7 +473,9 @@
                 self._dependencies.peers,
             )
             return await self._relay(served, record, answer)
-        buffered = await receive(dispatch.read_buffered(answer))
+        buffered = await receive(
+            dispatch.read_buffered(answer, self._core.held)
+        )
         streamrecords.name_target(served.request, assignment, buffered.headers)
         if dispatch.is_success(buffered.status):
             self._outcomes.record_success(served, assignment)
@@ -510,24 +519,26 @@
         )
         splitter = relayedevents.EventSplitter()
         ending = dispatch.ending_of(answer)
-        try:
-            await self._relay_events(
-                served, record, answer, headers, splitter, continuation
-            )
-            record.record_end(ending.framing, splitter)
-            await _check_stream_end(state, ending, splitter, continuation)
-        except (
-            continuations.WrongContinuation,
-            answerlimits.LimitExceeded,
-        ) as wrong:
-            # The target has answered, so it still runs.
-            raise dispatch.TargetErrorAnswer(str(wrong)) from wrong
-        except dispatch.READ_FAULTS as broken:
-            raise dispatch.TargetBroken(repr(broken)) from broken
+        with contextlib.ExitStack() as stack:
+            # The traceback of a fault keeps the splitter for longer.
+            stack.callback(splitter.clear)
+            try:
+                await self._relay_events(
+                    served, record, answer, headers, splitter, continuation
+                )
+                record.record_end(ending.framing, splitter)
+                await _check_stream_end(state, ending, splitter, continuation)
+            except (
+                continuations.WrongContinuation,
+                answerlimits.LimitExceeded,
+            ) as wrong:
+                # The target has answered, so it still runs.
+                raise dispatch.TargetErrorAnswer(str(wrong)) from wrong
+            except dispatch.READ_FAULTS as broken:
+                raise dispatch.TargetBroken(repr(broken)) from broken
+            rest = splitter.rest
         state.use_only(served)
-        response = await state.answer.write(
-            answer.status, headers, splitter.rest
-        )
+        response = await state.answer.write(answer.status, headers, rest)
         await state.answer.end(response)
         dispatch.close(answer)
         record.record_success()
@@ -544,29 +555,21 @@
         continuation: continuations.Continuation,
     ) -> None:
         """Relay whole events until the end of what the target sends."""
-        state = served.request
         last_chunk_ms = 0
-        continuation.check_head(state.job.request.max_answer_tokens)
-        while True:
-            chunk = await record.receive(answer.content.readany())
-            if not chunk:
-                return
-            now_ms = self._clock.now_ms()
-            record.record_chunk(
-                now_ms, now_ms - last_chunk_ms if last_chunk_ms else None
-            )
-            last_chunk_ms = now_ms
-            for event in splitter.feed(chunk):
-                continuation.check(event)
-                if _takes_over(served, event, continuation):
-                    await state.answer.write(  # noqa: WPS476 - in order
-                        answer.status, headers, event.encoded
-                    )
-                    continuation.record(event)
-                    state.last_event_id = event.event_id or state.last_event_id
-                if splitter.is_turn_over():
-                    await asyncio.sleep(0)  # noqa: WPS476 - others' turn
-            served.events = splitter.received_events
+        write = functools.partial(
+            served.request.answer.write, answer.status, headers
+        )
+        continuation.check_head(served.job.request.max_answer_tokens)
+        with self._core.held.open(answer.content.set_exception) as holding:
+            while chunk := await record.receive(answer.content.readany()):
+                now_ms = self._clock.now_ms()
+                record.record_chunk(
+                    now_ms, now_ms - last_chunk_ms if last_chunk_ms else None
+                )
+                last_chunk_ms = now_ms
+                await _pass_events(served, write, splitter, continuation, chunk)
+                served.events = splitter.received_events
+                holding.resize(splitter.pending_bytes)
 
     def _fail(
         self, state: requeststate.RequestState, error: errors.ServiceError
@@ -630,6 +633,25 @@
         raise errors.HeadersTooLarge(f'{size} bytes')
 
 
+async def _pass_events(
+    served: requeststate.Try,
+    write: EventWriter,
+    splitter: relayedevents.EventSplitter,
+    continuation: continuations.Continuation,
+    chunk: bytes,
+) -> None:
+    """Pass on the events that are complete after a chunk, in turns."""
+    state = served.request
+    for event in splitter.feed(chunk):
+        continuation.check(event)
+        if _takes_over(served, event, continuation):
+            await write(event.encoded)  # noqa: WPS476 - in order
+            continuation.record(event)
+            state.last_event_id = event.event_id or state.last_event_id
+        if splitter.is_turn_over():
+            await asyncio.sleep(0)  # noqa: WPS476 - others' turn
+
+
 def _takes_over(
     served: requeststate.Try,
     event: relayedevents.RelayedEvent,
--- a/bergamotstream/forwarding/relayedevents.py
+++ b/bergamotstream/forwarding/relayedevents.py
@@ -15,9 +15,10 @@
 # Events that are handled before other tasks of the host get a turn.
 EVENTS_IN_TURN: Final = 64
 # A line end and blank lines, with any of the three line ends of the format. A
-# carriage return at the end of the bytes may be the first half of a line end.
+# carriage return at the end of the bytes may be the first half of a line end. A
+# pattern that begins with a set is searched fast.
 _END_OF_EVENT: Final = re.compile(
-    rb'(?>\r\n|\n|\r)(?:\r\n|\n|(?<=\r)\r|\r(?=[^\n]))++'
+    rb'[\r\n](?:(?<=\r)\n)?+(?:\r\n|\n|(?<=\r)\r|\r(?=[^\n]))++'
 )
 # The end of an event in reversed bytes.
 _REVERSED_BLANK_LINE: Final = re.compile(rb'(?>\n\r|\n|\r)(?:\n\r|\n|\r)')
@@ -42,7 +43,8 @@
     def __init__(self) -> None:
         """Start with nothing received."""
         self.received_events = 0
-        self._pending = b''
+        # Appended to in place, as an event may come in many small parts.
+        self._pending = bytearray()
         # Without data or id, since the last event that had one.
         self._empty_blocks = 0
         self._empty_bytes = 0
@@ -50,30 +52,41 @@
     @property
     def rest(self) -> bytes:
         """Return the bytes after the last complete event."""
-        return self._pending
+        return bytes(self._pending)
+
+    @property
+    def pending_bytes(self) -> int:
+        """Return the number of bytes after the last complete event."""
+        return len(self._pending)
 
     def check_end(self) -> None:
         """Raise :class:`ValueError` if the bytes end inside an event."""
         check_end(self._pending)
 
+    def clear(self) -> None:
+        """Drop what is buffered."""
+        # A search that was left may still refer to the former buffer.
+        self._pending = bytearray()
+
     def feed(self, received: bytes) -> Iterator[RelayedEvent]:
         """Yield the events that are complete after ``received``.
 
         Raises ``LimitExceeded`` for an event that is too long, or for too much
         that is none.
         """
-        unsplit = self._pending + received
-        start = 0
         # What is pending has been searched before.
         searched = max(len(self._pending) - _END_BYTES, 0)
-        for found in _END_OF_EVENT.finditer(unsplit, searched):
-            encoded = unsplit[start : found.end()]
+        self._pending += received
+        start = 0
+        for found in _END_OF_EVENT.finditer(self._pending, searched):
+            encoded = bytes(self._pending[start : found.end()])
             start = found.end()
             event = RelayedEvent(encoded, _event_id(encoded))
             self.received_events += 1
             self._check_empty(event)
             yield event
-        self._pending = unsplit[start:]
+        if start:
+            self._pending = self._pending[start:]
         answerlimits.check(
             'event_bytes', len(self._pending), answerlimits.MAX_EVENT_BYTES
         )
@@ -97,7 +110,7 @@
         )
 
 
-def check_end(body: bytes) -> None:
+def check_end(body: bytes | bytearray) -> None:
     """Raise :class:`ValueError` if a whole stream ends inside an event.
 
     Only its last bytes are searched: it may hold millions of events.
@@ -116,7 +129,7 @@
     return bool(event.event_id or _DATA_FIELD.search(event.encoded))
 
 
-def _is_part_of_event(line: bytes) -> bool:
+def _is_part_of_event(line: bytes | bytearray) -> bool:
     """Tell whether a line is neither blank nor a whole comment."""
     text = line.rstrip(_LINE_ENDS)
     is_whole_comment = text.startswith(_COMMENT) and text != line
--- a/bergamotstream/forwarding/scheduler.py
+++ b/bergamotstream/forwarding/scheduler.py
@@ -30,6 +30,7 @@
     fingerprints,
     fleetrecords,
     fleetview,
+    heldbytes,
     hostsettings,
     links,
     namedlimits,
@@ -101,6 +102,7 @@
         self.cells = cells.Cells(config.name, config.zone, self.view)
         self.table = commitments.CommitmentTable()
         self.health = targethealth.TargetHealth()
+        self.held = heldbytes.HeldBytes(config.held_bytes)
         self.cold = coldlimits.ColdLimits()
         self.limits = namedlimits.NamedLimits(config.name)
         self.pauses = askedpauses.AskedPauses(rng)
--- a/bergamotstream/platform/bootsettings.py
+++ b/bergamotstream/platform/bootsettings.py
@@ -96,6 +96,7 @@
         peer_ports=reader.ports('internal_ports'),
         store=_store(reader),
         bounds=_bounds(reader, faults),
+        memory_mb=_memory_mb(reader, faults),
     )
     _check_addresses(decoded)
     return BootSettings(decoded, tuple(faults))
@@ -145,6 +146,24 @@
     return defaults._replace(**figures)
 
 
+def _memory_mb(reader: '_Reader', faults: list[SettingFault]) -> float:
+    """Return the memory of a host; one that cannot be used is a fault."""
+    default = hostsettings.DEFAULT_MEMORY_MB
+    if not reader.has('limits', 'memory_mb'):
+        return default
+    try:
+        return reader.number(('limits', 'memory_mb'), 1, MAX_COUNT)
+    except errors.InvalidSettings as fault:
+        faults.append(
+            SettingFault(
+                'limits.memory_mb',
+                fault.detail,
+                f'set a number from 1 to {MAX_COUNT}; {default} is used',
+            )
+        )
+    return default
+
+
 def _figure(reader: '_Reader', field: _BoundField) -> float:
     """Return a limit, a time in whole milliseconds.
 
@@ -169,6 +188,10 @@
     def __init__(self, tables: Mapping[str, Any]) -> None:
         self._tables = tables
 
+    def has(self, table: str, name: str) -> bool:
+        found = self._tables.get(table)
+        return not isinstance(found, Mapping) or name in found
+
     def text(self, *path: str) -> str:
         return str(self._get(str, path))
 
--- a/tests/endlesskit.py
+++ b/tests/endlesskit.py
@@ -134,7 +134,9 @@
 
 
 @contextlib.asynccontextmanager
-async def host_beside(folder, flood, *, faulty='model', targets=1, **limits):
+async def host_beside(
+    folder, flood, *, faulty='model', targets=1, rate=BYTES_PER_S
+):
     """Yield a host process, a sound target and faulty ones."""
 
     async def respond(request, writer):
@@ -172,7 +174,7 @@
     await system.store.put('op/config', document)
     store_address = '{0}:{1}'.format(*system.store._listener._address)
     host = hostprocesskit.HostProcess(folder, 'h1', store_address)
-    floods = [FloodTarget(flood) for _ in range(targets)]
+    floods = [FloodTarget(flood, rate) for _ in range(targets)]
     async with contextlib.AsyncExitStack() as stack:
         stack.push_async_callback(system.store.stop)
         sound = await stack.enter_async_context(kit.raw_target(respond))
--- a/tests/test_cutheads.py
+++ b/tests/test_cutheads.py
@@ -13,11 +13,13 @@
     connections,
     dispatch,
     fleetrecords,
+    heldbytes,
     peerrelay,
     relayformat,
 )
 from tests import platformkit as kit
 
+HELD = heldbytes.HeldBytes(1_000_000)
 NO_EXTENSIONS = 'AIOHTTP_NO_EXTENSIONS'
 BODY = b'id: 1\ndata: token-1\n\n'
 TYPE = b'Content-Type: text/event-stream\r\n'
@@ -105,7 +107,7 @@
     """Return the answer to a request if it is taken for a whole one."""
     try:
         answer = await dispatcher.send(outgoing)
-        return await dispatch.read_buffered(answer)
+        return await dispatch.read_buffered(answer, HELD)
     except dispatch.TargetBroken:
         return None
 
@@ -186,7 +188,9 @@
         for name, answer, cut in cuts:
             target.answer, target.cut = answer, cut
             try:
-                await dispatch.read_buffered(await relay.send(entry, head, b''))
+                await dispatch.read_buffered(
+                    await relay.send(entry, head, b''), HELD
+                )
             except dispatch.TargetBroken:
                 continue
             except (peerrelay.PeerRefused, errors.ServiceError) as fault:
