Keep a target whose entry lapsed before the store returned

Cause: an entry that lapses in an outage is deleted while its target stays in use for 2.2 s. If the store then returns from a copy that lists the target, the entry was taken for one that had left, and the target was dropped when the first hold ended. Found by reading the change; a test failed before.

Change: only targets that are not in use can be brought back by a copy.

--- a/bergamotstream/forwarding/fleetview.py
+++ b/bergamotstream/forwarding/fleetview.py
@@ -13,9 +13,9 @@
 
 from bergamotstream import clock
 from bergamotstream.forwarding import (
+    doubtfulitems,
     faultreports,
     fleetrecords,
-    helditems,
     pendingitems,
     storeitems,
 )
@@ -55,7 +55,7 @@
         self.zones_out: set[str] = set()
         self.hosts_by_name: dict[str, fleetrecords.HostEntry] = {}
         self.items = storeitems.StoreItems()
-        self._held = helditems.HeldItems()
+        self._doubtful = doubtfulitems.DoubtfulItems()
         self.store_answered_ms = NEVER_MS
         self._hold_lapsed_until_ms = 0
         self._drop_at_ms_by_target: dict[str, int] = {}
@@ -192,9 +192,10 @@
             if entry.leaving:
                 self.record_leaving(fleetrecords.run_of(entry))
         page = self.items.with_deletions(news)
-        held = self._held.hold_doubtful(
-            page, self.items, self.zones_out, now_ms + LAPSE_HOLD_MS
+        known = doubtfulitems.Known(
+            self.items, self.zones_out, self.targets_by_id
         )
+        held = self._doubtful.hold(page, known, now_ms + LAPSE_HOLD_MS)
         self.items.start_history(page.era, held)
         self.items.complete_since = page.revision
         if before.revision:
@@ -216,7 +217,7 @@
         """
         changes = [
             change
-            for item in self._held.take_due(now_ms)
+            for item in self._doubtful.take_due(now_ms)
             for change in self._take_effect(item, now_ms)
         ]
         due = [
@@ -255,7 +256,7 @@
         return changes
 
     def _apply(self, item: store.Item, now_ms: int) -> Iterator[Change]:
-        if self.items.record(item) and not self._held.is_held(item):
+        if self.items.record(item) and not self._doubtful.is_held(item):
             yield from self._take_effect(item, now_ms)
 
     def _take_effect(self, item: store.Item, now_ms: int) -> Iterator[Change]:
--- a/tests/test_storeeras.py
+++ b/tests/test_storeeras.py
@@ -492,3 +492,14 @@
             client._read_page = read_page
             page = await client.read_all('')
             assert page.era == 2
+
+
+def test_target_that_lapsed_in_the_outage_before_the_return_stays():
+    """Guards against a sound target that is taken for one that has left."""
+    view = view_of(target(1, 91), revision=100)
+    view.hold_after_reconnect(0)
+    delete(view, 'servers/t1', 110)
+    view.replace_all(listing(target(1, 91), revision=95, era=2), 1_000)
+    for now_ms in range(1_000, 1_000 + 2 * HELD_MS, 100):
+        view.drop_lapsed(now_ms)
+        assert set(view.targets_by_id) == {'t1'}
