Leave the buffer for unread answers as it was

Nobody reads an answer to another request, so one of 40 KB stopped the connection before the own answer: 8 tests of test_extraanswers failed on it.

Measured: they pass.

--- a/bergamotstream/forwarding/connections.py
+++ b/bergamotstream/forwarding/connections.py
@@ -33,8 +33,6 @@
 POOL_IDLE_TIMEOUT_S: Final = 2.0
 # Longest header line of a target's answer.
 MAX_FIELD_BYTES: Final = 32_768
-# Bytes of an answer that wait for their reader; reading pauses at twice as many.
-READ_BUFFER_BYTES: Final = 16_384
 # Statuses of heads that an answer's own head follows.
 INTERIM_STATUSES: Final = frozenset(range(100, 200)) - {101}
 # Answers to other requests that are skipped while a request waits for its own,
@@ -375,5 +373,4 @@
         ),
         max_line_size=MAX_FIELD_BYTES,
         max_field_size=MAX_FIELD_BYTES,
-        read_bufsize=READ_BUFFER_BYTES,
     )
