--- a/bergamotstream/forwarding/pacedreads.py
+++ b/bergamotstream/forwarding/pacedreads.py
@@ -14,9 +14,9 @@
 
 from bergamotstream import clock
 
-FIRST_READ_BYTES: Final = 16_384
 MIN_READ_BYTES: Final = 1_024
-MAX_READ_BYTES: Final = 65_536
+# Many connections may send without end; others wait for a turn of each of them.
+MAX_READ_BYTES: Final = 16_384
 # A read that takes this long is followed by one of half the size.
 LONG_TURN_MS: Final = 2
 _CLOCK: Final = clock.Clock()
@@ -34,7 +34,7 @@
         """Bound the reads of ``transport``."""
         self._transport = transport
         # An attribute of asyncio's transports, which have no setter for it.
-        self._transport.max_size = FIRST_READ_BYTES
+        self._transport.max_size = MAX_READ_BYTES
 
     def start(self) -> None:
         """Record that the bytes of a read are about to be parsed."""
