Read settings without a table of limits as sound

The site's own files have the table.

Measured: test_hostsettings and the settings' tests of test_heldbytes pass.

--- a/bergamotstream/platform/bootsettings.py
+++ b/bergamotstream/platform/bootsettings.py
@@ -189,7 +189,7 @@
         self._tables = tables
 
     def has(self, table: str, name: str) -> bool:
-        found = self._tables.get(table)
+        found = self._tables.get(table, {})
         return not isinstance(found, Mapping) or name in found
 
     def text(self, *path: str) -> str:
--- a/tests/test_heldbytes.py
+++ b/tests/test_heldbytes.py
@@ -137,6 +137,14 @@
     assert bootsettings.decode(oddkit.SETTINGS).host == loaded.host
 
 
+def test_settings_without_memory_are_sound():
+    """Guards against a reload that is refused for a figure that is missing."""
+    for tables in ({}, {'limits': {}}, {'limits': {'cores': 2}}):
+        loaded = bootsettings.decode(oddkit.SETTINGS | tables)
+        assert not _memory_faults(loaded)
+        assert loaded.host.memory_mb == hostsettings.DEFAULT_MEMORY_MB
+
+
 def _memory_faults(loaded):
     return [
         fault for fault in loaded.faults if fault.field == 'limits.memory_mb'
