Name the configuration that decided a refusal in its log line

Change: requests refused with a 4xx leave caller_refused, with what was compared and the version, era, revision and age of the configuration; bytes that are no request leave one too; counter refusals, gauge configuration; version in placed, relayed and relay_received. Decisions are unchanged.

--- a/bergamotstream/explanations.py
+++ b/bergamotstream/explanations.py
@@ -22,6 +22,8 @@
     'host_leaving': 'the host was stopping and could not finish it in time',
     'unknown_key': 'the key was not in the configuration of that revision',
     'unknown_route': 'no route had this host name and path',
+    'headers_too_large': "its headers exceeded the operators' limit",
+    'body_too_large': "its body exceeded the operators' limit",
     'request_blamed': 'it has crashed targets before',
     'target_failed': 'its target failed and it could not be repeated',
 }
--- a/bergamotstream/forwarding/fleetview.py
+++ b/bergamotstream/forwarding/fleetview.py
@@ -42,6 +42,16 @@
     detail: str = ''
 
 
+class InForce(NamedTuple):
+    """The configuration that decides, for logs and gauges."""
+
+    # 0 while none is known.
+    version: int = 0
+    # Where the store had it.
+    position: store.Position = store.Position(0, 0)
+    since_ms: int = NEVER_MS
+
+
 _Applier: TypeAlias = Callable[[store.Item, str, int], Iterator[Change]]
 
 
@@ -51,6 +61,7 @@
     def __init__(self, wall_ms: Callable[[], int] = _CLOCK.wall_ms) -> None:
         """Start with an empty view; ``wall_ms`` returns the Unix time."""
         self.configuration: fleetrecords.Configuration | None = None
+        self.in_force = InForce()
         self.targets_by_id: dict[str, fleetrecords.TargetEntry] = {}
         self.zones_out: set[str] = set()
         self.hosts_by_name: dict[str, fleetrecords.HostEntry] = {}
@@ -282,6 +293,11 @@
             yield Change('configuration', 'older', item.revision)
             return
         self.configuration = decoded
+        self.in_force = InForce(
+            decoded.version,
+            store.Position(self.items.era, item.revision),
+            now_ms,
+        )
         yield Change(
             'configuration', 'in_force', item.revision, str(decoded.version)
         )
--- a/bergamotstream/forwarding/hostdaemon.py
+++ b/bergamotstream/forwarding/hostdaemon.py
@@ -12,7 +12,7 @@
 import random
 import signal
 import sys
-from collections.abc import Awaitable, Callable, Coroutine, Iterable
+from collections.abc import Coroutine, Iterable
 from typing import Any, Final
 
 from aiohttp import web
@@ -76,8 +76,6 @@
 LAPSE_CHECK_S: Final = 0.2
 MS_PER_S: Final = 1_000
 
-Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
-
 
 class HostDaemon:
     """One entry host."""
@@ -115,7 +113,7 @@
         self._configured = asyncio.Event()
         self._runners: list[web.ServerRunner] = []
         self._tasks: list[asyncio.Task[None]] = []
-        self._answer_relayed: Handler = _not_found
+        self._answer_relayed: pacedreads.Handler = _not_found
         self._registration: storetasks.Registration | None = None
         self._own_subject = f'host:{config.name}'
         self._item_server = largeitems.ItemServer(self._core.view, self._log)
@@ -259,9 +257,10 @@
         )
         await self._serve(self._config.caller_address, caller_ingress.handle)
 
-    async def _serve(self, address: str, handler: Handler) -> None:
+    async def _serve(self, address: str, handler: pacedreads.Handler) -> None:
         server = pacedreads.PacedServer(
             handler,
+            self._outcomes.refusals.record_unreadable,
             handler_cancellation=True,
             access_log=None,
             keepalive_timeout=CALLER_IDLE_TIMEOUT_S,
@@ -349,6 +348,7 @@
             'held_bytes': self._core.held.total,
             'held_bytes_limit': self._core.held.allowed,
         }
+        gauges |= self._outcomes.refusals.gauges()
         return gauges | {
             metrics.Series(name, ''): float(count)
             for name, count in counts.items()
--- a/bergamotstream/forwarding/ingress.py
+++ b/bergamotstream/forwarding/ingress.py
@@ -182,7 +182,7 @@
             if relayed is not None:
                 self._accept_relayed(state, relayed)
         except errors.ServiceError as error:
-            return self._refuse(request, caller_request, error)
+            return self._refuse(request, caller_request, error, relayed)
         try:
             return await self._serve_with_timeout(state)
         except asyncio.CancelledError:
@@ -592,16 +592,12 @@
         request: web.BaseRequest,
         caller_request: exchangerecords.CallerRequest,
         error: errors.ServiceError,
+        relayed: relayformat.RelayedHead | None,
     ) -> web.StreamResponse:
         """Answer a request that was not admitted."""
         self._dependencies.meters.count('requests', error.code)
-        self._dependencies.log.write(
-            'refused',
-            id=caller_request.attempt_id,
-            reason=error.code,
-            detail=error.detail,
-            retry_after_ms=error.retry_after_ms,
-            revision=self._core.view.revision,
+        self._outcomes.refusals.record(
+            error, caller_request, relayed.sender if relayed else ''
         )
         response = calleranswer.error_answer(error, caller_request.attempt_id)
         if not request.content.at_eof():
@@ -617,7 +613,9 @@
     async for chunk in request.content.iter_any():
         received += chunk
         if limits and len(received) > limits.max_body_bytes:
-            raise errors.BodyTooLarge
+            raise errors.BodyTooLarge(
+                f'{len(received)} bytes, limit {limits.max_body_bytes}'
+            )
     return bytes(received)
 
 
@@ -630,7 +628,9 @@
         for name, field in request.raw_headers
     )
     if size > limits.max_header_bytes:
-        raise errors.HeadersTooLarge(f'{size} bytes')
+        raise errors.HeadersTooLarge(
+            f'{size} bytes, limit {limits.max_header_bytes}'
+        )
 
 
 async def _pass_events(
--- a/bergamotstream/forwarding/outcomes.py
+++ b/bergamotstream/forwarding/outcomes.py
@@ -23,6 +23,7 @@
     fingerprints,
     fleetrecords,
     links,
+    refusals,
     relayedevents,
     requeststate,
     reservations,
@@ -69,6 +70,9 @@
         self.statements = targetstatements.TargetStatements(
             core, log, time_source
         )
+        self.refusals = refusals.RefusalRecorder(
+            core.view, log, time_source, meters
+        )
         # Called when peers should know what has failed, targets or links.
         self.tell_peers: Callable[[], None] = _tell_nobody
 
@@ -94,6 +98,8 @@
             read_ms=round(assignment.prefill_ms),
             forecast_ms=round(assignment.forecast_ms),
             cost=round(assignment.cost, 3),
+            service=served.job.service.name,
+            version=self._core.view.in_force.version,
             revision=self._core.view.revision,
             sent=served.request.tries_sent,
         )
--- a/bergamotstream/forwarding/pacedreads.py
+++ b/bergamotstream/forwarding/pacedreads.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+from collections.abc import Awaitable, Callable
 from typing import Any, Final
 
 from aiohttp import web
@@ -19,8 +20,12 @@
 MAX_READ_BYTES: Final = 16_384
 # A read that takes this long is followed by one of half the size.
 LONG_TURN_MS: Final = 2
+INTERNAL_ERROR: Final = 500
 _CLOCK: Final = clock.Clock()
 
+Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+UnreadableRecorder = Callable[[int, str, str], None]
+
 
 class Pace:
     """The size of the next read of one connection."""
@@ -69,10 +74,33 @@
         super().data_received(data)
         self._pace.end(len(data))
 
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = INTERNAL_ERROR,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Record and answer bytes that are no request, or a fault."""
+        manager = self._manager
+        if status < INTERNAL_ERROR and isinstance(manager, PacedServer):
+            manager.record_unreadable(status, repr(exc), str(request.remote))
+        return super().handle_error(request, status, exc, message)
+
 
 class PacedServer(web.Server):
     """Server whose connections have paced reads."""
 
+    def __init__(
+        self,
+        handler: Handler,
+        record_unreadable: UnreadableRecorder,
+        **options: Any,
+    ) -> None:
+        """Call ``record_unreadable`` with status, fault and caller."""
+        super().__init__(handler, **options)
+        self.record_unreadable = record_unreadable
+
     def __call__(self) -> web.RequestHandler:
         """Return the handler of a new connection."""
         return PacedHandler(self, loop=self._loop, **self._kwargs)
--- a/bergamotstream/forwarding/relayattempts.py
+++ b/bergamotstream/forwarding/relayattempts.py
@@ -219,6 +219,7 @@
             zone=peer.entry.zone,
             cell=peer.cell,
             service=service,
+            version=self._core.view.in_force.version,
             links_lost=self._core.links.is_lost(service),
             unsent=state.tries_unsent,
             sent=state.tries_sent,
@@ -251,6 +252,8 @@
             'relay_received',
             id=state.job.request.attempt_id,
             peer=state.relayed_by,
+            service=state.job.service.name,
+            version=self._core.view.in_force.version,
             sent=state.tries_sent,
             last_event=state.last_event_id,
         )
--- a/bergamotstream/forwarding/routing.py
+++ b/bergamotstream/forwarding/routing.py
@@ -7,10 +7,16 @@
 
 import random
 from collections.abc import Sequence
+from typing import Final
+
+import xxhash
 
 from bergamotstream import errors
 from bergamotstream.forwarding import fleetrecords
 
+# Digits of a key's digest in a log.
+KEY_DIGITS: Final = 8
+
 
 def find_route(
     configuration: fleetrecords.Configuration, host_name: str, path: str
@@ -26,7 +32,9 @@
         if route is not None:
             return route
         end = path.rfind('/', 0, end)
-    raise errors.UnknownRoute(f'{host_name} {path}')
+    raise errors.UnknownRoute(
+        f'host={host_name} path={path} known={len(configuration.routes_by_match)}'
+    )
 
 
 def find_workspace(
@@ -44,7 +52,15 @@
         return configuration.workspaces_by_key[keys[0]]
     if route.public:
         return None
-    raise errors.UnknownKey(f'{len(keys)} keys')
+    raise errors.UnknownKey(
+        f'route={route.name} keys={",".join(map(_shown_key, keys))} '
+        f'known={len(configuration.workspaces_by_key)}'
+    )
+
+
+def _shown_key(key: str) -> str:
+    """Return what tells keys apart in a log without naming them."""
+    return xxhash.xxh3_64_hexdigest(key.encode())[:KEY_DIGITS]
 
 
 def choose_service(route: fleetrecords.Route, rng: random.Random) -> str:
