Decide a relayed request once, at the host that its caller has reached

Cause: the message between the hosts named neither the configuration nor what it said, so the peer found route, workspace and service again by its own.

Change: the message names the decision: service, workspace, kind and number of targets. A peer whose configuration says something else refuses it with configuration_outdated before anything has run; another peer follows, or 503. Peers that are known to have the sender's configuration are asked first; older builds, which decide again, only if they have it. A peer never answers 401 or 404 to a host any more, as builds before pass these on.

--- a/bergamotstream/forwarding/exchangerecords.py
+++ b/bergamotstream/forwarding/exchangerecords.py
@@ -37,6 +37,22 @@
         return self.target.partition('?')[0]
 
 
+class Decision(NamedTuple):
+    """What a configuration says of a request.
+
+    A peer serves a request of another host only if its own configuration says
+    the same.
+    """
+
+    service: str
+    # Empty where no key is required.
+    workspace: str
+    streaming: bool
+    retry_policy: fleetrecords.RetryPolicy
+    # The number of targets to which the request may be sent.
+    max_targets: int
+
+
 class Job(NamedTuple):
     """An admitted request."""
 
@@ -62,6 +78,17 @@
         """Return all fingerprints that crashes are counted under."""
         return self.fingerprint, *self.parts
 
+    @property
+    def decision(self) -> Decision:
+        """Return what this host's configuration says of the request."""
+        return Decision(
+            self.service.name,
+            '' if self.workspace is None else self.workspace.name,
+            self.route.streaming,
+            self.route.retry_policy,
+            self.route.max_targets,
+        )
+
 
 class Reservation(NamedTuple):
     """Memory on a helper for a part of a long prompt."""
--- a/bergamotstream/forwarding/ingress.py
+++ b/bergamotstream/forwarding/ingress.py
@@ -33,6 +33,7 @@
     peerrelay,
     placewaits,
     relayattempts,
+    relayedadmission,
     relayedevents,
     relayformat,
     requeststate,
@@ -176,9 +177,7 @@
         relayed: relayformat.RelayedHead | None,
     ) -> web.StreamResponse:
         try:
-            state = await self._admit(
-                request, caller_request, is_relayed=relayed is not None
-            )
+            state = await self._admit(request, caller_request, relayed)
             if relayed is not None:
                 self._accept_relayed(state, relayed)
         except errors.ServiceError as error:
@@ -193,8 +192,7 @@
         self,
         request: web.BaseRequest,
         caller_request: exchangerecords.CallerRequest,
-        *,
-        is_relayed: bool,
+        relayed: relayformat.RelayedHead | None,
     ) -> requeststate.RequestState:
         """Read and admit a request; raises ``ServiceError``.
 
@@ -206,8 +204,13 @@
         self._core.check_outdated(
             now_ms, self._dependencies.peers.are_mostly_ahead
         )
-        job = self._core.admit(caller_request, now_ms)
-        limits = None if is_relayed else self._limits()
+        if relayed is None:
+            job = self._core.admit(caller_request, now_ms)
+        else:
+            job = relayedadmission.admit(
+                self._core, caller_request, relayed.decision, now_ms
+            )
+        limits = None if relayed else self._limits()
         if limits is not None:
             _check_headers(request, limits)
         body = await _read_body(request, limits)
--- a/bergamotstream/forwarding/peerexchange.py
+++ b/bergamotstream/forwarding/peerexchange.py
@@ -237,6 +237,7 @@
             limits=self._core.limits.report(now_ms),
             link_report=self._core.links.report(self.peers_by_name.keys()),
             accepts_requests=True,
+            checks_decisions=True,
             cell=self._core.cells.own,
         )
 
--- a/bergamotstream/forwarding/peerformat.py
+++ b/bergamotstream/forwarding/peerformat.py
@@ -81,6 +81,8 @@
     rooms: tuple[ServiceRoom, ...] = ()
     # History of the store that both revisions belong to; 0 for older builds.
     store_era: int = 0
+    # False for older builds, which decide a request of a peer again.
+    checks_decisions: bool = False
 
     def complete_position(self) -> store.Position:
         """Return up to where the sender has all documents."""
@@ -136,6 +138,7 @@
         acceptsRequests=state.accepts_requests,
         newsRevision=state.news_revision,
         storeEra=state.store_era,
+        checksDecisions=state.checks_decisions,
         cell=state.cell,
         isSummary=state.is_summary,
         rooms=[
@@ -254,6 +257,7 @@
         cell=str(message.cell),
         is_summary=message.isSummary,
         store_era=outsidedata.whole(message.storeEra),
+        checks_decisions=message.checksDecisions,
         rooms=tuple(
             ServiceRoom(
                 room.service, room.targets, room.freeSlots, room.pendingMs
--- a/bergamotstream/forwarding/peers.capnp
+++ b/bergamotstream/forwarding/peers.capnp
@@ -47,6 +47,9 @@
   # History of the store that storeRevision and newsRevision belong to; 0 for
   # older builds.
   storeEra @26 :UInt64;
+  # Whether this host refuses requests of peers of which its own configuration
+  # says something else.
+  checksDecisions @27 :Bool;
 }
 
 # What the targets of one service in one cell have free.
@@ -154,6 +157,18 @@
   lastEventId @8 :Text;
   # Whether the retry budget of the sender counts the request.
   isCounted @9 :Bool;
+  # Without a service for older builds.
+  decision @10 :Decision;
+}
+
+# What the sender's configuration says of a request.
+struct Decision {
+  service @0 :Text;
+  # Empty where no key is required.
+  workspace @1 :Text;
+  streaming @2 :Bool;
+  retryPolicy @3 :Text;
+  maxTargets @4 :UInt32;
 }
 
 struct Header {
--- a/bergamotstream/forwarding/reach.py
+++ b/bergamotstream/forwarding/reach.py
@@ -22,6 +22,7 @@
     relaychoice,
     targethealth,
 )
+from bergamotstream.platform import store
 
 # Targets that are probed at a time; one of them may have failed just then.
 PROBED_TARGETS: Final = 2
@@ -70,9 +71,13 @@
         excluded: Collection[str],
     ) -> peerformat.HostState | None:
         """Return a peer that should serve a request to a service, if any."""
-        return relaychoice.choose(
-            peers, service, self._zone, excluded, self._rng
-        )
+        for agreeing in self._agreeing(peers):
+            chosen = relaychoice.choose(
+                agreeing, service, self._zone, excluded, self._rng
+            )
+            if chosen is not None:
+                return chosen
+        return None
 
     def choose_with_room(
         self,
@@ -82,10 +87,33 @@
         excluded: Collection[str],
     ) -> peerformat.HostState | None:
         """Return a host whose cell has room for a request, if any."""
-        return relaychoice.choose_with_room(
-            contacts, service, goal_ms, excluded, self._rng
+        for agreeing in self._agreeing(contacts):
+            chosen = relaychoice.choose_with_room(
+                agreeing, service, goal_ms, excluded, self._rng
+            )
+            if chosen is not None:
+                return chosen
+        return None
+
+    def _agreeing(
+        self, peers: Iterable[peerformat.HostState]
+    ) -> tuple[list[peerformat.HostState], ...]:
+        """Return the peers that do not decide by an older configuration.
+
+        First those that are known to have this host's one, then those that
+        refuse what their own does not allow: they may have it by now.
+        """
+        listed = list(peers)
+        return (
+            [peer for peer in listed if self._is_current(peer)],
+            [peer for peer in listed if peer.checks_decisions],
         )
 
+    def _is_current(self, peer: peerformat.HostState) -> bool:
+        era = peer.store_era or self._view.items.assumed_era()
+        known = store.Position(era, peer.store_revision)
+        return known >= self._view.in_force.position
+
     def has_unreachable_target(self, service: str, now_ms: int) -> bool:
         """Tell whether this host fails to reach a target of a service.
 
--- a/bergamotstream/forwarding/relayattempts.py
+++ b/bergamotstream/forwarding/relayattempts.py
@@ -155,6 +155,7 @@
             state.job.request,
             self._relay.own_name,
             state.job.end_ms - self._clock.now_ms(),
+            state.job.decision,
             tries_sent=state.tries_sent,
             reached_target_ids=tuple(state.reached_target_ids),
             last_event_id=state.last_event_id,
--- /dev/null
+++ b/bergamotstream/forwarding/relayedadmission.py
@@ -0,0 +1,48 @@
+"""
+Relayed admission
+~~~~~~~~~~~~~~~~~
+
+Admits a request that a peer has admitted and passed on. The caller has reached
+the peer, so the peer's configuration decides, and this host serves the request
+only if its own configuration says the same.
+"""
+
+from typing import Final
+
+from bergamotstream import errors
+from bergamotstream.forwarding import exchangerecords, scheduler
+
+# Delay before the caller of a request that no peer serves tries another host.
+RETRY_AFTER_MS: Final = 50
+
+
+def admit(
+    core: scheduler.Scheduler,
+    request: exchangerecords.CallerRequest,
+    decision: exchangerecords.Decision | None,
+    now_ms: int,
+) -> exchangerecords.Job:
+    """Return the job of a request of a peer.
+
+    ``decision`` is what the peer's configuration says of it, ``None`` from
+    hosts of earlier versions. Raises ``ConfigurationUnknown``, or
+    ``ConfigurationOutdated`` if the configurations of the two hosts differ in
+    what they say.
+    """
+    try:
+        job = core.admit(request, now_ms, decision)
+    except (errors.UnknownRoute, errors.UnknownKey) as unknown:
+        raise _differing(
+            decision, f'{unknown.code} {unknown.detail}'
+        ) from unknown
+    if decision is not None and decision != job.decision:
+        raise _differing(decision, str(job.decision))
+    return job
+
+
+def _differing(
+    decision: exchangerecords.Decision | None, here: str
+) -> errors.ServiceError:
+    return errors.ConfigurationOutdated(
+        f'peer={decision} here={here}', retry_after_ms=RETRY_AFTER_MS
+    )
--- a/bergamotstream/forwarding/relayformat.py
+++ b/bergamotstream/forwarding/relayformat.py
@@ -54,6 +54,8 @@
     last_event_id: str
     # Whether the retry budget of the sender counts the request.
     is_counted: bool
+    # ``None`` from hosts of earlier versions.
+    decision: exchangerecords.Decision | None = None
 
     def caller_headers(self) -> multidict.CIMultiDictProxy[str]:
         """Return the headers as a caller of this host would send them."""
@@ -70,6 +72,7 @@
     request: exchangerecords.CallerRequest,
     sender: str,
     remaining_ms: int,
+    decision: exchangerecords.Decision | None = None,
     **progress: Any,
 ) -> RelayedHead:
     """Return the head of a request; ``progress`` is that of its tries."""
@@ -84,6 +87,7 @@
         reached_target_ids=(),
         last_event_id=request.last_event_id,
         is_counted=False,
+        decision=decision,
     )
     return head._replace(**progress)
 
@@ -105,6 +109,8 @@
         lastEventId=head.last_event_id,
         isCounted=head.is_counted,
     )
+    if head.decision is not None:
+        message.decision = _encode_decision(head.decision)
     text = base64.b64encode(message.to_bytes_packed()).decode()
     return [
         text[start : start + MAX_LINE_CHARACTERS]
@@ -131,6 +137,7 @@
             reached_target_ids=tuple(message.reachedTargetIds),
             last_event_id=message.lastEventId,
             is_counted=message.isCounted,
+            decision=_decode_decision(message.decision),
         )
     except (capnp.KjException, ValueError) as fault:
         raise errors.InvalidMessage(str(fault)) from fault
@@ -138,6 +145,29 @@
     return head
 
 
+def _encode_decision(decision: exchangerecords.Decision) -> dict[str, Any]:
+    return {
+        'service': decision.service,
+        'workspace': decision.workspace,
+        'streaming': decision.streaming,
+        'retryPolicy': decision.retry_policy.value,
+        'maxTargets': decision.max_targets,
+    }
+
+
+def _decode_decision(message: Any) -> exchangerecords.Decision | None:
+    """Return the decision; raises ``ValueError`` for an unknown policy."""
+    if not message.service:
+        return None
+    return exchangerecords.Decision(
+        message.service,
+        message.workspace,
+        message.streaming,
+        fleetrecords.RetryPolicy(message.retryPolicy),
+        message.maxTargets,
+    )
+
+
 def _check_head(head: RelayedHead) -> None:
     """Raise ``InvalidMessage`` for a head that no request can have."""
     tokens = (head.method, *(name for name, _ in head.headers))
--- a/bergamotstream/forwarding/scheduler.py
+++ b/bergamotstream/forwarding/scheduler.py
@@ -131,10 +131,11 @@
         self,
         request: exchangerecords.CallerRequest,
         now_ms: int,
+        decision: exchangerecords.Decision | None = None,
     ) -> exchangerecords.Job:
         """Return the job of a request, without its fingerprints.
 
-        Raises ``ConfigurationUnknown``, ``UnknownRoute`` or ``UnknownKey``.
+        The service is the one of ``decision`` if the route leads there. Raises ``ConfigurationUnknown``, ``UnknownRoute`` or ``UnknownKey``.
         """
         configuration = self.view.configuration
         if configuration is None:
@@ -145,7 +146,7 @@
             configuration, request.host_name, request.path
         )
         workspace = routing.find_workspace(configuration, route, request.keys)
-        service = self._service_of(configuration, route)
+        service = self._service_of(configuration, route, decision)
         return make_job(request, route, service, workspace, now_ms)
 
     def check_outdated(
@@ -340,8 +341,12 @@
         self,
         configuration: fleetrecords.Configuration,
         route: fleetrecords.Route,
+        decision: exchangerecords.Decision | None,
     ) -> fleetrecords.Service:
         name = routing.choose_service(route, self._rng)
+        shared = {share.service for share in route.shares}
+        if decision is not None and decision.service in shared:
+            name = decision.service
         service = configuration.services_by_name.get(name)
         if service is None:
             raise errors.NoTarget(
--- a/tests/test_relayeddecisions.py
+++ b/tests/test_relayeddecisions.py
@@ -6,6 +6,14 @@
 
 import pytest
 
+from bergamotstream import errors
+from bergamotstream.forwarding import (
+    fleetrecords,
+    links,
+    peerformat,
+    relayedadmission,
+)
+from bergamotstream.platform import store
 from tests import platformkit as kit
 from tests import test_cutlinks as cutcases
 from tests import test_relays as relaycases
@@ -180,3 +188,70 @@
     async with lagging_system(document, (1, 2)) as (system, cut):
         for path in PATHS:
             assert await statuses(system, path) == [200] * REQUESTS
+
+
+def state_of(name, revision, **changes):
+    """Return the state of a peer that serves requests."""
+    entry = fleetrecords.HostEntry(name, 'rosario', '1.1.1.1:1', '1.1.1.1:2', 1)
+    fields = {
+        'entry': entry,
+        'sequence': 1,
+        'ready': True,
+        'store_revision': revision,
+        'own_commitments': (),
+        'health_estimates': (),
+        'store_answered_ms': 0,
+        'link_report': links.Report(),
+        'accepts_requests': True,
+    }
+    return peerformat.HostState(**(fields | changes))
+
+
+@pytest.mark.parametrize('era', [0, 1])
+@pytest.mark.parametrize('checks', [False, True])
+@pytest.mark.parametrize(
+    ('behind', 'expected'), [(0, True), (1, False)], ids=['current', 'behind']
+)
+def test_peer_of_an_older_build_serves_only_if_it_is_current(
+    era, checks, behind, expected
+):
+    """Guards against a peer that cannot tell that its decision differs."""
+    core = kit.make_scheduler()
+    core.view.items.era = 1
+    document = kit.configuration_document(2)
+    core.view.apply_changes(
+        store.Page((store.Item('op/config', 200, document),), 200, era=1), 0
+    )
+    peer = state_of('h1', 200 - behind, store_era=era, checks_decisions=checks)
+    decoded = peerformat.decode(peerformat.encode(peer, 0), 0)
+    chosen = core.reach.choose_relay('model', [decoded], ())
+    assert (chosen is not None) is (expected or checks)
+
+
+def test_peer_that_has_the_configuration_comes_first():
+    """Guards against tries at peers that refuse while others would serve."""
+    core = kit.make_scheduler()
+    document = kit.configuration_document(2)
+    core.view.apply_changes(
+        store.Page((store.Item('op/config', 200, document),), 200), 0
+    )
+    peers = [
+        state_of(f'h{number}', 199 + (number == 5), checks_decisions=True)
+        for number in range(10)
+    ]
+    for _ in range(20):
+        chosen = core.reach.choose_relay('model', peers, ())
+        assert chosen.entry.name == 'h5'
+    assert core.reach.choose_relay('model', peers, ('h5',)) is not None
+
+
+def test_peer_that_knows_no_route_does_not_answer_as_if_it_were_wrong():
+    """Guards against 404 and 401 at callers of hosts of earlier builds."""
+    core = kit.make_scheduler()
+    for request in (
+        kit.make_request(path='/none/1'),
+        kit.make_request(Api_Key='no'),
+    ):
+        with pytest.raises(errors.ConfigurationOutdated) as refused:
+            relayedadmission.admit(core, request, None, 0)
+        assert refused.value.status == 503
