Take a configuration that the store has lost from a peer

Cause: hosts compare positions in the store only. At the same position two hosts can have two versions in force, and none notices.

Change: hosts tell the version that they have in force. One that is behind, and whose news do not bring it, takes the document from a peer; one that stays behind most peers refuses with configuration_outdated, as for pending items.

--- /dev/null
+++ b/bergamotstream/forwarding/configurationfetch.py
@@ -0,0 +1,127 @@
+"""
+Configuration fetch
+~~~~~~~~~~~~~~~~~~~
+
+Takes over the configuration that a peer has in force, where the items of the
+store do not bring it: a store that has returned from a copy may have lost it,
+while the hosts that knew it go on with it. Versions are the operators' order,
+which no return of the store changes.
+"""
+
+import asyncio
+from typing import Final
+
+import aiohttp
+import yarl
+
+from bergamotstream import clock, metrics
+from bergamotstream.forwarding import (
+    bodyreads,
+    eventlog,
+    fleetview,
+    peerexchange,
+    peerfetch,
+    peerformat,
+    peerupdates,
+    storetasks,
+)
+from bergamotstream.platform import protocol, store
+
+# Announced by ``configurationVersion`` in the state of a host.
+CONFIGURATION_PATH: Final = '/configuration'
+OK: Final = 200
+# Pause after a fetch that has not helped: the peer's document may be one that
+# this build cannot read.
+RETRY_S: Final = 1.0
+
+
+class ConfigurationFetch:
+    """Task that keeps a host from an older configuration than its peers'."""
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        peers: peerexchange.PeerExchange,
+        view: fleetview.FleetView,
+        log: eventlog.EventLog,
+        time_source: clock.Clock,
+        meters: metrics.Metrics,
+    ) -> None:
+        """Fetch over ``session``."""
+        self._session = session
+        self._peers = peers
+        self._view = view
+        self._log = log
+        self._clock = time_source
+        self._meters = meters
+
+    async def run(self, report: storetasks.ChangeListener) -> None:
+        """Fetch whenever only a peer can tell the newest, until cancelled."""
+        while True:
+            await asyncio.sleep(peerfetch.CHECK_INTERVAL_S)
+            peer = self._choose_peer()
+            if peer is not None:
+                await self._fetch(peer, report)
+                version = self._view.in_force.version
+                if version < peer.configuration_version:
+                    await asyncio.sleep(RETRY_S)
+
+    def _choose_peer(self) -> peerformat.HostState | None:
+        """Return the peer with the newest version, if news do not bring it."""
+        newest = max(
+            self._peers.heard_hosts(),
+            key=lambda peer: peer.configuration_version,
+            default=None,
+        )
+        if newest is None or not self._view.lag.compare(
+            self._view.in_force.version,
+            newest.configuration_version,
+            self._clock.now_ms(),
+        ):
+            return None
+        items = self._view.items
+        is_coming = (
+            newest.complete_position() > items.complete_position()
+            or items.pending.is_pending(protocol.CONFIG_KEY)
+        )
+        return None if is_coming else newest
+
+    async def _fetch(
+        self, peer: peerformat.HostState, report: storetasks.ChangeListener
+    ) -> None:
+        started_ms = self._clock.now_ms()
+        try:
+            document = await self._receive(peer)
+        except peerfetch.FETCH_FAULTS as fault:
+            self._meters.count('configuration_fetches', 'failed')
+            self._log.write(
+                'configuration_fetch_failed',
+                peer=peer.entry.name,
+                fault=repr(fault),
+                waited_ms=self._clock.now_ms() - started_ms,
+            )
+            return
+        self._meters.count('configuration_fetches', 'fetched')
+        self._log.write(
+            'configuration_fetched',
+            peer=peer.entry.name,
+            length=len(document),
+            before=self._view.in_force.version,
+            peer_version=peer.configuration_version,
+            **self._view.items.position()._asdict(),
+        )
+        adopted = store.Item(protocol.CONFIG_KEY, self._view.revision, document)
+        now_ms = self._clock.now_ms()
+        report(list(self._view.apply_configuration(adopted, '', now_ms)))
+
+    async def _receive(self, peer: peerformat.HostState) -> bytes:
+        """Return the document; raises one of ``FETCH_FAULTS``."""
+        url = yarl.URL(f'http://{peer.entry.peer_address}{CONFIGURATION_PATH}')
+        connecting = aiohttp.ClientTimeout(sock_connect=store.CONNECT_TIMEOUT_S)
+        async with (
+            asyncio.timeout(peerfetch.HEAD_TIMEOUT_S) as limit,
+            self._session.get(url, timeout=connecting) as response,
+        ):
+            if response.status != OK:
+                raise aiohttp.ClientPayloadError(f'status {response.status}')
+            return peerupdates.inflate(await bodyreads.read(response, limit))
--- a/bergamotstream/forwarding/fleetview.py
+++ b/bergamotstream/forwarding/fleetview.py
@@ -18,6 +18,7 @@
     fleetrecords,
     pendingitems,
     storeitems,
+    versionlag,
 )
 from bergamotstream.platform import documents, protocol, store
 
@@ -50,6 +51,7 @@
     # Where the store had it.
     position: store.Position = store.Position(0, 0)
     since_ms: int = NEVER_MS
+    document: bytes = b''
 
 
 _Applier: TypeAlias = Callable[[store.Item, str, int], Iterator[Change]]
@@ -62,6 +64,7 @@
         """Start with an empty view; ``wall_ms`` returns the Unix time."""
         self.configuration: fleetrecords.Configuration | None = None
         self.in_force = InForce()
+        self.lag = versionlag.VersionLag()
         self.targets_by_id: dict[str, fleetrecords.TargetEntry] = {}
         self.zones_out: set[str] = set()
         self.hosts_by_name: dict[str, fleetrecords.HostEntry] = {}
@@ -75,7 +78,7 @@
         # Runs that have said so themselves; the oldest come first.
         self._leaving_runs: dict[fleetrecords.TargetRun, None] = {}
         self._appliers: tuple[tuple[str, _Applier], ...] = (
-            (protocol.CONFIG_KEY, self._apply_configuration),
+            (protocol.CONFIG_KEY, self.apply_configuration),
             (protocol.ZONES_OUT_PREFIX, self._apply_zone_out),
             (protocol.TARGETS_PREFIX, self._apply_target),
             (protocol.HOSTS_PREFIX, self._apply_host),
@@ -89,7 +92,9 @@
 
     def outdated_since_ms(self) -> int | None:
         """Return since when a newer configuration is known to exist."""
-        return self.items.pending.since_ms(protocol.CONFIG_KEY)
+        pending_ms = self.items.pending.since_ms(protocol.CONFIG_KEY)
+        known_ms = (pending_ms, self.lag.since_ms)
+        return min((ms for ms in known_ms if ms is not None), default=None)
 
     def is_usable(self, entry: fleetrecords.TargetEntry, service: str) -> bool:
         """Tell whether a target may get new requests of a service."""
@@ -276,9 +281,13 @@
                 yield from apply(item, item.key[len(prefix) :], now_ms)
                 return
 
-    def _apply_configuration(
+    def apply_configuration(
         self, item: store.Item, rest: str, now_ms: int
     ) -> Iterator[Change]:
+        """Apply a configuration, from the store or from a peer, if it is newer.
+
+        ``rest`` is empty, or the end of a key that only begins like its key.
+        """
         if rest or item.document is None:
             return
         try:
@@ -297,6 +306,7 @@
             decoded.version,
             store.Position(self.items.era, item.revision),
             now_ms,
+            item.document,
         )
         yield Change(
             'configuration', 'in_force', item.revision, str(decoded.version)
--- a/bergamotstream/forwarding/hostdaemon.py
+++ b/bergamotstream/forwarding/hostdaemon.py
@@ -28,6 +28,7 @@
 )
 from bergamotstream.forwarding import (
     blamerecords,
+    configurationfetch,
     connections,
     directory,
     dispatch,
@@ -180,6 +181,14 @@
                     self._clock,
                     self._meters,
                 ).run(self._handle_changes),
+                configurationfetch.ConfigurationFetch(
+                    pooled,
+                    self._peers,
+                    self._core.view,
+                    self._log,
+                    self._clock,
+                    self._meters,
+                ).run(self._handle_changes),
                 itemfetch.ItemFetch(
                     pooled,
                     self._peers,
@@ -496,6 +505,8 @@
             return self._answer_with_items(request)
         if request.path == largeitems.ITEM_PATH:
             return await self._item_server.answer(request)
+        if request.path == configurationfetch.CONFIGURATION_PATH:
+            return self._answer_configuration()
         if request.path == relayformat.RELAY_PATH:
             return await self._answer_relayed(request)
         if request.path == '/metrics':
@@ -519,6 +530,12 @@
             body=peerupdates.encode(update), content_type='application/json'
         )
 
+    def _answer_configuration(self) -> web.Response:
+        document = self._core.view.in_force.document
+        if not document:
+            return web.Response(status=404)
+        return web.Response(body=peerupdates.deflate(document))
+
 
 async def _not_found(request: web.BaseRequest) -> web.StreamResponse:
     return web.Response(status=404)
--- a/bergamotstream/forwarding/peerexchange.py
+++ b/bergamotstream/forwarding/peerexchange.py
@@ -201,10 +201,20 @@
         return any(peer.ready for peer in self.live_peers())
 
     def are_mostly_ahead(self) -> bool:
-        """Tell whether most peers have documents that this host lacks."""
+        """Tell whether most peers have documents that this host lacks.
+
+        They may also have a newer configuration at the same position, if the
+        store has lost it.
+        """
         own = self._core.view.items.complete_position()
+        version = self._core.view.in_force.version
         peers = [peer for peer in self.live_peers() if peer.ready]
-        ahead = [peer for peer in peers if peer.complete_position() > own]
+        ahead = [
+            peer
+            for peer in peers
+            if peer.complete_position() > own
+            or peer.configuration_version > version
+        ]
         return len(ahead) * 2 > len(peers)
 
     def store_answered_ms(self) -> int:
@@ -238,6 +248,7 @@
             link_report=self._core.links.report(self.peers_by_name.keys()),
             accepts_requests=True,
             checks_decisions=True,
+            configuration_version=self._core.view.in_force.version,
             cell=self._core.cells.own,
         )
 
--- a/bergamotstream/forwarding/peerformat.py
+++ b/bergamotstream/forwarding/peerformat.py
@@ -83,6 +83,8 @@
     store_era: int = 0
     # False for older builds, which decide a request of a peer again.
     checks_decisions: bool = False
+    # Of the configuration in force; 0 without one and from older builds.
+    configuration_version: int = 0
 
     def complete_position(self) -> store.Position:
         """Return up to where the sender has all documents."""
@@ -139,6 +141,7 @@
         newsRevision=state.news_revision,
         storeEra=state.store_era,
         checksDecisions=state.checks_decisions,
+        configurationVersion=state.configuration_version,
         cell=state.cell,
         isSummary=state.is_summary,
         rooms=[
@@ -258,6 +261,7 @@
         is_summary=message.isSummary,
         store_era=outsidedata.whole(message.storeEra),
         checks_decisions=message.checksDecisions,
+        configuration_version=outsidedata.whole(message.configurationVersion),
         rooms=tuple(
             ServiceRoom(
                 room.service, room.targets, room.freeSlots, room.pendingMs
--- a/bergamotstream/forwarding/peers.capnp
+++ b/bergamotstream/forwarding/peers.capnp
@@ -50,6 +50,9 @@
   # Whether this host refuses requests of peers of which its own configuration
   # says something else.
   checksDecisions @27 :Bool;
+  # Version of the configuration in force; above 0, the host answers
+  # /configuration.
+  configurationVersion @28 :UInt64;
 }
 
 # What the targets of one service in one cell have free.
--- a/tests/test_storeeras.py
+++ b/tests/test_storeeras.py
@@ -503,3 +503,68 @@
     for now_ms in range(1_000, 1_000 + 2 * HELD_MS, 100):
         view.drop_lapsed(now_ms)
         assert set(view.targets_by_id) == {'t1'}
+
+
+@pytest.mark.parametrize('drills', [1, 2])
+async def test_host_that_starts_from_a_copy_has_the_newest_configuration(
+    drills,
+):
+    """Guards against a restart after a return that brings back old routes."""
+    async with kit.running_system(hosts=3) as system:
+        copied = system.store.take_copy()
+        await system.store.put(CONFIG, kit.configuration_document(version=7))
+        await system.until(lambda: versions(system) == [7] * 3)
+        for _ in range(drills):
+            await drill(system, copied, is_written_again=False)
+            await system.until(
+                lambda: all(
+                    daemon._core.view.items.era == system.store.era
+                    for daemon in system.daemons
+                )
+            )
+            copied = system.store.take_copy()
+        await system.start_host('host-3')
+        await system.until(lambda: versions(system) == [7] * 4, limit_s=1.0)
+        # Peers go on with it, and the operators' next version is applied.
+        await system.store.put(CONFIG, kit.configuration_document(version=8))
+        await system.until(lambda: versions(system) == [8] * 4, limit_s=2.0)
+
+
+async def test_host_that_does_not_get_a_newer_configuration_refuses(
+    monkeypatch,
+):
+    """Guards against a host that goes on by what most peers have replaced."""
+    async with kit.running_system(hosts=3) as system:
+        view = system.daemons[0]._core.view
+        monkeypatch.setattr(view, '_appliers', view._appliers[1:])
+        monkeypatch.setattr(view, 'apply_configuration', lambda *_: iter(()))
+        await system.store.put(CONFIG, kit.configuration_document(version=7))
+        await system.until(lambda: versions(system)[1:] == [7, 7])
+        await asyncio.sleep(system.settings[0].bounds.max_outdated_ms / 1_000)
+        await system.until(
+            lambda: view.outdated_since_ms() is not None, limit_s=1.0
+        )
+        await asyncio.sleep(1.6)
+        status, _, body = await system.call('/none/1')
+        assert status == 503
+        assert b'configuration_outdated' in body
+
+
+async def test_version_that_no_document_has_is_not_asked_for_all_the_time():
+    """Guards against fetches without a pause from a peer that tells wrong."""
+    async with kit.running_system(hosts=2) as system:
+        first, second = system.daemons
+        served = []
+        answer = second._answer_configuration
+
+        def count():
+            served.append(1)
+            return answer()
+
+        second._answer_configuration = count
+        view = second._core.view
+        view.in_force = view.in_force._replace(version=99)
+        await system.until(lambda: served)
+        await asyncio.sleep(2)
+        assert len(served) <= 3
+        assert first._core.view.configuration.version == 1
