Take heads of callers as long as the operators allow

Cause: limits of the HTTP library, fixed when a connection opens, are narrower than those of the configuration; a target with scheme and authority was looked up as a path.

Change: the library's limits are above any of the operators', which are applied to heads that have come; a head is ended after 2 MB in all, where before only its lines were bounded. A target in absolute form is split.

--- a/bergamotstream/forwarding/hostdaemon.py
+++ b/bergamotstream/forwarding/hostdaemon.py
@@ -60,8 +60,6 @@
 # Keep-alive timeout of callers' connections; the operators' limits for callers
 # are shorter.
 CALLER_IDLE_TIMEOUT_S: Final = 75.0
-# Longest header line; the operators allow 16 KB for all headers.
-MAX_FIELD_BYTES: Final = 32_768
 # A stopping host accepts requests that end at least this long before its grace
 # period does.
 STOP_MARGIN_MS: Final = 1_200
@@ -273,8 +271,9 @@
             handler_cancellation=True,
             access_log=None,
             keepalive_timeout=CALLER_IDLE_TIMEOUT_S,
-            max_line_size=MAX_FIELD_BYTES,
-            max_field_size=MAX_FIELD_BYTES,
+            max_line_size=pacedreads.MAX_HEAD_BYTES,
+            max_field_size=pacedreads.MAX_HEAD_BYTES,
+            max_headers=pacedreads.MAX_HEAD_LINES,
         )
         runner = web.ServerRunner(
             server, handle_signals=False, shutdown_timeout=CLOSE_TIMEOUT_S
--- a/bergamotstream/forwarding/pacedreads.py
+++ b/bergamotstream/forwarding/pacedreads.py
@@ -11,13 +11,18 @@
 from collections.abc import Awaitable, Callable
 from typing import Any, Final
 
-from aiohttp import web
+from aiohttp import StreamReader, web
 
 from bergamotstream import clock
 
 MIN_READ_BYTES: Final = 1_024
 # Many connections may send without end; others wait for a turn of each of them.
 MAX_READ_BYTES: Final = 16_384
+# Bounds of the head of a request that hold whatever the operators allow, as a
+# head is kept until its end. They apply their own limit to heads that have come.
+MAX_HEAD_BYTES: Final = 2_097_152
+MAX_HEAD_LINES: Final = 65_536
+HEAD_TOO_LARGE: Final = 431
 # A read that takes this long is followed by one of half the size.
 LONG_TURN_MS: Final = 2
 INTERNAL_ERROR: Final = 500
@@ -58,22 +63,46 @@
 class PacedHandler(web.RequestHandler):
     """Connection of a caller or a peer, with paced reads."""
 
-    __slots__ = ('_pace',)
+    __slots__ = ('_head_bytes', '_pace', '_payload')
 
+    _head_bytes: int
     _pace: Pace
+    # The body of the request whose head came last.
+    _payload: StreamReader | None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Bound the reads; called by the event loop."""
         self._pace = Pace()
         self._pace.attach(transport)
+        self._head_bytes = 0
+        self._payload = None
         super().connection_made(transport)
 
     def data_received(self, data: bytes) -> None:
         """Parse what was read; called by the event loop."""
         self._pace.start()
+        requests = self._request_count
         super().data_received(data)
+        if self._request_count > requests:
+            self._payload = self._messages[-1][1]
+            self._head_bytes = 0
+        elif self._payload is None or self._payload.is_eof():
+            self._head_bytes += len(data)
+        if self._head_bytes > MAX_HEAD_BYTES:
+            self._end_head()
         self._pace.end(len(data))
 
+    def _end_head(self) -> None:
+        """Close a connection whose request has a head without end."""
+        manager = self._manager
+        if isinstance(manager, PacedServer) and self.transport is not None:
+            manager.record_unreadable(
+                HEAD_TOO_LARGE,
+                f'head of over {MAX_HEAD_BYTES} bytes',
+                str(self.transport.get_extra_info('peername')),
+            )
+        self.force_close()
+
     def handle_error(
         self,
         request: web.BaseRequest,
--- a/bergamotstream/platform/callerformat.py
+++ b/bergamotstream/platform/callerformat.py
@@ -6,6 +6,7 @@
 targets.
 """
 
+import re
 from collections.abc import Iterable
 from typing import Final
 
@@ -18,12 +19,14 @@
 LOWEST_PRIORITY: Final = 9
 # Larger counts are used as this one; two of them fit into a message to peers.
 MAX_COUNT: Final = (1 << 31) - 1
+_ABSOLUTE_FORM: Final = re.compile('[a-z]+://(?P<authority>[^/?]+)', re.I)
 
 
 def parse_request(
     method: str, target: str, headers: multidict.CIMultiDictProxy[str]
 ) -> exchangerecords.CallerRequest:
     """Return the request without its body."""
+    authority, target = _split_target(target)
     counts = headers.get(protocol.TOKEN_COUNTS, '').split(',')
     prompt_tokens, answer_tokens = [
         _parse_count(counts[position]) if position < len(counts) else 0
@@ -33,7 +36,7 @@
         attempt_id=headers.get(protocol.ATTEMPT_ID, ''),
         method=method,
         target=target,
-        host_name=_host_name(headers.get('Host', '')),
+        host_name=_host_name(authority or headers.get('Host', '')),
         keys=tuple(headers.getall(protocol.API_KEY, ())),
         deadline_ms=_parse_count(headers.get(protocol.DEADLINE_MS, '')) or None,
         prompt_tokens=prompt_tokens,
@@ -125,6 +128,18 @@
     }
 
 
+def _split_target(target: str) -> tuple[str, str]:
+    """Return authority and path of a target, which may be in absolute form.
+
+    The authority is empty for the usual form, where ``Host`` names it.
+    """
+    absolute = _ABSOLUTE_FORM.match(target)
+    if absolute is None:
+        return '', target
+    rest = target[absolute.end() :]
+    return absolute['authority'], rest if rest[:1] == '/' else f'/{rest}'
+
+
 def _host_name(text: str) -> str:
     return text.partition(':')[0].lower()
 
