Pass on answers of targets whose heads are long

Callers saw: a whole answer with more than 128 header lines, or a line above 32 KB, was replaced by 502, after its request had run.

--- a/bergamotstream/forwarding/connections.py
+++ b/bergamotstream/forwarding/connections.py
@@ -31,8 +31,8 @@
 CONNECT_TIMEOUT_S: Final = 0.6
 # Targets close idle connections without notice after a few seconds.
 POOL_IDLE_TIMEOUT_S: Final = 2.0
-# Longest header line of a target's answer.
-MAX_FIELD_BYTES: Final = 32_768
+# Above what a head may hold in all; see ``answerlimits``.
+MAX_HEAD_LINES: Final = 65_536
 # Statuses of heads that an answer's own head follows.
 INTERIM_STATUSES: Final = frozenset(range(100, 200)) - {101}
 # Answers to other requests that are skipped while a request waits for its own,
@@ -371,6 +371,7 @@
         timeout=aiohttp.ClientTimeout(
             total=None, sock_connect=CONNECT_TIMEOUT_S
         ),
-        max_line_size=MAX_FIELD_BYTES,
-        max_field_size=MAX_FIELD_BYTES,
+        max_line_size=answerlimits.MAX_HEAD_BYTES,
+        max_field_size=answerlimits.MAX_HEAD_BYTES,
+        max_headers=MAX_HEAD_LINES,
     )
--- a/tests/test_callerheads.py
+++ b/tests/test_callerheads.py
@@ -114,3 +114,29 @@
         for _ in range(2):
             status, _, _ = await system.call('/lookup/1', body)
             assert status == 200
+
+
+ANSWER_HEADS = {
+    'lines': ''.join(f'X-{number}: {number}\r\n' for number in range(1_000)),
+    'long': f'X-Long: {"x" * 50_000}\r\n',
+}
+
+
+@pytest.mark.parametrize('kind', ANSWER_HEADS)
+async def test_long_head_of_an_answer_reaches_the_caller(kind):
+    """Guards against whole answers that are replaced by 502 for their heads."""
+
+    async def respond(request, writer):
+        writer.write(kit.answer(request, extra=ANSWER_HEADS[kind]))
+
+    async with (
+        kit.running_system() as system,
+        kit.raw_target(respond) as target,
+    ):
+        await system.add_target('t1', target)
+        ip, _, port = system.settings[0].caller_address.partition(':')
+        reader, writer = await asyncio.open_connection(
+            ip, port, limit=pacedreads.MAX_HEAD_BYTES
+        )
+        with contextlib.closing(writer):
+            assert await exchange(reader, writer, '/lookup/1') == 200
