Bound what a refusal writes to the log, and read keys that are no text

A caller whose key holds bytes that are no UTF-8 got 500 since the log line of refusals shows a digest of it; a long path or many keys filled the line, as heads may be longer now. A path above the limit for headers is refused, which a library's limit for the line did before.

Evidence: 4 new cases of tests/test_refusals.py failed before (500, lines of 9 and 900 KB, 503) and pass now.

--- a/bergamotstream/forwarding/ingress.py
+++ b/bergamotstream/forwarding/ingress.py
@@ -630,6 +630,8 @@
         len(name) + len(field) + HEADER_LINE_OVERHEAD_BYTES
         for name, field in request.raw_headers
     )
+    # The limit is for the headers; a path may have the same length beside them.
+    size = max(size, len(request.raw_path))
     if size > limits.max_header_bytes:
         raise errors.HeadersTooLarge(
             f'{size} bytes, limit {limits.max_header_bytes}'
--- a/bergamotstream/forwarding/routing.py
+++ b/bergamotstream/forwarding/routing.py
@@ -16,6 +16,9 @@
 
 # Digits of a key's digest in a log.
 KEY_DIGITS: Final = 8
+# What a line shows of long names, and of requests with many keys.
+MAX_SHOWN: Final = 200
+MAX_SHOWN_KEYS: Final = 3
 
 
 def find_route(
@@ -33,7 +36,8 @@
             return route
         end = path.rfind('/', 0, end)
     raise errors.UnknownRoute(
-        f'host={host_name} path={path} known={len(configuration.routes_by_match)}'
+        f'host={host_name[:MAX_SHOWN]} path={path[:MAX_SHOWN]} '
+        f'known={len(configuration.routes_by_match)}'
     )
 
 
@@ -53,14 +57,16 @@
     if route.public:
         return None
     raise errors.UnknownKey(
-        f'route={route.name} keys={",".join(map(_shown_key, keys))} '
+        f'route={route.name} given={len(keys)} '
+        f'keys={",".join(map(_shown_key, keys[:MAX_SHOWN_KEYS]))} '
         f'known={len(configuration.workspaces_by_key)}'
     )
 
 
 def _shown_key(key: str) -> str:
     """Return what tells keys apart in a log without naming them."""
-    return xxhash.xxh3_64_hexdigest(key.encode())[:KEY_DIGITS]
+    encoded = key.encode(errors='backslashreplace')
+    return xxhash.xxh3_64_hexdigest(encoded)[:KEY_DIGITS]
 
 
 def choose_service(route: fleetrecords.Route, rng: random.Random) -> str:
--- a/bergamotstream/forwarding/scheduler.py
+++ b/bergamotstream/forwarding/scheduler.py
@@ -135,7 +135,8 @@
     ) -> exchangerecords.Job:
         """Return the job of a request, without its fingerprints.
 
-        The service is the one of ``decision`` if the route leads there. Raises ``ConfigurationUnknown``, ``UnknownRoute`` or ``UnknownKey``.
+        The service is the one of ``decision`` if the route leads there. Raises
+        ``ConfigurationUnknown``, ``UnknownRoute`` or ``UnknownKey``.
         """
         configuration = self.view.configuration
         if configuration is None:
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -110,3 +110,29 @@
     """Guards against a refusal that the command calls an open request."""
     line = 'event=caller_refused id=a1 reason=headers_too_large status=431'
     assert 'limit' in explanations.explain([line], 'a1').meaning
+
+
+@pytest.mark.parametrize(
+    ('line', 'status'),
+    [
+        (b'GET /order/1 HTTP/1.1\r\nApi-Key: \xff\xfe', 401),
+        (b'GET /order/1 HTTP/1.1\r\n' + b'Api-Key: no\r\n' * 1_000, 401),
+        (b'GET /' + b'n' * 900_000 + b'/1 HTTP/1.1\r\nApi-Key: no', 404),
+        (b'GET /order/' + b'n' * 900_000 + b' HTTP/1.1', 431),
+    ],
+    ids=['no text', 'many keys', 'long path', 'long path of a route'],
+)
+async def test_odd_request_leaves_a_short_line(monkeypatch, line, status):
+    """Guards against refusals that end in a fault or fill the log."""
+    async with kit.running_system() as system:
+        lines = Lines(monkeypatch, system)
+        ip, _, port = system.settings[0].caller_address.partition(':')
+        reader, writer = await asyncio.open_connection(ip, port)
+        key = HEAD if status == 431 else f'Host: {kit.HOST_NAME}\r\n'
+        head = line.removesuffix(b'\r\n') + b'\r\n' + key.encode()
+        writer.write(head + b'\r\n')
+        answered = await reader.readline()
+        writer.close()
+    assert f' {status} '.encode() in answered
+    (refused,) = lines.of('caller_refused')
+    assert len(str(refused)) < 1_000
