--- /dev/null
+++ b/tests/test_historyorders.py
@@ -0,0 +1,277 @@
+"""Orders of changes and returns of the store, drawn from seeds.
+
+In each order the operators change the configuration while the store returns
+from copies, hosts start, and hosts are cut from the store or from each other.
+"""
+
+import asyncio
+import contextlib
+import random
+
+import pytest
+
+from tests import historykit
+from tests import platformkit as kit
+
+CONFIG = 'op/config'
+# A little below and well above the length from which documents are pending.
+SMALL_BYTES = 200
+LARGE_BYTES = 40_000
+# After the last event.
+SETTLE_S = 3.0
+# By then all hosts have noticed a return, also one whose first answers have
+# named no era.
+LATE_MS = 2_600
+MAX_CALLS_PER_S = 200
+SEEDS = range(100)
+
+
+class Operators:
+    """Write configurations, and write them again after a return."""
+
+    def __init__(self, platform, rng):
+        self.newest = 0
+        self._platform = platform
+        self._rng = rng
+        self._written = {}
+
+    def next_document(self, length):
+        """Return the next version, with a filling of ``length`` digits."""
+        self.newest += self._rng.choice((1, 1, 2, 7, 40))
+        # Random digits, which deflating leaves long.
+        filling = f'{self._rng.getrandbits(4 * length):x}'
+        document = kit.configuration_document(
+            version=self.newest, filling=filling
+        )
+        self._written[self.newest] = document
+        return document
+
+    async def change(self):
+        """Write the next version, small or large."""
+        length = self._rng.choice((SMALL_BYTES, LARGE_BYTES))
+        await self._platform.put(CONFIG, self.next_document(length))
+
+    async def write_again(self, since):
+        """Write what was written since a copy, in one of several ways."""
+        lost = sorted(version for version in self._written if version > since)
+        way = self._rng.choice(('newest', 'all', 'older first'))
+        if way == 'newest':
+            lost = lost[-1:]
+        elif way == 'older first':
+            older = [
+                version
+                for version in self._written
+                if since <= version < self.newest
+            ]
+            lost = [*self._rng.sample(older, min(1, len(older))), self.newest]
+        for version in lost:
+            await self._platform.put(CONFIG, self._written[version])
+            await asyncio.sleep(self._rng.choice((0, 0, 0.02, 0.3)))
+        await self._platform.write_again()
+
+
+class Order:
+    """The events of one order; ``world`` is where they happen."""
+
+    def __init__(self, world, seed):
+        self._world = world
+        self._rng = random.Random(f'events {seed}')
+        self.operators = Operators(world.store, self._rng)
+        self.end_ms = 0
+        self._target_writes = 0
+        self._copies = []
+
+    async def play(self):
+        """Let all events happen, then end all faults."""
+        world, rng = self._world, self._rng
+        world.broken_transfers = rng.choice((0, 0, 0.05, 0.2, 0.6))
+        world.unnamed_eras = rng.choice((0, 0, 0, 0.3))
+        await self.operators.change()
+        world.start_host()
+        for _ in range(rng.randint(1, 4)):
+            world.start_host(watches=rng.random() < 0.5)
+        async with contextlib.AsyncExitStack() as stack:
+            noise = asyncio.ensure_future(self._write_targets())
+            stack.callback(noise.cancel)
+            await asyncio.sleep(rng.uniform(0.2, 1.0))
+            for _ in range(rng.randint(2, 6)):
+                event = rng.choice(
+                    (
+                        self._change,
+                        self._drill,
+                        self._change_before_drill,
+                        self._disturb,
+                    )
+                )
+                await event()
+                await asyncio.sleep(rng.choice((0, 0.05, 0.3, 1.0)))
+            await self._drill()
+            if rng.random() < 0.5:
+                await self.operators.change()
+        world.without_store.clear()
+        world.without_peers.clear()
+        world.broken_transfers = world.unnamed_eras = 0
+        self.end_ms = historykit.LoopClock().now_ms()
+
+    async def _change(self):
+        for _ in range(self._rng.randint(1, 3)):
+            self._keep_copy()
+            await self.operators.change()
+            await asyncio.sleep(self._rng.choice((0, 0.05, 0.4)))
+
+    async def _disturb(self):
+        """Cut a host from the store or its peers, or end all cuts."""
+        name = self._rng.choice(sorted(self._world.hosts))
+        self._rng.choice(
+            (
+                lambda: self._world.without_store.add(name),
+                lambda: self._world.without_peers.add(name),
+                self._world.without_store.clear,
+                self._world.without_peers.clear,
+            )
+        )()
+        self._world.break_calls()
+
+    async def _drill(self):
+        """Let the store return from a copy, once or twice in series."""
+        platform, rng = self._world.store, self._rng
+        since = self.operators.newest
+        for _ in range(rng.choice((1, 1, 2))):
+            copied, version = self._keep_copy()
+            if rng.random() < 0.9:
+                copied, version = rng.choice(self._copies[-4:])
+            since = min(since, version)
+            platform.fault = 'away'
+            self._world.break_calls()
+            await asyncio.sleep(rng.choice((0.1, 0.4, 1.5)))
+            if len(self._world.hosts) < 7 and rng.random() < 0.3:
+                self._world.start_host(watches=rng.random() < 0.5)
+            await platform.come_back(copied)
+            # Of the copies only those are left that this history holds.
+            kept = [copy for copy in self._copies if copy[1] <= version]
+            self._copies = [*kept[-3:], (platform.take_copy(), version)]
+            await asyncio.sleep(rng.choice((0, 0.02, 0.2, 0.6, 1.5)))
+        await self.operators.write_again(since)
+
+    async def _change_before_drill(self):
+        """Let the store lose a change that the hosts have heard of."""
+        self._keep_copy()
+        for _ in range(self._rng.randint(0, 8)):
+            await self._write_target()
+        await self.operators.change()
+        await asyncio.sleep(self._rng.uniform(0.02, 0.6))
+        await self._drill()
+
+    def _keep_copy(self):
+        taken = (self._world.store.take_copy(), self.operators.newest)
+        self._copies.append(taken)
+        return taken
+
+    async def _write_targets(self):
+        """Write what targets do, so that revisions rise by themselves."""
+        while True:
+            await asyncio.sleep(self._rng.uniform(0.1, 1.0))
+            if not self._world.store.fault:
+                await self._write_target()
+
+    async def _write_target(self):
+        self._target_writes += 1
+        await self._world.store.put(
+            'servers/t1',
+            kit.target_document(
+                '10.0.0.1:80', cold_left_ms=self._target_writes
+            ),
+        )
+
+
+async def play(seed):
+    """Play one order and check what the hosts have in force."""
+    world = historykit.World(seed)
+    order = Order(world, seed)
+    async with contextlib.AsyncExitStack() as stack:
+        stack.push_async_callback(stop_all, world)
+        await order.play()
+        await asyncio.sleep(SETTLE_S)
+        newest = order.operators.newest
+        hosts = world.hosts.values()
+        assert [host.version for host in hosts] == [newest] * len(hosts)
+        for host in hosts:
+            assert host.versions == sorted(host.versions)
+            # Not about to refuse requests, either; the document of a return
+            # that was noticed late may still be on its way.
+            since_ms = host.view.outdated_since_ms()
+            assert since_ms is None or since_ms > order.end_ms + LATE_MS
+        assert world.longest_burst() < MAX_CALLS_PER_S
+    return world
+
+
+async def stop_all(world):
+    """Stop all hosts."""
+    for host in world.hosts.values():
+        await host.stop()
+
+
+@pytest.mark.parametrize('seed', SEEDS)
+def test_all_hosts_end_with_the_newest_configuration(seed):
+    """Guards against hosts that a return of the store leaves behind."""
+    historykit.run(play(seed))
+
+
+def test_resumed_document_has_the_revision_of_its_own_history():
+    """Guards against a revision of the lost history in the new one.
+
+    A transfer breaks off, the store returns from a copy, and the operators
+    write the same document again. The rest of it comes from the new history.
+    """
+    historykit.run(resume_after_return())
+
+
+async def resume_after_return():
+    world = historykit.World(seed=1)
+    operators = Operators(world.store, random.Random(1))
+    await operators.change()
+    holder = world.start_host()
+    behind = world.start_host(watches=False)
+    async with contextlib.AsyncExitStack() as stack:
+        stack.push_async_callback(stop_all, world)
+        await asyncio.sleep(1.0)
+        copied = world.store.take_copy()
+        for number in range(9):
+            await world.store.put(
+                'servers/t1',
+                kit.target_document('10.0.0.1:80', cold_left_ms=number),
+            )
+        document = operators.next_document(LARGE_BYTES)
+        await world.store.put(CONFIG, document)
+        lost_revision = world.store.kv.revision
+        world.broken_transfers = 0.5
+        await until(lambda: CONFIG in received_parts(behind))
+        world.broken_transfers = 1.0
+        await world.store.come_back(copied)
+        world.break_calls()
+        await world.store.put(CONFIG, document)
+        assert world.store.kv.revision < lost_revision
+        await until(lambda: behind.view.items.era == 2)
+        world.broken_transfers = 0
+        await until(lambda: behind.version == operators.newest)
+        await asyncio.sleep(0.5)
+        assert holder.view.items.by_key[CONFIG].revision < lost_revision
+        assert behind.view.items.by_key[CONFIG].revision < lost_revision
+        # The next version is not taken for an older one.
+        await world.store.put(CONFIG, operators.next_document(SMALL_BYTES))
+        await asyncio.sleep(1.0)
+        for host in (holder, behind):
+            assert host.version == operators.newest
+            assert host.view.outdated_since_ms() is None
+
+
+def received_parts(host):
+    """Return the parts of documents that a host keeps, by key."""
+    return host.documents._partials_by_key
+
+
+async def until(condition, limit_s=4.0):
+    """Wait until ``condition`` holds."""
+    async with asyncio.timeout(limit_s):
+        while not condition():
+            await asyncio.sleep(0.01)
