--- a/tests/historykit.py
+++ b/tests/historykit.py
@@ -108,6 +108,12 @@
         self._break.set()
         self._break = asyncio.Event()
 
+    def end_faults(self):
+        """Let all hosts reach the store and each other."""
+        self.without_store.clear()
+        self.without_peers.clear()
+        self.broken_transfers = self.unnamed_eras = 0
+
     def start_host(self, watches=True):
         """Start a host that knows nothing."""
         host = Host(self, f'host{len(self.hosts)}', watches)
--- a/tests/test_historyorders.py
+++ b/tests/test_historyorders.py
@@ -26,6 +26,9 @@
 LATE_MS = 2_600
 MAX_CALLS_PER_S = 200
 SEEDS = range(100)
+# Orders with whole hosts, which are played side by side.
+WHOLE_HOST_SEEDS = range(3)
+WATCH_S = 0.01
 
 
 class Operators:
@@ -75,8 +78,9 @@
 class Order:
     """The events of one order; ``world`` is where they happen."""
 
-    def __init__(self, world, seed):
+    def __init__(self, world, seed, max_events=6):
         self._world = world
+        self._max_events = max_events
         self._rng = random.Random(f'events {seed}')
         self.operators = Operators(world.store, self._rng)
         self.end_ms = 0
@@ -96,7 +100,7 @@
             noise = asyncio.ensure_future(self._write_targets())
             stack.callback(noise.cancel)
             await asyncio.sleep(rng.uniform(0.2, 1.0))
-            for _ in range(rng.randint(2, 6)):
+            for _ in range(rng.randint(2, self._max_events)):
                 event = rng.choice(
                     (
                         self._change,
@@ -110,9 +114,7 @@
             await self._drill()
             if rng.random() < 0.5:
                 await self.operators.change()
-        world.without_store.clear()
-        world.without_peers.clear()
-        world.broken_transfers = world.unnamed_eras = 0
+        world.end_faults()
         self.end_ms = historykit.LoopClock().now_ms()
 
     async def _change(self):
@@ -217,6 +219,94 @@
     historykit.run(play(seed))
 
 
+class WholeHosts:
+    """The world of an order with whole hosts in this process.
+
+    All reach each other, and all answers of the store name the era.
+    """
+
+    def __init__(self, system):
+        self.store = system.store
+        self.hosts = {}
+        self.without_store = set()
+        self.without_peers = set()
+        self.broken_transfers = 0.0
+        self.unnamed_eras = 0.0
+        self.starting = []
+        self.versions_by_name = {}
+        self.calls = []
+        self._system = system
+
+    def start_host(self, watches=True):
+        """Start a host; so few hosts watch all."""
+        name = f'host-{len(self.hosts)}'
+        self.hosts[name] = name
+        starting = asyncio.ensure_future(self._system.start_host(name))
+        self.starting.append(starting)
+
+    def break_calls(self):
+        """Abort the calls to a store that is away, and cut some hosts off."""
+        if self.store.fault:
+            self.store.go_away()
+        self._connect()
+
+    def end_faults(self):
+        """Let all hosts reach the store."""
+        self.without_store.clear()
+        self._connect()
+
+    async def watch(self):
+        """Record what is in force and the calls of the store."""
+        while True:
+            self.calls.append(self.store.calls)
+            for daemon in self._system.daemons:
+                version = daemon._core.view.in_force.version
+                seen = self.versions_by_name.setdefault(
+                    daemon._entry.name, [version]
+                )
+                if seen[-1] != version:
+                    seen.append(version)
+            await asyncio.sleep(WATCH_S)
+
+    def _connect(self):
+        for daemon in self._system.daemons:
+            if daemon._registration is None:
+                continue
+            address = daemon._config.store.address
+            if daemon._entry.name in self.without_store:
+                address = '127.0.0.1:1'
+            daemon._registration._client._origin = f'http://{address}'
+
+
+async def play_with_whole_hosts(seed):
+    """Play one order and check what the hosts have in force."""
+    async with kit.running_system(hosts=0) as system:
+        world = WholeHosts(system)
+        order = Order(world, seed, max_events=2)
+        order.operators.newest = 1
+        watching = asyncio.ensure_future(world.watch())
+        await order.play()
+        await asyncio.gather(*world.starting)
+        await asyncio.sleep(SETTLE_S)
+        watching.cancel()
+        newest = order.operators.newest
+        seen = world.versions_by_name
+        assert len(seen) == len(world.hosts), seed
+        for versions in seen.values():
+            assert versions == sorted(versions), (seed, seen)
+            assert versions[-1] == newest, (seed, seen)
+        steps = int(1 / WATCH_S)
+        bursts = zip(world.calls, world.calls[steps:], strict=False)
+        assert max(last - first for first, last in bursts) < MAX_CALLS_PER_S
+
+
+async def test_whole_hosts_end_with_the_newest_configuration():
+    """Guards against what only whole hosts do, or only real time shows."""
+    async with asyncio.TaskGroup() as playing:
+        for seed in WHOLE_HOST_SEEDS:
+            playing.create_task(play_with_whole_hosts(seed))
+
+
 def test_resumed_document_has_the_revision_of_its_own_history():
     """Guards against a revision of the lost history in the new one.
 
