--- a/tests/historykit.py
+++ b/tests/historykit.py
@@ -108,6 +108,10 @@
         self._break.set()
         self._break = asyncio.Event()
 
+    def versions(self):
+        """Return the version that each host has in force."""
+        return [host.version for host in self.hosts.values()]
+
     def end_faults(self):
         """Let all hosts reach the store and each other."""
         self.without_store.clear()
