Take the revision of a resumed document from the history of its rest

Callers could see: a host, and those that it told, went on with a revision of the lost history after the store had returned from a copy while a large document was on its way in parts and was written again unchanged.

Cause: the first part's head was kept for the whole transfer, also where the rest came from a later history under another revision.

The stub of hosts has the calls of the present code, and the checks read the lag in versions beside the pending items.

--- a/bergamotstream/forwarding/itemfetch.py
+++ b/bergamotstream/forwarding/itemfetch.py
@@ -216,6 +216,10 @@
             len(kept.received),
         ):
             raise outsidedata.Malformed('part of another document')
+        # The rest may come from a later history, in which the same document has
+        # another revision.
+        kept = kept._replace(head=head)
+        self._partials_by_key[key] = kept
         return kept
 
     def _drop_needless(self) -> None:
--- a/tests/historykit.py
+++ b/tests/historykit.py
@@ -278,6 +278,10 @@
         from_s = asyncio.get_running_loop().time() - PEER_TIMEOUT_S
         return [state for state, at_s in self._heard.values() if at_s >= from_s]
 
+    def live_peers(self):
+        """Return the peers of the cell, which are all hosts here."""
+        return self.heard_hosts()
+
     def answer(self, url):
         """Answer a peer as a host does."""
         if url.path == peerupdates.NEWS_PATH:
--- a/tests/test_historyorders.py
+++ b/tests/test_historyorders.py
@@ -218,8 +218,11 @@
             assert not host.unknown_revisions
             # Not about to refuse requests, either; the document of a return
             # that was noticed late may still be on its way.
-            since_ms = host.view.outdated_since_ms()
-            assert since_ms is None or since_ms > order.end_ms + LATE_MS
+            for since_ms in (
+                host.view.outdated_since_ms(),
+                host.view.lag.since_ms(host.version),
+            ):
+                assert since_ms is None or since_ms > order.end_ms + LATE_MS
         assert world.longest_burst() < MAX_CALLS_PER_S
     return world
 
@@ -361,6 +364,7 @@
         await asyncio.sleep(SETTLE_S)
         assert started.version == behind.version
         assert started.view.outdated_since_ms() is None
+        assert started.view.lag.since_ms(started.version) is None
 
 
 @contextlib.asynccontextmanager
