Apply a configuration of which single fields cannot be used

One field that the decoder did not take, such as a null priority, a time of 250.5 ms or a key of 1,001 characters, cost the whole document. The store's revision was recorded as known, so the host kept the configuration before and refused new routes and keys with 404 and 401 until the next version.

Fields are read one by one now. Missing and null fields get their defaults, times and weights may be fractions, names and keys may be as long as a head, and a field that nobody reads may nest 399 levels deep. A number above its range counts as the highest, any other field that cannot be used gets its default, and an engine without all its numbers is not used. A route without host or prefix, a service or tenant without a name, and a key that is no text are left out; their requests get 503 configuration_outdated with a retry delay, not 404 or 401. A route without a service stays as an entry that refuses, so that its requests do not go to the service of a shorter prefix. A flag that is neither true nor 1 is false; the text "false" opened a route to all callers before. A time-out of 0 counts as one that cannot be used. The log names each field once (outcome=field_refused).

A document that is no object, or has no version, list of routes or list of services is still refused.

--- a/bergamotstream/forwarding/fleetrecords.py
+++ b/bergamotstream/forwarding/fleetrecords.py
@@ -24,7 +24,7 @@
     """Weight of one service among those of a route."""
 
     service: str
-    weight: int
+    weight: float
 
 
 class RouteMatch(NamedTuple):
@@ -47,6 +47,7 @@
     goal_ms: int
     # 0 is the most urgent.
     priority: int
+    # Empty if the service could not be read; its requests are refused.
     shares: tuple[Share, ...]
     # The number of targets to which one request may be sent.
     max_targets: int
@@ -109,6 +110,9 @@
     workspaces_by_key: Mapping[str, Workspace]
     requires_key: bool
     limits: CallerLimits
+    # Whether routes, or keys, of the document could not be read.
+    lacks_routes: bool = False
+    lacks_keys: bool = False
 
 
 class TargetEntry(NamedTuple):
--- a/bergamotstream/forwarding/fleetview.py
+++ b/bergamotstream/forwarding/fleetview.py
@@ -20,7 +20,7 @@
     storeitems,
     versionlag,
 )
-from bergamotstream.platform import documents, protocol, store
+from bergamotstream.platform import documents, oddfields, protocol, store
 
 # Entries that expired during an outage of the store are written again within
 # about 2 s after its recovery; source: the platform's service discovery.
@@ -75,6 +75,8 @@
         self._drop_at_ms_by_target: dict[str, int] = {}
         self._wall_ms = wall_ms
         self._faults = faultreports.FaultReports()
+        # Of the configuration in force.
+        self._refused_fields = oddfields.Faults()
         # Runs that have said so themselves; the oldest come first.
         self._leaving_runs: dict[fleetrecords.TargetRun, None] = {}
         self._appliers: tuple[tuple[str, _Applier], ...] = (
@@ -289,7 +291,7 @@
         if rest or item.document is None:
             return
         try:
-            decoded = documents.decode_configuration(item.document)
+            decoded, faults = documents.read_configuration(item.document)
         except documents.Undecodable as fault:
             yield from self._report_once(
                 'configuration', 'refused', item.revision, str(fault)
@@ -309,6 +311,8 @@
         yield Change(
             'configuration', 'in_force', item.revision, str(decoded.version)
         )
+        yield from _refused_fields(faults, self._refused_fields, item.revision)
+        self._refused_fields = faults
 
     def _apply_zone_out(
         self, item: store.Item, zone: str, now_ms: int
@@ -446,6 +450,23 @@
             yield Change(f'blamed:{rest}', 'recorded', item.revision)
 
 
+def _refused_fields(
+    faults: oddfields.Faults, known: oddfields.Faults, revision: int
+) -> Iterator[Change]:
+    """Yield the refused fields that the version before did not have."""
+    for fault in faults.first:
+        if fault not in known.first:
+            yield Change(
+                'configuration',
+                'field_refused',
+                revision,
+                f'{fault.key}: {fault.reason}',
+            )
+    more = faults.count - len(faults.first)
+    if more and faults.count != known.count:
+        yield Change('configuration', 'field_refused', revision, f'{more} more')
+
+
 def _target_outcome(
     known: fleetrecords.TargetEntry | None, entry: fleetrecords.TargetEntry
 ) -> str:
--- a/bergamotstream/forwarding/routing.py
+++ b/bergamotstream/forwarding/routing.py
@@ -19,6 +19,9 @@
 # What a line shows of long names, and of requests with many keys.
 MAX_SHOWN: Final = 200
 MAX_SHOWN_KEYS: Final = 3
+# For requests of routes and keys that a configuration has but that this host
+# cannot read; the operators have to write it again.
+UNREADABLE_RETRY_MS: Final = 1_000
 
 
 def find_route(
@@ -26,21 +29,32 @@
 ) -> fleetrecords.Route:
     """Return the route with the longest prefix of ``path``.
 
-    Raises :class:`errors.UnknownRoute`.
+    Raises :class:`errors.UnknownRoute`, or ``ConfigurationOutdated`` if the
+    route may be one that could not be read.
     """
     end = path.rfind('/')
     while end >= 0:
         match = fleetrecords.RouteMatch(host_name, path[: end + 1])
         route = configuration.routes_by_match.get(match)
         if route is not None:
-            return route
+            if route.shares:
+                return route
+            raise _unreadable(f'route={route.name[:MAX_SHOWN]} service')
         end = path.rfind('/', 0, end)
+    if configuration.lacks_routes:
+        raise _unreadable('routes')
     raise errors.UnknownRoute(
         f'host={host_name[:MAX_SHOWN]} path={path[:MAX_SHOWN]} '
         f'known={len(configuration.routes_by_match)}'
     )
 
 
+def _unreadable(what: str) -> errors.ServiceError:
+    return errors.ConfigurationOutdated(
+        f'unreadable {what}', retry_after_ms=UNREADABLE_RETRY_MS
+    )
+
+
 def find_workspace(
     configuration: fleetrecords.Configuration,
     route: fleetrecords.Route,
@@ -48,7 +62,8 @@
 ) -> fleetrecords.Workspace | None:
     """Return the workspace of the key, ``None`` where no key is required.
 
-    Raises :class:`errors.UnknownKey`, also when several keys are given.
+    Raises :class:`errors.UnknownKey`, also when several keys are given, or
+    ``ConfigurationOutdated`` if the key may be one that could not be read.
     """
     if not configuration.requires_key:
         return None
@@ -56,8 +71,10 @@
         return configuration.workspaces_by_key[keys[0]]
     if route.public:
         return None
+    if configuration.lacks_keys and len(keys) == 1:
+        raise _unreadable('keys')
     raise errors.UnknownKey(
-        f'route={route.name} given={len(keys)} '
+        f'route={route.name[:MAX_SHOWN]} given={len(keys)} '
         f'keys={",".join(map(_shown_key, keys[:MAX_SHOWN_KEYS]))} '
         f'known={len(configuration.workspaces_by_key)}'
     )
--- a/bergamotstream/outsidedata.py
+++ b/bergamotstream/outsidedata.py
@@ -33,9 +33,11 @@
     """Data that cannot be read, or a value out of its range."""
 
 
-def decode_json(document: bytes | str) -> Any:
+def decode_json(document: bytes | str, max_depth: int = MAX_DEPTH) -> Any:
     """Return the decoded document; raises :class:`Malformed`.
 
+    It may have ``max_depth`` levels.
+
     Whole numbers of more than ``MAX_DIGITS`` digits become an infinite number,
     which no check accepts, so that a field that nobody reads does no harm.
     """
@@ -43,7 +45,7 @@
         decoded = json.loads(document, parse_int=_whole_or_infinite)
     except (ValueError, RecursionError) as fault:
         raise Malformed(f'no JSON: {shown(fault)}') from fault
-    _check_depth(decoded)
+    _check_depth(decoded, max_depth)
     return decoded
 
 
@@ -51,9 +53,9 @@
     return int(digits) if len(digits) <= MAX_DIGITS else math.inf
 
 
-def _check_depth(decoded: Any) -> None:
+def _check_depth(decoded: Any, max_depth: int) -> None:
     level = [decoded]
-    for _ in range(MAX_DEPTH):
+    for _ in range(max_depth):
         level = [
             inner
             for outer in level
@@ -62,7 +64,7 @@
         ]
         if not level:
             return
-    raise Malformed(f'deeper than {MAX_DEPTH} levels')
+    raise Malformed(f'deeper than {max_depth} levels')
 
 
 def _parts(outer: dict[str, Any] | list[Any]) -> Iterable[Any]:
--- a/bergamotstream/platform/documents.py
+++ b/bergamotstream/platform/documents.py
@@ -2,43 +2,27 @@
 Documents
 ~~~~~~~~~
 
-Decodes the platform's documents into the project's records. The store has
-validated a configuration; entries of targets may come from another writer, so
-each of their fields is checked.
+Decodes the platform's documents into the project's records. A field of a
+configuration that cannot be used does not cost the whole configuration; an
+entry of a target with such a field names no target.
 """
 
 import contextlib
 import json
 import re
-from collections.abc import Callable, Iterable, Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from typing import Any, Final, TypeVar
 
 from bergamotstream import outsidedata
 from bergamotstream.forwarding import fleetrecords
-from bergamotstream.platform import protocol
-
-MS_PER_S: Final = 1_000
-DEFAULT_WEIGHT: Final = 1
-DEFAULT_PRIORITY: Final = 1
-DEFAULT_ATTEMPTS: Final = 1
-# Defaults of a configuration without limits, from the platform's examples.
-DEFAULT_HEADER_BYTES: Final = 16_384
-DEFAULT_BODY_BYTES: Final = 4_194_304
-# Defaults of an engine that states no usual lengths.
-DEFAULT_PROMPT_TOKENS: Final = 8_192
-DEFAULT_ANSWER_TOKENS: Final = 1_024
-
-
-# Ranges of the fields. All sums of them fit into the messages to peers.
-MAX_DURATION_MS: Final = 86_400_000
-MAX_COUNT: Final = 1_000_000_000
-MAX_TOKENS: Final = (1 << 31) - 1
-MAX_SLOTS: Final = 65_535
-MAX_RATE: Final = 1e12
-MIN_READ_PER_S: Final = 0.001
+from bergamotstream.platform import configurationformat, protocol
+
 # Version and start of a target, which others may count in JavaScript.
 MAX_VERSION: Final = 1 << 53
 MAX_STARTED_MS: Final = 1 << 53
+# Levels of a configuration, most of them in fields that nobody reads here. The
+# JSON reader of the interpreter takes 990 at a shallow stack.
+MAX_CONFIGURATION_DEPTH: Final = 400
 # A key of the store has 200 bytes at most.
 MAX_NAME: Final = 200
 Checked = TypeVar('Checked')
@@ -59,138 +43,38 @@
 
 
 def decode_configuration(document: bytes) -> fleetrecords.Configuration:
-    """Decode ``op/config``; raises :class:`Undecodable`."""
-    with _decoding('configuration'):
-        return _configuration(
-            outsidedata.mapping(outsidedata.decode_json(document))
-        )
+    """Decode an ``op/config`` of which no field has to be refused.
 
+    Raises :class:`Undecodable`, which names the first such field.
+    """
+    found = read_configuration(document)
+    if found.faults.first:
+        fault = found.faults.first[0]
+        raise Undecodable(f'configuration: {fault.key}: {fault.reason}')
+    return found.configuration
 
-def _configuration(body: Mapping[str, Any]) -> fleetrecords.Configuration:
-    routes = [_route(entry) for entry in _mappings(body['routes'])]
-    services = [_service(entry) for entry in _mappings(body['services'])]
-    limits = outsidedata.mapping(body.get('limits') or {})
-    return fleetrecords.Configuration(
-        version=_whole(body['version'], highest=MAX_VERSION),
-        routes_by_match={route.match: route for route in routes},
-        services_by_name={service.name: service for service in services},
-        workspaces_by_key=_workspaces(_mappings(body.get('tenants') or [])),
-        requires_key=bool(body.get('tenants')),
-        limits=fleetrecords.CallerLimits(
-            _whole(limits.get('max_header_bytes', DEFAULT_HEADER_BYTES)),
-            _whole(limits.get('max_body_bytes', DEFAULT_BODY_BYTES)),
-        ),
-    )
 
+def read_configuration(
+    document: bytes,
+) -> configurationformat.ReadConfiguration:
+    """Decode ``op/config`` as far as its fields can be used.
 
-def _mappings(found: Any) -> list[dict[str, Any]]:
-    return [outsidedata.mapping(entry) for entry in outsidedata.listed(found)]
+    Raises :class:`Undecodable` for a document that is no object, or that has
+    no version, list of routes or list of services.
+    """
+    with _decoding('configuration'):
+        body = outsidedata.mapping(
+            outsidedata.decode_json(document, MAX_CONFIGURATION_DEPTH)
+        )
+        version = _whole(body['version'], MAX_VERSION)
+        return configurationformat.build(body, version)
 
 
-def _whole(found: Any, lowest: int = 0, highest: int = MAX_COUNT) -> int:
+def _whole(found: Any, highest: int) -> int:
     """Return a whole number, which may be written as ``5.0``."""
     if isinstance(found, float) and found.is_integer():
         found = int(found)
-    return outsidedata.whole(found, lowest, highest)
-
-
-def _duration_ms(found: Any) -> int:
-    return _whole(found, highest=MAX_DURATION_MS)
-
-
-def _route(entry: Mapping[str, Any]) -> fleetrecords.Route:
-    kind = outsidedata.text(entry['kind'])
-    timeout_ms = _duration_ms(entry['timeout_ms'])
-    return fleetrecords.Route(
-        name=outsidedata.text(entry['name']),
-        match=fleetrecords.RouteMatch(
-            outsidedata.text(entry['host']).lower(),
-            outsidedata.text(entry['prefix']),
-        ),
-        streaming=kind == protocol.KIND_STREAMING,
-        retry_policy=_retry_policy(kind, bool(entry.get('resumable'))),
-        timeout_ms=timeout_ms,
-        goal_ms=_duration_ms(entry.get('goal_ms') or timeout_ms),
-        priority=_whole(entry.get('priority', DEFAULT_PRIORITY), -MAX_COUNT),
-        shares=_shares(entry),
-        max_targets=max(_whole(entry.get('attempts', DEFAULT_ATTEMPTS)), 1),
-        public=bool(entry.get('public')),
-        pause_goal_ms=_duration_ms(entry.get('gap_target_ms') or 0),
-    )
-
-
-def _retry_policy(kind: str, resumable: bool) -> fleetrecords.RetryPolicy:
-    if kind == protocol.KIND_IDEMPOTENT:
-        return fleetrecords.RetryPolicy.ANY_TIME
-    if kind == protocol.KIND_STREAMING and resumable:
-        return fleetrecords.RetryPolicy.RESUME
-    return fleetrecords.RetryPolicy.ONLY_IF_NOT_RUN
-
-
-def _shares(entry: Mapping[str, Any]) -> tuple[fleetrecords.Share, ...]:
-    """Return the shares; without any weight, the route's own service."""
-    shares = [
-        fleetrecords.Share(
-            outsidedata.text(share['service']), _whole(share['weight'])
-        )
-        for share in _mappings(entry.get('traffic_split') or [])
-    ]
-    weighted = tuple(share for share in shares if share.weight)
-    if weighted:
-        return weighted
-    service = outsidedata.text(entry['service'])
-    return (fleetrecords.Share(service, DEFAULT_WEIGHT),)
-
-
-def _service(entry: Mapping[str, Any]) -> fleetrecords.Service:
-    engine = entry.get('engine')
-    return fleetrecords.Service(
-        name=outsidedata.text(entry['name']),
-        cold_requests_per_s=_rate(entry.get('cold_per_s') or 0),
-        engine=_engine(outsidedata.mapping(engine)) if engine else None,
-        health_path=outsidedata.text(entry.get('health_path') or '/'),
-    )
-
-
-def _rate(found: Any, lowest: float = 0) -> float:
-    return outsidedata.number(found, lowest, MAX_RATE)
-
-
-def _engine(entry: Mapping[str, Any]) -> fleetrecords.EngineProfile:
-    usual = outsidedata.mapping(entry.get('usual') or {})
-    return fleetrecords.EngineProfile(
-        slots=_whole(entry['slots'], 1, MAX_SLOTS),
-        memory_tokens=_whole(entry['kv_tokens'], 0, MAX_TOKENS),
-        steps_in_pass=max(_whole(entry.get('stride', 1)), 1),
-        step_ms=_rate(entry['step_ms']),
-        step_ms_per_request=_rate(entry['per_seq_ms']),
-        step_ms_per_thousand_context=_rate(entry['context_per_k']),
-        prefill_tokens_per_ms=_rate(entry['read_per_s'], MIN_READ_PER_S)
-        / MS_PER_S,
-        prefill_ms_per_million_pairs=_rate(entry['pairs_per_m']),
-        chunk_tokens=_whole(entry['chunk'], 0, MAX_TOKENS),
-        usual_prompt_tokens=_whole(
-            usual.get('prompt') or DEFAULT_PROMPT_TOKENS, 0, MAX_TOKENS
-        ),
-        usual_answer_tokens=_whole(
-            usual.get('answer') or DEFAULT_ANSWER_TOKENS, 0, MAX_TOKENS
-        ),
-    )
-
-
-def _workspaces(
-    entries: Iterable[Mapping[str, Any]],
-) -> dict[str, fleetrecords.Workspace]:
-    workspaces_by_key = {}
-    for entry in entries:
-        priority = entry.get('priority')
-        workspace = fleetrecords.Workspace(
-            outsidedata.text(entry['name']),
-            None if priority is None else _whole(priority, -MAX_COUNT),
-        )
-        for key in outsidedata.listed(entry.get('api_keys') or []):
-            workspaces_by_key[outsidedata.text(key)] = workspace
-    return workspaces_by_key
+    return outsidedata.whole(found, highest=highest)
 
 
 def decode_target_entry(
@@ -208,7 +92,7 @@
         zone=_field(body, 'zone', outsidedata.text),
         slots=_field(body, 'slots', _slots),
         leaving=state == protocol.STATE_DRAINING,
-        cold_ms=_field(body, 'cold_left_ms', _duration_ms, 0),
+        cold_ms=_field(body, 'cold_left_ms', _cold_ms, 0),
         started_ms=_field(body, 'born', _started_ms, 0),
     )
 
@@ -222,7 +106,11 @@
 
 
 def _slots(found: Any) -> int:
-    return outsidedata.whole(found, 1, MAX_SLOTS)
+    return outsidedata.whole(found, 1, configurationformat.MAX_SLOTS)
+
+
+def _cold_ms(found: Any) -> int:
+    return _whole(found, configurationformat.MAX_DURATION_MS)
 
 
 def _started_ms(found: Any) -> int:
