Apply a version that is written again without its odd fields

A version that was in force except for some fields, and that the operators wrote again with these corrected, was taken for one that is not newer (outcome=older): requests of its left-out routes and keys got 503 until a higher version came. It is applied now if the version in force has refused fields and the new document of that version has none; it never goes the other way.

A version that was refused as a whole and is written again was applied before this commit as well.

--- a/bergamotstream/forwarding/fleetview.py
+++ b/bergamotstream/forwarding/fleetview.py
@@ -286,6 +286,9 @@
     ) -> Iterator[Change]:
         """Apply a configuration, from the store or from a peer, if it is newer.
 
+        One of the version in force is applied if it has no refused field, and
+        the one in force has.
+
         ``rest`` is empty, or the end of a key that only begins like its key.
         """
         if rest or item.document is None:
@@ -297,8 +300,10 @@
                 'configuration', 'refused', item.revision, str(fault)
             )
             return
-        known = self.configuration
-        if known is not None and decoded.version <= known.version:
+        # The version in force may be written again without its odd fields.
+        is_mended = self._refused_fields.count and not faults.count
+        newest = self.in_force.version - bool(is_mended)
+        if self.configuration is not None and decoded.version <= newest:
             yield Change('configuration', 'older', item.revision)
             return
         self.configuration = decoded
--- a/tests/test_configurations.py
+++ b/tests/test_configurations.py
@@ -493,3 +493,29 @@
         routing.find_workspace(found, route, [])
     with pytest.raises(errors.ConfigurationOutdated):
         routing.find_workspace(found, route, ['5'])
+
+
+ODD_SERVICE = one_route(service=5)
+
+
+def test_version_written_again_without_its_odd_fields_is_applied():
+    """Guards against fields that stay refused until the next version."""
+    view = view_with_older()
+    apply(view, document_of(**ODD_SERVICE), 11)
+    changes = apply(view, document_of(), 12)
+    assert [change.outcome for change in changes] == ['in_force']
+    assert view.in_force.position.revision == 12
+    assert len(view.configuration.routes_by_match) == len(BODY['routes'])
+
+
+@pytest.mark.parametrize(
+    ('first', 'second'), [({}, ODD_SERVICE), (ODD_SERVICE, ODD_SERVICE)]
+)
+def test_version_written_again_with_odd_fields_is_not_applied(first, second):
+    """Guards against a sound configuration replaced by one with gaps."""
+    view = view_with_older()
+    apply(view, document_of(**first), 11)
+    known = view.configuration
+    changes = apply(view, document_of(**second), 12)
+    assert [change.outcome for change in changes] == ['older']
+    assert view.configuration is known
