--- a/tests/hostprocesskit.py
+++ b/tests/hostprocesskit.py
@@ -19,7 +19,7 @@
 SETTINGS = """
 node_name = "{name}"
 ip = "127.0.0.1"
-zone = "rosario"
+zone = "{zone}"
 internal_ports = [{peer_port}, {peer_port}]
 [listen]
 front = "{caller}"
@@ -38,8 +38,11 @@
 class HostProcess:
     """One host as a separate process."""
 
-    def __init__(self, folder, name, store_address, source_ip=''):
+    def __init__(
+        self, folder, name, store_address, source_ip='', zone='rosario'
+    ):
         self.name = name
+        self.zone = zone
         # The address that its connections come from, if not the usual one.
         self.source_ip = source_ip
         self.caller, self.readiness, self.directory = (
@@ -49,6 +52,7 @@
         self.settings.write_text(
             SETTINGS.format(
                 name=name,
+                zone=zone,
                 peer_port=kit.free_port(),
                 caller=self.caller,
                 readiness=self.readiness,
@@ -94,7 +98,7 @@
 
     async def resolved_addresses(self):
         """Return the addresses in the answer of this host's directory."""
-        url = f'http://{self.directory}/resolve?name=x&zone=rosario'
+        url = f'http://{self.directory}/resolve?name=x&zone={self.zone}'
         try:
             async with aiohttp.ClientSession() as session:
                 async with session.get(url) as response:
