--- a/bergamotstream/forwarding/configurationfetch.py
+++ b/bergamotstream/forwarding/configurationfetch.py
@@ -30,7 +30,6 @@
 
 # Announced by ``configurationVersion`` in the state of a host.
 CONFIGURATION_PATH: Final = '/configuration'
-OK: Final = 200
 # Pause after a fetch that has not helped: the peer's document may be one that
 # this build cannot read.
 RETRY_S: Final = 1.0
@@ -128,6 +127,6 @@
             asyncio.timeout(peerfetch.HEAD_TIMEOUT_S) as limit,
             self._session.get(url, timeout=connecting) as response,
         ):
-            if response.status != OK:
+            if response.status != store.OK:
                 raise aiohttp.ClientPayloadError(f'status {response.status}')
             return peerupdates.inflate(await bodyreads.read(response, limit))
--- a/bergamotstream/forwarding/connections.py
+++ b/bergamotstream/forwarding/connections.py
@@ -31,8 +31,6 @@
 CONNECT_TIMEOUT_S: Final = 0.6
 # Targets close idle connections without notice after a few seconds.
 POOL_IDLE_TIMEOUT_S: Final = 2.0
-# Above what a head may hold in all; see ``answerlimits``.
-MAX_HEAD_LINES: Final = 65_536
 # Statuses of heads that an answer's own head follows.
 INTERIM_STATUSES: Final = frozenset(range(100, 200)) - {101}
 # Answers to other requests that are skipped while a request waits for its own,
@@ -373,5 +371,5 @@
         ),
         max_line_size=answerlimits.MAX_HEAD_BYTES,
         max_field_size=answerlimits.MAX_HEAD_BYTES,
-        max_headers=MAX_HEAD_LINES,
+        max_headers=pacedreads.MAX_HEAD_LINES,
     )
--- a/bergamotstream/forwarding/relayedadmission.py
+++ b/bergamotstream/forwarding/relayedadmission.py
@@ -7,14 +7,9 @@
 only if its own configuration says the same.
 """
 
-from typing import Final
-
 from bergamotstream import errors
 from bergamotstream.forwarding import exchangerecords, scheduler
 
-# Delay before the caller of a request that no peer serves tries another host.
-RETRY_AFTER_MS: Final = 50
-
 
 def admit(
     core: scheduler.Scheduler,
@@ -49,5 +44,6 @@
     decision: exchangerecords.Decision | None, here: str
 ) -> errors.ServiceError:
     return errors.ConfigurationOutdated(
-        f'peer={decision} here={here}', retry_after_ms=RETRY_AFTER_MS
+        f'peer={decision} here={here}',
+        retry_after_ms=scheduler.LEAVING_RETRY_MS,
     )
--- a/bergamotstream/platform/oddfields.py
+++ b/bergamotstream/platform/oddfields.py
@@ -75,7 +75,7 @@
         found = self._body.get(name)
         if isinstance(found, str) and found:
             return found
-        self.add_fault(name, f'no text: {_shown(found)}')
+        self.add_fault(name, f'no text: {outsidedata.shown(found)}')
         return None
 
     def optional_text(self, name: str, default: str) -> str:
@@ -89,7 +89,9 @@
         found = self._body.get(name)
         if found is None or found in (False, True):
             return bool(found)
-        self.add_fault(name, f'neither true nor false: {_shown(found)}')
+        self.add_fault(
+            name, f'neither true nor false: {outsidedata.shown(found)}'
+        )
         return False
 
     def number(self, name: str, lowest: float, highest: float) -> float | None:
@@ -105,10 +107,14 @@
             found, bool
         )
         if not is_number or math.isnan(found) or found < lowest:
-            self.add_fault(name, f'no number in its range: {_shown(found)}')
+            self.add_fault(
+                name, f'no number in its range: {outsidedata.shown(found)}'
+            )
             return None
         if found > highest:
-            self.add_fault(name, f'above {highest:.16g}: {_shown(found)}')
+            self.add_fault(
+                name, f'above {highest:.16g}: {outsidedata.shown(found)}'
+            )
             return highest
         return found
 
@@ -121,7 +127,7 @@
         if found is None:
             return None
         if found != int(found):
-            self.add_fault(name, f'no whole number: {_shown(found)}')
+            self.add_fault(name, f'no whole number: {outsidedata.shown(found)}')
         return int(found)
 
     def duration_ms(self, name: str, lowest: int, highest: int) -> int | None:
@@ -140,7 +146,7 @@
             return None
         if isinstance(found, dict):
             return Fields(found, f'{self._key}{name}.', self._faults)
-        self.add_fault(name, f'no object: {_shown(found)}')
+        self.add_fault(name, f'no object: {outsidedata.shown(found)}')
         return None
 
     def empty(self, name: str) -> 'Fields':
@@ -154,7 +160,7 @@
             return []
         if isinstance(found, list):
             return found
-        self.add_fault(name, f'no list: {_shown(found)}')
+        self.add_fault(name, f'no list: {outsidedata.shown(found)}')
         return None
 
     def texts(self, name: str) -> Iterator[str | None]:
@@ -189,9 +195,5 @@
             if isinstance(entry, dict):
                 yield Fields(entry, f'{self._key}{key}.', self._faults)
             else:
-                self.add_fault(key, f'no object: {_shown(entry)}')
+                self.add_fault(key, f'no object: {outsidedata.shown(entry)}')
                 yield None
-
-
-def _shown(found: Any) -> str:
-    return outsidedata.shown(found)
