Ask again when an account's owner has an older bundle

Callers of hosts that run alone got 404 unknown_workspace for a workspace that the host they had reached knew: the owner of its account had not read the bundle yet, and its verdict counted.

The accepting host has admitted the request, so an owner that does not know the workspace counts like no owner: it is asked again, and after 600 ms the local share serves. The owner counts the charge once it has the bundle.

--- a/bergamotstream/chargerequests.py
+++ b/bergamotstream/chargerequests.py
@@ -20,6 +20,9 @@
 OWNER_TIMEOUT_MS = 600
 # Without the owner, each host may use 1 / (divisor * hosts) of a limit.
 FALLBACK_SHARE_DIVISOR = 4
+# An owner that does not know the workspace may have an older bundle than the
+# host that has accepted the request.
+_NO_ACCOUNT = frozenset(('no_owner', 'unknown_workspace'))
 
 
 class ChargeRequests:
@@ -65,8 +68,8 @@
             if session.charge_state == 'asked':
                 session.charge_state = 'granted'
             return True
-        # Without an owner the request is repeated until the fallback.
-        return message.code == 'no_owner' or session.charge_state != 'asked'
+        # Without an account the request is repeated until the fallback.
+        return message.code in _NO_ACCOUNT or session.charge_state != 'asked'
 
     def release(self, session: sessionstate.Session) -> components.Actions:
         """End the charge of a closed request."""
--- a/tests/test_reviewed.py
+++ b/tests/test_reviewed.py
@@ -8,7 +8,13 @@
 import pytest
 import test_sessions as sessioncases
 
-from bergamotstream import events, messages, metrics, records
+from bergamotstream import (
+    chargerequests,
+    events,
+    messages,
+    metrics,
+    records,
+)
 from bergamotstream.forwarding import (
     configurationfetch,
     crashblame,
@@ -331,26 +337,39 @@
         assert b' 200 ' in head.splitlines()[0]
 
 
-def test_owner_with_an_older_bundle_refuses_no_request_as_wrong():
-    """Guards against 404 for a workspace that the caller's host knows.
+def added_workspace_asked():
+    """Return a host with a workspace that the account's owner lacks.
 
-    The owner of its account has not read the bundle that added it yet.
+    The third value is the charge that it has asked for.
     """
     accepting, owner = corekit.Host(), corekit.Host()
     workspaces = {
         name: records.WorkspaceConfig(name, 0, 1.0, 4, 100_000)
         for name in ('small', 'added')
     }
-    accepting.core.state.bundle = corekit.make_bundle(
-        version=2, workspaces_by_name=workspaces
-    )
+    newer = corekit.make_bundle(version=2, workspaces_by_name=workspaces)
+    accepting.core.state.bundle = newer
     accepting.send(events.BundleChanged(2))
     asked, _ = sessioncases.send_request(accepting, workspace='added')
     owner.core.state.owned_partitions.add(asked[0].partition)
     owner.send(events.PartitionAcquired(asked[0].partition))
-    replies = corekit.messages_of(
-        owner.receive(asked[0], 2_000), messages.ChargeReply
+    return accepting, owner, asked[0]
+
+
+def charge_replies(owner, asked):
+    """Return what an owner answers, once it answers."""
+    return corekit.messages_of(
+        owner.receive(asked, 2_000), messages.ChargeReply
     )
+
+
+def test_owner_with_an_older_bundle_refuses_no_request_as_wrong():
+    """Guards against 404 for a workspace that the caller's host knows.
+
+    The owner of its account has not read the bundle that added it yet.
+    """
+    accepting, owner, asked = added_workspace_asked()
+    replies = charge_replies(owner, asked)
     refused = [
         refusal
         for reply in replies
@@ -361,6 +380,36 @@
     assert not [entry for entry in refused if entry.code == 'unknown_workspace']
 
 
+def test_owner_with_an_older_bundle_is_asked_again():
+    """Guards against a charge that its owner never counts."""
+    accepting, owner, asked = added_workspace_asked()
+    (refusal,) = charge_replies(owner, asked)
+    accepting.receive(refusal)
+    repeated = corekit.messages_of(
+        accepting.send(events.Tick(), 300), messages.ChargeRequest
+    )
+    assert repeated == [asked]
+    owner.core.state.bundle = accepting.core.state.bundle
+    (granted,) = charge_replies(owner, repeated[0])
+    assert granted.granted
+    assert not sessioncases.refusals(accepting.receive(granted))
+    later = accepting.send(events.Tick(), 300)
+    assert not corekit.messages_of(later, messages.ChargeRequest)
+
+
+def test_request_runs_while_its_owner_has_an_older_bundle():
+    """Guards against requests that wait for the owner's bundle.
+
+    They run within the local share, as without an owner.
+    """
+    accepting, owner, asked = added_workspace_asked()
+    for reply in charge_replies(owner, asked):
+        assert not sessioncases.refusals(accepting.receive(reply))
+    accepting.send(events.Tick(), chargerequests.OWNER_TIMEOUT_MS)
+    later = accepting.send(events.Tick(), 300)
+    assert not corekit.messages_of(later, messages.ChargeRequest)
+
+
 async def test_host_that_knows_more_is_told_by_its_position():
     """Guards against requests of older builds that are taken for newer ones."""
     async with kit.running_system(2) as system:
