Know a large document again by its digest

A host that learned from a peer that the store had returned from a copy got large documents named only. It counted a configuration as pending that it had in force, and refused requests after 1.5 s if no peer sent the document in time. Cause: a reference held key, revision and length, which do not tell whether the document is another one.

News tell digests of large documents beside the references, whose fields hosts of older builds count. A document with the known digest takes the revision of the news without a transfer.

--- a/bergamotstream/forwarding/fleetview.py
+++ b/bergamotstream/forwarding/fleetview.py
@@ -143,6 +143,7 @@
         """
         if self.items.is_other_history(news.page):
             return []
+        news = self.items.with_known_documents(news)
         changes = self._apply_page(news.page, now_ms)
         changes.extend(
             Change(
--- a/bergamotstream/forwarding/itemfetch.py
+++ b/bergamotstream/forwarding/itemfetch.py
@@ -251,7 +251,7 @@
     """Return a document that is whole; raises ``Malformed``."""
     if not partial.is_whole():
         raise outsidedata.Malformed('document is cut')
-    if largeitems.digest_of(bytes(partial.received)) != partial.head.digest:
+    if pendingitems.digest_of(bytes(partial.received)) != partial.head.digest:
         raise outsidedata.Malformed('document is not the one announced')
     return partial
 
--- a/bergamotstream/forwarding/largeitems.py
+++ b/bergamotstream/forwarding/largeitems.py
@@ -15,11 +15,10 @@
 from typing import Final, NamedTuple
 
 import multidict
-import xxhash
 from aiohttp import web
 
 from bergamotstream import outsidedata
-from bergamotstream.forwarding import eventlog, fleetview
+from bergamotstream.forwarding import eventlog, fleetview, pendingitems
 from bergamotstream.platform import store
 
 # Announced by ``newsRevision`` in the state of a host.
@@ -140,20 +139,14 @@
     )
 
 
-def digest_of(document: bytes) -> str:
-    """Return what tells documents apart."""
-    return xxhash.xxh3_64_hexdigest(document)
-
-
 def _serves(item: store.Item, asked: ItemQuery) -> bool:
     return item.document is not None and item.revision >= asked.revision
 
 
 def _make_document(item: store.Item) -> Document:
     document = item.document or b''
-    return Document(
-        item, 0, digest_of(document), len(document), zlib.compress(document)
-    )
+    digest = pendingitems.digest_of(document)
+    return Document(item, 0, digest, len(document), zlib.compress(document))
 
 
 def _limit_buffer(request: web.BaseRequest) -> None:
--- a/bergamotstream/forwarding/peerupdates.py
+++ b/bergamotstream/forwarding/peerupdates.py
@@ -105,7 +105,16 @@
         'items': listed,
         'complete': update.complete,
         'hold_ms': update.hold_ms,
-        'large': update.references,
+        'large': [
+            (reference.key, reference.revision, reference.length)
+            for reference in update.references
+        ],
+        # Apart from the references, whose fields older builds count.
+        'digests': {
+            reference.key: reference.digest
+            for reference in update.references
+            if reference.digest
+        },
     }
     return json.dumps(body).encode()
 
@@ -113,6 +122,7 @@
 def decode(body: bytes) -> ItemUpdate:
     """Return the update; raises :class:`ValueError` if malformed."""
     decoded = outsidedata.mapping(outsidedata.decode_json(body))
+    digests = outsidedata.mapping(decoded.get('digests', {}))
     try:
         page = store.page_of(
             outsidedata.listed(decoded['items']),
@@ -120,7 +130,7 @@
             _read_item,
         )._replace(era=outsidedata.whole(decoded.get('era', 0)))
         references = [
-            _read_reference(entry)
+            _read_reference(entry, digests)
             for entry in outsidedata.listed(decoded.get('large', []))
         ]
         hold_ms = outsidedata.whole(decoded['hold_ms'])
@@ -144,13 +154,17 @@
     )
 
 
-def _read_reference(entry: Any) -> pendingitems.Reference:
+def _read_reference(
+    entry: Any, digests: Mapping[str, Any]
+) -> pendingitems.Reference:
     """Return a reference; raises ``Malformed``."""
-    key, revision, length = _fields_of(entry)
+    named, revision, length = _fields_of(entry)
+    key = outsidedata.text(named)
     return pendingitems.Reference(
-        outsidedata.text(key),
+        key,
         outsidedata.whole(revision),
         outsidedata.whole(length, 0, MAX_ITEM_BYTES),
+        outsidedata.text(digests[key]) if key in digests else '',
     )
 
 
--- a/bergamotstream/forwarding/pendingitems.py
+++ b/bergamotstream/forwarding/pendingitems.py
@@ -8,6 +8,8 @@
 
 from typing import NamedTuple
 
+import xxhash
+
 
 class Reference(NamedTuple):
     """A large item without its document."""
@@ -16,6 +18,8 @@
     revision: int
     # Length of the document in bytes.
     length: int
+    # Of the document; empty from hosts of older builds.
+    digest: str = ''
 
 
 class Pending(NamedTuple):
@@ -81,3 +85,13 @@
             default=known_revision + 1,
         )
         return min(earliest - 1, known_revision)
+
+
+def reference_to(key: str, revision: int, document: bytes) -> Reference:
+    """Return a reference to a document."""
+    return Reference(key, revision, len(document), digest_of(document))
+
+
+def digest_of(document: bytes) -> str:
+    """Return what tells documents apart."""
+    return xxhash.xxh3_64_hexdigest(document)
--- a/bergamotstream/forwarding/storeitems.py
+++ b/bergamotstream/forwarding/storeitems.py
@@ -139,8 +139,8 @@
     def news_of(self, page: store.Page, after: int) -> News:
         """Return a page of these items as news for a peer at a revision."""
         large = [
-            pendingitems.Reference(
-                item.key, item.revision, len(item.document or b'')
+            pendingitems.reference_to(
+                item.key, item.revision, item.document or b''
             )
             for item in page.items
             if _is_large(item) and not self.pending.is_pending(item.key)
@@ -168,6 +168,29 @@
         ]
         return page._replace(items=(*gone, *page.items))
 
+    def with_known_documents(self, news: News) -> News:
+        """Return news with the items whose documents are known already.
+
+        A document has another revision once the store has returned from a
+        copy, or its writer has written it again.
+        """
+        known = tuple(
+            self.by_key[reference.key]._replace(revision=reference.revision)
+            for reference in news.references
+            if self._is_document_known(reference)
+        )
+        items = (*news.page.items, *known)
+        return news._replace(page=news.page._replace(items=items))
+
+    def _is_document_known(self, reference: pendingitems.Reference) -> bool:
+        known = self.by_key.get(reference.key)
+        if known is None or not reference.digest:
+            return False
+        document = known.document or b''
+        return reference == pendingitems.reference_to(
+            reference.key, reference.revision, document
+        )
+
     def _is_confirmed(self, item: store.Item) -> bool:
         """Tell whether an item is the one known from an earlier history."""
         known = self.by_key.get(item.key)
--- a/tests/test_historyorders.py
+++ b/tests/test_historyorders.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import json
 import random
 
 import pytest
@@ -417,6 +418,33 @@
     assert view.outdated_since_ms() is None
 
 
+def test_changed_document_of_the_same_length_is_waited_for():
+    """Guards against a change that is taken for the document before it."""
+    before, after = (
+        kit.configuration_document(version=version, filling='x' * LARGE_BYTES)
+        for version in (7, 8)
+    )
+    assert len(before) == len(after)
+    view = fleetview.FleetView()
+    view.replace_all(store.Page((store.Item(CONFIG, 90, before),), 95), 0)
+    peer = fleetview.FleetView()
+    peer.replace_all(store.Page((store.Item(CONFIG, 97, after),), 97), 0)
+    update = peerupdates.news_since(peer, view.items.position(), 0)
+    view.apply_news(storeitems.News(update.page, update.references), 1_000)
+    assert view.outdated_since_ms() == 1_000
+
+
+def test_older_builds_read_the_names_of_large_items():
+    """Guards against a further field, for which they refuse all news."""
+    document = kit.configuration_document(filling='x' * LARGE_BYTES)
+    peer = fleetview.FleetView()
+    peer.replace_all(store.Page((store.Item(CONFIG, 97, document),), 97), 0)
+    update = peerupdates.news_since(peer, store.Position(0, 0), 0)
+    encoded = peerupdates.encode(update)
+    assert json.loads(encoded)['large'] == [[CONFIG, 97, len(document)]]
+    assert peerupdates.decode(encoded) == update
+
+
 def target_document(number):
     """Return an entry that differs with ``number``."""
     return kit.target_document('10.0.0.1:80', cold_left_ms=number)
--- a/tests/test_largeitems.py
+++ b/tests/test_largeitems.py
@@ -85,7 +85,7 @@
     assert behind.targets_by_id['t1'].leaving
     assert behind.configuration.version == 1
     assert pending == [
-        pendingitems.Reference(CONFIG, 7, len(config_item(2, 7).document))
+        pendingitems.reference_to(CONFIG, 7, config_item(2, 7).document)
     ]
     assert behind.revision == 8
     assert behind.items.complete_revision() == 6
@@ -271,7 +271,7 @@
         largeitems.REVISION: str(item.revision),
         largeitems.LENGTH: str(len(item.document)),
         largeitems.OFFSET: '0',
-        largeitems.DIGEST: largeitems.digest_of(item.document),
+        largeitems.DIGEST: pendingitems.digest_of(item.document),
     } | changes
 
 
--- a/tests/test_oddanswers.py
+++ b/tests/test_oddanswers.py
@@ -140,6 +140,9 @@
     'infinite_hold': update_body(hold_ms=float('inf')),
     'hold_as_text': update_body(hold_ms='x'),
     'items_as_number': update_body(items=5),
+    'list_as_key': update_body(large=[[[], 1, 2]]),
+    'digests_as_list': update_body(digests=[]),
+    'digest_as_number': update_body(large=[['a', 1, 2]], digests={'a': 5}),
 }
 
 
@@ -198,6 +201,8 @@
     'items': [['servers/t1', 7, ''], ['servers/t2', 8, None]],
     'complete': True,
     'hold_ms': 10,
+    'large': [['op/config', 9, 20_000]],
+    'digests': {'op/config': '74dc20c61f1351f5'},
 }
 
 
