Fetch a peer's configuration if no peer has the pending document

A host that knew of a change whose document nobody had waited for it without limit: ConfigurationFetch took a pending configuration for one that is on its way. A host that had started without the store stayed without a configuration, and refused all requests.

A pending document counts as coming only while a peer that is heard holds it.

--- a/bergamotstream/forwarding/configurationfetch.py
+++ b/bergamotstream/forwarding/configurationfetch.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import random
+from collections.abc import Iterable
 from typing import Final
 
 import aiohttp
@@ -20,6 +21,7 @@
     bodyreads,
     eventlog,
     fleetview,
+    itemfetch,
     peerexchange,
     peerfetch,
     peerformat,
@@ -84,12 +86,22 @@
         peer = self._rng.choice(
             [peer for peer in heard if peer.configuration_version == newest]
         )
+        return None if self._is_coming(peer, heard) else peer
+
+    def _is_coming(
+        self,
+        newest: peerformat.HostState,
+        heard: Iterable[peerformat.HostState],
+    ) -> bool:
+        """Tell whether news or an item bring the newest configuration."""
         items = self._view.items
-        is_coming = (
-            peer.complete_position() > items.complete_position()
-            or items.pending.is_pending(protocol.CONFIG_KEY)
+        if newest.complete_position() > items.complete_position():
+            return True
+        return any(
+            itemfetch.holders_of(reference, items.era, heard)
+            for reference in items.pending.references()
+            if reference.key == protocol.CONFIG_KEY
         )
-        return None if is_coming else peer
 
     async def _fetch(
         self, peer: peerformat.HostState, report: storetasks.ChangeListener
--- a/bergamotstream/forwarding/itemfetch.py
+++ b/bergamotstream/forwarding/itemfetch.py
@@ -9,6 +9,7 @@
 import asyncio
 import random
 import zlib
+from collections.abc import Iterable
 from typing import Final, NamedTuple
 
 import aiohttp
@@ -105,17 +106,10 @@
     def _choose_holder(
         self, reference: pendingitems.Reference
     ) -> peerformat.HostState | None:
-        """Return a random peer that has the document, if there is one.
-
-        Older builds name no era, so they are asked like those of the same one.
-        """
-        holders = [
-            peer
-            for peer in self._peers.heard_hosts()
-            if peer.news_revision
-            and peer.store_era in {0, self._view.items.era}
-            and peer.store_revision >= reference.revision
-        ]
+        """Return a random peer that has the document, if there is one."""
+        holders = holders_of(
+            reference, self._view.items.era, self._peers.heard_hosts()
+        )
         return self._rng.choice(holders) if holders else None
 
     async def _fetch(
@@ -229,6 +223,24 @@
                 self._partials_by_key.pop(key)
 
 
+def holders_of(
+    reference: pendingitems.Reference,
+    era: int,
+    peers: Iterable[peerformat.HostState],
+) -> list[peerformat.HostState]:
+    """Return the peers that have the document of a reference of an era.
+
+    Older builds name no era, so they count like those of the same one.
+    """
+    return [
+        peer
+        for peer in peers
+        if peer.news_revision
+        and peer.store_era in {0, era}
+        and peer.store_revision >= reference.revision
+    ]
+
+
 def _read_head(
     response: aiohttp.ClientResponse, reference: pendingitems.Reference
 ) -> Head:
--- a/tests/test_historyorders.py
+++ b/tests/test_historyorders.py
@@ -11,7 +11,12 @@
 
 import pytest
 
-from bergamotstream.forwarding import fleetview, peerupdates, storeitems
+from bergamotstream.forwarding import (
+    fleetview,
+    peerupdates,
+    pendingitems,
+    storeitems,
+)
 from bergamotstream.platform import store
 from tests import historykit
 from tests import platformkit as kit
@@ -400,6 +405,35 @@
         yield world, behind
 
 
+def test_document_that_nobody_has_holds_up_no_other_version():
+    """Guards against a host that waits for a document of hosts that are gone.
+
+    Without the store it stayed without any configuration.
+    """
+    historykit.run(start_with_a_lost_reference())
+
+
+async def start_with_a_lost_reference():
+    world = historykit.World(seed=1)
+    operators = Operators(world.store, random.Random(1))
+    await operators.change()
+    async with contextlib.AsyncExitStack() as stack:
+        stack.push_async_callback(stop_all, world)
+        known = world.start_host()
+        await until(lambda: known.version)
+        world.store.fault = 'away'
+        world.break_calls()
+        revision = known.view.revision + 10
+        lost = pendingitems.Reference(CONFIG, revision, LARGE_BYTES)
+        started = world.start_host(watches=False)
+        started.view.items.era = known.view.items.era
+        started.view.apply_news(
+            storeitems.News(store.Page((), revision), (lost,)), 0
+        )
+        await asyncio.sleep(SETTLE_S)
+        assert started.version == known.version
+
+
 def test_unchanged_document_is_not_waited_for_after_a_return():
     """Guards against a host that refuses although it has the newest version.
 
