--- a/bergamotstream/forwarding/hostdaemon.py
+++ b/bergamotstream/forwarding/hostdaemon.py
@@ -284,6 +284,7 @@
             max_line_size=max_head_bytes,
             max_field_size=max_head_bytes,
             max_headers=pacedreads.MAX_HEAD_LINES,
+            auto_decompress=False,
         )
         runner = web.ServerRunner(
             server, handle_signals=False, shutdown_timeout=CLOSE_TIMEOUT_S
