Give endless interim heads a request that waits for their limit

test_endless_interim_heads_end_the_try expects 502, once a target has sent 1 MB of heads without an answer; twice it got 504 beside 14 other plays. The route of the test allows 1,000 ms in all. Shown: alone the bytes take 0.25 to 0.47 s, 0.2 s of it processor time; beside 32 busy processes on eight cores the first form took 0.98 to 1.06 s and ended with 504 in 6 of 6 plays, when the time of the request was over. So the product does what the route says.

The route now allows 5 s; what the test asks, 502 and less than 20 MB sent, is as before.

--- a/tests/test_extraanswers.py
+++ b/tests/test_extraanswers.py
@@ -69,11 +69,11 @@
 
 
 @contextlib.asynccontextmanager
-async def two_targets(kind, respond):
+async def two_targets(kind, respond, document=None):
     """Yield a system and two targets that both answer by ``respond``."""
     service = 'model' if kind == 'stream' else 'plain'
     async with (
-        kit.running_system() as system,
+        kit.running_system(document=document) as system,
         kit.raw_target(respond) as one,
         kit.raw_target(respond) as two,
     ):
@@ -385,8 +385,16 @@
 
 @pytest.mark.parametrize('head', ['HTTP/1.1 102 Wait\r\n\r\n', 'own'])
 async def test_endless_interim_heads_end_the_try(head):
-    """Guards against heads that announce an answer without end."""
+    """Guards against heads that announce an answer without end.
+
+    The route's time is longer than the 1.0 s that a machine with four busy
+    processes a core takes for the bytes up to the limit.
+    """
     sent = []
+    order = kit.route(
+        'order', '/order/', 'non_idempotent', attempts=1, timeout_ms=5_000
+    )
+    document = kit.configuration_document(routes=[order])
 
     async def respond(request, writer):
         text = head
@@ -400,7 +408,7 @@
                 await writer.drain()
                 await asyncio.sleep(0)
 
-    async with two_targets('order', respond) as (system, _):
+    async with two_targets('order', respond, document) as (system, _):
         status, _ = await call(system, 'order', 'a1')
         assert status == 502
         assert sum(sent) < 20_000_000
