Believe an account's owner that has a newer bundle

The reply did not say which of the two bundles is the older one.

Replies to charges name the version of the owner's bundle. The accepting host asks again only if that is lower than its own; replies of older builds name none and count as lower.

--- a/bergamotstream/accounts.py
+++ b/bergamotstream/accounts.py
@@ -189,9 +189,13 @@
             granted=not code,
             code=code,
             retry_after_ms=retry_after_ms,
+            bundle_version=self._bundle_version(),
         )
         return actions.SendMessage(sender, reply)
 
+    def _bundle_version(self) -> int:
+        return 0 if self.state.bundle is None else self.state.bundle.version
+
     def _adopt_charge(
         self, charge: messages.ChargeRequest, sender: str
     ) -> None:
--- a/bergamotstream/chargerequests.py
+++ b/bergamotstream/chargerequests.py
@@ -20,9 +20,6 @@
 OWNER_TIMEOUT_MS = 600
 # Without the owner, each host may use 1 / (divisor * hosts) of a limit.
 FALLBACK_SHARE_DIVISOR = 4
-# An owner that does not know the workspace may have an older bundle than the
-# host that has accepted the request.
-_NO_ACCOUNT = frozenset(('no_owner', 'unknown_workspace'))
 
 
 class ChargeRequests:
@@ -63,13 +60,24 @@
     def on_reply(
         self, session: sessionstate.Session, message: messages.ChargeReply
     ) -> bool:
-        """Apply the owner's reply; returns False if the limit is reached."""
+        """Apply the owner's reply; returns False if it is refused."""
         if message.granted:
             if session.charge_state == 'asked':
                 session.charge_state = 'granted'
             return True
-        # Without an account the request is repeated until the fallback.
-        return message.code in _NO_ACCOUNT or session.charge_state != 'asked'
+        if session.charge_state != 'asked' or message.code == 'no_owner':
+            # Without an owner the request is repeated until the fallback.
+            return True
+        return self._is_workspace_news(message)
+
+    def _is_workspace_news(self, message: messages.ChargeReply) -> bool:
+        """Tell whether the owner has not read yet that a workspace exists."""
+        bundle = self._state.bundle
+        return (
+            message.code == 'unknown_workspace'
+            and bundle is not None
+            and message.bundle_version < bundle.version
+        )
 
     def release(self, session: sessionstate.Session) -> components.Actions:
         """End the charge of a closed request."""
--- a/bergamotstream/messages.py
+++ b/bergamotstream/messages.py
@@ -176,6 +176,8 @@
     granted: bool
     code: str = ''
     retry_after_ms: int = 0
+    # Of the owner; 0 without a bundle, and from older builds.
+    bundle_version: int = 0
 
 
 class ChargeRelease(NamedTuple):
--- a/bergamotstream/peer.capnp
+++ b/bergamotstream/peer.capnp
@@ -180,6 +180,7 @@
   granted @2 :Bool;
   code @3 :Text;
   retryAfterMs @4 :Int64;
+  bundleVersion @5 :Int64;
 }
 
 struct ChargeRelease {
--- a/tests/test_reviewed.py
+++ b/tests/test_reviewed.py
@@ -410,6 +410,26 @@
     assert not corekit.messages_of(later, messages.ChargeRequest)
 
 
+def test_owner_with_a_newer_bundle_is_believed():
+    """Guards against requests of a workspace that has been withdrawn.
+
+    The accepting host has an older bundle than the account's owner.
+    """
+    accepting, owner, asked = added_workspace_asked()
+    without = corekit.make_bundle(
+        version=3,
+        workspaces_by_name={
+            'small': records.WorkspaceConfig('small', 0, 1.0, 4, 100_000)
+        },
+    )
+    owner.core.state.bundle = without
+    (reply,) = charge_replies(owner, asked)
+    assert [
+        refusal.code
+        for refusal in sessioncases.refusals(accepting.receive(reply))
+    ] == ['unknown_workspace']
+
+
 async def test_host_that_knows_more_is_told_by_its_position():
     """Guards against requests of older builds that are taken for newer ones."""
     async with kit.running_system(2) as system:
