--- a/bergamotstream/forwarding/hostsettings.py
+++ b/bergamotstream/forwarding/hostsettings.py
@@ -84,6 +84,15 @@
         return self.contact_ms + LISTED_AFTER_CONTACT_MS - DIRECTORY_MARGIN_MS
 
 
+class Features(NamedTuple):
+    """Decisions that a deployment's settings switch on or off."""
+
+    # Acts where workspaces compete for places; see docs/settings.md.
+    fair_waiting: bool = True
+    weighted_directory: bool = False
+    target_pacing: bool = False
+
+
 class HostSettings(NamedTuple):
     """Settings of one host."""
 
@@ -99,6 +108,7 @@
     bounds: Bounds
     # Memory of the process; above it the platform ends the host.
     memory_mb: float = DEFAULT_MEMORY_MB
+    features: Features = Features()
 
     @property
     def held_bytes(self) -> int:
--- a/bergamotstream/platform/bootsettings.py
+++ b/bergamotstream/platform/bootsettings.py
@@ -20,6 +20,12 @@
 from bergamotstream.forwarding import hostsettings
 
 PATH_VARIABLE = 'BERGAMOTSTREAM_BOOT'
+# Switches single features, for example 'target_pacing=on,fair_waiting=off'.
+FEATURES_VARIABLE: Final = 'BERGAMOTSTREAM_FEATURES'
+# The part of the platform's rules under which callers and targets compete for
+# too little room.
+PRESSURE: Final = 'pressure'
+_SWITCHES: Final[Mapping[str, bool]] = {'on': True, 'off': False}
 MS_PER_S: Final = 1_000
 # Longest time that is meant; a longer one is a mistake in its unit.
 MAX_TIME_MS: Final = 600_000
@@ -82,8 +88,15 @@
         raise errors.InvalidSettings(f'{path}: {fault}') from fault
 
 
-def decode(tables: Mapping[str, Any]) -> BootSettings:
-    """Return the settings; raises ``InvalidSettings`` naming the field."""
+def decode(
+    tables: Mapping[str, Any], switches: str | None = None
+) -> BootSettings:
+    """Return the settings; raises ``InvalidSettings`` naming the field.
+
+    ``switches`` overrides features; by default those of the environment do.
+    """
+    if switches is None:
+        switches = os.environ.get(FEATURES_VARIABLE, '')
     reader = _Reader(tables)
     faults: list[SettingFault] = []
     decoded = hostsettings.HostSettings(
@@ -97,6 +110,7 @@
         store=_store(reader),
         bounds=_bounds(reader, faults),
         memory_mb=_memory_mb(reader, faults),
+        features=_features(tables, switches, faults),
     )
     _check_addresses(decoded)
     return BootSettings(decoded, tuple(faults))
@@ -146,6 +160,30 @@
     return defaults._replace(**figures)
 
 
+def _features(
+    tables: Mapping[str, Any], switches: str, faults: list[SettingFault]
+) -> hostsettings.Features:
+    """Return the features; switches that make no sense are faults."""
+    listed = tables.get('contracts')
+    is_pressed = isinstance(listed, list) and PRESSURE in listed
+    features = hostsettings.Features(
+        weighted_directory=is_pressed, target_pacing=is_pressed
+    )
+    for switch in filter(None, switches.split(',')):
+        name, _, state = switch.strip().partition('=')
+        if name in features._fields and state in _SWITCHES:
+            features = features._replace(**{name: _SWITCHES[state]})
+        else:
+            faults.append(
+                SettingFault(
+                    FEATURES_VARIABLE,
+                    f'unknown switch {switch!r}',
+                    f'use NAME=on or NAME=off of {", ".join(features._fields)}',
+                )
+            )
+    return features
+
+
 def _memory_mb(reader: '_Reader', faults: list[SettingFault]) -> float:
     """Return the memory of a host; one that cannot be used is a fault."""
     default = hostsettings.DEFAULT_MEMORY_MB
--- a/tests/test_hostsettings.py
+++ b/tests/test_hostsettings.py
@@ -198,3 +198,28 @@
     """Guards against a process that ends without naming the field."""
     with pytest.raises(errors.InvalidSettings, match='node_name'):
         bootsettings.decode(oddkit.SETTINGS | {'node_name': 5})
+
+
+@pytest.mark.parametrize(
+    ('contracts', 'switches', 'expected'),
+    [
+        ([], '', (True, False, False)),
+        (['base', 'pressure'], '', (True, True, True)),
+        (['pressure'], 'target_pacing=off', (True, True, False)),
+        ('pressure', 'fair_waiting=off', (False, False, False)),
+    ],
+)
+def test_features_follow_the_settings(contracts, switches, expected):
+    """Guards against decisions that no setting has asked for."""
+    loaded = bootsettings.decode(
+        oddkit.SETTINGS | {'contracts': contracts}, switches
+    )
+    assert loaded.host.features == expected
+
+
+def test_unknown_switch_stops_no_host():
+    """Guards against a host that does not start for a misspelt feature."""
+    loaded = bootsettings.decode(oddkit.SETTINGS, 'pacing=on,fair_waiting=1')
+    assert loaded.host.features == hostsettings.Features()
+    fields = [fault.field for fault in loaded.faults]
+    assert fields.count(bootsettings.FEATURES_VARIABLE) == 2
