--- a/bergamotstream/errors.py
+++ b/bergamotstream/errors.py
@@ -92,6 +92,9 @@
     'headers_too_large', 431, 'send shorter headers, below the stated limit'
 )
 BodyTooLarge = _declare('body_too_large', 413, 'send a body of at most 8 MB')
+BodyTimeout = _declare(
+    'body_timeout', 408, 'send the body within the time of the request'
+)
 DeadlinePassed = _declare(
     'deadline_passed', 504, 'allow more time and send it as a new request'
 )
--- a/bergamotstream/forwarding/heldbytes.py
+++ b/bergamotstream/forwarding/heldbytes.py
@@ -2,9 +2,10 @@
 Held bytes
 ~~~~~~~~~~
 
-Bounds what a host holds of all answers together: bodies that are passed on as a
-whole, and events that are not complete yet. Each answer has a bound of its own,
-but several faulty targets may reach it for many requests at a time.
+Bounds what a host holds for many peers together: of answers, bodies that are
+passed on as a whole and events that are not complete yet; of callers, heads,
+bodies and answers that they do not read. Each of these has a bound of its own,
+but many faulty targets or callers may reach it at a time.
 """
 
 import types
@@ -13,14 +14,15 @@
 
 from bergamotstream.forwarding import answerlimits
 
-# Ends an answer: nothing more of it is read, and what is held is dropped.
+# Ends a holding: nothing more is read for it, and what is held is dropped.
 AnswerEnder: TypeAlias = Callable[[answerlimits.LimitExceeded], None]
 
 
 class HeldBytes:
-    """The bytes of all answers; above the bound the largest one ends.
+    """The bytes of all holdings; above the bound the largest one ends.
 
-    Sound answers are short, so they go on beside those that never end.
+    Sound answers and requests are short, so they go on beside those that never
+    end. Holdings that wait for their peer end before any other.
     """
 
     def __init__(self, allowed: int) -> None:
@@ -30,7 +32,7 @@
         self._holdings: dict[Holding, None] = {}
 
     def open(self, end: AnswerEnder) -> 'Holding':
-        """Return the holding of a new answer, which ``end`` ends."""
+        """Return a new holding, which ``end`` ends."""
         return Holding(self, end)
 
     def add(self, holding: 'Holding', added: int) -> None:
@@ -38,7 +40,7 @@
         self._holdings[holding] = None
         self.total += added
         while self.total > self.allowed:
-            largest = max(self._holdings, key=_size)
+            largest = max(self._holdings, key=_rank)
             exceeded = answerlimits.LimitExceeded(
                 'held_bytes', self.total, self.allowed
             )
@@ -53,11 +55,13 @@
 
 
 class Holding:
-    """The bytes that are held of one answer."""
+    """The bytes that are held for one answer or one connection."""
 
     def __init__(self, held: HeldBytes, end: AnswerEnder) -> None:
         """Hold nothing."""
         self.size = 0
+        # Whether the bytes stay until a peer sends or reads more.
+        self.is_waiting = False
         # Emptied at the end: the traceback of a fault keeps it for longer.
         self.buffer = bytearray()
         self._held = held
@@ -98,5 +102,5 @@
         self._end(exceeded)
 
 
-def _size(holding: Holding) -> int:
-    return holding.size
+def _rank(holding: Holding) -> tuple[bool, int]:
+    return holding.is_waiting, holding.size
--- a/bergamotstream/forwarding/hostdaemon.py
+++ b/bergamotstream/forwarding/hostdaemon.py
@@ -12,7 +12,7 @@
 import random
 import signal
 import sys
-from collections.abc import Coroutine, Iterable
+from collections.abc import Callable, Coroutine, Iterable
 from typing import Any, Final
 
 from aiohttp import web
@@ -28,6 +28,7 @@
 )
 from bergamotstream.forwarding import (
     blamerecords,
+    callerlimits,
     configurationfetch,
     connections,
     directory,
@@ -108,6 +109,7 @@
         )
         self._outcomes.tell_peers = self._peers.schedule_send
         self._meters.read_gauges = self._read_gauges
+        self._parsing = callerlimits.ParseBudget()
         self._stop_requested = asyncio.Event()
         self._configured = asyncio.Event()
         self._runners: list[web.ServerRunner] = []
@@ -260,29 +262,64 @@
         await self._serve(
             self._entry.peer_address,
             self._answer_peer,
-            pacedreads.MAX_PEER_HEAD_BYTES,
+            hostsettings.PEER_SOCKETS_SHARE,
+            self._max_peer_head,
         )
-        await self._serve(self._config.readiness_address, self._answer_ready)
         await self._serve(
-            self._config.directory_address, self._answer_directory
+            self._config.readiness_address,
+            self._answer_ready,
+            hostsettings.READINESS_SOCKETS_SHARE,
         )
-        await self._serve(self._config.caller_address, caller_ingress.handle)
+        await self._serve(
+            self._config.directory_address,
+            self._answer_directory,
+            hostsettings.DIRECTORY_SOCKETS_SHARE,
+        )
+        await self._serve(
+            self._config.caller_address,
+            caller_ingress.handle,
+            hostsettings.CALLER_SOCKETS_SHARE,
+        )
+
+    def _max_caller_head(self) -> int:
+        """Return the longest head by the limits that are in force."""
+        configuration = self._core.view.configuration
+        if configuration is None:
+            return pacedreads.MAX_HEAD_BYTES
+        limits = configuration.limits
+        return pacedreads.max_caller_head(limits.max_header_bytes)
+
+    def _max_peer_head(self) -> int:
+        """Return the longest head of a peer, which holds a caller's head.
+
+        The peer may have a later configuration with a higher limit.
+        """
+        return pacedreads.MAX_PEER_HEAD_BYTES
 
     async def _serve(
         self,
         address: str,
         handler: pacedreads.Handler,
-        max_head_bytes: int = pacedreads.MAX_HEAD_BYTES,
+        sockets_share: float,
+        max_head_bytes: Callable[[], int] | None = None,
     ) -> None:
+        limits = callerlimits.ServerLimits(
+            max_head_bytes or self._max_caller_head,
+            self._core.held_for_callers,
+            callerlimits.ConnectionTable(
+                self._config.connections(sockets_share)
+            ),
+            self._parsing,
+        )
         server = pacedreads.PacedServer(
             handler,
-            self._outcomes.refusals.record_unreadable,
-            max_head_bytes,
+            self._outcomes.refusals,
+            limits,
             handler_cancellation=True,
             access_log=None,
             keepalive_timeout=CALLER_IDLE_TIMEOUT_S,
-            max_line_size=max_head_bytes,
-            max_field_size=max_head_bytes,
+            max_line_size=pacedreads.MAX_PEER_HEAD_BYTES,
+            max_field_size=pacedreads.MAX_PEER_HEAD_BYTES,
             max_headers=pacedreads.MAX_HEAD_LINES,
             auto_decompress=False,
         )
@@ -366,6 +403,8 @@
             'contacts': len(self._peers.live_contacts()),
             'held_bytes': self._core.held.total,
             'held_bytes_limit': self._core.held.allowed,
+            'caller_bytes': self._core.held_for_callers.total,
+            'caller_bytes_limit': self._core.held_for_callers.allowed,
         }
         gauges |= self._outcomes.refusals.gauges()
         return gauges | {
--- a/bergamotstream/forwarding/hostsettings.py
+++ b/bergamotstream/forwarding/hostsettings.py
@@ -30,6 +30,20 @@
 RESERVED_MEMORY_MB: Final = 80
 MIN_HELD_MB: Final = 8
 BYTES_PER_MB: Final = 1_000_000
+# The least that a host holds for callers: several of the largest bodies that the
+# operators allow.
+MIN_CALLER_MB: Final = 16
+# The least that the operators have given a host, and those of them that are not
+# for sockets; source: the platform's rules for machines.
+DEFAULT_MAX_FDS: Final = 4_100
+FILE_FDS: Final = 200
+# Shares of the sockets that each server may have open. The rest is for targets,
+# peers and the store.
+CALLER_SOCKETS_SHARE: Final = 0.5
+DIRECTORY_SOCKETS_SHARE: Final = 0.1
+PEER_SOCKETS_SHARE: Final = 0.15
+READINESS_SOCKETS_SHARE: Final = 0.05
+MIN_SOCKETS: Final = 8
 
 
 class StoreSettings(NamedTuple):
@@ -109,6 +123,19 @@
     # Memory of the process; above it the platform ends the host.
     memory_mb: float = DEFAULT_MEMORY_MB
     features: Features = Features()
+    # Descriptors of the process; it cannot open more.
+    max_fds: int = DEFAULT_MAX_FDS
+
+    def connections(self, share: float) -> int:
+        """Return how many connections a server with ``share`` may have."""
+        sockets = max(self.max_fds - FILE_FDS, 0)
+        return max(round(sockets * share), MIN_SOCKETS)
+
+    @property
+    def caller_bytes(self) -> int:
+        """Return how much a host may hold for all callers together."""
+        free_mb = self.memory_mb - RESERVED_MEMORY_MB
+        return round(max(free_mb / 4, MIN_CALLER_MB) * BYTES_PER_MB)
 
     @property
     def held_bytes(self) -> int:
--- a/bergamotstream/forwarding/ingress.py
+++ b/bergamotstream/forwarding/ingress.py
@@ -36,6 +36,7 @@
     relayedadmission,
     relayedevents,
     relayformat,
+    requestreads,
     requeststate,
     reservations,
     retrydecisions,
@@ -46,8 +47,6 @@
 from bergamotstream.platform import callerformat
 
 MS_PER_S: Final = 1_000
-# Colon, space and line end of a header.
-HEADER_LINE_OVERHEAD_BYTES: Final = 4
 # After this time the store is unavailable and the caller should use another
 # host.
 CONFIGURATION_TIMEOUT_S: Final = 0.25
@@ -218,8 +217,10 @@
             )
         limits = None if relayed else self._limits()
         if limits is not None:
-            _check_headers(request, limits)
-        body = await _read_body(request, limits)
+            requestreads.check_headers(request, limits)
+        body = await requestreads.read_body(
+            request, limits, job.end_ms - now_ms
+        )
         job = fingerprints.identify(job, body)
         if relayed and relayed.trial_part in job.parts:
             job = job._replace(trial_part=relayed.trial_part)
@@ -617,36 +618,6 @@
         return response
 
 
-async def _read_body(
-    request: web.BaseRequest, limits: fleetrecords.CallerLimits | None
-) -> bytes:
-    """Return a body; raises ``BodyTooLarge`` above the operators' limit."""
-    received = bytearray()
-    async for chunk in request.content.iter_any():
-        received += chunk
-        if limits and len(received) > limits.max_body_bytes:
-            raise errors.BodyTooLarge(
-                f'{len(received)} bytes, limit {limits.max_body_bytes}'
-            )
-    return bytes(received)
-
-
-def _check_headers(
-    request: web.BaseRequest, limits: fleetrecords.CallerLimits
-) -> None:
-    """Raise ``HeadersTooLarge`` above the operators' limit."""
-    size = sum(
-        len(name) + len(field) + HEADER_LINE_OVERHEAD_BYTES
-        for name, field in request.raw_headers
-    )
-    # The limit is for the headers; a path may have the same length beside them.
-    size = max(size, len(request.raw_path))
-    if size > limits.max_header_bytes:
-        raise errors.HeadersTooLarge(
-            f'{size} bytes, limit {limits.max_header_bytes}'
-        )
-
-
 async def _pass_events(
     served: requeststate.Try,
     write: EventWriter,
--- a/bergamotstream/forwarding/pacedreads.py
+++ b/bergamotstream/forwarding/pacedreads.py
@@ -8,24 +8,38 @@
 """
 
 import asyncio
+import collections
+import contextlib
 from collections.abc import Awaitable, Callable
-from typing import Any, Final
+from typing import Any, Final, Protocol
 
 from aiohttp import StreamReader, web
 
-from bergamotstream import clock
-from bergamotstream.forwarding import answerlimits
+from bergamotstream import clock, errors
+from bergamotstream.forwarding import answerlimits, callerlimits, heldbytes
 
 MIN_READ_BYTES: Final = 1_024
 # Many connections may send without end; others wait for a turn of each of them.
 MAX_READ_BYTES: Final = 16_384
 # Bounds of the head of a request that hold whatever the operators allow, as a
-# head is kept until its end. They apply their own limit to heads that have come.
+# head is kept until its end.
 MAX_HEAD_BYTES: Final = 2_097_152
 MAX_HEAD_LINES: Final = 65_536
 # Of a message between hosts, which holds a caller's head in Base64.
 MAX_PEER_HEAD_BYTES: Final = 2 * MAX_HEAD_BYTES
 HEAD_TOO_LARGE: Final = 431
+HEAD_REFUSAL: Final = (
+    b'HTTP/1.1 431 Request Header Fields Too Large\r\n'
+    b'Connection: close\r\nContent-Length: 0\r\n\r\n'
+)
+# A path may be as long as the headers. The rest is for the request line and for
+# what is read before the end of a head is seen.
+MAX_HEAD_PARTS: Final = 2
+HEAD_MARGIN_BYTES: Final = 32_768
+REFUSAL_LINGER_S: Final = 1.0
+# Retry delay of a request that was refused for want of memory: other callers'
+# requests have ended by then.
+MEMORY_RETRY_AFTER_MS: Final = 1_000
 # Bytes on the connection for a byte of a body in chunks of one, with room for
 # extensions. Trailers count as what surrounds a body.
 MAX_CHUNK_OVERHEAD: Final = 16
@@ -34,10 +48,10 @@
 # A read that takes this long is followed by one of half the size.
 LONG_TURN_MS: Final = 2
 INTERNAL_ERROR: Final = 500
+MS_PER_S: Final = 1_000
 _CLOCK: Final = clock.Clock()
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
-UnreadableRecorder = Callable[[int, str, str], None]
 
 
 class Pace:
@@ -58,73 +72,249 @@
         """Record that the bytes of a read are about to be parsed."""
         self._started_ms = _CLOCK.now_ms()
 
-    def end(self, read_bytes: int) -> None:
-        """Choose the size of the next read by the time that this one took."""
+    def end(self, read_bytes: int) -> int:
+        """Choose the size of the next read by the time that this one took.
+
+        Returns that time.
+        """
         turn_ms = _CLOCK.now_ms() - self._started_ms
         transport = self._transport
         if turn_ms >= LONG_TURN_MS:
             transport.max_size = max(transport.max_size // 2, MIN_READ_BYTES)
         elif not turn_ms and read_bytes >= transport.max_size:
             transport.max_size = min(transport.max_size * 2, MAX_READ_BYTES)
+        return turn_ms
 
 
 class PacedHandler(web.RequestHandler):
-    """Connection of a caller or a peer, with paced reads."""
+    """Connection of a caller or a peer, with paced and bounded reads."""
 
-    __slots__ = ('_body_bytes', '_head_bytes', '_pace', '_payload')
+    __slots__ = (
+        '_body_bytes',
+        '_costs',
+        '_head',
+        '_head_bytes',
+        '_holding',
+        '_is_refused',
+        '_is_throttled',
+        '_pace',
+        '_payload',
+        '_unread_bytes',
+    )
 
     # Received since the last head, while its body is open.
     _body_bytes: int
-    # Received of a head that is not complete.
+    # Requests that are open, with their bodies; the last may be incomplete.
+    _costs: collections.deque[tuple[callerlimits.RequestCost, StreamReader]]
+    # The head that is not complete, and its bytes.
+    _head: callerlimits.RequestCost
     _head_bytes: int
+    _holding: heldbytes.Holding
+    _is_refused: bool
+    # Whether no bytes are read for the sake of other connections.
+    _is_throttled: bool
     _pace: Pace
     # The body of the request whose head came last.
     _payload: StreamReader | None
+    # Of an answer that is being written.
+    _unread_bytes: int
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Bound the reads; called by the event loop."""
         self._pace = Pace()
         self._pace.attach(transport)
         self._body_bytes = 0
+        self._costs = collections.deque()
+        self._head = callerlimits.RequestCost()
         self._head_bytes = 0
+        self._holding = self._limits.held.open(self._handle_exceeded)
+        self._is_refused = False
+        self._is_throttled = False
         self._payload = None
+        self._unread_bytes = 0
         super().connection_made(transport)
+        victim = self._limits.connections.open(self)
+        if isinstance(victim, PacedHandler):
+            victim.end_idle()
+        self._update_holding()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Release what the connection holds; called by the event loop."""
+        limits = self._limits
+        super().connection_lost(exc)
+        self._costs.clear()
+        limits.held.remove(self._holding)
+        limits.connections.close(self)
 
     def data_received(self, data: bytes) -> None:
         """Parse what was read; called by the event loop."""
+        if self._is_refused or self.transport is None:
+            return
         self._pace.start()
         requests = self._request_count
+        is_head = self._payload is None or self._payload.is_eof()
         super().data_received(data)
+        if is_head:
+            self._head.add_head(data)
         if self._request_count > requests:
-            self._payload = self._messages[-1][1]
-            self._head_bytes = 0
-            self._body_bytes = 0
-        elif self._payload is None or self._payload.is_eof():
+            self._record_requests(self._request_count - requests)
+        elif is_head:
             self._head_bytes += len(data)
         else:
             self._body_bytes += len(data)
+        turn_ms = self._pace.end(len(data))
         if self._is_endless():
-            self._end_head()
-        self._pace.end(len(data))
+            self._refuse_endless()
+        elif turn_ms >= LONG_TURN_MS:
+            self._throttle(turn_ms)
+        self._update_holding()
+
+    def pause_writing(self) -> None:
+        """Count what the caller does not read; called by the event loop."""
+        super().pause_writing()
+        self._update_holding()
+
+    def resume_writing(self) -> None:
+        """Count what the caller has read; called by the event loop."""
+        super().resume_writing()
+        self._update_holding()
+
+    async def finish_response(
+        self,
+        request: web.BaseRequest,
+        resp: web.StreamResponse,
+        start_time: float | None,
+    ) -> tuple[web.StreamResponse, bool]:
+        """Write an answer, and release its request."""
+        body = resp.body if isinstance(resp, web.Response) else None
+        self._unread_bytes = len(body) if isinstance(body, bytes) else 0
+        self._update_holding()
+        with contextlib.ExitStack() as stack:
+            stack.callback(self._release_request)
+            return await super().finish_response(request, resp, start_time)
+
+    def end_idle(self) -> None:
+        """Close a connection without a request, to make room for another."""
+        self._server.record_limit('connections', self._limits.connections.most)
+        self.force_close()
+
+    @property
+    def _server(self) -> 'PacedServer':
+        manager = self._manager
+        if not isinstance(manager, PacedServer):
+            raise TypeError(manager)
+        return manager
+
+    @property
+    def _limits(self) -> callerlimits.ServerLimits:
+        return self._server.limits
+
+    def _resume_transport_reading(self) -> None:
+        if not self._is_throttled:
+            super()._resume_transport_reading()
+
+    def _release_request(self) -> None:
+        self._unread_bytes = 0
+        if self._costs:
+            self._costs.popleft()
+        self._update_holding()
+
+    def _record_requests(self, count: int) -> None:
+        """Count requests whose heads have just been completed."""
+        for _, payload in list(self._messages)[-count:]:
+            self._costs.append((self._head, payload))
+            self._head = callerlimits.RequestCost()
+            self._payload = payload
+        self._head_bytes = 0
+        self._body_bytes = 0
+
+    def _update_holding(self) -> None:
+        """Count what the host holds for this connection."""
+        if self.transport is None:
+            return
+        size = callerlimits.CONNECTION_BYTES + self._unread_bytes
+        size += self._head.total(0, is_complete=False)
+        is_waiting = self._head_bytes > 0 or self._paused
+        for cost, payload in self._costs:
+            is_complete = payload.is_eof()
+            size += cost.total(payload.total_bytes, is_complete=is_complete)
+            is_waiting = is_waiting or not is_complete
+        if self._paused and not self._unread_bytes:
+            size += self.transport.get_write_buffer_size()
+        self._limits.connections.use(
+            self, is_busy=bool(self._costs) and not is_waiting
+        )
+        self._holding.is_waiting = is_waiting
+        self._holding.resize(size)
+
+    def _handle_exceeded(self, exceeded: answerlimits.LimitExceeded) -> None:
+        """Refuse a request that is not complete, or close the connection."""
+        self._server.record_limit('caller_bytes', exceeded.allowed)
+        payload = self._payload
+        is_reading = self._current_request is not None
+        self._drop_parser()
+        if is_reading and payload is not None and not payload.is_eof():
+            self._lingering_time = 0
+            payload.set_exception(
+                errors.Overloaded(
+                    str(exceeded), retry_after_ms=MEMORY_RETRY_AFTER_MS
+                )
+            )
+        else:
+            self._abort()
+
+    def _abort(self) -> None:
+        transport = self.transport
+        self.force_close()
+        if transport is not None:
+            transport.abort()
+
+    def _drop_parser(self) -> None:
+        """Read nothing more, and free a head that is not complete."""
+        self._is_refused = True
+        self._parser = None
+        self._head = callerlimits.RequestCost()
+        self._pause_transport_reading()
+
+    def _throttle(self, turn_ms: int) -> None:
+        """Leave the processor to others after bytes that took long."""
+        delay_ms = self._limits.parsing.delay_ms(turn_ms, _CLOCK.now_ms())
+        self._is_throttled = True
+        self._pause_transport_reading()
+        self._loop.call_later(delay_ms / MS_PER_S, self._end_throttling)
+
+    def _end_throttling(self) -> None:
+        self._is_throttled = False
+        is_held = self._reading_paused or self._buffer_paused
+        if not is_held and not self._is_refused:
+            self._resume_transport_reading()
 
     def _is_endless(self) -> bool:
         """Tell whether a head, or what surrounds a body, is too long."""
         body_bytes = self._payload.total_bytes if self._payload else 0
         allowed = answerlimits.MAX_FRAMING_BYTES
         allowed += body_bytes * MAX_CHUNK_OVERHEAD
-        manager = self._manager
-        longest = MAX_HEAD_BYTES
-        if isinstance(manager, PacedServer):
-            longest = manager.max_head_bytes
+        longest = self._limits.max_head_bytes()
         return self._head_bytes > longest or self._body_bytes > allowed
 
-    def _end_head(self) -> None:
-        """Close a connection that sends a head or framing without end."""
+    def _refuse_endless(self) -> None:
+        """Refuse a head or framing without end, after open requests."""
         self._record_unreadable(
             HEAD_TOO_LARGE,
             f'{self._head_bytes} bytes of a head, {self._body_bytes} with a body',
         )
-        self.force_close()
+        is_open = bool(self._costs) or self._current_request is not None
+        transport = self.transport
+        self._drop_parser()
+        if self._body_bytes or transport is None:
+            self._abort()
+        elif is_open:
+            self.close()
+        else:
+            transport.write(HEAD_REFUSAL)
+            # What still arrives is not read; a caller that sends on gets a
+            # reset, but not before it could read the answer.
+            self._loop.call_later(REFUSAL_LINGER_S, self.force_close)
 
     def handle_error(
         self,
@@ -155,20 +345,36 @@
 
 
 class PacedServer(web.Server):
-    """Server whose connections have paced reads."""
+    """Server whose connections have paced and bounded reads."""
 
     def __init__(
         self,
         handler: Handler,
-        record_unreadable: UnreadableRecorder,
-        max_head_bytes: int,
+        recorder: 'Recorder',
+        limits: callerlimits.ServerLimits,
         **options: Any,
     ) -> None:
-        """Call ``record_unreadable`` with status, fault and caller."""
+        """Tell ``recorder`` of connections that are refused or closed."""
         super().__init__(handler, **options)
-        self.record_unreadable = record_unreadable
-        self.max_head_bytes = max_head_bytes
+        self.record_unreadable = recorder.record_unreadable
+        self.record_limit = recorder.record_limit
+        self.limits = limits
 
     def __call__(self) -> web.RequestHandler:
         """Return the handler of a new connection."""
         return PacedHandler(self, loop=self._loop, **self._kwargs)
+
+
+class Recorder(Protocol):
+    """Records what a server refuses."""
+
+    def record_unreadable(self, status: int, fault: str, caller: str) -> None:
+        """Record bytes that are no request."""
+
+    def record_limit(self, limit: str, allowed: int) -> None:
+        """Record a connection that was closed at a limit for all of them."""
+
+
+def max_caller_head(max_header_bytes: int) -> int:
+    """Return the longest head of a caller with these limits of headers."""
+    return max_header_bytes * MAX_HEAD_PARTS + HEAD_MARGIN_BYTES
--- a/bergamotstream/forwarding/refusals.py
+++ b/bergamotstream/forwarding/refusals.py
@@ -14,6 +14,7 @@
 # Refusals for what the caller sent; the others tell of this host's state.
 LOWEST_CALLER_FAULT: Final = 400
 HIGHEST_CALLER_FAULT: Final = 499
+LIMIT_LINE_MS: Final = 1_000
 
 
 class RefusalRecorder:
@@ -31,6 +32,7 @@
         self._log = log
         self._clock = time_source
         self._meters = meters
+        self._limit_logged_ms: dict[str, int] = {}
 
     def record(
         self,
@@ -65,6 +67,17 @@
             caller=caller,
         )
 
+    def record_limit(self, limit: str, allowed: int) -> None:
+        """Record a connection that was closed at a limit for all callers.
+
+        A line a second at most: crowds reach a limit many times.
+        """
+        self._meters.count('caller_limits', limit)
+        now_ms = self._clock.now_ms()
+        if now_ms >= self._limit_logged_ms.get(limit, 0) + LIMIT_LINE_MS:
+            self._limit_logged_ms[limit] = now_ms
+            self._log.write('caller_limit', limit=limit, allowed=allowed)
+
     def gauges(self) -> dict[metrics.Series, float]:
         """Return which configuration this host decides by."""
         fields = _position_fields(self._view)
--- a/bergamotstream/forwarding/scheduler.py
+++ b/bergamotstream/forwarding/scheduler.py
@@ -103,6 +103,7 @@
         self.table = commitments.CommitmentTable()
         self.health = targethealth.TargetHealth()
         self.held = heldbytes.HeldBytes(config.held_bytes)
+        self.held_for_callers = heldbytes.HeldBytes(config.caller_bytes)
         self.cold = coldlimits.ColdLimits()
         self.limits = namedlimits.NamedLimits(config.name)
         self.pauses = askedpauses.AskedPauses(rng)
--- a/bergamotstream/platform/bootsettings.py
+++ b/bergamotstream/platform/bootsettings.py
@@ -109,8 +109,13 @@
         peer_ports=reader.ports('internal_ports'),
         store=_store(reader),
         bounds=_bounds(reader, faults),
-        memory_mb=_memory_mb(reader, faults),
+        memory_mb=_limit(
+            reader, faults, 'memory_mb', hostsettings.DEFAULT_MEMORY_MB
+        ),
         features=_features(tables, switches, faults),
+        max_fds=round(
+            _limit(reader, faults, 'max_fds', hostsettings.DEFAULT_MAX_FDS)
+        ),
     )
     _check_addresses(decoded)
     return BootSettings(decoded, tuple(faults))
@@ -184,17 +189,18 @@
     return features
 
 
-def _memory_mb(reader: '_Reader', faults: list[SettingFault]) -> float:
-    """Return the memory of a host; one that cannot be used is a fault."""
-    default = hostsettings.DEFAULT_MEMORY_MB
-    if not reader.has('limits', 'memory_mb'):
+def _limit(
+    reader: '_Reader', faults: list[SettingFault], name: str, default: int
+) -> float:
+    """Return a limit of the host; one that cannot be used is a fault."""
+    if not reader.has('limits', name):
         return default
     try:
-        return reader.number(('limits', 'memory_mb'), 1, MAX_COUNT)
+        return reader.number(('limits', name), 1, MAX_COUNT)
     except errors.InvalidSettings as fault:
         faults.append(
             SettingFault(
-                'limits.memory_mb',
+                f'limits.{name}',
                 fault.detail,
                 f'set a number from 1 to {MAX_COUNT}; {default} is used',
             )
