--- a/bergamotstream/chargerequests.py
+++ b/bergamotstream/chargerequests.py
@@ -68,16 +68,20 @@
         if session.charge_state != 'asked' or message.code == 'no_owner':
             # Without an owner the request is repeated until the fallback.
             return True
-        return self._is_workspace_news(message)
+        return self._is_owner_behind(message)
 
-    def _is_workspace_news(self, message: messages.ChargeReply) -> bool:
-        """Tell whether the owner has not read yet that a workspace exists."""
+    def _is_owner_behind(self, message: messages.ChargeReply) -> bool:
+        """Tell whether the owner may lack a workspace, or a higher limit.
+
+        The request is repeated until the owner has read the same bundle.
+        """
         bundle = self._state.bundle
-        return (
-            message.code == 'unknown_workspace'
-            and bundle is not None
-            and message.bundle_version < bundle.version
-        )
+        if bundle is None or message.bundle_version >= bundle.version:
+            return False
+        if message.code == 'unknown_workspace':
+            return True
+        # An older build names no version, so its limits may be the latest.
+        return message.code == 'limit_reached' and message.bundle_version > 0
 
     def release(self, session: sessionstate.Session) -> components.Actions:
         """End the charge of a closed request."""
