--- a/bergamotstream/sessionflow.py
+++ b/bergamotstream/sessionflow.py
@@ -7,7 +7,7 @@
 final answer.
 """
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
 from bergamotstream import (
     actions,
@@ -119,6 +119,14 @@
         self.schedule_wakeup(session, session.grant_retry_at_ms)
         return produced
 
+    def exclude(
+        self, session: sessionstate.Session, targets: Iterable[str]
+    ) -> components.Actions:
+        """Request a grant again, for other targets."""
+        session.excluded_targets += tuple(sorted(targets))
+        session.reset_grant_request()
+        return self.request_grant(session)
+
     def on_grant_denied(
         self, session: sessionstate.Session, message: messages.GrantReply
     ) -> components.Actions:
--- a/bergamotstream/sessions.py
+++ b/bergamotstream/sessions.py
@@ -117,6 +117,10 @@
             return self._flow.grants.return_grant(message, sender)
         if not message.granted:
             return self._flow.on_grant_denied(session, message)
+        leaving = self._leaving_targets(message)
+        if leaving:
+            returned = self._flow.grants.return_grant(message, sender)
+            return [*returned, *self._flow.exclude(session, leaving)]
         attempt = sessionstate.Attempt(
             attempt_id=message.attempt_id,
             partition=message.partition,
@@ -127,6 +131,15 @@
         self._flow.grants.hold(session, attempt)
         return self._flow.advance(session)
 
+    def _leaving_targets(self, message: messages.GrantReply) -> set[str]:
+        """Return the granted targets that leave by this host's bundle.
+
+        The owner that granted them may have an older one.
+        """
+        bundle = self.state.bundle
+        leaving = frozenset() if bundle is None else bundle.targets_leaving
+        return {target.name for target in message.targets} & leaving
+
     @components.handles(messages.ClaimReply)
     def on_claim_reply(
         self, message: messages.ClaimReply, sender: str
