--- a/bergamotstream/forwarding/peerexchange.py
+++ b/bergamotstream/forwarding/peerexchange.py
@@ -25,6 +25,7 @@
     peerformat,
     scheduler,
 )
+from bergamotstream.platform import store
 
 # Changes within this time are sent in one message.
 COALESCE_DELAY_S: Final = 0.004
@@ -204,17 +205,28 @@
         """Tell whether most peers have documents that this host lacks."""
         own = self._core.view.items.complete_position()
         peers = [peer for peer in self.live_peers() if peer.ready]
-        ahead = [peer for peer in peers if peer.complete_position() > own]
+        ahead = [peer for peer in peers if self._position_of(peer) > own]
         return len(ahead) * 2 > len(peers)
 
     def is_ahead(self, name: str) -> bool:
         """Tell whether a host has documents that this one lacks."""
         own = self._core.view.items.complete_position()
         return any(
-            host.entry.name == name and host.complete_position() > own
+            host.entry.name == name and self._position_of(host) > own
             for host in self.heard_hosts()
         )
 
+    def _position_of(self, host: peerformat.HostState) -> store.Position:
+        """Return up to where a host has all documents.
+
+        Older builds name no era; their revision is one of ours as long as the
+        store has not returned from a copy.
+        """
+        position = host.complete_position()
+        if host.store_era:
+            return position
+        return position._replace(era=self._core.view.items.assumed_era())
+
     def store_answered_ms(self) -> int:
         """Return when the store last answered this host or a live peer."""
         own_ms = self._core.view.store_answered_ms
