--- a/bergamotstream/forwarding/storeitems.py
+++ b/bergamotstream/forwarding/storeitems.py
@@ -163,11 +163,16 @@
         present.update(reference.key for reference in news.references)
         gone = [
             store.Item(key, page.revision, None)
-            for key in self.by_key
+            for key in self._known_keys()
             if key not in present
         ]
         return page._replace(items=(*gone, *page.items))
 
+    def _known_keys(self) -> set[str]:
+        """Return the keys of items that are known or pending."""
+        pending = self.pending.references()
+        return {*self.by_key, *(reference.key for reference in pending)}
+
     def with_known_documents(self, news: News) -> News:
         """Return news with the items whose documents are known already.
 
