--- a/bergamotstream/forwarding/configurationfetch.py
+++ b/bergamotstream/forwarding/configurationfetch.py
@@ -9,6 +9,7 @@
 """
 
 import asyncio
+import operator
 import random
 from collections.abc import Iterable
 from typing import Final
@@ -35,6 +36,9 @@
 # Pause after a fetch that has not helped: the peer's document may be one that
 # this build cannot read.
 RETRY_S: Final = 1.0
+# Time for which another task is expected to bring the newest configuration: a
+# holder that dies is dropped after 2.5 s.
+EXPECTED_MS: Final = 3_000
 
 
 class ConfigurationFetch:
@@ -57,6 +61,10 @@
         self._clock = time_source
         self._meters = meters
         self._rng = random.Random()
+        # Names of peers whose last fetch has failed.
+        self._failed: set[str] = set()
+        # Since when another task has been expected to bring the newest.
+        self._expected_since_ms: int | None = None
 
     async def run(self, report: storetasks.ChangeListener) -> None:
         """Fetch whenever only a peer can tell the newest, until cancelled."""
@@ -64,6 +72,7 @@
             await asyncio.sleep(peerfetch.CHECK_INTERVAL_S)
             peer = self._choose_peer()
             if peer is not None:
+                self._failed.add(peer.entry.name)
                 await self._fetch(peer, report)
                 version = self._view.in_force.version
                 if version < peer.configuration_version:
@@ -79,14 +88,42 @@
         ]
         self._view.lag.compare(own, versions, self._clock.now_ms())
         heard = self._peers.heard_hosts()
-        newest = max((peer.configuration_version for peer in heard), default=0)
-        if newest <= own:
+        ahead = [peer for peer in heard if peer.configuration_version > own]
+        if not ahead:
+            self._failed.clear()
+            self._expected_since_ms = None
             return None
+        if self._is_expected(ahead, heard):
+            return None
+        self._failed.intersection_update(peer.entry.name for peer in ahead)
+        if len(self._failed) == len(ahead):
+            self._failed.clear()
+        untried = [
+            peer for peer in ahead if peer.entry.name not in self._failed
+        ]
+        newest = max(peer.configuration_version for peer in untried)
         # A random one, as connections to one of them may fail.
-        peer = self._rng.choice(
-            [peer for peer in heard if peer.configuration_version == newest]
+        return self._rng.choice(
+            [peer for peer in untried if peer.configuration_version == newest]
         )
-        return None if self._is_coming(peer, heard) else peer
+
+    def _is_expected(
+        self,
+        ahead: list[peerformat.HostState],
+        heard: Iterable[peerformat.HostState],
+    ) -> bool:
+        """Tell whether the newest is to come as news or as an item.
+
+        Only for a while: the host that has it may be out of reach, or may not
+        have it after all.
+        """
+        newest = max(ahead, key=operator.attrgetter('configuration_version'))
+        if not self._is_coming(newest, heard):
+            return False
+        now_ms = self._clock.now_ms()
+        if self._expected_since_ms is None:
+            self._expected_since_ms = now_ms
+        return now_ms < self._expected_since_ms + EXPECTED_MS
 
     def _is_coming(
         self,
