--- a/bergamotstream/forwarding/callerlimits.py
+++ b/bergamotstream/forwarding/callerlimits.py
@@ -23,6 +23,9 @@
 COMPLETE_BODY_COPIES: Final = 2
 # Time of the host for all others for each ms that it parses costly bytes.
 PARSE_PAUSE_RATIO: Final = 4
+# Pauses that may add up before any is made, so that what has no end is found to
+# have none before the buffers of the connection are full.
+PARSE_BURST_MS: Final = 200
 
 Connection = TypeVar('Connection', bound=Hashable)
 
@@ -84,7 +87,7 @@
         """Return the pause of a connection after ``turn_ms`` of parsing."""
         begin_ms = max(self._free_ms, now_ms)
         self._free_ms = begin_ms + turn_ms * PARSE_PAUSE_RATIO
-        return self._free_ms - now_ms
+        return max(self._free_ms - now_ms - PARSE_BURST_MS, 0)
 
 
 class ServerLimits(NamedTuple):
--- a/bergamotstream/forwarding/pacedreads.py
+++ b/bergamotstream/forwarding/pacedreads.py
@@ -279,6 +279,8 @@
     def _throttle(self, turn_ms: int) -> None:
         """Leave the processor to others after bytes that took long."""
         delay_ms = self._limits.parsing.delay_ms(turn_ms, _CLOCK.now_ms())
+        if not delay_ms:
+            return
         self._is_throttled = True
         self._pause_transport_reading()
         self._loop.call_later(delay_ms / MS_PER_S, self._end_throttling)
