--- a/bergamotstream/forwarding/commitments.py
+++ b/bergamotstream/forwarding/commitments.py
@@ -7,7 +7,8 @@
 without a request to it.
 """
 
-from collections.abc import Iterable, Iterator, Mapping
+import collections
+from collections.abc import Callable, Container, Iterable, Iterator, Mapping
 from typing import Any, Final, NamedTuple
 
 from bergamotstream.forwarding import enginetiming
@@ -45,6 +46,8 @@
     memory_tokens: int
     # Value of the answer when it is on time.
     value: float
+    # Hash of the workspace's name; 0 if it is not known.
+    workspace_hash: int = 0
 
 
 class PendingPrefill(NamedTuple):
@@ -110,6 +113,8 @@
         self._own_by_id: dict[int, Commitment] = {}
         self._next_id = 0
         self._peers_by_name: dict[str, PeerState] = {}
+        # Called when work may have ended, here or at a peer.
+        self.handle_freed: Callable[[], None] = _ignore
 
     def add(self, commitment: Commitment) -> int:
         """Add a commitment of this host and return its id."""
@@ -126,6 +131,7 @@
     def remove(self, commitment_id: int) -> None:
         """End a commitment of this host; does nothing if it has ended."""
         self._own_by_id.pop(commitment_id, None)
+        self.handle_freed()
 
     def own(self) -> Iterable[Commitment]:
         """Return the commitments of this host."""
@@ -141,6 +147,7 @@
         if known is not None and _message_order(state) <= _message_order(known):
             return False
         self._peers_by_name[name] = state
+        self.handle_freed()
         return True
 
     def remove_silent_peers(self, now_ms: int) -> list[str]:
@@ -164,12 +171,29 @@
             for target_id, listed in by_target.items()
         }
 
+    def used_by_workspace(
+        self, target_ids: Container[str]
+    ) -> collections.Counter[int]:
+        """Return what requests on targets cost, by workspace.
+
+        That is the tokens of a request of an engine, and one for others.
+        """
+        used: collections.Counter[int] = collections.Counter()
+        for entry in self._all_commitments():
+            if entry.decodes and entry.target_id in target_ids:
+                used[entry.workspace_hash] += max(entry.context_tokens, 1)
+        return used
+
     def _all_commitments(self) -> Iterator[Commitment]:
         yield from self._own_by_id.values()
         for peer in self._peers_by_name.values():
             yield from peer.commitments
 
 
+def _ignore() -> None:
+    """Nothing waits for work to end."""
+
+
 def _message_order(peer: PeerState) -> tuple[int, int]:
     return peer.incarnation, peer.sequence
 
--- a/bergamotstream/forwarding/exchangerecords.py
+++ b/bergamotstream/forwarding/exchangerecords.py
@@ -7,6 +7,8 @@
 
 from typing import NamedTuple
 
+import xxhash
+
 from bergamotstream.forwarding import fleetrecords, placement
 
 
@@ -73,6 +75,21 @@
     # Deadline for sending the final answer.
     end_ms: int
 
+    @property
+    def workspace_hash(self) -> int:
+        """Return the hash of the workspace's name; 0 without one."""
+        if self.workspace is None:
+            return 0
+        return xxhash.xxh32_intdigest(self.workspace.name.encode())
+
+    @property
+    def cost(self) -> int:
+        """Return its tokens in an engine's memory; 1 for a plain service."""
+        if self.generation is None:
+            return 1
+        tokens = self.generation.prompt_tokens + self.generation.answer_tokens
+        return max(tokens, 1)
+
     @property
     def fingerprints(self) -> tuple[int, ...]:
         """Return all fingerprints that crashes are counted under."""
--- a/bergamotstream/forwarding/ingress.py
+++ b/bergamotstream/forwarding/ingress.py
@@ -31,7 +31,6 @@
     peerexchange,
     peerformat,
     peerrelay,
-    placewaits,
     relayattempts,
     relayedadmission,
     relayedevents,
@@ -44,6 +43,7 @@
     silence,
     streamrecords,
 )
+from bergamotstream.forwarding.waiting import places
 from bergamotstream.platform import callerformat
 
 MS_PER_S: Final = 1_000
@@ -104,8 +104,11 @@
             dependencies.clock,
             dependencies.meters,
         )
-        self._waits = placewaits.PlaceWaits(
-            dependencies.core, self._relays, dependencies.clock
+        self._waits = places.PlaceWaits(
+            dependencies.core,
+            self._relays,
+            dependencies.clock,
+            dependencies.meters,
         )
         self._retries = retrydecisions.RetryDecisions(
             dependencies.core,
--- a/bergamotstream/forwarding/peerformat.py
+++ b/bergamotstream/forwarding/peerformat.py
@@ -353,6 +353,7 @@
         'contextTokens': entry.context_tokens,
         'memoryTokens': entry.memory_tokens,
         'value': entry.value,
+        'workspace': entry.workspace_hash,
     }
 
 
@@ -408,4 +409,5 @@
         context_tokens=entry.contextTokens,
         memory_tokens=entry.memoryTokens,
         value=entry.value,
+        workspace_hash=entry.workspace,
     )
--- a/bergamotstream/forwarding/peers.capnp
+++ b/bergamotstream/forwarding/peers.capnp
@@ -87,6 +87,8 @@
   goalMs @11 :Int32;
   # Time after the placement at which the caller disconnects.
   patienceMs @12 :Int32;
+  # Hash of the name of the workspace; 0 for older builds.
+  workspace @13 :UInt32;
 }
 
 struct TargetNote {
--- a/bergamotstream/forwarding/scheduler.py
+++ b/bergamotstream/forwarding/scheduler.py
@@ -41,6 +41,7 @@
     routing,
     targethealth,
 )
+from bergamotstream.forwarding.waiting import shares
 
 # Value of an answer token in prompt tokens: decoding a token takes about ten
 # times as long as its prefill. Source: the operators' statement of benefits.
@@ -107,6 +108,9 @@
         self.cold = coldlimits.ColdLimits()
         self.limits = namedlimits.NamedLimits(config.name)
         self.pauses = askedpauses.AskedPauses(rng)
+        self.shares = shares.Shares(
+            self.view, self.table, is_enabled=config.features.fair_waiting
+        )
         self.budget = retrybudget.RetryBudget(config.bounds)
         self.blame = crashblame.CrashBlame()
         self.links = links.LinkMonitor()
@@ -498,9 +502,11 @@
         candidates: list[placement.Candidate],
         now_ms: int,
     ) -> exchangerecords.Assignment:
-        candidate = placement.choose_least_loaded(candidates)
+        candidate = placement.choose_least_loaded(
+            self.shares.with_room(job, candidates)
+        )
         if candidate is None:
-            raise errors.NoTarget(job.service.name)
+            raise self._overloaded(f'full_targets={len(candidates)}')
         chosen = placement.Placement(
             parts=(placement.PromptPart(candidate.entry, float(0), 0),),
             first_token_ms=float(0),
@@ -666,6 +672,7 @@
             ),
             memory_tokens=part.held_tokens,
             value=generation.value if generation else float(1),
+            workspace_hash=job.workspace_hash,
         )
 
 
