--- a/bergamotstream/forwarding/waiting/drain.py
+++ b/bergamotstream/forwarding/waiting/drain.py
@@ -14,7 +14,9 @@
 
 WINDOW_MS: Final = 2_000
 MS_PER_S: Final = 1_000
-# With fewer places in the window their rate says little.
+# The rate says little before requests have waited for this long, or with fewer
+# places. While nothing waits it tells how much comes, not what targets take.
+MIN_BUSY_MS: Final = 500
 MIN_PLACED: Final = 4
 # Bounds of the delay; a longer one than callers have time for is no use.
 MIN_DELAY_MS: Final = 400
@@ -24,15 +26,25 @@
 
 
 class Drain:
-    """The places that requests have got on one host, by service."""
+    """The places that waiting requests have got on one host, by service."""
 
     def __init__(self, rng: random.Random) -> None:
         """Spread delays by ``rng``."""
         self._rng = rng
         self._placed = slidingwindows.SlidingWindows(WINDOW_MS)
+        self._busy_since_ms_by_service: dict[str, int] = {}
+
+    def begin(self, service: str, now_ms: int) -> None:
+        """Record that a request waits, before which none may have waited."""
+        self._busy_since_ms_by_service.setdefault(service, now_ms)
+
+    def end(self, service: str) -> None:
+        """Record that nothing waits any more."""
+        self._busy_since_ms_by_service.pop(service, None)
+        self._placed.forget(service)
 
     def record_placed(self, service: str, now_ms: int) -> None:
-        """Count a request that has got a place."""
+        """Count a request that has waited and got a place."""
         self._placed.add(service, now_ms)
 
     def wait_ms(self, service: str, ahead: int, now_ms: int) -> float | None:
@@ -40,10 +52,12 @@
 
         ``None`` if too few have got places to tell.
         """
+        since_ms = self._busy_since_ms_by_service.get(service, now_ms)
+        busy_ms = min(now_ms - since_ms, WINDOW_MS)
         placed = self._placed.count(service, now_ms)
-        if placed < MIN_PLACED:
+        if busy_ms < MIN_BUSY_MS or placed < MIN_PLACED:
             return None
-        return (ahead + 1) * WINDOW_MS / placed
+        return ahead * busy_ms / placed
 
     def retry_after_ms(
         self, service: str, waiting: int, now_ms: int
--- a/bergamotstream/forwarding/waiting/places.py
+++ b/bergamotstream/forwarding/waiting/places.py
@@ -77,7 +77,7 @@
         Raises ``CellFull`` if another cell has room for the request, and what
         ``Scheduler.place`` does.
         """
-        if not self._core.shares.apply():
+        if not self._core.shares.is_active():
             return await self._place_by_polling(state)
         now_ms = self._clock.now_ms()
         if not self._has_before(state.job):
@@ -116,9 +116,13 @@
             now_ms = self._clock.now_ms()
             waiting.tried_ms = now_ms
             try:
-                return self._place_here(state, now_ms)
+                assignment = self._place_here(state, now_ms)
             except errors.Overloaded:
                 self._check_overflow(state)
+                continue
+            self._drain.record_placed(state.job.service.name, now_ms)
+            self._meters.count('place_waits', 'placed')
+            return assignment
 
     def _place_here(
         self, state: requeststate.RequestState, now_ms: int
@@ -136,7 +140,6 @@
                 stack.callback(self._core.release, assignment)
                 self._check_overflow(state)
                 stack.pop_all()
-        self._drain.record_placed(job.service.name, now_ms)
         return assignment
 
     def _check_overflow(self, state: requeststate.RequestState) -> None:
@@ -166,9 +169,10 @@
         is_above = self._core.shares.is_above(job)
         key = queue.add(job.priority, job.end_ms, is_above_share=is_above)
         listed[key] = Waiting(state, key)
+        self._drain.begin(service, self._clock.now_ms())
         self._core.shares.add_waiting(job)
         with contextlib.ExitStack() as stack:
-            stack.callback(self._wake_service, service)
+            stack.callback(self._handle_left, service)
             stack.callback(self._core.shares.remove_waiting, job)
             stack.callback(listed.pop, key)
             stack.callback(queue.remove, key)
@@ -207,6 +211,13 @@
         for service in self._waiting_by_service:
             self._wake_service(service)
 
+    def _handle_left(self, service: str) -> None:
+        """Let the next requests of a service try, if any wait."""
+        if self._waiting_by_service[service]:
+            self._wake_service(service)
+        else:
+            self._drain.end(service)
+
     def _wake_service(self, service: str) -> None:
         """Let the first request of each rank try again."""
         listed = self._waiting_by_service[service]
--- a/bergamotstream/forwarding/waiting/shares.py
+++ b/bergamotstream/forwarding/waiting/shares.py
@@ -59,7 +59,7 @@
         self._counted: fleetrecords.Configuration | None = None
         self._workspaces = 0
 
-    def apply(self) -> bool:
+    def is_active(self) -> bool:
         """Tell whether workspaces compete for places."""
         configuration = self._view.configuration
         if not self._is_enabled or configuration is None:
@@ -117,7 +117,7 @@
         candidates: Sequence[placement.Candidate],
     ) -> Sequence[placement.Candidate]:
         """Return the plain targets on which a job may use a place."""
-        if not self.apply():
+        if not self.is_active():
             return candidates
         free = [entry for entry in candidates if _free_places(entry) > 0]
         if free or self.is_above(job):
