--- a/bergamotstream/forwarding/pacedreads.py
+++ b/bergamotstream/forwarding/pacedreads.py
@@ -91,6 +91,7 @@
 
     __slots__ = (
         '_body_bytes',
+        '_connection',
         '_costs',
         '_head',
         '_head_bytes',
@@ -104,6 +105,8 @@
 
     # Received since the last head, while its body is open.
     _body_bytes: int
+    # The transport, also after the library has closed and forgotten it.
+    _connection: Any
     # Requests that are open, with their bodies; the last may be incomplete.
     _costs: collections.deque[tuple[callerlimits.RequestCost, StreamReader]]
     # The head that is not complete, and its bytes.
@@ -123,6 +126,7 @@
         """Bound the reads; called by the event loop."""
         self._pace = Pace()
         self._pace.attach(transport)
+        self._connection = transport
         self._body_bytes = 0
         self._costs = collections.deque()
         self._head = callerlimits.RequestCost()
@@ -196,7 +200,7 @@
     def end_idle(self) -> None:
         """Close a connection without a request, to make room for another."""
         self._server.record_limit('connections', self._limits.connections.most)
-        self.force_close()
+        self._abort()
 
     @property
     def _server(self) -> 'PacedServer':
@@ -264,10 +268,13 @@
             self._abort()
 
     def _abort(self) -> None:
-        transport = self.transport
+        """Close the connection at once.
+
+        A transport that is only closed waits until its caller has read what is
+        unsent, for which there is no time limit.
+        """
         self.force_close()
-        if transport is not None:
-            transport.abort()
+        self._connection.abort()
 
     def _drop_parser(self) -> None:
         """Read nothing more, and free a head that is not complete."""
--- /dev/null
+++ b/tests/test_callerconnections.py
@@ -0,0 +1,113 @@
+"""Connections of callers at the bounds for all of them, without a host."""
+
+import asyncio
+import contextlib
+import socket
+
+from aiohttp import web
+
+from bergamotstream.forwarding import callerlimits, heldbytes, pacedreads
+
+MAX_HEAD_BYTES = 65_536
+ANSWER = b'received'
+
+
+class Recorder:
+    """Keeps what a server records."""
+
+    def __init__(self):
+        self.limits = []
+
+    def record_limit(self, limit, allowed):
+        """Keep the name of a limit."""
+        self.limits.append(limit)
+
+    def record_unreadable(self, status, fault, caller):
+        """Expect a line for each connection."""
+
+
+class Served:
+    """A server on loopback."""
+
+    def __init__(self, handler, *, connections, held_bytes):
+        self.recorder = Recorder()
+        self.held = heldbytes.HeldBytes(held_bytes)
+        self.server = pacedreads.PacedServer(
+            handler,
+            self.recorder,
+            callerlimits.ServerLimits(
+                lambda: MAX_HEAD_BYTES,
+                self.held,
+                callerlimits.ConnectionTable(connections),
+                callerlimits.ParseBudget(),
+            ),
+            handler_cancellation=True,
+            access_log=None,
+            max_line_size=pacedreads.MAX_HEAD_BYTES,
+            max_field_size=pacedreads.MAX_HEAD_BYTES,
+            max_headers=pacedreads.MAX_HEAD_LINES,
+        )
+        self.address = None
+
+    @contextlib.asynccontextmanager
+    async def connected(self):
+        """Yield the streams of a new connection."""
+        reader, writer = await asyncio.open_connection(*self.address)
+        with contextlib.closing(writer):
+            yield reader, writer
+
+
+@contextlib.asynccontextmanager
+async def serving(handler, connections=100, held_bytes=20_000_000):
+    """Yield a server whose requests ``handler`` answers."""
+    served = Served(handler, connections=connections, held_bytes=held_bytes)
+    runner = web.ServerRunner(served.server, shutdown_timeout=1.0)
+    await runner.setup()
+    await web.TCPSite(runner, '127.0.0.1', 0).start()
+    served.address = runner.addresses[0]
+    try:
+        yield served
+    finally:
+        await runner.cleanup()
+
+
+def post(body, *lines):
+    """Return the bytes of a request."""
+    head = [
+        'POST / HTTP/1.1',
+        'Host: a',
+        *lines,
+        f'Content-Length: {len(body)}',
+    ]
+    return '\r\n'.join((*head, '\r\n')).encode() + body
+
+
+async def echo_length(request):
+    """Answer with the length of the body."""
+    body = await request.read()
+    return web.Response(body=ANSWER + b'%d.' % len(body))
+
+
+async def test_closed_connections_whose_answers_are_unread_are_ended():
+    """Guards against descriptors and memory beyond the limit of connections.
+
+    A connection that is closed with unsent bytes stays open until its caller
+    has read them.
+    """
+
+    async def answer(_):
+        return web.Response(body=b'x' * 3_000_000)
+
+    connections = 4
+    loop = asyncio.get_running_loop()
+    async with serving(answer, connections, 1_000_000_000) as served:
+        with contextlib.ExitStack() as stack:
+            for _ in range(5 * connections):
+                caller = stack.enter_context(socket.socket())
+                caller.setblocking(False)
+                caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+                await loop.sock_connect(caller, served.address)
+                await loop.sock_sendall(caller, post(b''))
+                await asyncio.sleep(0.02)
+            assert len(served.server.connections) <= connections
+            assert served.held.total < 4 * connections * 1_000_000
