--- a/bergamotstream/forwarding/callerlimits.py
+++ b/bergamotstream/forwarding/callerlimits.py
@@ -113,6 +113,10 @@
         self._head_bytes += len(received)
         self._lines += received.count(b'\n')
 
+    def complete_head(self, lines: int) -> None:
+        """Record its number of lines, as the last bytes may be of a body."""
+        self._lines = lines
+
     def total(self, body_bytes: int, *, is_complete: bool) -> int:
         """Return the bytes of memory with ``body_bytes`` of the body."""
         copies = COMPLETE_BODY_COPIES if is_complete else 1
--- a/bergamotstream/forwarding/pacedreads.py
+++ b/bergamotstream/forwarding/pacedreads.py
@@ -225,7 +225,9 @@
 
     def _record_requests(self, count: int) -> None:
         """Count requests whose heads have just been completed."""
-        for _, payload in list(self._messages)[-count:]:
+        for message, payload in list(self._messages)[-count:]:
+            # Bytes that are no request have no headers.
+            self._head.complete_head(len(getattr(message, 'raw_headers', ())))
             self._costs.append((self._head, payload))
             self._head = callerlimits.RequestCost()
             self._payload = payload
--- a/tests/test_callerconnections.py
+++ b/tests/test_callerconnections.py
@@ -111,3 +111,30 @@
                 await asyncio.sleep(0.02)
             assert len(served.server.connections) <= connections
             assert served.held.total < 4 * connections * 1_000_000
+
+
+async def test_lines_of_a_body_do_not_count_as_those_of_a_head():
+    """Guards against short requests that are cut for the text in them."""
+    body = b'\n' * 12_000
+    count = 8
+    is_complete = asyncio.Event()
+
+    async def wait(request):
+        response = await echo_length(request)
+        await is_complete.wait()
+        return response
+
+    async with serving(wait) as served:
+        async with contextlib.AsyncExitStack() as stack:
+            callers = [
+                await stack.enter_async_context(served.connected())
+                for _ in range(count)
+            ]
+            for _, writer in callers:
+                writer.write(post(body))
+            await asyncio.sleep(0.1)
+            assert served.held.total < count * 65_536
+            is_complete.set()
+            for reader, _ in callers:
+                await reader.readuntil(ANSWER + b'12000.')
+        assert not served.recorder.limits
