--- a/bergamotstream/forwarding/callerlimits.py
+++ b/bergamotstream/forwarding/callerlimits.py
@@ -26,6 +26,10 @@
 # Pauses that may add up before any is made, so that what has no end is found to
 # have none before the buffers of the connection are full.
 PARSE_BURST_MS: Final = 200
+# Longest pause: what 2,000 connections need that parse for 2 ms each. Pauses of
+# connections that have closed stay in the sum, and must not hold up other
+# callers for long after a crowd has left.
+MAX_PARSE_PAUSE_MS: Final = 20_000
 
 Connection = TypeVar('Connection', bound=Hashable)
 
@@ -86,7 +90,10 @@
     def delay_ms(self, turn_ms: int, now_ms: int) -> int:
         """Return the pause of a connection after ``turn_ms`` of parsing."""
         begin_ms = max(self._free_ms, now_ms)
-        self._free_ms = begin_ms + turn_ms * PARSE_PAUSE_RATIO
+        self._free_ms = min(
+            begin_ms + turn_ms * PARSE_PAUSE_RATIO,
+            now_ms + PARSE_BURST_MS + MAX_PARSE_PAUSE_MS,
+        )
         return max(self._free_ms - now_ms - PARSE_BURST_MS, 0)
 
 
--- a/tests/test_callerconnections.py
+++ b/tests/test_callerconnections.py
@@ -138,3 +138,17 @@
             for reader, _ in callers:
                 await reader.readuntil(ANSWER + b'12000.')
         assert not served.recorder.limits
+
+
+def test_pauses_end_soon_after_a_crowd_has_left():
+    """Guards against connections that are not read for hours afterwards.
+
+    A crowd may open connections faster than their pauses pass.
+    """
+    parsing = callerlimits.ParseBudget()
+    turn_ms = 10
+    for now_ms in range(0, 600_000, turn_ms):
+        pause_ms = parsing.delay_ms(turn_ms, now_ms)
+        assert pause_ms <= callerlimits.MAX_PARSE_PAUSE_MS
+    now_ms += callerlimits.MAX_PARSE_PAUSE_MS
+    assert not parsing.delay_ms(turn_ms, now_ms + turn_ms * 4)
