--- a/bergamotstream/forwarding/pacedreads.py
+++ b/bergamotstream/forwarding/pacedreads.py
@@ -315,9 +315,10 @@
             f'{self._head_bytes} bytes of a head, {self._body_bytes} with a body',
         )
         is_open = bool(self._costs) or self._current_request is not None
+        is_body = self._payload is not None and not self._payload.is_eof()
         transport = self.transport
         self._drop_parser()
-        if self._body_bytes or transport is None:
+        if is_body or transport is None:
             self._abort()
         elif is_open:
             self.close()
--- a/tests/test_callerconnections.py
+++ b/tests/test_callerconnections.py
@@ -152,3 +152,37 @@
         assert pause_ms <= callerlimits.MAX_PARSE_PAUSE_MS
     now_ms += callerlimits.MAX_PARSE_PAUSE_MS
     assert not parsing.delay_ms(turn_ms, now_ms + turn_ms * 4)
+
+
+async def test_long_head_after_a_body_is_answered():
+    """Guards against a reset, which tells the caller nothing, instead of 431.
+
+    The body of the request before it was taken for one that never ends.
+    """
+    body = b'x' * 100_000
+    async with serving(echo_length) as served:
+        async with served.connected() as (reader, writer):
+            writer.write(post(body))
+            await reader.readuntil(ANSWER + b'100000.')
+            writer.write(post(b'', f'A: {"x" * MAX_HEAD_BYTES * 2}'))
+            assert (await reader.readline()).startswith(b'HTTP/1.1 431 ')
+
+
+async def test_long_head_after_a_body_does_not_cut_the_request():
+    """Guards against a request that is cut by the one behind it."""
+    body = b'x' * 100_000
+    is_complete = asyncio.Event()
+
+    async def wait(request):
+        response = await echo_length(request)
+        await is_complete.wait()
+        return response
+
+    async with serving(wait) as served:
+        async with served.connected() as (reader, writer):
+            writer.write(post(body))
+            await asyncio.sleep(0.1)
+            writer.write(post(b'', f'A: {"x" * MAX_HEAD_BYTES * 2}'))
+            await asyncio.sleep(0.1)
+            is_complete.set()
+            await reader.readuntil(ANSWER + b'100000.')
