--- a/bergamotstream/forwarding/pacedreads.py
+++ b/bergamotstream/forwarding/pacedreads.py
@@ -193,9 +193,15 @@
         body = resp.body if isinstance(resp, web.Response) else None
         self._unread_bytes = len(body) if isinstance(body, bytes) else 0
         self._update_holding()
+        is_last = self._is_refused and not self._messages
+        if is_last:
+            resp.force_close()
         with contextlib.ExitStack() as stack:
             stack.callback(self._release_request)
-            return await super().finish_response(request, resp, start_time)
+            finished = await super().finish_response(request, resp, start_time)
+        if is_last:
+            await self._linger()
+        return finished
 
     def end_idle(self) -> None:
         """Close a connection without a request, to make room for another."""
@@ -278,6 +284,14 @@
         self.force_close()
         self._connection.abort()
 
+    async def _linger(self) -> None:
+        """Drop what still arrives, so that a caller that sends gets its answer.
+
+        A connection that is closed with unread bytes is reset.
+        """
+        self._resume_transport_reading()
+        await asyncio.sleep(REFUSAL_LINGER_S)
+
     def _drop_parser(self) -> None:
         """Read nothing more, and free a head that is not complete."""
         self._is_refused = True
--- a/tests/test_callerconnections.py
+++ b/tests/test_callerconnections.py
@@ -6,6 +6,7 @@
 
 from aiohttp import web
 
+from bergamotstream import errors
 from bergamotstream.forwarding import callerlimits, heldbytes, pacedreads
 
 MAX_HEAD_BYTES = 65_536
@@ -186,3 +187,32 @@
             await asyncio.sleep(0.1)
             is_complete.set()
             await reader.readuntil(ANSWER + b'100000.')
+
+
+async def test_caller_that_sends_a_body_gets_its_refusal():
+    """Guards against a reset instead of 503 for a body above the bound.
+
+    Without the status a caller must not send its request again.
+    """
+    size = 2_000_000
+
+    async def refuse(request):
+        try:
+            async for _ in request.content.iter_any():
+                await asyncio.sleep(0)
+        except errors.Overloaded as error:
+            return web.Response(status=error.status)
+        return web.Response()
+
+    async with serving(refuse, held_bytes=size // 2) as served:
+        async with served.connected() as (reader, writer):
+            head, _, body = post(b'x' * size).rpartition(b'\r\n')
+            writer.write(head + b'\r\n')
+            for start in range(0, size, size // 40):
+                writer.write(body[start : start + size // 40])
+                await writer.drain()
+                await asyncio.sleep(0.01)
+            answer = await reader.read()
+            assert answer.startswith(b'HTTP/1.1 503 ')
+            assert b'Connection: close\r\n' in answer
+        assert not served.held.total
