--- a/bergamotstream/forwarding/callerlimits.py
+++ b/bergamotstream/forwarding/callerlimits.py
@@ -8,7 +8,7 @@
 caller alone meets no limit here that it could not meet in the operators'.
 """
 
-from collections.abc import Callable, Hashable
+from collections.abc import Callable, Hashable, Sequence
 from typing import Final, Generic, NamedTuple, TypeVar
 
 from bergamotstream.forwarding import heldbytes
@@ -19,6 +19,9 @@
 # Memory of a header line besides its bytes: objects for its name and its value,
 # in the list and in the mapping of the HTTP library and in that of the request.
 LINE_BYTES: Final = 700
+# Colon, space and line end of a header, and the shortest line of one.
+LINE_OVERHEAD_BYTES: Final = 4
+MIN_LINE_BYTES: Final = 3
 # A complete body is held twice while it is sent.
 COMPLETE_BODY_COPIES: Final = 2
 # Time of the host for all others for each ms that it parses costly bytes.
@@ -116,13 +119,26 @@
         self._lines = 0
 
     def add_head(self, received: bytes) -> None:
-        """Count bytes of the head."""
+        """Count bytes that may be of the head."""
         self._head_bytes += len(received)
         self._lines += received.count(b'\n')
 
-    def complete_head(self, lines: int) -> None:
-        """Record its number of lines, as the last bytes may be of a body."""
-        self._lines = lines
+    def remove(self, taken_bytes: int) -> None:
+        """Leave out bytes that have turned out to be of something else.
+
+        As many lines are left as the rest may hold, since what was left out
+        may have been a body without lines.
+        """
+        self._head_bytes = max(self._head_bytes - taken_bytes, 0)
+        self._lines = min(self._lines, self._head_bytes // MIN_LINE_BYTES)
+
+    def set_head(self, head: Sequence[tuple[bytes, bytes]]) -> int:
+        """Count the headers of a complete head; return its bytes."""
+        self._lines = len(head)
+        self._head_bytes = sum(
+            len(name) + len(field) + LINE_OVERHEAD_BYTES for name, field in head
+        )
+        return self._head_bytes
 
     def total(self, body_bytes: int, *, is_complete: bool) -> int:
         """Return the bytes of memory with ``body_bytes`` of the body."""
--- a/bergamotstream/forwarding/pacedreads.py
+++ b/bergamotstream/forwarding/pacedreads.py
@@ -109,7 +109,7 @@
     _connection: Any
     # Requests that are open, with their bodies; the last may be incomplete.
     _costs: collections.deque[tuple[callerlimits.RequestCost, StreamReader]]
-    # The head that is not complete, and its bytes.
+    # The head or trailers that are not complete; the bytes of the head.
     _head: callerlimits.RequestCost
     _head_bytes: int
     _holding: heldbytes.Holding
@@ -156,10 +156,16 @@
             return
         self._pace.start()
         requests = self._request_count
-        is_head = self._payload is None or self._payload.is_eof()
+        payload = self._payload
+        is_head = payload is None or payload.is_eof()
+        body_bytes = payload.total_bytes if payload else 0
         super().data_received(data)
-        if is_head:
-            self._head.add_head(data)
+        grown_bytes = payload.total_bytes - body_bytes if payload else 0
+        if grown_bytes:
+            # What came before surrounded a part of the body, and is gone.
+            self._head = callerlimits.RequestCost()
+        self._head.add_head(data)
+        self._head.remove(grown_bytes)
         if self._request_count > requests:
             self._record_requests(self._request_count - requests)
         elif is_head:
@@ -232,10 +238,11 @@
     def _record_requests(self, count: int) -> None:
         """Count requests whose heads have just been completed."""
         for message, payload in list(self._messages)[-count:]:
+            cost = callerlimits.RequestCost()
             # Bytes that are no request have no headers.
-            self._head.complete_head(len(getattr(message, 'raw_headers', ())))
-            self._costs.append((self._head, payload))
-            self._head = callerlimits.RequestCost()
+            taken_bytes = cost.set_head(getattr(message, 'raw_headers', ()))
+            self._head.remove(taken_bytes + payload.total_bytes)
+            self._costs.append((cost, payload))
             self._payload = payload
         self._head_bytes = 0
         self._body_bytes = 0
