--- a/bergamotstream/forwarding/callerlimits.py
+++ b/bergamotstream/forwarding/callerlimits.py
@@ -8,7 +8,7 @@
 caller alone meets no limit here that it could not meet in the operators'.
 """
 
-from collections.abc import Callable, Hashable
+from collections.abc import Callable, Hashable, Sequence
 from typing import Final, Generic, NamedTuple, TypeVar
 
 from bergamotstream.forwarding import heldbytes
@@ -19,6 +19,9 @@
 # Memory of a header line besides its bytes: objects for its name and its value,
 # in the list and in the mapping of the HTTP library and in that of the request.
 LINE_BYTES: Final = 700
+# Colon, space and line end of a header, and the shortest line of one.
+LINE_OVERHEAD_BYTES: Final = 4
+MIN_LINE_BYTES: Final = 3
 # A complete body is held twice while it is sent.
 COMPLETE_BODY_COPIES: Final = 2
 # Time of the host for all others for each ms that it parses costly bytes.
@@ -26,6 +29,10 @@
 # Pauses that may add up before any is made, so that what has no end is found to
 # have none before the buffers of the connection are full.
 PARSE_BURST_MS: Final = 200
+# Longest pause: what 2,000 connections need that parse for 2 ms each. Pauses of
+# connections that have closed stay in the sum, and must not hold up other
+# callers for long after a crowd has left.
+MAX_PARSE_PAUSE_MS: Final = 20_000
 
 Connection = TypeVar('Connection', bound=Hashable)
 
@@ -86,7 +93,10 @@
     def delay_ms(self, turn_ms: int, now_ms: int) -> int:
         """Return the pause of a connection after ``turn_ms`` of parsing."""
         begin_ms = max(self._free_ms, now_ms)
-        self._free_ms = begin_ms + turn_ms * PARSE_PAUSE_RATIO
+        self._free_ms = min(
+            begin_ms + turn_ms * PARSE_PAUSE_RATIO,
+            now_ms + PARSE_BURST_MS + MAX_PARSE_PAUSE_MS,
+        )
         return max(self._free_ms - now_ms - PARSE_BURST_MS, 0)
 
 
@@ -109,10 +119,27 @@
         self._lines = 0
 
     def add_head(self, received: bytes) -> None:
-        """Count bytes of the head."""
+        """Count bytes that may be of the head."""
         self._head_bytes += len(received)
         self._lines += received.count(b'\n')
 
+    def remove(self, taken_bytes: int) -> None:
+        """Leave out bytes that have turned out to be of something else.
+
+        As many lines are left as the rest may hold, since what was left out
+        may have been a body without lines.
+        """
+        self._head_bytes = max(self._head_bytes - taken_bytes, 0)
+        self._lines = min(self._lines, self._head_bytes // MIN_LINE_BYTES)
+
+    def set_head(self, head: Sequence[tuple[bytes, bytes]]) -> int:
+        """Count the headers of a complete head; return its bytes."""
+        self._lines = len(head)
+        self._head_bytes = sum(
+            len(name) + len(field) + LINE_OVERHEAD_BYTES for name, field in head
+        )
+        return self._head_bytes
+
     def total(self, body_bytes: int, *, is_complete: bool) -> int:
         """Return the bytes of memory with ``body_bytes`` of the body."""
         copies = COMPLETE_BODY_COPIES if is_complete else 1
--- a/bergamotstream/forwarding/pacedreads.py
+++ b/bergamotstream/forwarding/pacedreads.py
@@ -91,6 +91,7 @@
 
     __slots__ = (
         '_body_bytes',
+        '_connection',
         '_costs',
         '_head',
         '_head_bytes',
@@ -104,9 +105,11 @@
 
     # Received since the last head, while its body is open.
     _body_bytes: int
+    # The transport, also after the library has closed and forgotten it.
+    _connection: Any
     # Requests that are open, with their bodies; the last may be incomplete.
     _costs: collections.deque[tuple[callerlimits.RequestCost, StreamReader]]
-    # The head that is not complete, and its bytes.
+    # The head or trailers that are not complete; the bytes of the head.
     _head: callerlimits.RequestCost
     _head_bytes: int
     _holding: heldbytes.Holding
@@ -123,6 +126,7 @@
         """Bound the reads; called by the event loop."""
         self._pace = Pace()
         self._pace.attach(transport)
+        self._connection = transport
         self._body_bytes = 0
         self._costs = collections.deque()
         self._head = callerlimits.RequestCost()
@@ -152,10 +156,16 @@
             return
         self._pace.start()
         requests = self._request_count
-        is_head = self._payload is None or self._payload.is_eof()
+        payload = self._payload
+        is_head = payload is None or payload.is_eof()
+        body_bytes = payload.total_bytes if payload else 0
         super().data_received(data)
-        if is_head:
-            self._head.add_head(data)
+        grown_bytes = payload.total_bytes - body_bytes if payload else 0
+        if grown_bytes:
+            # What came before surrounded a part of the body, and is gone.
+            self._head = callerlimits.RequestCost()
+        self._head.add_head(data)
+        self._head.remove(grown_bytes)
         if self._request_count > requests:
             self._record_requests(self._request_count - requests)
         elif is_head:
@@ -189,14 +199,20 @@
         body = resp.body if isinstance(resp, web.Response) else None
         self._unread_bytes = len(body) if isinstance(body, bytes) else 0
         self._update_holding()
+        is_last = self._is_refused and not self._messages
+        if is_last:
+            resp.force_close()
         with contextlib.ExitStack() as stack:
             stack.callback(self._release_request)
-            return await super().finish_response(request, resp, start_time)
+            finished = await super().finish_response(request, resp, start_time)
+        if is_last:
+            await self._linger()
+        return finished
 
     def end_idle(self) -> None:
         """Close a connection without a request, to make room for another."""
         self._server.record_limit('connections', self._limits.connections.most)
-        self.force_close()
+        self._abort()
 
     @property
     def _server(self) -> 'PacedServer':
@@ -221,9 +237,12 @@
 
     def _record_requests(self, count: int) -> None:
         """Count requests whose heads have just been completed."""
-        for _, payload in list(self._messages)[-count:]:
-            self._costs.append((self._head, payload))
-            self._head = callerlimits.RequestCost()
+        for message, payload in list(self._messages)[-count:]:
+            cost = callerlimits.RequestCost()
+            # Bytes that are no request have no headers.
+            taken_bytes = cost.set_head(getattr(message, 'raw_headers', ()))
+            self._head.remove(taken_bytes + payload.total_bytes)
+            self._costs.append((cost, payload))
             self._payload = payload
         self._head_bytes = 0
         self._body_bytes = 0
@@ -264,10 +283,21 @@
             self._abort()
 
     def _abort(self) -> None:
-        transport = self.transport
+        """Close the connection at once.
+
+        A transport that is only closed waits until its caller has read what is
+        unsent, for which there is no time limit.
+        """
         self.force_close()
-        if transport is not None:
-            transport.abort()
+        self._connection.abort()
+
+    async def _linger(self) -> None:
+        """Drop what still arrives, so that a caller that sends gets its answer.
+
+        A connection that is closed with unread bytes is reset.
+        """
+        self._resume_transport_reading()
+        await asyncio.sleep(REFUSAL_LINGER_S)
 
     def _drop_parser(self) -> None:
         """Read nothing more, and free a head that is not complete."""
@@ -306,9 +336,10 @@
             f'{self._head_bytes} bytes of a head, {self._body_bytes} with a body',
         )
         is_open = bool(self._costs) or self._current_request is not None
+        is_body = self._payload is not None and not self._payload.is_eof()
         transport = self.transport
         self._drop_parser()
-        if self._body_bytes or transport is None:
+        if is_body or transport is None:
             self._abort()
         elif is_open:
             self.close()
