--- a/bergamotstream/forwarding/hostdaemon.py
+++ b/bergamotstream/forwarding/hostdaemon.py
@@ -12,7 +12,7 @@
 import random
 import signal
 import sys
-from collections.abc import Callable, Coroutine, Iterable
+from collections.abc import Callable, Collection, Coroutine, Iterable
 from typing import Any, Final
 
 from aiohttp import web
@@ -36,6 +36,7 @@
     eventlog,
     fleetrecords,
     fleetview,
+    hostrooms,
     hostsettings,
     ingress,
     itemfetch,
@@ -74,6 +75,7 @@
 CLOSE_TIMEOUT_S: Final = 0.1
 OPEN_REQUESTS_CHECK_S: Final = 0.05
 LAPSE_CHECK_S: Final = 0.2
+LOAD_CHECK_MS: Final = 200
 MS_PER_S: Final = 1_000
 
 
@@ -209,6 +211,8 @@
                 ).run(),
                 self._drop_lapsed_targets(),
             )
+            if self._config.features.weighted_directory:
+                self._start_tasks(self._measure_load(caller_ingress))
             await self._stop_requested.wait()
             await self._stop(caller_ingress, registration)
         self._log.write('stopped', open_requests=caller_ingress.open_requests)
@@ -406,6 +410,10 @@
             'caller_bytes': self._core.held_for_callers.total,
             'caller_bytes_limit': self._core.held_for_callers.allowed,
         }
+        if self._config.features.weighted_directory:
+            room = self._peers.own_room
+            gauges[metrics.Series('host_capacity', '')] = room.capacity
+            gauges[metrics.Series('host_load', '')] = room.load
         gauges |= self._outcomes.refusals.gauges()
         return gauges | {
             metrics.Series(name, ''): float(count)
@@ -462,6 +470,17 @@
             self._handle_changes(self._core.view.drop_lapsed(now_ms))
             self._outcomes.log_blame_changes()
 
+    async def _measure_load(self, caller_ingress: ingress.Ingress) -> None:
+        """Periodically update the room that peers and callers are told."""
+        own_load = hostrooms.OwnLoad(self._config)
+        self._peers.own_room = own_load.room
+        while True:
+            due_ms = self._clock.now_ms() + LOAD_CHECK_MS
+            await asyncio.sleep(LOAD_CHECK_MS / MS_PER_S)
+            self._peers.own_room = own_load.update(
+                caller_ingress.open_requests, self._clock.now_ms() - due_ms
+            )
+
     def _check_readiness(self) -> None:
         """Become ready with the first configuration unless stopping."""
         known = self._core.view.configuration is not None
@@ -527,6 +546,7 @@
             self._registered_hosts(),
             peers,
             self._rng,
+            _asked(request, self._config, self._peers.own_room),
         )
         ttl_ms = min(
             directory.ADDRESS_TTL_MS, self._config.bounds.address_ttl_max_ms
@@ -536,7 +556,7 @@
             body=json.dumps(body).encode(), content_type='application/json'
         )
 
-    def _registered_hosts(self) -> Iterable[fleetrecords.HostEntry]:
+    def _registered_hosts(self) -> Collection[fleetrecords.HostEntry]:
         """Return the hosts that the store lists, if some may still live.
 
         They are listed while this host hears none of them: its links may have
@@ -586,6 +606,17 @@
         return web.Response(body=peerupdates.deflate(document))
 
 
+def _asked(
+    request: web.BaseRequest,
+    config: hostsettings.HostSettings,
+    own_room: hostrooms.Room,
+) -> hostrooms.Asked | None:
+    """Return what an answer of the directory weighs, if it weighs hosts."""
+    if not config.features.weighted_directory:
+        return None
+    return hostrooms.Asked(request.query.get('zone', ''), own_room)
+
+
 async def _not_found(request: web.BaseRequest) -> web.StreamResponse:
     return web.Response(status=404)
 
--- a/bergamotstream/forwarding/hostsettings.py
+++ b/bergamotstream/forwarding/hostsettings.py
@@ -37,6 +37,11 @@
 # for sockets; source: the platform's rules for machines.
 DEFAULT_MAX_FDS: Final = 4_100
 FILE_FDS: Final = 200
+# The least that the operators have given a host, so that one without figures
+# attracts no more callers than it can serve.
+DEFAULT_CPU_SHARE: Final = 0.5
+DEFAULT_CORES: Final = 1
+DEFAULT_LINK_MBPS: Final = 10
 # Shares of the sockets that each server may have open. The rest is for targets,
 # peers and the store.
 CALLER_SOCKETS_SHARE: Final = 0.5
@@ -125,6 +130,10 @@
     features: Features = Features()
     # Descriptors of the process; it cannot open more.
     max_fds: int = DEFAULT_MAX_FDS
+    # Share of each core that the process gets.
+    cpu_share: float = DEFAULT_CPU_SHARE
+    cores: float = DEFAULT_CORES
+    link_mbps: float = DEFAULT_LINK_MBPS
 
     def connections(self, share: float) -> int:
         """Return how many connections a server with ``share`` may have."""
--- a/bergamotstream/forwarding/peerexchange.py
+++ b/bergamotstream/forwarding/peerexchange.py
@@ -21,6 +21,7 @@
     eventlog,
     fleetrecords,
     fleetview,
+    hostrooms,
     outcomes,
     peerformat,
     scheduler,
@@ -74,6 +75,8 @@
     ) -> None:
         """Send the state of the host ``entry``."""
         self.ready = False
+        # Unknown unless the directory weighs hosts.
+        self.own_room = hostrooms.UNKNOWN
         self.peers_by_name: dict[str, peerformat.HostState] = {}
         self._contacts_by_name: dict[str, Contact] = {}
         # Until when hosts of other cells, whose requests are served here, get
@@ -260,6 +263,7 @@
             checks_decisions=True,
             configuration_version=self._core.view.in_force.version,
             cell=self._core.cells.own,
+            host_room=self.own_room,
         )
 
     def _summary(
--- a/bergamotstream/forwarding/peerformat.py
+++ b/bergamotstream/forwarding/peerformat.py
@@ -18,6 +18,7 @@
     crashblame,
     crashcounts,
     fleetrecords,
+    hostrooms,
     links,
     namedlimits,
     servedcounts,
@@ -29,6 +30,9 @@
 MAX_AGE_MS: Final = (1 << 32) - 1
 # Limit of what a datagram is read as, several times the largest state.
 MAX_WORDS: Final = 131_072
+PER_CENT: Final = 100
+# Largest capacity that a message holds.
+MAX_CAPACITY: Final = (1 << 32) - 1
 _LISTS: Final = (
     'commitments',
     'notes',
@@ -85,6 +89,8 @@
     checks_decisions: bool = False
     # Of the configuration in force; 0 without one and from older builds.
     configuration_version: int = 0
+    # What the directory weighs; unknown of older builds.
+    host_room: hostrooms.Room = hostrooms.UNKNOWN
 
     def complete_position(self) -> store.Position:
         """Return up to where the sender has all documents."""
@@ -142,6 +148,8 @@
         storeEra=state.store_era,
         checksDecisions=state.checks_decisions,
         configurationVersion=state.configuration_version,
+        capacity=min(round(state.host_room.capacity * PER_CENT), MAX_CAPACITY),
+        load=round(state.host_room.load * PER_CENT),
         cell=state.cell,
         isSummary=state.is_summary,
         rooms=[
@@ -262,6 +270,9 @@
         store_era=outsidedata.whole(message.storeEra),
         checks_decisions=message.checksDecisions,
         configuration_version=outsidedata.whole(message.configurationVersion),
+        host_room=hostrooms.Room(
+            message.capacity / PER_CENT, min(message.load / PER_CENT, 1)
+        ),
         rooms=tuple(
             ServiceRoom(
                 room.service, room.targets, room.freeSlots, room.pendingMs
--- a/bergamotstream/forwarding/peers.capnp
+++ b/bergamotstream/forwarding/peers.capnp
@@ -53,6 +53,11 @@
   # Version of the configuration in force; above 0, the host answers
   # /configuration.
   configurationVersion @28 :UInt64;
+  # Hundredths of a core that the host can use; 0 if it does not tell, as older
+  # builds do not.
+  capacity @29 :UInt32;
+  # Load in per cent of the capacity.
+  load @30 :UInt8;
 }
 
 # What the targets of one service in one cell have free.
--- a/bergamotstream/platform/bootsettings.py
+++ b/bergamotstream/platform/bootsettings.py
@@ -30,6 +30,7 @@
 # Longest time that is meant; a longer one is a mistake in its unit.
 MAX_TIME_MS: Final = 600_000
 MAX_COUNT: Final = 1_000_000
+MAX_CORES: Final = 1_024
 
 
 class _BoundField(NamedTuple):
@@ -55,6 +56,24 @@
 }
 
 
+class _LimitField(NamedTuple):
+    """The default of a host's limit and its range."""
+
+    default: float
+    lowest: float = 1
+    highest: float = MAX_COUNT
+
+
+_FIELDS_BY_LIMIT: Final[Mapping[str, _LimitField]] = {
+    'memory_mb': _LimitField(hostsettings.DEFAULT_MEMORY_MB),
+    'max_fds': _LimitField(hostsettings.DEFAULT_MAX_FDS),
+    # More than one is a mistake in its unit, such as per cent.
+    'cpu_share': _LimitField(hostsettings.DEFAULT_CPU_SHARE, 0.05, 1),
+    'cores': _LimitField(hostsettings.DEFAULT_CORES, 0.5, MAX_CORES),
+    'link_mbps': _LimitField(hostsettings.DEFAULT_LINK_MBPS),
+}
+
+
 class SettingFault(NamedTuple):
     """A setting that is not used as it stands in the file."""
 
@@ -109,13 +128,12 @@
         peer_ports=reader.ports('internal_ports'),
         store=_store(reader),
         bounds=_bounds(reader, faults),
-        memory_mb=_limit(
-            reader, faults, 'memory_mb', hostsettings.DEFAULT_MEMORY_MB
-        ),
+        memory_mb=_limit(reader, faults, 'memory_mb'),
         features=_features(tables, switches, faults),
-        max_fds=round(
-            _limit(reader, faults, 'max_fds', hostsettings.DEFAULT_MAX_FDS)
-        ),
+        max_fds=round(_limit(reader, faults, 'max_fds')),
+        cpu_share=_limit(reader, faults, 'cpu_share'),
+        cores=_limit(reader, faults, 'cores'),
+        link_mbps=_limit(reader, faults, 'link_mbps'),
     )
     _check_addresses(decoded)
     return BootSettings(decoded, tuple(faults))
@@ -189,23 +207,23 @@
     return features
 
 
-def _limit(
-    reader: '_Reader', faults: list[SettingFault], name: str, default: int
-) -> float:
+def _limit(reader: '_Reader', faults: list[SettingFault], name: str) -> float:
     """Return a limit of the host; one that cannot be used is a fault."""
+    field = _FIELDS_BY_LIMIT[name]
     if not reader.has('limits', name):
-        return default
+        return field.default
     try:
-        return reader.number(('limits', name), 1, MAX_COUNT)
+        return reader.number(('limits', name), field.lowest, field.highest)
     except errors.InvalidSettings as fault:
         faults.append(
             SettingFault(
                 f'limits.{name}',
                 fault.detail,
-                f'set a number from 1 to {MAX_COUNT}; {default} is used',
+                f'set a number from {field.lowest} to {field.highest};'
+                f' {field.default} is used',
             )
         )
-    return default
+    return field.default
 
 
 def _figure(reader: '_Reader', field: _BoundField) -> float:
