--- a/bergamotstream/forwarding/hostsettings.py
+++ b/bergamotstream/forwarding/hostsettings.py
@@ -30,8 +30,8 @@
 RESERVED_MEMORY_MB: Final = 80
 MIN_HELD_MB: Final = 8
 BYTES_PER_MB: Final = 1_000_000
-# The least that a host holds for callers: several of the largest bodies that the
-# operators allow.
+# The least that a host holds for callers: one complete body of 4 MB, the
+# operators' limit, which counts twice, and as much again.
 MIN_CALLER_MB: Final = 16
 # The least that the operators have given a host, and those of them that are not
 # for sockets; source: the platform's rules for machines.
--- a/bergamotstream/forwarding/pacedreads.py
+++ b/bergamotstream/forwarding/pacedreads.py
@@ -253,7 +253,7 @@
             return
         size = callerlimits.CONNECTION_BYTES + self._unread_bytes
         size += self._head.total(0, is_complete=False)
-        is_waiting = self._head_bytes > 0 or self._paused
+        is_waiting = self._paused or (self._head_bytes > 0 and not self._costs)
         for cost, payload in self._costs:
             is_complete = payload.is_eof()
             size += cost.total(payload.total_bytes, is_complete=is_complete)
