--- a/bergamotstream/forwarding/hostdaemon.py
+++ b/bergamotstream/forwarding/hostdaemon.py
@@ -360,6 +360,7 @@
                 self._meters.count('store_histories', change.outcome)
             elif change.subject == self._own_subject:
                 self._handle_own_entry(change)
+        self._outcomes.pace.update_zones()
         if changes:
             self._peers.schedule_delayed_send()
             self._check_readiness()
@@ -407,6 +408,7 @@
             'caller_bytes_limit': self._core.held_for_callers.allowed,
         }
         gauges |= self._outcomes.refusals.gauges()
+        gauges |= self._outcomes.pace.gauges()
         return gauges | {
             metrics.Series(name, ''): float(count)
             for name, count in counts.items()
@@ -445,8 +447,12 @@
         )
         if entry is None:
             self._core.cold.forget(target_id)
+            self._core.pace.forget(target_id)
         else:
             self._core.cold.update_target(entry, now_ms)
+            self._outcomes.pace.record_listed(
+                entry, is_running=self._configured.is_set()
+            )
 
     async def _drop_lapsed_targets(self) -> None:
         """Periodically drop targets whose entries were not renewed.
--- a/bergamotstream/forwarding/outcomes.py
+++ b/bergamotstream/forwarding/outcomes.py
@@ -23,6 +23,7 @@
     fingerprints,
     fleetrecords,
     links,
+    pacerecords,
     refusals,
     relayedevents,
     requeststate,
@@ -73,6 +74,7 @@
         self.refusals = refusals.RefusalRecorder(
             core.view, log, time_source, meters
         )
+        self.pace = pacerecords.PaceRecorder(core, log, time_source, meters)
         # Called when peers should know what has failed, targets or links.
         self.tell_peers: Callable[[], None] = _tell_nobody
 
@@ -128,6 +130,7 @@
         kind = served.job.route.name
         error_ms = abs(waited_ms - round(assignment.forecast_ms))
         self._meters.observe('forecast_error', kind, error_ms)
+        self.pace.record_first_token(served, assignment, waited_ms)
 
     def record_gap(
         self,
@@ -172,6 +175,7 @@
             usual_ms,
             self._clock.now_ms(),
         )
+        self.pace.record_gap(assignment, median_ms, usual_ms)
 
     def record_stream_end(
         self,
@@ -201,6 +205,7 @@
         target_id = assignment.target.target_id
         self._record_answer(assignment.target, assignment.placed_ms)
         self._core.health.record_success(target_id, now_ms)
+        self.pace.record_success(served, assignment)
         self._core.blame.record_served(served.job.fingerprints, now_ms)
         cleared = self._core.blame.counts.clear_target(
             target_id, assignment.placed_ms, now_ms
@@ -258,6 +263,7 @@
         self._core.health.record_failure(
             assignment.target.target_id, self._clock.now_ms()
         )
+        self.pace.record_trouble(assignment, 'silent')
         if not served.is_suspected:
             self._suspect_silent(served, assignment)
         self._record_link_failure(assignment.target, silent=True)
@@ -307,6 +313,7 @@
         now_ms = self._clock.now_ms()
         target_id = assignment.target.target_id
         until_ms = self._core.health.record_unreachable(target_id, now_ms)
+        self.pace.record_unreachable(assignment.target, assignment.placed_ms)
         self._log.write(
             'target_unreachable',
             id=served.job.request.attempt_id,
@@ -372,6 +379,7 @@
         self._core.blame.settle(target_id, now_ms, broken=not links_failed)
         if links_failed:
             self._core.health.forget_own(target_id)
+            self.pace.forgive(target_id)
         elif failure.refused:
             self._core.health.confirm_refusing(target_id, now_ms)
             self.record_crash(target_id, 'refusing')
@@ -488,8 +496,10 @@
         if fault.misdirected:
             self._core.health.record_unreachable(at_fault.target_id, now_ms)
             self.record_crash(at_fault.target_id, 'misdirected')
+            self.pace.record_unreachable(at_fault, assignment.placed_ms)
         else:
             self._core.health.record_full(at_fault.target_id, now_ms)
+            self.pace.record_refused(at_fault, assignment.placed_ms)
         self._meters.count('target_refusals', str(fault.status))
         self._log.write(
             'target_refused',
@@ -510,6 +520,7 @@
         now_ms = self._clock.now_ms()
         target_id = assignment.target.target_id
         self._core.health.record_failure(target_id, now_ms)
+        self.pace.record_trouble(assignment, 'failed')
         if isinstance(fault, dispatch.TargetErrorAnswer):
             self._record_answer(assignment.target, assignment.placed_ms)
         else:
--- a/bergamotstream/forwarding/peerexchange.py
+++ b/bergamotstream/forwarding/peerexchange.py
@@ -367,6 +367,7 @@
             )
             self.schedule_send()
         self.peers_by_name[name] = state
+        self._outcomes.pace.hear(name, state.own_commitments)
         self._core.health.update_peer(state.health_estimates, now_ms)
         for estimate in state.health_estimates:
             if estimate.refusing_ms:
--- a/bergamotstream/forwarding/scheduler.py
+++ b/bergamotstream/forwarding/scheduler.py
@@ -40,6 +40,7 @@
     retrybudget,
     routing,
     targethealth,
+    targetpace,
 )
 
 # Value of an answer token in prompt tokens: decoding a token takes about ten
@@ -107,6 +108,9 @@
         self.cold = coldlimits.ColdLimits()
         self.limits = namedlimits.NamedLimits(config.name)
         self.pauses = askedpauses.AskedPauses(rng)
+        self.pace = targetpace.TargetPace(
+            self.table, self.cells, enabled=config.features.target_pacing
+        )
         self.budget = retrybudget.RetryBudget(config.bounds)
         self.blame = crashblame.CrashBlame()
         self.links = links.LinkMonitor()
@@ -244,13 +248,16 @@
         Raises ``NoTarget``, or ``Overloaded`` for a request that cannot be
         served in time or that would cost other requests more than its value.
         """
-        candidates = list(self._candidates(job, excluded, now_ms))
-        if not candidates:
+        usable = list(self._candidates(job, excluded, now_ms))
+        if not usable:
             raise errors.NoTarget(
                 self._no_target_detail(job, excluded, now_ms),
                 retry_after_ms=self._limited_retry_ms(job, now_ms)
                 or self._jitter(UNAVAILABLE_RETRY_MS),
             )
+        candidates = self.pace.choose_open(usable, job, now_ms)
+        if not candidates:
+            raise self._overloaded(f'paced={len(usable)}')
         if job.generation is None or job.service.engine is None:
             return self._place_plain(job, candidates, now_ms)
         # The caller's timeout restarts with each event that it receives.
@@ -264,7 +271,7 @@
                 f'no_place left_ms={generation.remaining_ms}'
             )
         if chosen.loss_to_others >= chosen.expected_value and placement.is_busy(
-            candidates
+            usable
         ):
             raise self._overloaded(
                 f'loss_to_others={chosen.loss_to_others:.2f}'
