--- a/tests/hostilekit.py
+++ b/tests/hostilekit.py
@@ -173,8 +173,15 @@
 @contextlib.asynccontextmanager
 async def crowd(beside, server, shape, count):
     """Press a server by ``count`` connections, which then stay open."""
+    async with mixed_crowd(beside, [(server, shape)] * count):
+        yield
+
+
+@contextlib.asynccontextmanager
+async def mixed_crowd(beside, presses):
+    """Press servers by one connection for each pair of server and shape."""
     tasks = [asyncio.ensure_future(beside.watch_sockets())]
-    for _ in range(count):
+    for server, shape in presses:
         tasks.append(
             asyncio.ensure_future(press(beside.addresses[server], shape))
         )
@@ -185,3 +192,13 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+
+
+async def check_crowd(beside, presses):
+    """Press a host and check that it lives within its limits and serves."""
+    async with mixed_crowd(beside, presses):
+        assert beside.host.is_running()
+        assert await beside.order() == 200
+        assert beside.resident_mb() < MEMORY_MB
+    assert beside.most_sockets < MAX_FDS - FILE_FDS
+    assert beside.host.is_running()
--- a/tests/test_hostilecallers.py
+++ b/tests/test_hostilecallers.py
@@ -53,13 +53,7 @@
         writer.write(kit.answer(request))
 
     async with hostilekit.host_beside(folder, respond) as beside:
-        async with hostilekit.crowd(beside, server, shape, count):
-            assert beside.host.is_running()
-            assert await beside.order() == 200
-            assert beside.resident_mb() < hostilekit.MEMORY_MB
-        limit = hostilekit.MAX_FDS - hostilekit.FILE_FDS
-        assert beside.most_sockets < limit
-        assert beside.host.is_running()
+        await hostilekit.check_crowd(beside, [(server, shape)] * count)
 
 
 @pytest.mark.parametrize('kind', SHAPES)
