--- a/bergamotstream/callerserver.py
+++ b/bergamotstream/callerserver.py
@@ -24,6 +24,7 @@
     logs,
     metrics,
     openanswers,
+    pacedrunner,
     queries,
     requestbody,
     settings,
@@ -56,8 +57,10 @@
         self._meters = meters
         self._time = time
         self.queries = queries.Queries(incoming, time)
-        self._runner = web.AppRunner(
+        self._runner = pacedrunner.PacedRunner(
             self._application(),
+            meters,
+            limits.caller_bytes,
             access_log=None,
             handler_cancellation=True,
             shutdown_timeout=1,
--- a/bergamotstream/settings.py
+++ b/bergamotstream/settings.py
@@ -57,6 +57,7 @@
     """Sizes and counts."""
 
     body_bytes: Amount = 8_000_000
+    caller_bytes: Amount = 268_435_456
     message_bytes: Amount = 262_144
     stream_buffer_bytes: Amount = 262_144
     claim_segment_bytes: Amount = 65_536
