--- a/bench/placementworld.py
+++ b/bench/placementworld.py
@@ -17,6 +17,7 @@
     exchangerecords,
     fleetrecords,
     hostsettings,
+    requesttimes,
     scheduler,
 )
 from standins import enginepasses
@@ -190,7 +191,9 @@
         opened.forecast_ms = assignment.forecast_ms
         self._open_by_attempt[opened.attempt_id] = opened
         self._share(opened.host)
-        patience_ms = scheduler.caller_timeout_ms(_route(opened.arrival.kind))
+        patience_ms = requesttimes.caller_timeout_ms(
+            _route(opened.arrival.kind)
+        )
         self.time.call_after(
             patience_ms, self._give_up, opened, opened.attempt_id
         )
@@ -267,7 +270,7 @@
             opened.pause_ms = max(opened.pause_ms, pause_ms)
             if pause_ms > opened.arrival.kind.pause_goal_ms:
                 self._forget_pause_goal(opened)
-            if pause_ms > scheduler.caller_timeout_ms(
+            if pause_ms > requesttimes.caller_timeout_ms(
                 _route(opened.arrival.kind)
             ):
                 self._end(opened, served=False)
--- a/bergamotstream/forwarding/outcomes.py
+++ b/bergamotstream/forwarding/outcomes.py
@@ -27,6 +27,7 @@
     refusals,
     relayedevents,
     requeststate,
+    requesttimes,
     reservations,
     scheduler,
     targetstatements,
@@ -166,7 +167,7 @@
         single long gap comes from a long prompt on the same target, and a late
         first token from work that other hosts placed at the same time.
         """
-        usual_ms = scheduler.usual_pause_ms(served.job.service)
+        usual_ms = requesttimes.usual_pause_ms(served.job.service)
         median_ms = statistics.median(served.recent_gaps_ms)
         served.recent_gaps_ms.clear()
         self._core.health.record_speed(
--- a/bergamotstream/forwarding/scheduler.py
+++ b/bergamotstream/forwarding/scheduler.py
@@ -25,7 +25,6 @@
     coldlimits,
     commitments,
     crashblame,
-    enginetiming,
     exchangerecords,
     fingerprints,
     fleetrecords,
@@ -37,6 +36,7 @@
     placement,
     reach,
     rendezvous,
+    requesttimes,
     retrybudget,
     routing,
     targethealth,
@@ -58,25 +58,15 @@
 RETRY_AFTER_MS: Final = (400, 1_600)
 # Retry delay while no target is listed or no configuration is known.
 UNAVAILABLE_RETRY_MS: Final = (800, 1_600)
-# Factor by which prefill between token steps lengthens a full target's passes.
-PREFILL_ALLOWANCE: Final = 1.5
 # Answers to requests that arrive within 3 s after the signal may be cut at the
 # end of the grace period; source: the platform's rules. This is 3 s less the
 # network delay.
 ADMIT_AFTER_SHUTDOWN_MS: Final = 2_700
 # Share of a route's goal for which a request may wait for a placement.
 MAX_WAIT_GOALS: Final = 0.7
-# Callers disconnect after a gap as long as the longest of these. Source: the
-# platform's protocol for requests.
-MIN_CALLER_TIMEOUT_MS: Final = 2_000
-CALLER_TIMEOUT_GOALS: Final = 4
-CALLER_TIMEOUT_PAUSES: Final = 8
 # Share of the caller's timeout after which a silent target is abandoned; the
 # rest is long enough for a first event from another target.
 SILENCE_TIMEOUT_SHARE: Final = 0.6
-# Share of the hinted length that is assumed for short answers: the hint is
-# right at the median only.
-HINT_TOLERANCE: Final = 0.5
 # Retry delay before a caller tries another host.
 LEAVING_RETRY_MS: Final = 50
 # Time that it takes to send the final answer at a request's deadline.
@@ -235,7 +225,7 @@
         """
         if shutdown is None:
             return
-        if now_ms + longest_answer_ms(job) < shutdown.end_ms:
+        if now_ms + requesttimes.longest_answer_ms(job) < shutdown.end_ms:
             return
         since_ms = now_ms - shutdown.requested_ms
         if since_ms > ADMIT_AFTER_SHUTDOWN_MS or has_other_host():
@@ -265,7 +255,9 @@
         if job.generation is None or job.service.engine is None:
             return self._place_plain(job, candidates, now_ms)
         # The caller's timeout restarts with each event that it receives.
-        end_ms = job.end_ms if excluded else _caller_timeout_end_ms(job)
+        end_ms = (
+            job.end_ms if excluded else requesttimes.caller_timeout_end_ms(job)
+        )
         generation = job.generation._replace(remaining_ms=end_ms - now_ms)
         chosen = placement.choose_placement(
             job.service.engine, generation, candidates
@@ -281,7 +273,7 @@
                 f'loss_to_others={chosen.loss_to_others:.2f}'
                 f' expected_value={chosen.expected_value:.2f}'
             )
-        finish_ms = chosen.first_token_ms + shortest_decode_ms(job)
+        finish_ms = chosen.first_token_ms + requesttimes.shortest_decode_ms(job)
         if not excluded and now_ms + finish_ms > job.end_ms:
             raise self._overloaded(
                 f'finish_ms={finish_ms:.0f} left_ms={job.end_ms - now_ms}'
@@ -332,7 +324,9 @@
             return None
         if job.generation is None:
             return round((job.end_ms - now_ms) * SILENCE_TIMEOUT_SHARE)
-        return round(caller_timeout_ms(job.route) * SILENCE_TIMEOUT_SHARE)
+        return round(
+            requesttimes.caller_timeout_ms(job.route) * SILENCE_TIMEOUT_SHARE
+        )
 
     def retry_after_ms(self) -> int:
         """Return a retry delay for a request that has not run."""
@@ -615,20 +609,6 @@
     return priority * RANKS_PER_PRIORITY + size
 
 
-def caller_timeout_ms(route: fleetrecords.Route) -> int:
-    """Return the gap in a stream after which callers disconnect."""
-    return max(
-        MIN_CALLER_TIMEOUT_MS,
-        route.goal_ms * CALLER_TIMEOUT_GOALS,
-        route.pause_goal_ms * CALLER_TIMEOUT_PAUSES,
-    )
-
-
-def _caller_timeout_end_ms(job: exchangerecords.Job) -> int:
-    """Return when the caller times out without a first token."""
-    return min(job.end_ms, job.arrived_ms + caller_timeout_ms(job.route))
-
-
 def _generation_of(
     route: fleetrecords.Route,
     service: fleetrecords.Service,
@@ -667,7 +647,7 @@
             is_part=len(chosen.parts) > 1,
             goal_ms=job.arrived_ms + job.route.goal_ms - now_ms,
             caller_timeout_ms=min(
-                caller_timeout_ms(job.route), job.end_ms - now_ms
+                requesttimes.caller_timeout_ms(job.route), job.end_ms - now_ms
             ),
             decodes=position == 0,
             decoding=generation is None,
@@ -681,43 +661,3 @@
             value=generation.value if generation else float(1),
             workspace_hash=job.workspace_hash,
         )
-
-
-def is_forecast_late(
-    job: exchangerecords.Job, assignment: exchangerecords.Assignment
-) -> bool:
-    """Tell whether the first token is expected after the request's goal."""
-    if job.generation is None:
-        return False
-    waited_ms = assignment.placed_ms - job.arrived_ms
-    return waited_ms + assignment.forecast_ms > job.route.goal_ms
-
-
-def usual_pause_ms(service: fleetrecords.Service) -> float:
-    """Return the longest usual gap between events of a full target."""
-    engine = service.engine
-    if engine is None:
-        return 0
-    context_tokens = engine.slots * (
-        engine.usual_prompt_tokens + engine.usual_answer_tokens
-    )
-    pass_ms = enginetiming.decode_pass_ms(engine, engine.slots, context_tokens)
-    return pass_ms * PREFILL_ALLOWANCE
-
-
-def shortest_decode_ms(job: exchangerecords.Job) -> float:
-    """Return the shortest expected decode time of the answer."""
-    if job.generation is None or job.service.engine is None:
-        return 0
-    tokens = int(job.generation.answer_tokens * HINT_TOLERANCE)
-    return enginetiming.decode_ms(
-        job.service.engine, tokens, 1, job.generation.prompt_tokens
-    )
-
-
-def longest_answer_ms(job: exchangerecords.Job) -> float:
-    """Return the time of the longest permitted answer on a full target."""
-    if job.generation is None or job.service.engine is None:
-        return job.route.timeout_ms
-    events = job.request.max_answer_tokens / job.service.engine.steps_in_pass
-    return job.route.goal_ms + events * usual_pause_ms(job.service)
--- a/bergamotstream/forwarding/waiting/places.py
+++ b/bergamotstream/forwarding/waiting/places.py
@@ -18,6 +18,7 @@
     exchangerecords,
     relayattempts,
     requeststate,
+    requesttimes,
     scheduler,
 )
 from bergamotstream.forwarding.waiting import drain, order
@@ -135,7 +136,7 @@
         # Peers may have blamed the request since it was admitted.
         self._core.check_blame(job, now_ms)
         assignment = self._core.place(job, state.tried_target_ids, now_ms)
-        if scheduler.is_forecast_late(job, assignment):
+        if requesttimes.is_forecast_late(job, assignment):
             with contextlib.ExitStack() as stack:
                 stack.callback(self._core.release, assignment)
                 self._check_overflow(state)
--- a/tests/test_targetpace.py
+++ b/tests/test_targetpace.py
@@ -16,6 +16,7 @@
     outcomes,
     placement,
     requeststate,
+    requesttimes,
     scheduler,
     targetpace,
 )
@@ -495,7 +496,7 @@
     served = requeststate.RequestState(job, b'', None).add_try()
     placed = core.place(job, (), 0)
     source.advance(1_000)
-    usual_ms = round(scheduler.usual_pause_ms(job.service))
+    usual_ms = round(requesttimes.usual_pause_ms(job.service))
     for _ in range(3 * outcomes.GAP_SAMPLES):
         assert core.pace.limit_of(placed.target) is None
         recorder.record_gap(served, placed, usual_ms * 4)
