--- a/bergamotstream/forwarding/pacedreads.py
+++ b/bergamotstream/forwarding/pacedreads.py
@@ -10,6 +10,7 @@
 import asyncio
 import collections
 import contextlib
+import traceback
 from collections.abc import Awaitable, Callable
 from typing import Any, Final, Protocol
 
@@ -202,6 +203,7 @@
         is_last = self._is_refused and not self._messages
         if is_last:
             resp.force_close()
+            _free_frames(request.content.exception())
         with contextlib.ExitStack() as stack:
             stack.callback(self._release_request)
             finished = await super().finish_response(request, resp, start_time)
@@ -377,6 +379,15 @@
             manager.record_unreadable(status, fault, str(caller))
 
 
+def _free_frames(fault: BaseException | type[BaseException] | None) -> None:
+    """Free what the readers of a body had received when it was refused.
+
+    The traceback of the fault keeps it for as long as the body exists.
+    """
+    if isinstance(fault, BaseException):
+        traceback.clear_frames(fault.__traceback__)
+
+
 class PacedServer(web.Server):
     """Server whose connections have paced and bounded reads."""
 
