--- a/bergamotstream/forwarding/callerlimits.py
+++ b/bergamotstream/forwarding/callerlimits.py
@@ -118,6 +118,11 @@
         self._head_bytes = 0
         self._lines = 0
 
+    def clear(self) -> None:
+        """Count nothing any more."""
+        self._head_bytes = 0
+        self._lines = 0
+
     def add_head(self, received: bytes) -> None:
         """Count bytes that may be of the head."""
         self._head_bytes += len(received)
--- a/bergamotstream/forwarding/pacedreads.py
+++ b/bergamotstream/forwarding/pacedreads.py
@@ -155,8 +155,12 @@
         """Parse what was read; called by the event loop."""
         if self._is_refused or self.transport is None:
             return
-        self._pace.start()
         requests = self._request_count
+        if not data:
+            super().data_received(data)
+            self._count_rest(requests)
+            return
+        self._pace.start()
         payload = self._payload
         is_head = payload is None or payload.is_eof()
         body_bytes = payload.total_bytes if payload else 0
@@ -180,6 +184,18 @@
             self._throttle(turn_ms)
         self._update_holding()
 
+    def _count_rest(self, requests: int) -> None:
+        """Count after ``requests`` what was read before and is parsed now.
+
+        The library parses on for each chunk of a body that its reader takes, so
+        nothing is done here that the next read does as well.
+        """
+        if self._request_count > requests:
+            self._record_requests(self._request_count - requests)
+            self._update_holding()
+        else:
+            self._head.clear()
+
     def pause_writing(self) -> None:
         """Count what the caller does not read; called by the event loop."""
         super().pause_writing()
