--- a/demo/caller.py
+++ b/demo/caller.py
@@ -141,9 +141,15 @@
         if time.monotonic() < until_s:
             return hosts
         url = f'http://{self._first_host}/v1/address?workspace={workspace}'
-        async with self._http.get(url) as response:
-            response.raise_for_status()
-            answer = await response.json()
+        try:
+            async with self._http.get(url) as response:
+                response.raise_for_status()
+                answer = await response.json()
+        except aiohttp.ClientConnectorError:
+            if not hosts:
+                raise
+            # Callers keep an answer while they cannot get a newer one.
+            return hosts
         hosts = [host['address'] for host in answer['hosts']]
         until_s = time.monotonic() + answer['keep_ms'] / MS_PER_S
         self._known[workspace] = (until_s, hosts)
