--- a/bergamotstream/forwarding/callerlimits.py
+++ b/bergamotstream/forwarding/callerlimits.py
@@ -150,3 +150,10 @@
         copies = COMPLETE_BODY_COPIES if is_complete else 1
         head_bytes = self._head_bytes + self._lines * LINE_BYTES
         return head_bytes + body_bytes * copies
+
+
+def largest_request(max_header_bytes: int, max_body_bytes: int) -> int:
+    """Return what the largest request that the operators allow may hold."""
+    head_bytes = max_header_bytes * COMPLETE_BODY_COPIES
+    body_bytes = max_body_bytes * COMPLETE_BODY_COPIES
+    return CONNECTION_BYTES + head_bytes + body_bytes
--- a/bergamotstream/forwarding/hostdaemon.py
+++ b/bergamotstream/forwarding/hostdaemon.py
@@ -267,7 +267,7 @@
             self._entry.peer_address,
             self._answer_peer,
             hostsettings.PEER_SOCKETS_SHARE,
-            self._max_peer_head,
+            _max_peer_head,
         )
         await self._serve(
             self._config.readiness_address,
@@ -293,12 +293,17 @@
         limits = configuration.limits
         return pacedreads.max_caller_head(limits.max_header_bytes)
 
-    def _max_peer_head(self) -> int:
-        """Return the longest head of a peer, which holds a caller's head.
-
-        The peer may have a later configuration with a higher limit.
-        """
-        return pacedreads.MAX_PEER_HEAD_BYTES
+    def _update_caller_bytes(self) -> None:
+        """Hold for callers at least the largest request that is allowed."""
+        configuration = self._core.view.configuration
+        if configuration is not None:
+            limits = configuration.limits
+            self._core.held_for_callers.allowed = max(
+                self._config.caller_bytes,
+                callerlimits.largest_request(
+                    limits.max_header_bytes, limits.max_body_bytes
+                ),
+            )
 
     async def _serve(
         self,
@@ -368,6 +373,7 @@
         if changes:
             self._peers.schedule_delayed_send()
             self._check_readiness()
+            self._update_caller_bytes()
         self._update_cells()
 
     def _handle_own_entry(self, change: fleetview.Change) -> None:
@@ -624,6 +630,14 @@
     return hostrooms.Asked(request.query.get('zone', ''), own_room)
 
 
+def _max_peer_head() -> int:
+    """Return the longest head of a peer, which holds a caller's head.
+
+    The peer may have a later configuration with a higher limit.
+    """
+    return pacedreads.MAX_PEER_HEAD_BYTES
+
+
 async def _not_found(request: web.BaseRequest) -> web.StreamResponse:
     return web.Response(status=404)
 
