--- a/bergamotstream/forwarding/hostdaemon.py
+++ b/bergamotstream/forwarding/hostdaemon.py
@@ -76,6 +76,9 @@
 OPEN_REQUESTS_CHECK_S: Final = 0.05
 LAPSE_CHECK_S: Final = 0.2
 LOAD_CHECK_MS: Final = 200
+# Connections that are accepted in one turn of the event loop: those above the
+# bound of a server are open for a few turns.
+ACCEPT_BATCH: Final = 16
 MS_PER_S: Final = 1_000
 
 
@@ -339,7 +342,9 @@
         listener = self._listeners.get(address)
         if listener is None:
             listener = listensockets.open_listener(address)
-        await web.SockSite(runner, listener).start()
+        await web.SockSite(runner, listener, backlog=ACCEPT_BATCH).start()
+        # The event loop has set the queue of the kernel to the same number.
+        listener.listen(listensockets.BACKLOG)
         self._runners.append(runner)
 
     def _start_tasks(self, *coroutines: Coroutine[Any, Any, None]) -> None:
