--- a/bergamotstream/forwarding/callerlimits.py
+++ b/bergamotstream/forwarding/callerlimits.py
@@ -8,7 +8,7 @@
 caller alone meets no limit here that it could not meet in the operators'.
 """
 
-from collections.abc import Callable, Hashable, Sequence
+from collections.abc import Callable, Hashable, Iterable, Sequence
 from typing import Final, Generic, NamedTuple, TypeVar
 
 from bergamotstream.forwarding import heldbytes
@@ -140,9 +140,7 @@
     def set_head(self, head: Sequence[tuple[bytes, bytes]]) -> int:
         """Count the headers of a complete head; return its bytes."""
         self._lines = len(head)
-        self._head_bytes = sum(
-            len(name) + len(field) + LINE_OVERHEAD_BYTES for name, field in head
-        )
+        self._head_bytes = count_header_bytes(head)
         return self._head_bytes
 
     def total(self, body_bytes: int, *, is_complete: bool) -> int:
@@ -152,6 +150,13 @@
         return head_bytes + body_bytes * copies
 
 
+def count_header_bytes(head: Iterable[tuple[bytes, bytes]]) -> int:
+    """Return the length of headers on the wire."""
+    return sum(
+        len(name) + len(field) + LINE_OVERHEAD_BYTES for name, field in head
+    )
+
+
 def largest_request(max_header_bytes: int, max_body_bytes: int) -> int:
     """Return what the largest request that the operators allow may hold."""
     head_bytes = max_header_bytes * COMPLETE_BODY_COPIES
--- a/bergamotstream/forwarding/requestreads.py
+++ b/bergamotstream/forwarding/requestreads.py
@@ -13,11 +13,9 @@
 from aiohttp import web
 
 from bergamotstream import errors
-from bergamotstream.forwarding import fleetrecords
+from bergamotstream.forwarding import callerlimits, fleetrecords
 
 MS_PER_S: Final = 1_000
-# Colon, space and line end of a header.
-HEADER_LINE_OVERHEAD_BYTES: Final = 4
 
 
 async def read_body(
@@ -53,10 +51,7 @@
     request: web.BaseRequest, limits: fleetrecords.CallerLimits
 ) -> None:
     """Raise ``HeadersTooLarge`` above the operators' limit."""
-    size = sum(
-        len(name) + len(field) + HEADER_LINE_OVERHEAD_BYTES
-        for name, field in request.raw_headers
-    )
+    size = callerlimits.count_header_bytes(request.raw_headers)
     # The limit is for the headers; a path may have the same length beside them.
     size = max(size, len(request.raw_path))
     if size > limits.max_header_bytes:
--- a/bergamotstream/forwarding/waiting/drain.py
+++ b/bergamotstream/forwarding/waiting/drain.py
@@ -13,7 +13,6 @@
 from bergamotstream.forwarding import slidingwindows
 
 WINDOW_MS: Final = 2_000
-MS_PER_S: Final = 1_000
 # The rate says little before requests have waited for this long, or with fewer
 # places. While nothing waits it tells how much comes, not what targets take.
 MIN_BUSY_MS: Final = 500
