--- a/demo/operators.py
+++ b/demo/operators.py
@@ -91,13 +91,17 @@
 async def wait_until_ready(
     http: aiohttp.ClientSession, planned: fleet.Fleet
 ) -> None:
-    """Wait until each host has the bundle and an owner for all targets."""
+    """Wait until each host knows owners of all targets and a complete cell.
+
+    A host that starts over a second before the others forms a cell of its own
+    at first. Until they have joined, no other host can take over from it.
+    """
     count = len(planned.engines) + len(planned.plains)
+    names = {host.name for host in planned.hosts}
+    addresses = [host.caller_address for host in planned.hosts]
     await asyncio.gather(
-        *(
-            _wait_for_owners(http, host.caller_address, count)
-            for host in planned.hosts
-        )
+        *(_wait_for_owners(http, address, count) for address in addresses),
+        *(_wait_for_members(http, address, names) for address in addresses),
     )
 
 
@@ -111,6 +115,16 @@
         owned = sum(bool(target['owner']) for target in listed['targets'])
 
 
+async def _wait_for_members(
+    http: aiohttp.ClientSession, address: str, names: set[str]
+) -> None:
+    members: set[str] = set()
+    while members != names:
+        await asyncio.sleep(POLL_S)
+        listed = await command(http, address, 'hosts.show')
+        members = {host['name'] for host in listed['hosts'] if host['member']}
+
+
 async def _repeat_until_done(attempt: Any) -> dict[str, Any]:
     while True:
         try:
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -3,12 +3,13 @@
 import asyncio
 import time
 
-from demo import fleet, workload
+from demo import fleet, operators, workload
 from tests import failurekit
 
 STREAM_TOKENS = 500
 PAUSE_S = 4
 KV_PAUSE_S = 5
+LIMIT_S = 10
 
 
 async def test_callers_resume_after_their_host_is_killed(tmp_path):
@@ -153,3 +154,27 @@
         async with running.http.get(f'http://{plain.address}/stats') as stats:
             counted += (await stats.json())['executions'].get(key, 0)
     return counted
+
+
+async def test_fleet_is_ready_once_all_hosts_are_members(monkeypatch):
+    """Guards against tests that pause the only member of a cell."""
+    planned = fleet.plan_fleet()
+    targets = [*planned.engines, *planned.plains]
+    calls_by_address = {}
+
+    async def answer(_http, address, name):
+        if name == 'targets.show':
+            return {'targets': [{'owner': 'any'} for _ in targets]}
+        calls = calls_by_address[address] = calls_by_address.get(address, 0) + 1
+        joined = min(calls, len(planned.hosts))
+        return {
+            'hosts': [
+                {'name': host.name, 'member': number < joined}
+                for number, host in enumerate(planned.hosts)
+            ]
+        }
+
+    monkeypatch.setattr(operators, 'command', answer)
+    async with asyncio.timeout(LIMIT_S):
+        await operators.wait_until_ready(None, planned)
+    assert set(calls_by_address.values()) == {len(planned.hosts)}
