--- a/bergamotstream/clock.py
+++ b/bergamotstream/clock.py
@@ -23,6 +23,10 @@
         """Return the monotonic time in microseconds."""
         return time.monotonic_ns() // NANOSECONDS_PER_US
 
+    def processor_ms(self) -> int:
+        """Return the processor time of this thread in milliseconds."""
+        return time.thread_time_ns() // NANOSECONDS_PER_MS
+
     def wall_ms(self) -> int:
         """Return milliseconds since the Unix epoch, for the audit trail."""
         return time.time_ns() // NANOSECONDS_PER_MS
--- a/bergamotstream/forwarding/connections.py
+++ b/bergamotstream/forwarding/connections.py
@@ -16,7 +16,7 @@
 
 import aiohttp
 
-from bergamotstream.forwarding import answerlimits, pacedreads
+from bergamotstream.forwarding import answerlimits, callerlimits, pacedreads
 from bergamotstream.platform import protocol
 
 # Time without acknowledgement after which a connection has failed: to the store,
@@ -66,10 +66,16 @@
     """
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, record_skipped: SkipRecorder
+        self,
+        loop: asyncio.AbstractEventLoop,
+        record_skipped: SkipRecorder,
+        parsing: callerlimits.ParseBudget,
     ) -> None:
-        """Wait for no answer yet."""
+        """Wait for no answer yet; ``parsing`` is shared by connections."""
         super().__init__(loop)
+        self._parsing = parsing
+        # Whether no bytes are read for the sake of other connections.
+        self._is_throttled = False
         self._record_skipped = record_skipped
         # True once a request was to be sent on the connection.
         self.is_used = False
@@ -124,7 +130,12 @@
 
     def data_received(self, data: bytes) -> None:
         """Receive bytes, in a turn whose length bounds the next one."""
-        if data and self._is_idle():
+        if not data:
+            # The library parses on, for each chunk of a body that its reader
+            # takes, what a read has counted before.
+            super().data_received(data)
+            return
+        if self._is_idle():
             self.abort()
             return
         self._received_bytes += len(data)
@@ -135,7 +146,24 @@
             self._check_answer()
         except answerlimits.LimitExceeded as exceeded:
             self._fail(exceeded)
-        self._pace.end(len(data))
+        self._throttle(self._pace.end(len(data)))
+
+    def _throttle(self, turn_ms: int) -> None:
+        """Leave the processor to others after bytes that took long."""
+        delay_s = pacedreads.pause_s(self._parsing, turn_ms)
+        if delay_s and self.transport is not None:
+            self._is_throttled = True
+            self._pause_transport_reading()
+            self._loop.call_later(delay_s, self._end_throttling)
+
+    def _end_throttling(self) -> None:
+        self._is_throttled = False
+        if not self._reading_paused and not self._buffer_paused:
+            self._resume_transport_reading()
+
+    def _resume_transport_reading(self) -> None:
+        if not self._is_throttled:
+            super()._resume_transport_reading()
 
     def _check_head(self) -> None:
         """Raise ``LimitExceeded`` for too many bytes without a head."""
@@ -229,7 +257,10 @@
             **options,
         )
         factory: Any = functools.partial(
-            TargetHandler, loop=self._loop, record_skipped=record_skipped
+            TargetHandler,
+            loop=self._loop,
+            record_skipped=record_skipped,
+            parsing=callerlimits.ParseBudget(),
         )
         self._factory = factory
 
--- a/bergamotstream/forwarding/pacedreads.py
+++ b/bergamotstream/forwarding/pacedreads.py
@@ -20,6 +20,9 @@
 from bergamotstream.forwarding import answerlimits, callerlimits, heldbytes
 
 MIN_READ_BYTES: Final = 1_024
+# Of a connection whose bytes are not known yet: 340 chunks of one byte, which
+# take some ms.
+FIRST_READ_BYTES: Final = 2_048
 # Many connections may send without end; others wait for a turn of each of them.
 MAX_READ_BYTES: Final = 16_384
 # Bounds of the head of a request that hold whatever the operators allow, as a
@@ -46,7 +49,7 @@
 MAX_CHUNK_OVERHEAD: Final = 16
 UNREADABLE: Final = 'The bytes are no request.'
 MAX_SHOWN: Final = 200
-# A read that takes this long is followed by one of half the size.
+# A read that takes this much processor time is followed by one of half the size.
 LONG_TURN_MS: Final = 2
 INTERNAL_ERROR: Final = 500
 MS_PER_S: Final = 1_000
@@ -67,18 +70,19 @@
         """Bound the reads of ``transport``."""
         self._transport = transport
         # An attribute of asyncio's transports, which have no setter for it.
-        self._transport.max_size = MAX_READ_BYTES
+        self._transport.max_size = FIRST_READ_BYTES
 
     def start(self) -> None:
         """Record that the bytes of a read are about to be parsed."""
-        self._started_ms = _CLOCK.now_ms()
+        self._started_ms = _CLOCK.processor_ms()
 
     def end(self, read_bytes: int) -> int:
         """Choose the size of the next read by the time that this one took.
 
-        Returns that time.
+        Returns that time. It is processor time, since the bytes of a connection
+        are not to blame for a host that was frozen or waited for a processor.
         """
-        turn_ms = _CLOCK.now_ms() - self._started_ms
+        turn_ms = _CLOCK.processor_ms() - self._started_ms
         transport = self._transport
         if turn_ms >= LONG_TURN_MS:
             transport.max_size = max(transport.max_size // 2, MIN_READ_BYTES)
@@ -180,7 +184,7 @@
         turn_ms = self._pace.end(len(data))
         if self._is_endless():
             self._refuse_endless()
-        elif turn_ms >= LONG_TURN_MS:
+        else:
             self._throttle(turn_ms)
         self._update_holding()
 
@@ -326,12 +330,12 @@
 
     def _throttle(self, turn_ms: int) -> None:
         """Leave the processor to others after bytes that took long."""
-        delay_ms = self._limits.parsing.delay_ms(turn_ms, _CLOCK.now_ms())
-        if not delay_ms:
+        delay_s = pause_s(self._limits.parsing, turn_ms)
+        if not delay_s:
             return
         self._is_throttled = True
         self._pause_transport_reading()
-        self._loop.call_later(delay_ms / MS_PER_S, self._end_throttling)
+        self._loop.call_later(delay_s, self._end_throttling)
 
     def _end_throttling(self) -> None:
         self._is_throttled = False
@@ -435,6 +439,13 @@
         """Record a connection that was closed at a limit for all of them."""
 
 
+def pause_s(parsing: callerlimits.ParseBudget, turn_ms: int) -> float:
+    """Return the pause of a connection whose bytes took ``turn_ms``."""
+    if turn_ms < LONG_TURN_MS:
+        return 0
+    return parsing.delay_ms(turn_ms, _CLOCK.now_ms()) / MS_PER_S
+
+
 def max_caller_head(max_header_bytes: int) -> int:
     """Return the longest head of a caller with these limits of headers."""
     return max_header_bytes * MAX_HEAD_PARTS + HEAD_MARGIN_BYTES
