--- a/bergamotstream/cmdline.py
+++ b/bergamotstream/cmdline.py
@@ -14,9 +14,16 @@
 
 import defopt
 
-from bergamotstream import adminclient, draftclient, explanations
+from bergamotstream import (
+    adminclient,
+    checkcommand,
+    draftclient,
+    explanations,
+)
 
 DEFAULT_ADDRESS = '127.0.0.1:8080'
+EXIT_FINDINGS = 1
+EXIT_UNREADABLE = 2
 EXIT_BROKEN_PIPE = 141
 CURRENT_VERSION = draftclient.CURRENT_VERSION
 
@@ -281,8 +288,38 @@
     _print(body, as_json)
 
 
+def check(
+    file: pathlib.Path,
+    *,
+    in_force: pathlib.Path | None = None,
+    as_json: bool = False,
+) -> None:
+    """Check a configuration of the users' platform before it is sent.
+
+    Exits with status 1 if there are findings, and with 2 if a file cannot be
+    read as a configuration.
+
+    :param file: Configuration to check.
+    :param in_force: Configuration to compare it with.
+    :param as_json: Print JSON instead of text.
+    """
+    try:
+        checked = checkcommand.check_file(file, in_force)
+    except checkcommand.Unreadable as fault:
+        print(f'error: {fault}', file=sys.stderr)
+        sys.exit(EXIT_UNREADABLE)
+    print(
+        adminclient.as_json(checked)
+        if as_json
+        else checkcommand.as_text(checked)
+    )
+    if checked['findings']:
+        sys.exit(EXIT_FINDINGS)
+
+
 COMMANDS = (
     explain,
+    check,
     workspace_set,
     service_set,
     target_out,
--- a/bergamotstream/forwarding/fleetview.py
+++ b/bergamotstream/forwarding/fleetview.py
@@ -297,12 +297,13 @@
         if rest or item.document is None:
             return
         try:
-            decoded, faults = documents.read_configuration(item.document)
+            found = documents.read_configuration(item.document)
         except documents.Undecodable as fault:
             yield from self._report_once(
                 'configuration', 'refused', item.revision, str(fault)
             )
             return
+        decoded, faults = found.configuration, found.faults
         # The version in force may be written again without its odd fields.
         is_mended = self._refused_fields.count and not faults.count
         newest = self.in_force.version - bool(is_mended)
--- a/bergamotstream/platform/configurationformat.py
+++ b/bergamotstream/platform/configurationformat.py
@@ -9,7 +9,7 @@
 out.
 """
 
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping, Sequence
 from typing import Any, Final, NamedTuple, TypeVar
 
 from bergamotstream import outsidedata
@@ -47,6 +47,8 @@
 
     configuration: fleetrecords.Configuration
     faults: oddfields.Faults
+    # Entries that no request can match.
+    unmatched: tuple[oddfields.Fault, ...] = ()
 
 
 def build(body: Mapping[str, Any], version: int) -> ReadConfiguration:
@@ -74,7 +76,25 @@
         lacks_routes=None in routes,
         lacks_keys=workspaces.lacks_keys,
     )
-    return ReadConfiguration(configuration, faults)
+    unmatched = [
+        *_replaced('routes', [route and route.match for route in routes]),
+        *_replaced(
+            'services', [service and service.name for service in services]
+        ),
+        *workspaces.unmatched,
+    ]
+    return ReadConfiguration(configuration, faults, tuple(unmatched))
+
+
+def _replaced(name: str, matches: Sequence[Any]) -> Iterator[oddfields.Fault]:
+    """Yield the entries for which a later one stands."""
+    last_by_match = {match: number for number, match in enumerate(matches)}
+    for number, match in enumerate(matches):
+        last = last_by_match[match]
+        if match is not None and last != number:
+            yield oddfields.Fault(
+                f'{name}[{number}]', f'{name}[{last}] replaces it'
+            )
 
 
 def _limits(fields: oddfields.Fields | None) -> fleetrecords.CallerLimits:
@@ -216,10 +236,11 @@
     def __init__(self, configuration: oddfields.Fields) -> None:
         self.by_key: dict[str, fleetrecords.Workspace] = {}
         self.lacks_keys = False
-        for entry in configuration.entries('tenants'):
-            self._add(entry)
+        self.unmatched: list[oddfields.Fault] = []
+        for number, entry in enumerate(configuration.entries('tenants')):
+            self._add(entry, f'tenants[{number}]')
 
-    def _add(self, fields: oddfields.Fields | None) -> None:
+    def _add(self, fields: oddfields.Fields | None, place: str) -> None:
         name = None if fields is None else fields.text('name')
         if fields is None or name is None:
             self.lacks_keys = True
@@ -227,8 +248,17 @@
         workspace = fleetrecords.Workspace(
             name, fields.whole('priority', -MAX_COUNT, MAX_COUNT)
         )
-        for key in fields.texts('api_keys'):
+        keys = list(fields.texts('api_keys'))
+        if not keys:
+            self._add_unmatched(place, 'no API key')
+        for key in keys:
             if key is None:
                 self.lacks_keys = True
-            else:
-                self.by_key[key] = workspace
+                continue
+            former = self.by_key.get(key, workspace)
+            if former != workspace:
+                self._add_unmatched(place, f'a key of {former.name}')
+            self.by_key[key] = workspace
+
+    def _add_unmatched(self, place: str, reason: str) -> None:
+        self.unmatched.append(oddfields.Fault(place, reason))
