--- a/bergamotstream/forwarding/relayattempts.py
+++ b/bergamotstream/forwarding/relayattempts.py
@@ -124,16 +124,24 @@
     def _choose(
         self, state: requeststate.RequestState
     ) -> peerformat.HostState | None:
-        service = state.job.service.name
-        choose = self._core.reach.choose_relay
-        chosen = None
+        """Return a host of the own cell, or else one of another cell.
+
+        If one of the own cell was tried in vain, its targets are down rather
+        than out of this host's reach, so other cells come first.
+        """
+        own: list[peerformat.HostState] = []
         if not state.is_out_of_targets or self._has_unreachable_target(state):
-            chosen = choose(
-                service, self._peers.live_peers(), state.tried_peers
+            own = self._peers.live_peers()
+        groups = [own, self._peers.live_contacts()]
+        if not self._core.cells.members.isdisjoint(state.tried_peers):
+            groups.reverse()
+        for group in groups:
+            chosen = self._core.reach.choose_relay(
+                state.job.service.name, group, state.tried_peers
             )
-        return chosen or choose(
-            service, self._peers.live_contacts(), state.tried_peers
-        )
+            if chosen is not None:
+                return chosen
+        return None
 
     def _has_unreachable_target(self, state: requeststate.RequestState) -> bool:
         return self._core.reach.has_unreachable_target(
--- a/bergamotstream/forwarding/retrydecisions.py
+++ b/bergamotstream/forwarding/retrydecisions.py
@@ -103,8 +103,10 @@
     ) -> errors.ServiceError:
         if state.may_have_run:
             return errors.TargetFailed(run_state='may_have_run')
-        return errors.Overloaded(
-            retry_after_ms=self._core.refused_retry_ms(
-                state.job, self._clock.now_ms()
+        delay_ms = self._core.refused_retry_ms(state.job, self._clock.now_ms())
+        if state.relayed_by and state.tries_unsent > MAX_UNSENT_TRIES:
+            # The targets of this cell are down; another cell may serve it.
+            return errors.NoTarget(
+                f'unreached={state.tries_unsent}', retry_after_ms=delay_ms
             )
-        )
+        return errors.Overloaded(retry_after_ms=delay_ms)
--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -20,8 +20,10 @@
     outcomes,
     peerexchange,
     peerformat,
+    peerrelay,
     relayattempts,
     relaychoice,
+    retrydecisions,
     scheduler,
     storewatchers,
 )
@@ -449,6 +451,56 @@
     assert relays.choose_peer(state) is None
 
 
+def test_request_goes_to_another_cell_if_targets_of_its_own_are_down():
+    """Guards against a refusal, or a cut stream, while another cell has room.
+
+    Hosts of the own cell, whose targets had gone down together, were asked
+    until no further one could be.
+    """
+    core = kit.make_scheduler(targets=1)
+    core.cells.members = frozenset(('host-1', 'h1', 'h2'))
+    listed = [contact('h1', 0), contact('h2', 0)]
+    peers = types.SimpleNamespace(
+        live_peers=lambda: listed, live_contacts=lambda: [contact('h9', 0)]
+    )
+    relays = relayattempts.RelayAttempts(
+        core, None, peers, None, clock.ManualClock(), None
+    )
+    state = types.SimpleNamespace(
+        job=kit.make_job(core),
+        relayed_by='',
+        tried_peers=set(),
+        tries_sent=1,
+        tries_unsent=relayattempts.MAX_UNSENT_BEFORE_RELAY,
+        is_out_of_targets=False,
+    )
+    # The links of this host alone may be lost.
+    assert relays.choose_peer(state).entry.name in core.cells.members
+    state.tried_peers.add('h1')
+    assert relays.choose_peer(state).entry.name == 'h9'
+    peers.live_contacts = list
+    assert relays.choose_peer(state).entry.name == 'h2'
+
+
+def test_peer_that_reached_no_target_lets_another_cell_serve():
+    """Guards against an overload that a host without targets speaks of."""
+    core = kit.make_scheduler(targets=1)
+    decisions = retrydecisions.RetryDecisions(
+        core, None, clock.ManualClock(), None
+    )
+    state = types.SimpleNamespace(
+        job=kit.make_job(core),
+        relayed_by='h1',
+        may_have_run=False,
+        tries_unsent=retrydecisions.MAX_UNSENT_TRIES + 1,
+    )
+    error = decisions.final_error(state)
+    assert error.code in peerrelay.REPEATABLE_CODES
+    assert error.run_state == 'not_run'
+    state.relayed_by = ''
+    assert decisions.final_error(state).code == 'overloaded'
+
+
 def test_few_hosts_of_a_large_cell_warm_a_target():
     """Guards against more requests in a second than a cold target bears."""
     registered = fleet({'rosario': 32, 'parana': 32})
