--- a/bergamotstream/forwarding/connections.py
+++ b/bergamotstream/forwarding/connections.py
@@ -97,13 +97,14 @@
     def expect_answer(self, attempt_id: str) -> bool:
         """Prepare for a request; False if the connection must not be used.
 
-        It has ended, or has sent something before the request. Without an
-        ``attempt_id`` no answer is skipped.
+        It has ended, is paused, or has sent something before the request.
+        Without an ``attempt_id`` no answer is skipped.
         """
         self.is_used = True
         self._attempt_id = attempt_id
         self._skipped_bodies.clear()
-        return self.is_connected() and not self._has_input()
+        is_read = self.is_connected() and not self._is_throttled
+        return is_read and not self._has_input()
 
     def set_response_params(self, **options: Any) -> None:
         """Start to receive the answer to a request; called by aiohttp."""
