--- a/tests/platformkit.py
+++ b/tests/platformkit.py
@@ -224,11 +224,13 @@
         )
 
     async def start(self):
+        # The address stays reserved after the target has stopped, so that no
+        # server of another test answers there.
+        (self.address,) = processes.free_addresses(1)
+        host, _, port = self.address.rpartition(':')
         self._server = await asyncio.start_server(
-            self._serve, '127.0.0.1', 0, limit=MAX_HEAD_BYTES
+            self._serve, host, int(port), limit=MAX_HEAD_BYTES
         )
-        port = self._server.sockets[0].getsockname()[1]
-        self.address = f'127.0.0.1:{port}'
 
     async def stop(self):
         self._server.close()
