--- a/bergamotstream/forwarding/scheduler.py
+++ b/bergamotstream/forwarding/scheduler.py
@@ -33,6 +33,7 @@
     hostsettings,
     links,
     namedlimits,
+    packing,
     placement,
     reach,
     rendezvous,
@@ -258,7 +259,9 @@
         end_ms = (
             job.end_ms if excluded else requesttimes.caller_timeout_end_ms(job)
         )
-        generation = job.generation._replace(remaining_ms=end_ms - now_ms)
+        generation = job.generation._replace(
+            remaining_ms=end_ms - now_ms, packing=self._packing(candidates)
+        )
         chosen = placement.choose_placement(
             job.service.engine, generation, candidates
         )
@@ -280,6 +283,11 @@
             )
         return self._commit(job, chosen, now_ms)
 
+    def _packing(self, candidates: list[placement.Candidate]) -> float:
+        if self._config.features.burst_spreading:
+            return packing.share(candidates)
+        return 1
+
     def _overloaded(self, detail: str) -> errors.ServiceError:
         return errors.Overloaded(
             detail, retry_after_ms=self._jitter(RETRY_AFTER_MS)
