--- a/bergamotstream/forwarding/scheduler.py
+++ b/bergamotstream/forwarding/scheduler.py
@@ -260,7 +260,8 @@
             job.end_ms if excluded else requesttimes.caller_timeout_end_ms(job)
         )
         generation = job.generation._replace(
-            remaining_ms=end_ms - now_ms, packing=self._packing(candidates)
+            remaining_ms=end_ms - now_ms,
+            packing=packing.share(candidates, self._config.features),
         )
         chosen = placement.choose_placement(
             job.service.engine, generation, candidates
@@ -283,11 +284,6 @@
             )
         return self._commit(job, chosen, now_ms)
 
-    def _packing(self, candidates: list[placement.Candidate]) -> float:
-        if self._config.features.burst_spreading:
-            return packing.share(candidates)
-        return 1
-
     def _overloaded(self, detail: str) -> errors.ServiceError:
         return errors.Overloaded(
             detail, retry_after_ms=self._jitter(RETRY_AFTER_MS)
--- a/tests/test_packing.py
+++ b/tests/test_packing.py
@@ -20,6 +20,7 @@
 BURST_MS = 300
 STEADY_MS = 3_000
 SEEDS = range(5)
+SPREADING = hostsettings.Features(burst_spreading=True)
 NEWS_MS = 60
 
 
@@ -72,4 +73,5 @@
     for recent, share in ((0, 1), (packing.PACKED_PLACEMENTS, 1), (80, 0.01)):
         load = commitments.IDLE._replace(recent_requests=recent)
         candidate = placement.Candidate(entry, load, 1, 0, True, True, 0.5)
-        assert packing.share([candidate]) == pytest.approx(share)
+        assert packing.share([candidate], SPREADING) == pytest.approx(share)
+        assert packing.share([candidate], hostsettings.Features()) == 1
