--- a/bergamotstream/forwarding/commitments.py
+++ b/bergamotstream/forwarding/commitments.py
@@ -19,8 +19,6 @@
 # Time from a placement to the start of its prefill: a new connection, the
 # transfer and the rest of the engine's present pass.
 PREFILL_START_MS: Final = 60
-# About twice the time after which hosts know of each other's placements.
-RECENT_MS: Final = 200
 
 
 class Commitment(NamedTuple):
@@ -93,8 +91,6 @@
     answers: tuple[ActiveAnswer, ...]
     # In the order in which the engine runs them.
     pending_prefills: tuple[PendingPrefill, ...]
-    # Requests that were placed within ``RECENT_MS``.
-    recent_requests: int = 0
 
 
 IDLE: Final = TargetLoad(0, 0, 0, float(0), 0, 0, (), ())
@@ -220,9 +216,6 @@
             for entry in requests
         ),
         pending_prefills=pending_prefills,
-        recent_requests=sum(
-            now_ms - entry.placed_ms < RECENT_MS for entry in requests
-        ),
     )
 
 
--- a/bergamotstream/forwarding/hostsettings.py
+++ b/bergamotstream/forwarding/hostsettings.py
@@ -110,8 +110,6 @@
     fair_waiting: bool = True
     weighted_directory: bool = False
     target_pacing: bool = False
-    # Less packing while many requests are placed at once; see ``packing``.
-    burst_spreading: bool = False
 
 
 class HostSettings(NamedTuple):
--- a/bergamotstream/forwarding/placement.py
+++ b/bergamotstream/forwarding/placement.py
@@ -92,8 +92,6 @@
     # Time until the caller's deadline or the route's timeout.
     remaining_ms: int
     value: float
-    # Part of the preference for few targets that applies, from 0 to 1.
-    packing: float = 1.0
 
 
 class Candidate(NamedTuple):
@@ -395,8 +393,7 @@
     )
     decode_loss = _gap_loss(load, pass_ms + queue_ms, part_ms)
     own_cost = decode_loss + generation.value * (
-        candidate.failure_rate
-        + TIE_COST / generation.packing * candidate.tie_breaker
+        candidate.failure_rate + TIE_COST * candidate.tie_breaker
     )
     if not candidate.same_zone:
         own_cost += generation.value * OTHER_ZONE_COST
@@ -481,8 +478,7 @@
     packed = min(load.requests, profile.slots - FREE_SLOTS) / profile.slots
     free_slots = max(profile.slots - load.requests - 1, 0)
     risk = SLOT_COLLISION_LOSSES[free_slots] if free_slots < FREE_SLOTS else 0
-    packing_gain = PACKING_GAIN * generation.packing * packed
-    return cost + generation.value * (risk - packing_gain)
+    return cost + generation.value * (risk - PACKING_GAIN * packed)
 
 
 def _lateness_cost(generation: Generation, first_token_ms: float) -> float:
--- a/bergamotstream/forwarding/scheduler.py
+++ b/bergamotstream/forwarding/scheduler.py
@@ -33,7 +33,6 @@
     hostsettings,
     links,
     namedlimits,
-    packing,
     placement,
     reach,
     rendezvous,
@@ -259,10 +258,7 @@
         end_ms = (
             job.end_ms if excluded else requesttimes.caller_timeout_end_ms(job)
         )
-        generation = job.generation._replace(
-            remaining_ms=end_ms - now_ms,
-            packing=packing.share(candidates, self._config.features),
-        )
+        generation = job.generation._replace(remaining_ms=end_ms - now_ms)
         chosen = placement.choose_placement(
             job.service.engine, generation, candidates
         )
--- a/bergamotstream/platform/bootsettings.py
+++ b/bergamotstream/platform/bootsettings.py
@@ -190,9 +190,7 @@
     listed = tables.get('contracts')
     is_pressed = isinstance(listed, list) and PRESSURE in listed
     features = hostsettings.Features(
-        weighted_directory=is_pressed,
-        target_pacing=is_pressed,
-        burst_spreading=is_pressed,
+        weighted_directory=is_pressed, target_pacing=is_pressed
     )
     for switch in filter(None, switches.split(',')):
         name, _, state = switch.strip().partition('=')
--- a/tests/test_hostsettings.py
+++ b/tests/test_hostsettings.py
@@ -203,10 +203,10 @@
 @pytest.mark.parametrize(
     ('contracts', 'switches', 'expected'),
     [
-        ([], '', (True, False, False, False)),
-        (['base', 'pressure'], '', (True, True, True, True)),
-        (['pressure'], 'target_pacing=off', (True, True, False, True)),
-        ('pressure', 'fair_waiting=off', (False,) * 4),
+        ([], '', (True, False, False)),
+        (['base', 'pressure'], '', (True, True, True)),
+        (['pressure'], 'target_pacing=off', (True, True, False)),
+        ('pressure', 'fair_waiting=off', (False, False, False)),
     ],
 )
 def test_features_follow_the_settings(contracts, switches, expected):
