--- a/bergamotstream/checkcommand.py
+++ b/bergamotstream/checkcommand.py
@@ -16,6 +16,9 @@
 
 REFUSED_REMEDY: Final = 'correct the field; hosts use a default, or no entry'
 UNMATCHED_REMEDY: Final = 'remove the entry, or change what it shares'
+# Refused fields whose content may be an API key.
+KEYS_FIELD: Final = 'tenants'
+HIDDEN_REASON: Final = 'cannot be used'
 VERSION_REMEDY: Final = 'raise the version; hosts ignore one that is not newer'
 
 
@@ -32,16 +35,23 @@
     """
     found = _read(path)
     findings = list(_findings(found))
-    checked: adminclient.Body = {'version': found.configuration.version}
+    version = found.configuration.version
+    checked: adminclient.Body = {'version': version}
     if in_force is not None:
-        known = _read(in_force).configuration
+        known = _read(in_force)
         checked['differences'] = [
             difference._asdict()
             for difference in configurationcheck.compare(
-                known, found.configuration
+                known.configuration, found.configuration
             )
         ]
-        findings.extend(_check_version(known.version, checked['version']))
+        # Hosts apply a version again that no longer has refused fields.
+        is_mended = bool(known.faults.count and not found.faults.count)
+        findings.extend(
+            _check_version(
+                known.configuration.version, version + int(is_mended)
+            )
+        )
     checked['findings'] = [finding._asdict() for finding in findings]
     return checked
 
@@ -70,8 +80,12 @@
     found: configurationformat.ReadConfiguration,
 ) -> Iterator[configurationcheck.Finding]:
     for fault in found.faults.first:
+        may_show = not fault.key.startswith(KEYS_FIELD)
         yield configurationcheck.Finding(
-            'refused_field', fault.key, fault.reason, REFUSED_REMEDY
+            'refused_field',
+            fault.key,
+            fault.reason if may_show else HIDDEN_REASON,
+            REFUSED_REMEDY,
         )
     more = found.faults.count - len(found.faults.first)
     if more:
--- a/bergamotstream/forwarding/configurationcheck.py
+++ b/bergamotstream/forwarding/configurationcheck.py
@@ -226,13 +226,15 @@
     elif after is None:
         yield Difference(entry, 'entry', 'removed', _MISSING)
     else:
-        for field, known in before.items():
-            if known != after[field]:
-                yield Difference(entry, field, *_shown(known, after[field]))
+        for field in sorted(before.keys() | after.keys()):
+            known, new = before.get(field), after.get(field)
+            if known != new:
+                yield Difference(entry, field, *_shown(known, new))
 
 
 def _shown(before: Any, after: Any) -> tuple[str, str]:
-    if isinstance(before, frozenset):
+    if isinstance(before, frozenset) or isinstance(after, frozenset):
+        before, after = before or frozenset(), after or frozenset()
         added, removed = len(after - before), len(before - after)
         return str(len(before)), f'{len(after)}, {added} new, {removed} gone'
     return str(before), str(after)
@@ -252,11 +254,13 @@
     for key, workspace in configuration.workspaces_by_key.items():
         keys_by_workspace[workspace].add(key)
     for workspace, keys in keys_by_workspace.items():
-        entries[f'workspace {workspace.name}'] = {
-            'priority': workspace.priority,
-            'keys': frozenset(keys),
-        }
-    entries['limits'] = configuration.limits._asdict()
+        # Several workspaces may have the same name.
+        fields = entries.setdefault(f'workspace {workspace.name}', {})
+        fields[f'keys of priority {workspace.priority}'] = frozenset(keys)
+    entries['limits'] = {
+        **configuration.limits._asdict(),
+        'requires_key': configuration.requires_key,
+    }
     return entries
 
 
--- a/bergamotstream/forwarding/connections.py
+++ b/bergamotstream/forwarding/connections.py
@@ -37,6 +37,9 @@
 # and the length of their bodies, which the HTTP library buffers.
 MAX_SKIPPED: Final = 8
 MAX_SKIPPED_BYTES: Final = 131_072
+# Longest pause for bytes that are costly to parse. Sound answers share the
+# pauses of hostile ones, and targets cut off what stays unread for seconds.
+MAX_PAUSE_S: Final = 0.5
 
 
 class ConnectionLost(aiohttp.ClientError):
@@ -155,7 +158,9 @@
         if delay_s and self.transport is not None:
             self._is_throttled = True
             self._pause_transport_reading()
-            self._loop.call_later(delay_s, self._end_throttling)
+            self._loop.call_later(
+                min(delay_s, MAX_PAUSE_S), self._end_throttling
+            )
 
     def _end_throttling(self) -> None:
         self._is_throttled = False
--- a/bergamotstream/forwarding/targetpace.py
+++ b/bergamotstream/forwarding/targetpace.py
@@ -260,9 +260,9 @@
 
         The first request to a target that has proved nothing yet should have
         time for a second try; others are sent only if they find no place. If
-        all targets are at their pace, a request that has waited for a part of
-        its goal goes to those with a free slot that are not cold by their
-        entry: a pace delays requests, but is no reason to refuse one.
+        they are all full, a request that has waited for a part of its goal may
+        go to targets at their pace that have a free slot and are not cold by
+        their entry: a pace delays requests, but is no reason to refuse one.
         """
         if not self._paces_by_id:
             return candidates
@@ -272,8 +272,12 @@
             for candidate in candidates
             if self._has_room(candidate, share)
         ]
-        if not allowed and _has_waited(job, now_ms):
-            return [each for each in candidates if _is_open(each)]
+        if _has_waited(job, now_ms) and not any(map(_has_free_slot, allowed)):
+            allowed += [
+                candidate
+                for candidate in candidates
+                if candidate not in allowed and _is_open(candidate)
+            ]
         if _has_second_try(job, now_ms):
             return allowed
         proved = [
@@ -390,14 +394,18 @@
 
 def _is_open(candidate: placement.Candidate) -> bool:
     """Tell whether a target is not cold and has a free slot."""
-    entry, load = candidate.entry, candidate.load
-    return not entry.cold_ms and load.requests + load.helpers < entry.slots
+    return not candidate.entry.cold_ms and _has_free_slot(candidate)
+
+
+def _has_free_slot(candidate: placement.Candidate) -> bool:
+    load = candidate.load
+    return load.requests + load.helpers < candidate.entry.slots
 
 
 def _has_waited(job: exchangerecords.Job, now_ms: int) -> bool:
     """Tell whether a job has waited for paces for as long as it should."""
-    paced_ms = job.route.goal_ms * PACED_WAIT_GOALS
-    return now_ms - job.arrived_ms >= paced_ms
+    time_ms = min(job.route.goal_ms, job.end_ms - job.arrived_ms)
+    return now_ms - job.arrived_ms >= time_ms * PACED_WAIT_GOALS
 
 
 def _has_second_try(job: exchangerecords.Job, now_ms: int) -> bool:
--- a/tests/test_targetpace.py
+++ b/tests/test_targetpace.py
@@ -315,6 +315,11 @@
     assert pace.choose_open(many, job, waited_ms) == [warm]
     full = [candidate(entry, entry.slots)]
     assert not pace.choose_open(full, job, waited_ms)
+    # A full target without a pace does not keep the others closed.
+    sound = candidate(entry._replace(target_id='t2'), entry.slots)
+    assert pace.choose_open([sound, warm], job, waited_ms) == [sound, warm]
+    late = job._replace(end_ms=job.arrived_ms + 100)
+    assert pace.choose_open([warm], late, 35) == [warm]
 
 
 @pytest.mark.parametrize('age_ms', [-5, 4_999, 5_000])
