--- a/review/kit2/crowd.py
+++ b/review/kit2/crowd.py
@@ -83,8 +83,11 @@
     return [status for status, _, _ in await asyncio.gather(*calls)]
 
 
-async def play(record, sent):
-    """Let the crowd send ``sent``; return the exit code of the case."""
+async def play(record, sent, is_troubled):
+    """Let the crowd send ``sent``; return the exit code of the case.
+
+    Without trouble there are ordinary callers only.
+    """
     async with kit.System(2) as system:
         for number in range(2):
             await system.add_worker(f'w{number}', _serve)
@@ -95,7 +98,7 @@
         end = kit.now() + RUN_S
         counts = {}
         pressing = []
-        if kit.trouble():
+        if is_troubled:
             record.write(len(sent), 'bytes each,', CHANNELS, 'channels a host')
             pressing = [
                 asyncio.ensure_future(_press(host, sent, end, counts))
--- a/review/kit2/kit.py
+++ b/review/kit2/kit.py
@@ -112,11 +112,6 @@
 _reserved = []
 
 
-def trouble():
-    """Tell whether the disruption is to be caused."""
-    return os.environ.get('TROUBLE', '1') != '0'
-
-
 def free_port(ip='127.0.0.1'):
     """Return a port that stays bound here without listening."""
     opened = socket.socket()
