Test pauses of costly reads on a clock that the test sets

The test expected at least one pause from a real flood of short chunks. A pause follows a read that takes 2 ms of processor time, and on a fast machine no read of 16 KB does, so the test measured the machine and not the code.

The processor time now comes from a clock of the test, in which the first six turns are long and the later ones short. The test expects one pause for each long turn and none for the others, where it expected any before; the flood, the complete body and the paused connection that takes no request are as they were.

--- a/tests/test_targetconnections.py
+++ b/tests/test_targetconnections.py
@@ -2,11 +2,26 @@
 
 import asyncio
 
-from bergamotstream.forwarding import callerlimits, connections
+from bergamotstream import clock
+from bergamotstream.forwarding import callerlimits, connections, pacedreads
 from tests import platformkit as kit
 
 CHUNK = b'6\r\nxxxxxx\r\n'
 CHUNKS = 50_000
+LONG_TURNS = 6
+
+
+class TurnClock(clock.Clock):
+    """Real time, and a processor time of which the first turns take much."""
+
+    def __init__(self):
+        self._readings = 0
+
+    def processor_ms(self):
+        """Return the processor time; read at both ends of a turn."""
+        self._readings += 1
+        long_turns = min(self._readings // 2, LONG_TURNS)
+        return long_turns * pacedreads.LONG_TURN_MS
 
 
 async def test_bytes_that_are_costly_to_parse_are_read_with_pauses(
@@ -14,6 +29,7 @@
 ):
     """Guards against a target whose short chunks hold up all others."""
     monkeypatch.setattr(callerlimits, 'PARSE_BURST_MS', 0)
+    monkeypatch.setattr(pacedreads, '_CLOCK', TurnClock())
     ended = []
     end_throttling = connections.TargetHandler._end_throttling
 
@@ -37,4 +53,5 @@
         session.get(f'http://{target.address}/') as answer,
     ):
         assert len(await answer.read()) == 6 * CHUNKS
-    assert ended and not any(ended)
+    # One pause for each long turn, and none for the others.
+    assert ended == [False] * LONG_TURNS
