Refuse answers whose status no caller can read

A target in trouble answered with the status 000. The caller of a request that may run once got 'HTTP/1.1 0' with the head and the body of that answer; an idempotent one got it when no target was left to try. It was so for each number under 100, for 600 and above, and with the C parser for 101.

The cause: the HTTP library takes any three digits for a status, and its result was taken for an answer. The heads of targets, peers and the store now pass responseheads.check before anything is learnt from them or passed on. A status outside of 100 to 599 (RFC 9110, section 15), or 101, which no request asks for, ends the connection. The request counts as one that may have run: one that may run once is answered 502, an idempotent one is tried elsewhere within its attempts. The log line answer_invalid names the target, the rule and the first bytes, also for heads that the library itself refuses; invalid_answers counts by rule.

The reception of one answer to each request moves from TargetHandler to CheckedHandler, which other clients of the project can use.

Evidence: test_status_outside_the_range_is_no_answer failed in 11 of 36 cases before, with raw callers and both parsers of the library, and passes in 36. Beside it the tests of extra answers, cut heads and endless bytes pass (307 passed, 1 deselected as known red).

--- /dev/null
+++ b/bergamotstream/checkedconnections.py
@@ -0,0 +1,109 @@
+"""
+Checked connections
+~~~~~~~~~~~~~~~~~~~
+
+Connections of HTTP clients that receive one response to each request, and only
+one whose head follows the protocol.
+"""
+
+from collections.abc import Callable
+from typing import Any, Final, NamedTuple, TypeAlias
+
+import aiohttp
+
+from bergamotstream import responseheads
+
+# Rule of heads that the library itself refuses.
+SYNTAX: Final = 'syntax'
+
+
+class InvalidResponse(NamedTuple):
+    """Bytes that are no response, which have ended their connection."""
+
+    # ``IP:port`` of the server.
+    address: str
+    # The rule that they break.
+    rule: str
+    # Their start in printable form.
+    shown: str
+
+
+InvalidRecorder: TypeAlias = Callable[[InvalidResponse], None]
+
+
+class CheckedHandler(aiohttp.client_proto.ResponseHandler):
+    """Receives one response to each request.
+
+    Aborts the connection if its head is invalid. Later responses in the same
+    segment are dropped, and the connection is not used again.
+    """
+
+    def __init__(
+        self, loop: Any, record_invalid: InvalidRecorder, **options: Any
+    ) -> None:
+        """Call ``record_invalid`` for each invalid head."""
+        super().__init__(loop, **options)
+        self._record_invalid = record_invalid
+        # Whether a request waits for the head of its final response.
+        self._is_head_missing = False
+        # The first bytes received since the request.
+        self._start = b''
+
+    def set_response_params(self, **options: Any) -> None:
+        """Start to receive the response to a request; called by aiohttp."""
+        self._is_head_missing = True
+        self._start = b''
+        super().set_response_params(**options)
+
+    def data_received(self, data: bytes) -> None:
+        """Receive bytes; called by the event loop."""
+        if self._is_head_missing:
+            missing = responseheads.MAX_SHOWN_BYTES - len(self._start)
+            self._start += data[:missing]
+        try:
+            super().data_received(data)
+        except responseheads.InvalidHead as invalid:
+            self._record(invalid.rule)
+            self.set_exception(invalid)
+            self.abort()
+
+    def feed_data(self, data: Any, size: int = 0) -> None:
+        """Receive a head and its body; called by the library.
+
+        Raises ``InvalidHead``.
+        """
+        if not self._is_head_missing:
+            # Follows the response in one segment.
+            self.force_close()
+            return
+        head, body = data
+        responseheads.check(responseheads.ReceivedHead(head, self._start))
+        if self.accepts(head, body):
+            self._is_head_missing = head.code in responseheads.INTERIM_STATUSES
+            super().feed_data(data, size)
+
+    def accepts(self, head: Any, body: Any) -> bool:
+        """Tell whether a valid head belongs to the request that waits."""
+        return True
+
+    def set_exception(self, exc: Any, *causes: Any) -> None:
+        """End the request that waits; called by the library."""
+        if self._is_head_missing and isinstance(
+            exc, aiohttp.http.HttpProcessingError
+        ):
+            self._record(SYNTAX)
+        super().set_exception(exc, *causes)
+
+    def peer_address(self) -> str:
+        """Return ``IP:port`` of the server, empty after the connection."""
+        if self.transport is None:
+            return ''
+        host, port = self.transport.get_extra_info('peername')[:2]
+        return f'{host}:{port}'
+
+    def _record(self, rule: str) -> None:
+        self._record_invalid(
+            InvalidResponse(
+                self.peer_address(), rule, responseheads.printable(self._start)
+            )
+        )
--- a/bergamotstream/forwarding/connections.py
+++ b/bergamotstream/forwarding/connections.py
@@ -16,6 +16,7 @@
 
 import aiohttp
 
+from bergamotstream import checkedconnections
 from bergamotstream.forwarding import answerlimits, callerlimits, pacedreads
 from bergamotstream.platform import protocol
 
@@ -31,8 +32,6 @@
 CONNECT_TIMEOUT_S: Final = 0.6
 # Targets close idle connections without notice after a few seconds.
 POOL_IDLE_TIMEOUT_S: Final = 2.0
-# Statuses of heads that an answer's own head follows.
-INTERIM_STATUSES: Final = frozenset(range(100, 200)) - {101}
 # Answers to other requests that are skipped while a request waits for its own,
 # and the length of their bodies, which the HTTP library buffers.
 MAX_SKIPPED: Final = 8
@@ -59,7 +58,7 @@
 SkipRecorder: TypeAlias = Callable[[SkippedAnswer], None]
 
 
-class TargetHandler(aiohttp.client_proto.ResponseHandler):
+class TargetHandler(checkedconnections.CheckedHandler):
     """Receives one answer to each request.
 
     Skips answers that name another request, which a target may send before
@@ -71,18 +70,18 @@
     def __init__(
         self,
         loop: asyncio.AbstractEventLoop,
+        record_invalid: checkedconnections.InvalidRecorder,
         record_skipped: SkipRecorder,
         parsing: callerlimits.ParseBudget,
     ) -> None:
         """Wait for no answer yet; ``parsing`` is shared by connections."""
-        super().__init__(loop)
+        super().__init__(loop, record_invalid)
         self._parsing = parsing
         # Whether no bytes are read for the sake of other connections.
         self._is_throttled = False
         self._record_skipped = record_skipped
         # True once a request was to be sent on the connection.
         self.is_used = False
-        self._is_head_missing = False
         # Of the head and all that comes after it.
         self._received_bytes = 0
         # Up to the read that completed the head, without its part of the body.
@@ -111,26 +110,19 @@
 
     def set_response_params(self, **options: Any) -> None:
         """Start to receive the answer to a request; called by aiohttp."""
-        self._is_head_missing = True
         self._received_bytes = 0
         self._head_bytes = 0
         self._body = None
         super().set_response_params(**options)
 
-    def feed_data(self, data: Any, size: int = 0) -> None:
-        """Receive a head and its body; called by the parser."""
-        if not self._is_head_missing:
-            # Follows the answer in one segment.
-            self.force_close()
-            return
-        head, body = data
+    def accepts(self, head: Any, body: Any) -> bool:
+        """Tell whether a valid head belongs to the request that waits."""
         if self._is_foreign(head):
             self._skipped_bodies.append(body)
             self._record_skip(head)
-            return
-        self._is_head_missing = head.code in INTERIM_STATUSES
+            return False
         self._body = body
-        super().feed_data(data, size)
+        return True
 
     def data_received(self, data: bytes) -> None:
         """Receive bytes, in a turn whose length bounds the next one."""
@@ -207,11 +199,9 @@
         )
 
     def _record_skip(self, head: Any) -> None:
-        transport: Any = self.transport
-        host, port = transport.get_extra_info('peername')[:2]
         self._record_skipped(
             SkippedAnswer(
-                f'{host}:{port}',
+                self.peer_address(),
                 self._attempt_id,
                 head.headers[protocol.ATTEMPT_ID],
                 head.code,
@@ -250,6 +240,7 @@
 
     def __init__(
         self,
+        record_invalid: checkedconnections.InvalidRecorder,
         record_skipped: SkipRecorder,
         unacknowledged_ms: int,
         **options: Any,
@@ -265,6 +256,7 @@
         factory: Any = functools.partial(
             TargetHandler,
             loop=self._loop,
+            record_invalid=record_invalid,
             record_skipped=record_skipped,
             parsing=callerlimits.ParseBudget(),
         )
@@ -367,30 +359,29 @@
     return opened
 
 
-def _ignore(skipped: SkippedAnswer) -> None:
+def _ignore(recorded: NamedTuple) -> None:
     """Record nothing."""
 
 
 def open_session(
     *,
     reuse: bool,
+    record_invalid: checkedconnections.InvalidRecorder = _ignore,
     record_skipped: SkipRecorder = _ignore,
     unacknowledged_ms: int = TARGET_UNACKNOWLEDGED_MS,
 ) -> aiohttp.ClientSession:
     """Return a session; without ``reuse`` each request opens a connection.
 
-    ``record_skipped`` is called with each answer to another request.
+    ``record_invalid`` is called for each answer whose head is invalid, and
+    ``record_skipped`` with each answer to another request.
     """
     if reuse:
-        pool = TargetConnector(
-            record_skipped,
-            unacknowledged_ms,
-            keepalive_timeout=POOL_IDLE_TIMEOUT_S,
-        )
+        options: dict[str, Any] = {'keepalive_timeout': POOL_IDLE_TIMEOUT_S}
     else:
-        pool = TargetConnector(
-            record_skipped, unacknowledged_ms, force_close=True
-        )
+        options = {'force_close': True}
+    pool = TargetConnector(
+        record_invalid, record_skipped, unacknowledged_ms, **options
+    )
     return aiohttp.ClientSession(
         connector=pool,
         middlewares=(_send_once,),
--- a/bergamotstream/forwarding/hostdaemon.py
+++ b/bergamotstream/forwarding/hostdaemon.py
@@ -27,6 +27,7 @@
     version,
 )
 from bergamotstream.forwarding import (
+    answerrecords,
     blamerecords,
     callerlimits,
     configurationfetch,
@@ -132,14 +133,21 @@
             zone=self._entry.zone,
             build=version.BUILD,
         )
+        answers = answerrecords.AnswerRecorder(
+            self._core.view, self._log, self._meters
+        )
         pooled, unpooled = [
             connections.open_session(
-                reuse=reuse, record_skipped=self._record_skipped
+                reuse=reuse,
+                record_invalid=answers.record_invalid,
+                record_skipped=answers.record_skipped,
             )
             for reuse in (True, False)
         ]
         to_store = connections.open_session(
-            reuse=True, unacknowledged_ms=connections.STORE_UNACKNOWLEDGED_MS
+            reuse=True,
+            record_invalid=answers.record_invalid,
+            unacknowledged_ms=connections.STORE_UNACKNOWLEDGED_MS,
         )
         async with pooled, unpooled, to_store:
             dependencies = ingress.Dependencies(
@@ -395,17 +403,6 @@
         self._core.cold.update_host_count(len(cells.members))
         self._core.limits.update_host_count(len(cells.members))
 
-    def _record_skipped(self, skipped: connections.SkippedAnswer) -> None:
-        """Log an answer that a target sent for another request."""
-        self._meters.count('skipped_answers', str(skipped.status))
-        self._log.write(
-            'answer_skipped',
-            id=skipped.attempt_id,
-            address=skipped.address,
-            foreign_id=skipped.foreign_id,
-            status=skipped.status,
-        )
-
     def _read_gauges(self) -> dict[metrics.Series, float]:
         gauges = {
             metrics.Series('target_limit_per_s', target_id): per_s
