Refuse answers with a blank or a control byte in a field's name

A caller got an answer with a line such as 'Connection : close' or ' Retry-After: 9' in its head. With 'Content-Length : 21' or 'Transfer-Encoding : chunked' the body was read by that line, and the line went on to the caller. ' Server-Leaving: 1' was obeyed.

The cause: for responses the C parser of the HTTP library is set to accept blanks behind the names that it knows (Connection, Content-Length, Proxy-Connection, Transfer-Encoding, Upgrade), and to drop one before the first name of a head. Control bytes are refused by both parsers, and blanks by the one in Python.

The rule field_name asks for tokens (RFC 9110, section 5.6.2). The parsed head does not show a blank that was dropped, so the rule also looks at the first bytes received for the request. A head that follows an interim one or an answer to another request has its parsed names checked only. A line with a blank before it further down continues the line above, as the protocol says.

Evidence: 13 names with five bytes before, inside and behind them, with a length, with chunks and with neither, in requests that may run once.

--- a/bergamotstream/checkedconnections.py
+++ b/bergamotstream/checkedconnections.py
@@ -46,19 +46,22 @@
         self._record_invalid = record_invalid
         # Whether a request waits for the head of its final response.
         self._is_head_missing = False
-        # The first bytes received since the request.
+        # The first bytes received since the request, which begin its head
+        # unless another head has come before.
         self._start = b''
+        self._is_first = True
 
     def set_response_params(self, **options: Any) -> None:
         """Start to receive the response to a request; called by aiohttp."""
         self._is_head_missing = True
         self._start = b''
+        self._is_first = True
         super().set_response_params(**options)
 
     def data_received(self, data: bytes) -> None:
         """Receive bytes; called by the event loop."""
         if self._is_head_missing:
-            missing = responseheads.MAX_SHOWN_BYTES - len(self._start)
+            missing = responseheads.MAX_START_BYTES - len(self._start)
             self._start += data[:missing]
         try:
             super().data_received(data)
@@ -77,7 +80,10 @@
             self.force_close()
             return
         head, body = data
-        responseheads.check(responseheads.ReceivedHead(head, self._start))
+        responseheads.check(
+            responseheads.ReceivedHead(head, self._start, self._is_first)
+        )
+        self._is_first = False
         if self.accepts(head, body):
             self._is_head_missing = head.code in responseheads.INTERIM_STATUSES
             super().feed_data(data, size)
--- a/bergamotstream/responseheads.py
+++ b/bergamotstream/responseheads.py
@@ -7,6 +7,7 @@
 and each other things.
 """
 
+import re
 from collections.abc import Callable
 from typing import Final, NamedTuple, TypeAlias
 
@@ -18,8 +19,14 @@
 SWITCHING_PROTOCOLS: Final = 101
 # Statuses of heads that the head of the final response follows.
 INTERIM_STATUSES: Final = frozenset(range(100, 200)) - {SWITCHING_PROTOCOLS}
-# Of the bytes received, in a log line.
+# Of the bytes received, for rules that the parsed head cannot answer.
+MAX_START_BYTES: Final = 8_192
+# Of them, in a log line.
 MAX_SHOWN_BYTES: Final = 64
+# RFC 9110, section 5.6.2.
+_TOKEN: Final = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
+# Blanks between a status line and the first field.
+_INDENTED_FIELD: Final = re.compile(rb'(?:\r?\n)*[^\n]+\n[ \t]')
 
 
 class InvalidHead(aiohttp.ClientError):
@@ -33,10 +40,13 @@
 
 
 class ReceivedHead(NamedTuple):
-    """A head as it was parsed, and the bytes received first."""
+    """A head as it was parsed, and the first bytes received."""
 
     message: aiohttp.http.RawResponseMessage
+    # At most ``MAX_START_BYTES`` since the request.
     start: bytes
+    # Whether these bytes begin the head, and not an earlier one.
+    is_first: bool
 
 
 Rule: TypeAlias = Callable[[ReceivedHead], bool]
@@ -66,3 +76,15 @@
     """Tell whether the status is one that may answer a request."""
     code = head.message.code
     return code in STATUS_RANGE and code != SWITCHING_PROTOCOLS
+
+
+@_register
+def field_name(head: ReceivedHead) -> bool:
+    """Tell whether all names are tokens.
+
+    The C parser accepts a blank behind the names that it knows, and drops one
+    before the first name.
+    """
+    if head.is_first and _INDENTED_FIELD.match(head.start):
+        return False
+    return all(_TOKEN.fullmatch(name) for name, _ in head.message.raw_headers)
--- a/tests/test_responseheads.py
+++ b/tests/test_responseheads.py
@@ -1,7 +1,7 @@
 """Answers of targets whose heads break HTTP and pass the library's parser."""
 
 import asyncio
-import collections
+import contextlib
 import json
 
 import aiohttp
@@ -11,7 +11,6 @@
 from tests import platformkit as kit
 
 PATHS = ('/lookup/1', '/order/1', '/chat/1')
-PROMISES = (b'408', b'421', b'429', b'503')
 BODY = b'id: 1\ndata: token-1\n\n'
 # How the body of an answer ends, with the lines that say so.
 FRAMINGS = {
@@ -52,9 +51,10 @@
         *system.settings[host].caller_address.split(':')
     )
     writer.write(
-        f'POST {path} HTTP/1.1\r\nHost: {kit.HOST_NAME}\r\nApi-Key: {kit.KEY}\r\n'
-        f'{kit.ATTEMPT}: a1\r\nBergamotstream-Deadline-Ms: 5000\r\n'
-        'Content-Length: 0\r\nConnection: close\r\n\r\n'.encode()
+        f'POST {path} HTTP/1.1\r\nHost: {kit.HOST_NAME}\r\n'
+        f'Api-Key: {kit.KEY}\r\n{kit.ATTEMPT}: a1\r\n'
+        'Bergamotstream-Deadline-Ms: 5000\r\nContent-Length: 0\r\n'
+        'Connection: close\r\n\r\n'.encode()
     )
     async with asyncio.timeout(10):
         received = await reader.read()
@@ -62,21 +62,42 @@
     return received
 
 
-async def check_refused(path, hosts=1, **broken):
-    """Send a request whose first try gets a broken answer.
+@contextlib.asynccontextmanager
+async def broken_once(path, hosts=1):
+    """Yield a function that sends a request whose first try gets ``broken``.
 
-    Only a request that may run again is tried elsewhere, and the caller of
-    another one is not told that it has not run.
+    It checks that only a request that may run again is tried elsewhere, and
+    that the caller of another one is not told that it has not run.
     """
     received = []
 
     async def respond(request, writer):
+        if kit.ATTEMPT not in request.headers:
+            # A probe of the target's health.
+            writer.write(kit.answer(request))
+            return
         received.append(request)
-        variant = broken if len(received) == 1 else {}
-        writer.write(answer(request, **variant))
+        writer.write(answer(request, **(variants.pop() if variants else {})))
         await writer.drain()
         writer.close()
 
+    variants = []
+
+    async def check(**broken):
+        received.clear()
+        variants.append(broken)
+        head, _, body = (await call(system, path)).partition(b'\r\n\r\n')
+        if path == '/order/1':
+            assert len(received) == 1, broken
+            assert head.startswith(b'HTTP/1.1 502 '), (broken, head)
+            assert kit.STAMP.encode() not in head
+            assert json.loads(body)['run_state'] == 'may_have_run'
+        else:
+            assert len(received) == 2, broken
+            assert head.startswith(b'HTTP/1.1 200 '), (broken, head)
+            assert BODY in body
+            assert b'X-Unknown' not in head
+
     async with (
         kit.running_system(hosts) as system,
         kit.raw_target(respond) as one,
@@ -85,22 +106,65 @@
         service = 'model' if path == '/chat/1' else 'plain'
         await system.add_target('t1', one, service=service)
         await system.add_target('t2', two, service=service)
-        got = await call(system, path)
-    head, _, body = got.partition(b'\r\n\r\n')
-    if path == '/order/1':
-        assert len(received) == 1
-        assert head.startswith(b'HTTP/1.1 502 ')
-        assert kit.STAMP.encode() not in head
-        assert json.loads(body)['run_state'] == 'may_have_run'
-    else:
-        assert len(received) == 2
-        assert head.startswith(b'HTTP/1.1 200 ')
-        assert BODY in body
-        assert b'X-' not in head
+        yield check
+
+
+async def check_each_refused(variants):
+    """Check answers to requests that may run once, which show each."""
+    faults = []
+    async with broken_once('/order/1') as check:
+        for variant in variants:
+            try:
+                await check(**variant)
+            except AssertionError as fault:
+                faults.append(str(fault).splitlines()[0])
+    assert not faults, (len(faults), len(variants), faults)
 
 
 @pytest.mark.parametrize('path', PATHS)
 @pytest.mark.parametrize('status', ['000', '001', '099', '101', '600', '999'])
 async def test_status_outside_the_range_is_no_answer(path, status):
     """Guards against a status that no caller can read as one."""
-    await check_refused(path, status_line=f'HTTP/1.1 {status} Trouble')
+    async with broken_once(path) as check:
+        await check(status_line=f'HTTP/1.1 {status} Trouble')
+
+
+# Names that frame a message, names of the platform, and an unknown one.
+FIELDS = {
+    'Content-Length': str(len(BODY)),
+    'Transfer-Encoding': 'chunked',
+    'Connection': 'close',
+    'Proxy-Connection': 'close',
+    'Keep-Alive': 'timeout=2',
+    'Upgrade': 'h2c',
+    'Content-Type': 'text/plain',
+    'Retry-After': '9',
+    'Server-Limit': '1',
+    'Server-Leaving': '1',
+    kit.NOT_RUN: '1',
+    kit.STAMP: 's.2',
+    'X-Unknown': '1',
+}
+# Where a blank or a control byte stands in a name.
+SPOILED_NAMES = {
+    'behind': lambda name, byte: name + byte,
+    'inside': lambda name, byte: name[:3] + byte + name[3:],
+    'before': lambda name, byte: byte + name,
+}
+SPOILING = (' ', '\t', '\0', '\x0b', '\x7f')
+
+
+@pytest.mark.parametrize('framing', FRAMINGS)
+@pytest.mark.parametrize('position', SPOILED_NAMES)
+async def test_name_with_a_blank_or_control_byte_is_no_answer(
+    position, framing
+):
+    """Guards against a line that the library drops, obeys or passes on."""
+    fields = [
+        f'{SPOILED_NAMES[position](name, byte)}: {text}'
+        for name, text in FIELDS.items()
+        for byte in SPOILING
+    ]
+    await check_each_refused(
+        [{'field': field, 'framing': framing} for field in fields]
+    )
