Refuse answers whose framing is uncertain

An answer with 'Transfer-Encoding: identity' or 'chunked, gzip' reached its caller as a complete one however its connection ended, also after a reset. With 'gzip, chunked' and 'gzip' beside 'chunked' the caller got coded bytes without the field that says so. The Python parser also took the first of two different lengths.

The cause: the library reads a body with a coding other than chunked until the connection ends, while dispatch.ending_of takes the field for chunks, whose end the parser has seen. So nothing checked how the connection had ended.

The rule framing accepts one coding, chunked, without a length and from HTTP/1.1 on (RFC 9112, sections 6.1 and 6.3), and one length at most. No request asks for another coding.

--- a/bergamotstream/responseheads.py
+++ b/bergamotstream/responseheads.py
@@ -88,3 +88,27 @@
     if head.is_first and _INDENTED_FIELD.match(head.start):
         return False
     return all(_TOKEN.fullmatch(name) for name, _ in head.message.raw_headers)
+
+
+@_register
+def framing(head: ReceivedHead) -> bool:
+    """Tell whether it is certain where the body ends (RFC 9112, section 6).
+
+    No request asks for another transfer coding than ``chunked``, and the
+    library takes a body with another one for one that the connection ends.
+    """
+    lengths = _values_of(head, b'content-length')
+    codings = _values_of(head, b'transfer-encoding')
+    message = head.message
+    if codings:
+        is_known = codings == [b'chunked'] and not lengths
+        return is_known and message.version >= aiohttp.HttpVersion11
+    return len(lengths) <= 1
+
+
+def _values_of(head: ReceivedHead, lower_name: bytes) -> list[bytes]:
+    return [
+        text.strip(b' \t').lower()
+        for name, text in head.message.raw_headers
+        if name.lower() == lower_name
+    ]
--- a/tests/test_responseheads.py
+++ b/tests/test_responseheads.py
@@ -168,3 +168,25 @@
     await check_each_refused(
         [{'field': field, 'framing': framing} for field in fields]
     )
+
+
+# Heads whose framing the library reads in another way than the protocol.
+ODD_FRAMINGS = (
+    'Transfer-Encoding: identity',
+    'Transfer-Encoding: gzip, chunked',
+    'Transfer-Encoding: chunked, gzip',
+    'Transfer-Encoding: chunked, chunked',
+    'Transfer-Encoding: ',
+    'Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked',
+    f'Content-Length: {len(BODY)}\r\nContent-Length: {len(BODY)}',
+    f'Content-Length: {len(BODY)}\r\nContent-Length: 1',
+)
+
+
+async def test_framing_that_no_recipient_can_rely_on_is_no_answer():
+    """Guards against an end of a body that is taken for a complete one."""
+    broken = [{'field': field, 'framing': 'close'} for field in ODD_FRAMINGS]
+    broken.append(
+        {'status_line': 'HTTP/1.0 200 OK', 'framing': 'chunks'},
+    )
+    await check_each_refused(broken)
