Refuse status lines that are not of HTTP/1

Answers that began with 'RTSP/1.0 200 OK', 'ICE/1.1 200 OK', 'HTTP/2.0 200 OK' or 'HTTP/0.9 200 OK', or whose reason held a control byte, reached callers as answers of HTTP/1.1.

The cause: the C parser of the HTTP library takes RTSP and ICE for HTTP, and both parsers take any version and any reason. The rule status_line compares the first bytes received for the request with RFC 9112, section 4; blank lines before them and bare line feeds are accepted as before. A head that follows an interim one or an answer to another request has only its version checked.

--- a/bergamotstream/responseheads.py
+++ b/bergamotstream/responseheads.py
@@ -25,6 +25,11 @@
 MAX_SHOWN_BYTES: Final = 64
 # RFC 9110, section 5.6.2.
 _TOKEN: Final = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
+# RFC 9112, section 4; blank lines may come before it, and a line feed may do
+# for a line end.
+_STATUS_LINE: Final = re.compile(
+    rb'(?:\r?\n)*HTTP/1\.[0-9] [0-9]{3}(?: [\t\x20-\x7e\x80-\xff]*)?\r?\n'
+)
 # Blanks between a status line and the first field.
 _INDENTED_FIELD: Final = re.compile(rb'(?:\r?\n)*[^\n]+\n[ \t]')
 
@@ -71,6 +76,18 @@
     return repr(start[:MAX_SHOWN_BYTES])[2:-1]
 
 
+@_register
+def status_line(head: ReceivedHead) -> bool:
+    """Tell whether the status line is one of HTTP/1.
+
+    The C parser also accepts RTSP and ICE, and both accept other versions and
+    control bytes in the reason.
+    """
+    if head.message.version.major != 1:
+        return False
+    return not head.is_first or bool(_STATUS_LINE.match(head.start))
+
+
 @_register
 def status(head: ReceivedHead) -> bool:
     """Tell whether the status is one that may answer a request."""
--- a/tests/test_responseheads.py
+++ b/tests/test_responseheads.py
@@ -190,3 +190,15 @@
         {'status_line': 'HTTP/1.0 200 OK', 'framing': 'chunks'},
     )
     await check_each_refused(broken)
+
+
+async def test_status_line_of_another_protocol_is_no_answer():
+    """Guards against protocols that the library takes for HTTP."""
+    lines = (
+        'HTTP/2.0 200 OK',
+        'HTTP/0.9 200 OK',
+        'ICE/1.1 200 OK',
+        'RTSP/1.0 200 OK',
+        'HTTP/1.1 200 O\0K',
+    )
+    await check_each_refused([{'status_line': line} for line in lines])
