Refuse answers with a control byte in a field's value

The caller of a request whose answer held such a byte lost its connection without any answer, as for work that was never accepted.

The cause: both parsers of the HTTP library accept these bytes in responses, and its server raises an error when the host writes the line. The rule field_value refuses them (RFC 9110, section 5.5), so the request is answered 502 or tried elsewhere, as after any answer that cannot be read.

Evidence: with 0x01, 0x0b and 0x7f in a value callers got no byte, with both parsers; now they get 502. NUL is refused by the parsers.

--- a/bergamotstream/responseheads.py
+++ b/bergamotstream/responseheads.py
@@ -25,6 +25,8 @@
 MAX_SHOWN_BYTES: Final = 64
 # RFC 9110, section 5.6.2.
 _TOKEN: Final = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
+# RFC 9110, section 5.5: what a value may not hold.
+_CONTROL: Final = re.compile(rb'[\0-\x08\x0a-\x1f\x7f]')
 # RFC 9112, section 4; blank lines may come before it, and a line feed may do
 # for a line end.
 _STATUS_LINE: Final = re.compile(
@@ -107,6 +109,17 @@
     return all(_TOKEN.fullmatch(name) for name, _ in head.message.raw_headers)
 
 
+@_register
+def field_value(head: ReceivedHead) -> bool:
+    """Tell whether no value holds a control byte but the tabulator.
+
+    Callers refuse such a line, and the library refuses to write it.
+    """
+    return not any(
+        _CONTROL.search(text) for _, text in head.message.raw_headers
+    )
+
+
 @_register
 def framing(head: ReceivedHead) -> bool:
     """Tell whether it is certain where the body ends (RFC 9112, section 6).
--- a/tests/test_responseheads.py
+++ b/tests/test_responseheads.py
@@ -202,3 +202,10 @@
         'HTTP/1.1 200 O\0K',
     )
     await check_each_refused([{'status_line': line} for line in lines])
+
+
+async def test_value_with_a_control_byte_is_no_answer():
+    """Guards against a line that callers refuse to read."""
+    await check_each_refused(
+        [{'field': f'X-Unknown: a{byte}b'} for byte in '\0\x01\x0b\x7f']
+    )
