Check response heads in the product that runs alone as well

A target or key-value service in trouble that answered with the status 000 or 099, a blank behind 'Content-Length' or 'Transfer-Encoding: identity', and a body that says not run or no leader, was believed: the attempt was sent again and the write reported as not made, though both may have run. A load report or a host list with such a status was read as a good one.

The cause is that of the platform's hosts: the result of the library's parser was taken for an answer, and statuses under 400 for a success. The sessions to targets, the host list, the key-value service and the admin endpoint now use CheckedConnector, so an invalid head is an error of the connection: an attempt is lost, a write unknown. Each is one log line answer_invalid, and hosts count them in invalid_answers.

--- a/bergamotstream/adminclient.py
+++ b/bergamotstream/adminclient.py
@@ -12,7 +12,7 @@
 
 import aiohttp
 
-from bergamotstream import errors
+from bergamotstream import checkedconnections, errors
 
 Body = dict[str, Any]
 # A command waits for several calls to a key-value service that may be slow.
@@ -34,7 +34,9 @@
     content = {'command': command, 'arguments': arguments}
     timeout = aiohttp.ClientTimeout(total=TIMEOUT_S)
     try:
-        async with aiohttp.ClientSession(timeout=timeout) as session:
+        async with aiohttp.ClientSession(
+            connector=checkedconnections.CheckedConnector(), timeout=timeout
+        ) as session:
             answer = await _post(session, f'http://{address}/admin', content)
     except TimeoutError as fault:
         raise CommandFailed(
--- a/bergamotstream/attempttasks.py
+++ b/bergamotstream/attempttasks.py
@@ -9,14 +9,30 @@
 
 import aiohttp
 
-from bergamotstream import actions, engines, openanswers, settings
+from bergamotstream import (
+    actions,
+    checkedconnections,
+    engines,
+    openanswers,
+    settings,
+)
 
 
-def new_client_session(config: settings.Settings) -> aiohttp.ClientSession:
-    """Return an HTTP client that opens a new connection for each attempt."""
+def new_client_session(
+    config: settings.Settings,
+    record_invalid: checkedconnections.InvalidRecorder = (
+        checkedconnections.log_invalid
+    ),
+) -> aiohttp.ClientSession:
+    """Return an HTTP client that opens a new connection for each attempt.
+
+    Responses with invalid heads raise ``responseheads.InvalidHead``.
+    """
     connect_s = config.timing.silent_ms / engines.MS_PER_S
     return aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(limit=0, force_close=True),
+        connector=checkedconnections.CheckedConnector(
+            record_invalid, limit=0, force_close=True
+        ),
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect_s),
     )
 
--- a/bergamotstream/checkedconnections.py
+++ b/bergamotstream/checkedconnections.py
@@ -6,12 +6,13 @@
 one whose head follows the protocol.
 """
 
+import functools
 from collections.abc import Callable
 from typing import Any, Final, NamedTuple, TypeAlias
 
 import aiohttp
 
-from bergamotstream import responseheads
+from bergamotstream import logs, responseheads
 
 # Rule of heads that the library itself refuses.
 SYNTAX: Final = 'syntax'
@@ -38,11 +39,9 @@
     segment are dropped, and the connection is not used again.
     """
 
-    def __init__(
-        self, loop: Any, record_invalid: InvalidRecorder, **options: Any
-    ) -> None:
+    def __init__(self, loop: Any, record_invalid: InvalidRecorder) -> None:
         """Call ``record_invalid`` for each invalid head."""
-        super().__init__(loop, **options)
+        super().__init__(loop)
         self._record_invalid = record_invalid
         # Whether a request waits for the head of its final response.
         self._is_head_missing = False
@@ -113,3 +112,22 @@
                 self.peer_address(), rule, responseheads.printable(self._start)
             )
         )
+
+
+def log_invalid(invalid: InvalidResponse) -> None:
+    """Log bytes that are no response."""
+    logs.write('answer_invalid', invalid._asdict())
+
+
+class CheckedConnector(aiohttp.TCPConnector):
+    """Connector of clients that take only valid responses."""
+
+    def __init__(
+        self, record_invalid: InvalidRecorder = log_invalid, **options: Any
+    ) -> None:
+        """Take the options of ``aiohttp.TCPConnector``."""
+        super().__init__(**options)
+        factory: Any = functools.partial(
+            CheckedHandler, loop=self._loop, record_invalid=record_invalid
+        )
+        self._factory = factory
--- a/bergamotstream/hostprocess.py
+++ b/bergamotstream/hostprocess.py
@@ -17,6 +17,7 @@
     actions,
     attempttasks,
     callerserver,
+    checkedconnections,
     clock,
     core,
     engines,
@@ -66,7 +67,9 @@
         """Serve until the core has stopped, then close all resources."""
         async with contextlib.AsyncExitStack() as stack:
             session = await stack.enter_async_context(
-                attempttasks.new_client_session(self._config)
+                attempttasks.new_client_session(
+                    self._config, self._record_invalid
+                )
             )
             stack.push_async_callback(self._kv.close)
             action_runner = self._build_action_runner(session)
@@ -81,6 +84,12 @@
             await self._run_core(action_runner)
         logs.write('host_stopped', {'host': self._config.host})
 
+    def _record_invalid(
+        self, invalid: checkedconnections.InvalidResponse
+    ) -> None:
+        self.meters.count('invalid_answers', invalid.rule)
+        checkedconnections.log_invalid(invalid)
+
     def _build_action_runner(
         self, session: aiohttp.ClientSession
     ) -> actionrunner.ActionRunner:
--- a/bergamotstream/keyvalues/etcd.py
+++ b/bergamotstream/keyvalues/etcd.py
@@ -14,7 +14,13 @@
 
 import aiohttp
 
-from bergamotstream import actions, events, keyvalues, records
+from bergamotstream import (
+    actions,
+    checkedconnections,
+    events,
+    keyvalues,
+    records,
+)
 
 Body = dict[str, Any]
 WATCH_TIMEOUT_MS = 30_000
@@ -173,7 +179,9 @@
         if self._session is None:
             timeout = aiohttp.ClientTimeout(total=self.timeout_ms / MS_PER_S)
             self._session = aiohttp.ClientSession(
-                timeout=timeout, read_bufsize=READ_BUFFER_BYTES
+                connector=checkedconnections.CheckedConnector(),
+                timeout=timeout,
+                read_bufsize=READ_BUFFER_BYTES,
             )
         return self._session
 
--- a/tests/test_engineclients.py
+++ b/tests/test_engineclients.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import contextlib
+import json
 
+import aiohttp
 import pytest
 
 from bergamotstream import (
@@ -139,6 +141,44 @@
     assert seen[-1].offset == delivered
 
 
+@pytest.mark.parametrize('kind', ['model', 'plain'])
+@pytest.mark.parametrize(
+    'head',
+    [
+        b'HTTP/1.1 000 X\r\nContent-Length: 17',
+        b'HTTP/1.1 099 X\r\nContent-Length: 17',
+        b'HTTP/1.1 503 X\r\nContent-Length : 17',
+        b'HTTP/1.1 503 X\r\nTransfer-Encoding: identity',
+    ],
+)
+async def test_invalid_head_says_nothing_of_an_attempt(head, kind):
+    """Guards against an attempt that is sent again and may have run."""
+    reply = head + b'\r\n\r\n{"not_run": true}'
+    async with scripted_server(reply) as address:
+        seen = await run_attempt(address, kind)
+    assert kinds_of(seen) == ['lost']
+
+
+@pytest.mark.parametrize('status', [b'000', b'099'])
+async def test_invalid_head_reports_no_load(status):
+    """Guards against a report whose status is below those of errors."""
+    report = json.dumps(
+        records.LoadReport('t1', 's1', (), 0, 0)._asdict()
+    ).encode()
+    config = fakecorekit.make_settings()
+    async with (
+        scripted_server(
+            b'HTTP/1.1 %s X\r\nContent-Length: %d\r\n\r\n%s'
+            % (status, len(report), report)
+        ) as address,
+        attempttasks.new_client_session(config) as session,
+    ):
+        client = engines.get_engine_by_kind('model')(session, config, print)
+        target = records.TargetInfo('t1', 'asistente', 'a', address)
+        with pytest.raises(aiohttp.ClientError):
+            await client.read_load(target)
+
+
 class AssemblingSink:
     """Counts tokens as an open answer does, in order and each once."""
 
--- a/tests/test_etcd.py
+++ b/tests/test_etcd.py
@@ -104,6 +104,27 @@
     assert answered.status == 'unavailable'
 
 
+async def test_invalid_head_is_no_proof_of_a_write_that_did_not_run():
+    """Guards against a change that is made twice."""
+
+    async def serve(reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        text = b'etcdserver: no leader'
+        writer.write(
+            b'HTTP/1.1 000 X\r\nContent-Length: %d\r\n\r\n%s'
+            % (len(text), text)
+        )
+        writer.close()
+
+    server = await asyncio.start_server(serve, '127.0.0.1', 0)
+    async with server:
+        port = server.sockets[0].getsockname()[1]
+        client = etcd.EtcdClient(f'http://127.0.0.1:{port}', TIMEOUT_MS)
+        answer = await client.perform(actions.KvWrite('1', 'a/1', b'x', 0))
+        await client.close()
+    assert answer.status == 'unknown'
+
+
 async def test_value_over_the_limit_is_not_written(client):
     """Guards against values that the platform's service refuses."""
     large = bytes(kvstore.MAX_VALUE_BYTES + 1)
