--- a/tests/test_responseheads.py
+++ b/tests/test_responseheads.py
@@ -8,7 +8,10 @@
 import pytest
 from aiohttp import http_parser
 
+from bergamotstream import logs, metrics
 from tests import platformkit as kit
+from tests import test_cutlinks as cutcases
+from tests import test_relays as relaycases
 
 PATHS = ('/lookup/1', '/order/1', '/chat/1')
 BODY = b'id: 1\ndata: token-1\n\n'
@@ -106,6 +109,7 @@
         service = 'model' if path == '/chat/1' else 'plain'
         await system.add_target('t1', one, service=service)
         await system.add_target('t2', two, service=service)
+        check.daemon = system.daemons[0]
         yield check
 
 
@@ -209,3 +213,50 @@
     await check_each_refused(
         [{'field': f'X-Unknown: a{byte}b'} for byte in '\0\x01\x0b\x7f']
     )
+
+
+async def test_invalid_head_teaches_nothing_and_is_recorded(monkeypatch):
+    """Guards against statements that are read from nonsense, or unseen."""
+    lines = []
+    monkeypatch.setattr(
+        logs, 'write', lambda event, fields: lines.append((event, fields))
+    )
+    async with broken_once('/order/1') as check:
+        await check(status_line='HTTP/1.1 000 X', field='Server-Limit: 1')
+        assert not check.daemon._core.limits.limits()
+        counters = check.daemon._meters.snapshot().counters
+    assert counters[metrics.Series('invalid_answers', 'status')] == 1
+    (line,) = [fields for event, fields in lines if event == 'answer_invalid']
+    assert line['target'] in {'t1', 't2'}
+    assert line['rule'] == 'status'
+    assert line['shown'].startswith(r'HTTP/1.1 000 X\r\n')
+
+
+@pytest.mark.parametrize('path', ['/lookup/9', '/order/9', '/chat/9'])
+@pytest.mark.parametrize(
+    'broken', [{'status_line': 'HTTP/1.1 000 X'}, {'field': 'Upgrade : h2c'}]
+)
+async def test_peer_passes_no_invalid_head_on(monkeypatch, path, broken):
+    """Guards against a host without links that trusts what its peer reads."""
+    received = []
+    respond = cutcases.respond
+
+    async def respond_once(request, writer):
+        if path not in request.request_line:
+            await respond(request, writer)
+            return
+        received.append(request)
+        variant = broken if len(received) == 1 else {}
+        writer.write(answer(request, **variant))
+
+    monkeypatch.setattr(cutcases, 'respond', respond_once)
+    async with cutcases.running_system() as (system, links):
+        await relaycases.lose_links(system, links, ['host-0'])
+        got = await call(system, path)
+    if path == '/order/9':
+        assert len(received) == 1
+        assert got.startswith(b'HTTP/1.1 502 ')
+    else:
+        assert len(received) == 2
+        assert got.startswith(b'HTTP/1.1 200 ')
+        assert BODY in got
