--- a/bergamotstream/checkedconnections.py
+++ b/bergamotstream/checkedconnections.py
@@ -100,11 +100,9 @@
         super().set_exception(exc, *causes)
 
     def peer_address(self) -> str:
-        """Return ``IP:port`` of the server, empty after the connection."""
-        if self.transport is None:
-            return ''
-        host, port = self.transport.get_extra_info('peername')[:2]
-        return f'{host}:{port}'
+        """Return ``IP:port`` of the server, empty if it was reset at once."""
+        peer = self.transport and self.transport.get_extra_info('peername')
+        return '{0}:{1}'.format(*peer) if peer else ''
 
     def _record(self, rule: str) -> None:
         self._record_invalid(
--- a/bergamotstream/forwarding/answerrecords.py
+++ b/bergamotstream/forwarding/answerrecords.py
@@ -2,8 +2,8 @@
 Answer records
 ~~~~~~~~~~~~~~
 
-Log lines and counters of what targets, peers and the store send in place of an
-answer.
+Log lines and counters of what targets, peers and the store send in place of the
+answer to a request.
 """
 
 from bergamotstream import checkedconnections, metrics
@@ -11,7 +11,7 @@
 
 
 class AnswerRecorder:
-    """Records what is taken for no answer to the request that waits."""
+    """Records invalid answers and those to other requests."""
 
     def __init__(
         self,
@@ -27,7 +27,7 @@
     def record_invalid(
         self, invalid: checkedconnections.InvalidResponse
     ) -> None:
-        """Record bytes that are no answer; peers and the store have no id."""
+        """Record an invalid answer of a target, a peer or the store."""
         self._meters.count('invalid_answers', invalid.rule)
         self._log.write(
             'answer_invalid',
