Use the field's terms for invalid responses; share the raw caller of tests

Names and comments say space, tab and whitespace as the RFCs do. The caller that reads an answer as bytes moves to platformkit. No behaviour changes.

--- a/bergamotstream/checkedconnections.py
+++ b/bergamotstream/checkedconnections.py
@@ -2,8 +2,8 @@
 Checked connections
 ~~~~~~~~~~~~~~~~~~~
 
-Connections of HTTP clients that receive one response to each request, and only
-one whose head follows the protocol.
+Connections of HTTP clients that receive one response to each request, and
+refuse one whose head is invalid.
 """
 
 import functools
@@ -14,18 +14,18 @@
 
 from bergamotstream import logs, responseheads
 
-# Rule of heads that the library itself refuses.
+# Rule that heads break which the library itself refuses.
 SYNTAX: Final = 'syntax'
 
 
 class InvalidResponse(NamedTuple):
-    """Bytes that are no response, which have ended their connection."""
+    """A response that was refused, and its connection closed."""
 
     # ``IP:port`` of the server.
     address: str
-    # The rule that they break.
+    # The rule of ``responseheads`` that it breaks, or ``SYNTAX``.
     rule: str
-    # Their start in printable form.
+    # Its first bytes in printable form.
     shown: str
 
 
@@ -45,8 +45,8 @@
         self._record_invalid = record_invalid
         # Whether a request waits for the head of its final response.
         self._is_head_missing = False
-        # The first bytes received since the request, which begin its head
-        # unless another head has come before.
+        # The first bytes received since the request. They begin the next head
+        # as long as no other head has been received.
         self._start = b''
         self._is_first = True
 
@@ -113,7 +113,7 @@
 
 
 def log_invalid(invalid: InvalidResponse) -> None:
-    """Log bytes that are no response."""
+    """Log a response that was refused."""
     logs.write('answer_invalid', invalid._asdict())
 
 
--- a/bergamotstream/responseheads.py
+++ b/bergamotstream/responseheads.py
@@ -2,9 +2,9 @@
 Response heads
 ~~~~~~~~~~~~~~
 
-Decides whether what the HTTP library has parsed is the head of a response. Its
-parsers, one in C and one in Python, accept more than RFC 9110 and RFC 9112 do,
-and each other things.
+Decides whether what the HTTP library has parsed is the head of a valid response.
+The library's parsers, one in C and one in Python, accept more than RFC 9110 and
+RFC 9112 allow, and differ in what they accept.
 """
 
 import re
@@ -13,34 +13,34 @@
 
 import aiohttp
 
-# Codes outside of this range are invalid (RFC 9110, section 15).
+# RFC 9110, section 15.
 STATUS_RANGE: Final = range(100, 600)
-# No request of this project asks for another protocol.
+# Invalid here, as no request of this project asks for another protocol.
 SWITCHING_PROTOCOLS: Final = 101
 # Statuses of heads that the head of the final response follows.
 INTERIM_STATUSES: Final = frozenset(range(100, 200)) - {SWITCHING_PROTOCOLS}
-# Of the bytes received, for rules that the parsed head cannot answer.
+# Received bytes that are kept for rules that need more than the parsed head.
 MAX_START_BYTES: Final = 8_192
-# Of them, in a log line.
+# Received bytes in a log line.
 MAX_SHOWN_BYTES: Final = 64
 # RFC 9110, section 5.6.2.
 _TOKEN: Final = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
-# RFC 9110, section 5.5: what a value may not hold.
+# Bytes that no value may contain (RFC 9110, section 5.5).
 _CONTROL: Final = re.compile(rb'[\0-\x08\x0a-\x1f\x7f]')
-# RFC 9112, section 4; blank lines may come before it, and a line feed may do
-# for a line end.
+# RFC 9112, section 4. Blank lines may precede it, and a line feed alone may end
+# a line.
 _STATUS_LINE: Final = re.compile(
     rb'(?:\r?\n)*HTTP/1\.[0-9] [0-9]{3}(?: [\t\x20-\x7e\x80-\xff]*)?\r?\n'
 )
-# Blanks between a status line and the first field.
+# Whitespace before the first field name.
 _INDENTED_FIELD: Final = re.compile(rb'(?:\r?\n)*[^\n]+\n[ \t]')
 
 
 class InvalidHead(aiohttp.ClientError):
-    """Bytes that are no response; the request may have run."""
+    """A response breaks a rule of the protocol; the request may have run."""
 
     def __init__(self, rule: str, shown: str) -> None:
-        """Keep the rule that they break, and their printable start."""
+        """Keep the name of the rule, and the first bytes in printable form."""
         super().__init__(f'{rule}: {shown}')
         self.rule = rule
         self.shown = shown
@@ -101,7 +101,7 @@
 def field_name(head: ReceivedHead) -> bool:
     """Tell whether all names are tokens.
 
-    The C parser accepts a blank behind the names that it knows, and drops one
+    The C parser accepts spaces after the names that it knows, and drops those
     before the first name.
     """
     if head.is_first and _INDENTED_FIELD.match(head.start):
@@ -111,9 +111,9 @@
 
 @_register
 def field_value(head: ReceivedHead) -> bool:
-    """Tell whether no value holds a control byte but the tabulator.
+    """Tell whether no value contains a control byte other than a tab.
 
-    Callers refuse such a line, and the library refuses to write it.
+    The library refuses to send such a value on to a caller.
     """
     return not any(
         _CONTROL.search(text) for _, text in head.message.raw_headers
@@ -122,10 +122,10 @@
 
 @_register
 def framing(head: ReceivedHead) -> bool:
-    """Tell whether it is certain where the body ends (RFC 9112, section 6).
+    """Tell whether the end of the body is certain (RFC 9112, section 6).
 
-    No request asks for another transfer coding than ``chunked``, and the
-    library takes a body with another one for one that the connection ends.
+    No request accepts a transfer coding other than ``chunked``. The library
+    reads a body with another one until the connection ends.
     """
     lengths = _values_of(head, b'content-length')
     codings = _values_of(head, b'transfer-encoding')
--- a/tests/platformkit.py
+++ b/tests/platformkit.py
@@ -402,6 +402,38 @@
             ) as response:
                 return response.status, response.headers, await response.read()
 
+    async def call_raw(
+        self,
+        path,
+        host=0,
+        framing='Content-Length: 0',
+        body=b'',
+        read_after_s=0.0,
+    ):
+        """Send a request as a socket; return the bytes of its answer.
+
+        They are what the host has sent: no library has read them, and what
+        comes before a reset is returned as well.
+        """
+        reader, writer = await asyncio.open_connection(
+            *self.settings[host].caller_address.split(':'), limit=1_024
+        )
+        writer.write(
+            f'POST {path} HTTP/1.1\r\nHost: {HOST_NAME}\r\n'
+            f'Api-Key: {KEY}\r\n{ATTEMPT}: a1\r\n'
+            'Bergamotstream-Deadline-Ms: 5000\r\nConnection: close\r\n'
+            f'{framing}\r\n\r\n'.encode()
+            + body
+        )
+        received = bytearray()
+        with contextlib.suppress(ConnectionError):
+            await asyncio.sleep(read_after_s)
+            async with asyncio.timeout(10):
+                while block := await reader.read(65_536):
+                    received += block
+        writer.close()
+        return bytes(received)
+
     async def stop(self):
         """Stop the hosts and the store."""
         for task in self.daemon_tasks:
