Keep the fault of an invalid head for a request that has yet to read it

The caller of a request got 500 where its target sent an interim head and a head that this host refuses in one segment. Before the heads were checked it got 502.

The cause: aiohttp's abort clears the exception that was set before it, while the queue of heads stays ended, so a request that was not waiting at that moment got EofStream, which nothing expects. TargetHandler._fail had the same order for limits. The connection is now aborted first.

--- a/bergamotstream/checkedconnections.py
+++ b/bergamotstream/checkedconnections.py
@@ -66,8 +66,7 @@
             super().data_received(data)
         except responseheads.InvalidHead as invalid:
             self._record(invalid.rule)
-            self.set_exception(invalid)
-            self.abort()
+            self.fail(invalid)
 
     def feed_data(self, data: Any, size: int = 0) -> None:
         """Receive a head and its body; called by the library.
@@ -99,6 +98,15 @@
             self._record(SYNTAX)
         super().set_exception(exc, *causes)
 
+    def fail(self, fault: Exception) -> None:
+        """End the request that waits for a head, and the connection.
+
+        ``abort`` clears an exception that was set before, which the request
+        could then no longer read.
+        """
+        self.abort()
+        self.set_exception(fault)
+
     def peer_address(self) -> str:
         """Return ``IP:port`` of the server, empty if it was reset at once."""
         peer = self.transport and self.transport.get_extra_info('peername')
--- a/bergamotstream/forwarding/connections.py
+++ b/bergamotstream/forwarding/connections.py
@@ -186,10 +186,10 @@
 
     def _fail(self, exceeded: answerlimits.LimitExceeded) -> None:
         if self._is_head_missing:
-            self.set_exception(exceeded)
+            self.fail(exceeded)
         else:
             self._body.set_exception(exceeded)
-        self.abort()
+            self.abort()
 
     def _is_foreign(self, head: Any) -> bool:
         """Tell whether a head names other requests only."""
--- a/tests/test_responseheads.py
+++ b/tests/test_responseheads.py
@@ -9,6 +9,7 @@
 from aiohttp import http_parser
 
 from bergamotstream import logs, metrics
+from bergamotstream.forwarding import answerlimits
 from tests import platformkit as kit
 from tests import test_cutlinks as cutcases
 from tests import test_relays as relaycases
@@ -38,8 +39,14 @@
     monkeypatch.setattr(aiohttp.client_proto, 'HttpResponseParser', chosen)
 
 
-def answer(request, status_line='HTTP/1.1 200 OK', field='', framing='length'):
-    """Return an answer with one more field line."""
+def answer(
+    request,
+    status_line='HTTP/1.1 200 OK',
+    field='',
+    framing='length',
+    interim=b'',
+):
+    """Return an answer with one more field line, behind ``interim``."""
     framing_field, body = FRAMINGS[framing]
     lines = (
         status_line,
@@ -49,9 +56,8 @@
         'Content-Type: text/event-stream',
         framing_field,
     )
-    return (
-        '\r\n'.join(filter(None, lines)).encode('latin1') + b'\r\n\r\n' + body
-    )
+    head = '\r\n'.join(filter(None, lines)).encode('latin1')
+    return interim + head + b'\r\n\r\n' + body
 
 
 @contextlib.asynccontextmanager
@@ -121,6 +127,22 @@
         await check(status_line=f'HTTP/1.1 {status} Trouble')
 
 
+@pytest.mark.parametrize('path', PATHS)
+@pytest.mark.parametrize(
+    'broken',
+    [
+        {'status_line': 'HTTP/1.1 000 Trouble'},
+        {'status_line': 'HTTP/1.1 200 ' + 'K' * answerlimits.MAX_HEAD_BYTES},
+    ],
+)
+async def test_invalid_head_behind_an_interim_one_is_no_fault_of_the_host(
+    path, broken
+):
+    """Guards against a fault that is lost before the request reads it."""
+    async with broken_once(path) as (check, _):
+        await check(interim=b'HTTP/1.1 103 Early Hints\r\n\r\n', **broken)
+
+
 # Names that frame a message, names of the platform, and an unknown one.
 FIELDS = {
     'Content-Length': str(len(BODY)),
