--- a/review/15/case.py
+++ b/review/15/case.py
@@ -1,101 +1,104 @@
-"""A planned stop cuts answers that are ready and being delivered."""
+"""Orders that a worker has run are answered 429, the promise of no run."""
 
 import asyncio
-import signal
-import socket
-import time
 
 import kit
 
-# Of `grace_s` = 8; the consumers have read all long before its end.
-PAUSE_S = 4.5
-CONSUMERS = 5
-ANSWER = b'x' * 8_000_000
-WORK_S = 0.1
+# One of three workers fails 0.4 of its requests after it has run them; its
+# liveness check is good.
+FAILING = 'i-0'
+SHARE = 0.4
+CONSUMERS = 6
+ORDERS = 100
+PROMISES = {408, 421, 429, 503}
 
 
-async def respond(head, body, writer, reader):
-    await asyncio.sleep(WORK_S)
-    writer.write(kit.answer(head, body=ANSWER))
-    await writer.drain()
-    RECORD[0].write(
-        f'{head.get(kit.ATTEMPT)} ran, its answer has left the worker'
-    )
+class Case:
+    def __init__(self, system):
+        self.system = system
+        self.record = system.record
+        self.ran = {}
+        self.runs_by_order = {}
+        self.answered = {}
+        self._seen = 0
 
+    async def respond(self, head, body, writer, reader, name):
+        attempt = head.get(kit.ATTEMPT)
+        await asyncio.sleep(0.05)
+        # From here on the order is carried out.
+        self.ran[attempt] = name
+        self.record.write(f'{attempt} {body.decode()} has run at {name}')
+        order = body.decode()
+        self.runs_by_order[order] = self.runs_by_order.get(order, 0) + 1
+        if kit.TROUBLE and name == FAILING:
+            self._seen += 1
+            if self._seen * SHARE % 1 < SHARE:
+                self.record.write(f'{attempt} ran at {name}, which says 429')
+                writer.write(
+                    kit.answer(head, '429 Too Many Requests', b'later')
+                )
+                return
+        writer.write(kit.answer(head, body=b'x' * 800))
 
-RECORD = []
-
+    async def consume(self, number):
+        for turn in range(ORDERS):
+            order = f'order-{number}-{turn}'
+            for repeat in range(2):
+                attempt = f'a{number}{turn:02}{repeat}'
+                status, head, _ = await kit.call(
+                    self.system.hosts[number % 2].front,
+                    'POST',
+                    '/confirmar/1',
+                    attempt,
+                    body=order.encode(),
+                )
+                self.answered[attempt] = status
+                stamped = head is not None and head.get(kit.STAMP)
+                self.record.write(
+                    f'{attempt} {order} answered {status}'
+                    f' {"with" if stamped else "without"} a stamp'
+                )
+                # A consumer repeats an order once after a promise.
+                if status not in PROMISES:
+                    break
 
-async def consume(record, host, attempt):
-    """Send an order and read its answer, after a pause; tell if it is whole."""
-    loop = asyncio.get_running_loop()
-    opened = socket.socket()
-    opened.setblocking(False)
-    received = bytearray()
-    length, started_s = 0, time.monotonic()
-    try:
-        record.write(f'{attempt} is sent to {host.name}')
-        await loop.sock_connect(opened, kit.split(host.front))
-        await loop.sock_sendall(
-            opened,
-            kit.request_bytes(attempt, 'POST', '/confirmar/1', body=b'o' * 600),
+    async def run(self):
+        await asyncio.gather(*map(self.consume, range(CONSUMERS)))
+        broken = [
+            attempt
+            for attempt, status in self.answered.items()
+            if status in PROMISES and attempt in self.ran
+        ]
+        twice = [
+            order for order, runs in self.runs_by_order.items() if runs > 1
+        ]
+        self.record.write(
+            f'{len(self.answered)} attempts, {len(self.ran)} ran;'
+            f' ran and answered with a promise: {len(broken)};'
+            f' orders carried out twice: {len(twice)}'
         )
-        while len(received) < 1_000:
-            received += await loop.sock_recv(opened, 500)
-        record.write(f'{attempt}: the head has come, the consumer pauses')
-        await asyncio.sleep(PAUSE_S)
-        started_s = time.monotonic()
-        length = received.index(b'\r\n\r\n') + 4 + len(ANSWER)
-        async with asyncio.timeout(5):
-            while len(received) < length:
-                block = await loop.sock_recv(opened, 262_144)
-                if not block:
-                    break
-                received += block
-    except (OSError, TimeoutError) as fault:
-        record.write(f'{attempt}: {fault!r}')
-    finally:
-        opened.close()
-    took_s = time.monotonic() - started_s
-    record.write(
-        f'{attempt}: {len(received)} of {length} bytes,'
-        f' read in {took_s:.2f} s after the pause'
-    )
-    return 0 < length == len(received)
+        return not broken
 
 
 async def case():
     async with kit.System('.') as system:
-        record = system.record
-        RECORD.append(record)
         system.store.put(
             'op/config',
             kit.configuration(
                 [kit.route('r-2', '/confirmar/', 'non_idempotent')]
             ),
         )
-        for number in range(3):
-            await system.add_worker(kit.Worker(f'i-{number}', respond))
         await system.add_hosts(3)
-        host = system.hosts[0]
-        consuming = [
-            asyncio.ensure_future(consume(record, host, f'a{number}'))
-            for number in range(CONSUMERS)
-        ]
+        played = Case(system)
+        for number in range(3):
+            name = f'i-{number}'
+
+            async def respond(head, body, writer, reader, name=name):
+                await played.respond(head, body, writer, reader, name)
+
+            await system.add_worker(kit.Worker(name, respond))
         await asyncio.sleep(1)
-        if kit.TROUBLE:
-            record.write(f'SIGTERM to {host.name}, grace_s is 8')
-            host.signal(signal.SIGTERM)
-            stopped_s = time.monotonic()
-            while host.is_running() and time.monotonic() < stopped_s + 8:
-                await asyncio.sleep(0.02)
-            record.write(
-                f'{host.name} has ended {time.monotonic() - stopped_s:.2f} s'
-                f' after the signal'
-            )
-        whole = sum(await asyncio.gather(*consuming))
-        record.write(f'{whole} of {CONSUMERS} orders have a complete answer')
-        return whole == CONSUMERS
+        return await played.run()
 
 
 kit.run(case)
