--- a/review/kit3/kit.py
+++ b/review/kit3/kit.py
@@ -47,11 +47,11 @@
 
 
 class Record:
-    """What was sent, answered and run, in a file of the case's folder."""
+    """What was sent, answered and run, in ``record.txt``."""
 
-    def __init__(self, folder, name):
+    def __init__(self, folder):
         self.started_s = time.monotonic()
-        self._file = (pathlib.Path(folder) / name).open('w')
+        self._file = (pathlib.Path(folder) / 'record.txt').open('w')
 
     def write(self, *words):
         at_s = time.monotonic() - self.started_s
@@ -631,8 +631,8 @@
 class System:
     """A store, workers and hosts; all end with the context."""
 
-    def __init__(self, folder, record='record.txt'):
-        self.record = Record(folder, record)
+    def __init__(self, folder):
+        self.record = Record(folder)
         self.folder = tempfile.mkdtemp(prefix='review-3-')
         self.store = Store()
         self.workers = []
