Answer 502 for a refusal that its target does not state

The same held for lookups and streams, for a first failure kept until later tries had ended, and for answers that a peer passed on.

Cause: a target's answer with a stamp counted as the final answer, whatever its status. By PROTOCOL.md only an answer with Bergamotstream-Not-Executed states that the request did not run.

Fix: dispatch raises UnstatedRefusal for 408, 429 and 503 without that header, so none of them becomes an answer, an earlier failure that is kept, or a relayed one. The request may have run: an order ends with 502 without a stamp, an idempotent one goes to another target within its attempts. A status that a peer of an earlier build passes on ends with 502 as well. Logs: target_refused is a stated refusal; target_broken with 'not stated as not run' and the counter unstated_refusals are one that is not.

--- a/bergamotstream/errors.py
+++ b/bergamotstream/errors.py
@@ -7,10 +7,15 @@
 """
 
 from collections.abc import Mapping, Sequence
-from typing import Any, ClassVar
+from typing import Any, ClassVar, Final
 
 from bergamotstream import records
 
+# Statuses by which callers learn that a request has not run and never will, so
+# that they send it again: a timeout of the request, a misdirected one, a rate
+# limit and an overload (RFC 9110, RFC 6585; on the platform PROTOCOL.md).
+NOT_RUN_STATUSES: Final = frozenset((408, 421, 429, 503))
+
 _kinds_by_code: dict[str, type['ServiceError']] = {}
 
 
--- a/bergamotstream/forwarding/dispatch.py
+++ b/bergamotstream/forwarding/dispatch.py
@@ -16,7 +16,7 @@
 import multidict
 import yarl
 
-from bergamotstream import eventstream
+from bergamotstream import errors, eventstream
 from bergamotstream.forwarding import (
     answerlimits,
     connections,
@@ -66,6 +66,15 @@
     """The target answered with an error status, so it still runs."""
 
 
+class UnstatedRefusal(TargetErrorAnswer):
+    """The status says that the request did not run, the target does not."""
+
+    def __init__(self, status: int) -> None:
+        """Keep the status, which must not reach the caller."""
+        super().__init__(f'status {status}, not stated as not run')
+        self.status = status
+
+
 class UnprovenAnswer(TargetErrorAnswer):
     """The answer does not name the request, which may still be running."""
 
@@ -186,12 +195,19 @@
 
 
 def _check_answer(answer: Answer) -> None:
-    """Raise if the answer reports not run or has no stamp."""
+    """Raise if the answer reports not run or has no stamp.
+
+    A status alone reports nothing: a faulty target may send any of them for a
+    request that it has run.
+    """
     not_run = protocol.NOT_EXECUTED in answer.headers
     if not_run or answer.status == MISDIRECTED:
         answer.close()
         at_fault = answer.headers.get(protocol.AT_SERVER, '')
         raise TargetRefused(answer.status, at_fault)
+    if answer.status in errors.NOT_RUN_STATUSES:
+        answer.close()
+        raise UnstatedRefusal(answer.status)
     if protocol.STAMP not in answer.headers:
         answer.close()
         raise TargetBroken(f'status {answer.status} without a stamp')
--- a/bergamotstream/forwarding/ingress.py
+++ b/bergamotstream/forwarding/ingress.py
@@ -388,6 +388,11 @@
             self._relays.receive, served, peer, self._silence.handle_silence
         )
         self._outcomes.statements.record_relayed(answer.headers)
+        if answer.status in errors.NOT_RUN_STATUSES:
+            # Only peers of earlier versions pass such a status on.
+            raise errors.TargetFailed(
+                f'status {answer.status} at a peer', run_state='may_have_run'
+            )
         if dispatch.is_success(answer.status) and served.job.route.streaming:
             record = streamrecords.StreamRecord(receive, served)
             return await self._relay(served, record, answer)
@@ -507,13 +512,6 @@
         buffered: dispatch.BufferedAnswer,
     ) -> web.StreamResponse:
         self._outcomes.record_end(state, f'status_{buffered.status}')
-        if buffered.status == dispatch.UNAVAILABLE:
-            # This status tells the caller that the request did not run, which
-            # the target does not state.
-            return calleranswer.error_answer(
-                errors.TargetFailed(run_state='may_have_run'),
-                state.job.request.attempt_id,
-            )
         return web.Response(
             status=buffered.status, headers=buffered.headers, body=buffered.body
         )
--- a/bergamotstream/forwarding/outcomes.py
+++ b/bergamotstream/forwarding/outcomes.py
@@ -536,6 +536,8 @@
                 self._suspect(served, *assignment.helpers)
             self._record_link_failure(assignment.target)
         self._meters.count('target_failures', served.job.service.name)
+        if isinstance(fault, dispatch.UnstatedRefusal):
+            self._meters.count('unstated_refusals', str(fault.status))
         self._log.write(
             'target_broken',
             id=served.job.request.attempt_id,
