Believe a 421 only if the target states it or another one answers

Callers saw: an order that its target had run and answered 421 was sent to a second target, within the same request, and answered 503 if that one refused it.

Cause: dispatch took each 421 for a refusal.

Fix: a 421 counts as a refusal if it has that header, or if its Bergamotstream-Instance-Id names another target than the request does. Any other one is an unstated refusal, like 429. target_refused tells by `stated` which of the two it was.

The stand-in of the soak answered 421 with neither.

--- a/bergamotstream/forwarding/dispatch.py
+++ b/bergamotstream/forwarding/dispatch.py
@@ -27,7 +27,7 @@
 )
 from bergamotstream.platform import callerformat, protocol
 
-MISDIRECTED: Final = 421
+MISDIRECTED: Final = protocol.MISDIRECTED
 UNAVAILABLE: Final = 503
 SUCCESS_CLASS: Final = 2
 STATUSES_IN_CLASS: Final = 100
@@ -49,10 +49,16 @@
 class TargetRefused(ConnectionError):
     """The target states that the request did not run."""
 
-    def __init__(self, status: int, at_fault: str) -> None:
-        """Keep the status and the address that the refusal names."""
+    def __init__(
+        self,
+        status: int,
+        at_fault: str,
+        statement: str = callerformat.NOT_EXECUTED,
+    ) -> None:
+        """Keep the status, the address that the refusal names and its kind."""
         super().__init__(f'status {status}')
         self.status = status
+        self.statement = statement
         # Another target has the address now.
         self.misdirected = status == MISDIRECTED
         self.at_fault = at_fault
@@ -170,7 +176,7 @@
             self._record_head(
                 outgoing.assignment, answer.status, answer.headers
             )
-        _check_answer(answer)
+        _check_answer(answer, outgoing.assignment.target.target_id)
         return answer
 
 
@@ -194,17 +200,19 @@
         raise UnprovenAnswer(f'status {answer.status} for {echoed}')
 
 
-def _check_answer(answer: Answer) -> None:
+def _check_answer(answer: Answer, target_id: str) -> None:
     """Raise if the answer reports not run or has no stamp.
 
     A status alone reports nothing: a faulty target may send any of them for a
     request that it has run.
     """
-    not_run = protocol.NOT_EXECUTED in answer.headers
-    if not_run or answer.status == MISDIRECTED:
+    statement = callerformat.not_run_statement(
+        answer.status, answer.headers, target_id
+    )
+    if statement:
         answer.close()
         at_fault = answer.headers.get(protocol.AT_SERVER, '')
-        raise TargetRefused(answer.status, at_fault)
+        raise TargetRefused(answer.status, at_fault, statement)
     if answer.status in errors.NOT_RUN_STATUSES:
         answer.close()
         raise UnstatedRefusal(answer.status)
--- a/bergamotstream/forwarding/outcomes.py
+++ b/bergamotstream/forwarding/outcomes.py
@@ -507,6 +507,7 @@
             id=served.job.request.attempt_id,
             target=at_fault.target_id,
             status=fault.status,
+            stated=fault.statement,
             at_fault=fault.at_fault,
         )
 
--- a/bergamotstream/platform/callerformat.py
+++ b/bergamotstream/platform/callerformat.py
@@ -19,6 +19,10 @@
 LOWEST_PRIORITY: Final = 9
 # Larger counts are used as this one; two of them fit into a message to peers.
 MAX_COUNT: Final = (1 << 31) - 1
+# What states that a request did not run: the header, or that a 421 comes from
+# another target than the one that the request names.
+NOT_EXECUTED: Final = 'not_executed'
+OTHER_INSTANCE: Final = 'other_instance'
 _ABSOLUTE_FORM: Final = re.compile('[a-z]+://(?P<authority>[^/?]+)', re.I)
 
 
@@ -97,6 +101,18 @@
     )
 
 
+def not_run_statement(
+    status: int, headers: multidict.CIMultiDictProxy[str], target_id: str
+) -> str:
+    """Return what states that a request to a target did not run, or ''."""
+    if protocol.NOT_EXECUTED in headers:
+        return NOT_EXECUTED
+    named = headers.getall(protocol.INSTANCE_ID, [])
+    if status == protocol.MISDIRECTED and named and target_id not in named:
+        return OTHER_INSTANCE
+    return ''
+
+
 def says_leaving(headers: multidict.CIMultiDictProxy[str]) -> bool:
     """Tell whether an answer says that its target leaves."""
     return any(
--- a/bergamotstream/platform/protocol.py
+++ b/bergamotstream/platform/protocol.py
@@ -24,6 +24,8 @@
 LEAVING_TEXT = '1'
 # Names the target in its answers to health checks.
 INSTANCE_ID = 'Bergamotstream-Instance-Id'
+# Status of a target that is not the one that the request names.
+MISDIRECTED = 421
 # Set by the system on requests to targets.
 EXPECT_INSTANCE = 'Bergamotstream-Expect-Instance'
 EXPECT_VERSION = 'Bergamotstream-Expect-Version'
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -236,7 +236,8 @@
         attempt_id = request.headers.get(kit.ATTEMPT, '')
         expected = request.headers.get('Bergamotstream-Expect-Instance')
         if expected != self.name:
-            writer.write(kit.answer(request, b'', '421 Other'))
+            instance = f'Bergamotstream-Instance-Id: {self.name}\r\n'
+            writer.write(kit.answer(request, b'', '421 Other', instance))
             return
         self._soak.check_drain(self, attempt_id, now_s)
         self._soak.runs_by_attempt[attempt_id] += 1
--- a/tests/test_unstatedrefusals.py
+++ b/tests/test_unstatedrefusals.py
@@ -10,16 +10,20 @@
 from tests import test_refusals as refusalcases
 from tests import test_relays as relaycases
 
-PROMISES = ('408 Late', '429 Busy', '503 Full')
+PROMISES = ('408 Late', '421 Other', '429 Busy', '503 Full')
 PATHS = ('/order/1', '/lookup/1', '/chat/1')
 STATED = f'{kit.NOT_RUN}: 1\r\n'
+INSTANCE = 'Bergamotstream-Instance-Id: {0}\r\n'
 
 
 def answering(status, extra=''):
     """Return how a target answers that has run each request."""
 
     async def respond(request, writer):
-        writer.write(kit.answer(request, b'later', status, extra))
+        named = extra.format(
+            request.headers.get('Bergamotstream-Expect-Instance', '')
+        )
+        writer.write(kit.answer(request, b'later', status, named))
 
     return respond
 
@@ -58,9 +62,10 @@
 
 @pytest.mark.parametrize('status', PROMISES)
 @pytest.mark.parametrize('path', PATHS)
-async def test_unstated_refusal_promises_nothing(path, status):
+@pytest.mark.parametrize('extra', ['', INSTANCE], ids=['bare', 'named'])
+async def test_unstated_refusal_promises_nothing(path, status, extra):
     """Guards against "not run" for a request that its target has run."""
-    async with running_targets(answering(status)) as (system, targets):
+    async with running_targets(answering(status, extra)) as (system, targets):
         check_no_promise(await system.call(path))
         if path == '/order/1':
             assert count_received(targets, path) == 1
@@ -127,10 +132,27 @@
         answered, headers, _ = await system.call(path)
     assert answered == 503
     assert float(headers['Retry-After']) > 0
-    assert lines.of('target_refused')
+    assert {line['stated'] for line in lines.of('target_refused')} == {
+        'not_executed'
+    }
     assert not lines.of('target_broken')
 
 
+@pytest.mark.parametrize('path', PATHS)
+async def test_refusal_by_another_instance_stays_one(monkeypatch, path):
+    """Guards against an order that is lost as its address has a new owner."""
+    respond = answering('421 Other', INSTANCE.format('other'))
+    async with running_targets(respond) as (system, targets):
+        lines = refusalcases.Lines(monkeypatch, system)
+        answered, headers, _ = await system.call(path)
+        assert count_received(targets, path) == 2
+    assert answered == 503
+    assert float(headers['Retry-After']) > 0
+    assert {line['stated'] for line in lines.of('target_refused')} == {
+        'other_instance'
+    }
+
+
 async def test_unstated_refusal_is_logged(monkeypatch):
     """Guards against a log in which both kinds of refusal look alike."""
     async with running_targets(answering('429 Busy')) as (system, _):
