Promise nothing with any refusal that follows a possible run

Callers saw: a lookup or a stream whose first try may have run, and whose next one was refused by this host or by a peer with 408 or 429, was answered with that status. A peer sends 408 if the body does not reach it in time.

Cause: Ingress._fail replaced only 503 once a try may have run.

Fix: the statuses that promise "not run" are listed once, in errors, and an error gives its HTTP status by its run state: 502 in place of each of them unless the request has not run. The log has the refusal in `detail`.

--- a/bergamotstream/errors.py
+++ b/bergamotstream/errors.py
@@ -15,6 +15,8 @@
 # that they send it again: a timeout of the request, a misdirected one, a rate
 # limit and an overload (RFC 9110, RFC 6585; on the platform PROTOCOL.md).
 NOT_RUN_STATUSES: Final = frozenset((408, 421, 429, 503))
+# Says nothing of whether a request has run.
+BAD_GATEWAY: Final = 502
 
 _kinds_by_code: dict[str, type['ServiceError']] = {}
 
@@ -44,6 +46,20 @@
         self.retry_after_ms = retry_after_ms
         self.changed = changed
 
+    @property
+    def http_status(self) -> int:
+        """Return the status of the response by which a caller learns of it."""
+        return get_http_status(type(self), self.run_state)
+
+
+def get_http_status(
+    kind: type[ServiceError], run_state: records.RunState
+) -> int:
+    """Return the status of an error kind, 502 for an untrue ``not_run``."""
+    if run_state != 'not_run' and kind.status in NOT_RUN_STATUSES:
+        return BAD_GATEWAY
+    return kind.status
+
 
 def register(kind: type[ServiceError]) -> type[ServiceError]:
     """Register an error kind under its code."""
--- a/bergamotstream/forwarding/calleranswer.py
+++ b/bergamotstream/forwarding/calleranswer.py
@@ -91,5 +91,7 @@
         'message': str(error),
     }
     return web.Response(
-        status=error.status, headers=headers, body=json.dumps(body).encode()
+        status=error.http_status,
+        headers=headers,
+        body=json.dumps(body).encode(),
     )
--- a/bergamotstream/forwarding/ingress.py
+++ b/bergamotstream/forwarding/ingress.py
@@ -596,8 +596,10 @@
             return self._buffered_response(state, state.failure_answer)
         if state.may_have_run:
             error.run_state = 'may_have_run'
-        if state.may_have_run and error.status == dispatch.UNAVAILABLE:
-            error = errors.TargetFailed(run_state='may_have_run')
+        if error.http_status != error.status:
+            error = errors.TargetFailed(
+                f'{error.code} after a try', run_state=error.run_state
+            )
         self._outcomes.record_end(state, error.code, error.detail)
         return calleranswer.error_answer(error, state.job.request.attempt_id)
 
--- a/tests/test_unstatedrefusals.py
+++ b/tests/test_unstatedrefusals.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from bergamotstream import errors
 from bergamotstream.forwarding import peerrelay
 from tests import platformkit as kit
 from tests import test_cutlinks as cutcases
@@ -123,6 +124,27 @@
     assert len(received) == 2
 
 
+@pytest.mark.parametrize(
+    'kind', [errors.BodyTimeout, errors.LimitReached, errors.NoTarget]
+)
+@pytest.mark.parametrize('path', ['/lookup/1', '/chat/1'])
+async def test_own_refusal_after_a_broken_try_promises_nothing(
+    monkeypatch, path, kind
+):
+    """Guards against a refusal of this host, or of a peer, after a run."""
+
+    async def respond(request, writer):
+        def refuse(*_):
+            raise kind('', retry_after_ms=400)
+
+        monkeypatch.setattr(system.daemons[0]._core, 'place', refuse)
+        writer.transport.abort()
+
+    async with running_targets(respond) as (system, targets):
+        check_no_promise(await system.call(path))
+        assert count_received(targets, path) == 1
+
+
 @pytest.mark.parametrize('status', PROMISES)
 @pytest.mark.parametrize('path', PATHS)
 async def test_stated_refusal_stays_one(monkeypatch, path, status):
