Send no status of "not run" with another run state, running alone

Callers of a host that runs alone saw: 503 `retries_exhausted`, `no_target` or `deadline_unreachable`, or 429 `limit_reached`, for a request that an earlier attempt or host may have run; only the body said `may_have_run`. HTTP clients that go by the status send such a request again.

Cause: the status of the response was that of the error's code, whatever its run state.

Fix: the response takes the status from the error, which is 502 where the code's own one would promise "not run". Code, run state, message and Retry-After stay as they were.

Evidence: the test of all codes required the code's status with run state `ran`, so it asked for the fault.

--- a/bergamotstream/delivery.py
+++ b/bergamotstream/delivery.py
@@ -46,7 +46,7 @@
         seconds = -(-error.retry_after_ms // 1_000)
         headers['Retry-After'] = str(seconds)
     return web.json_response(
-        error_body(error, request_id), status=error.status, headers=headers
+        error_body(error, request_id), status=error.http_status, headers=headers
     )
 
 
--- a/tests/test_callerserver.py
+++ b/tests/test_callerserver.py
@@ -7,7 +7,14 @@
 
 import pytest
 
-from bergamotstream import delivery, errors, events, openanswers, requestbody
+from bergamotstream import (
+    actions,
+    delivery,
+    errors,
+    events,
+    openanswers,
+    requestbody,
+)
 from bergamotstream import settings as settings_module
 from standins import answers as expected_answers
 from standins import enginemodel
@@ -69,16 +76,21 @@
             assert (await response.json())['code'] == 'invalid_request'
 
 
+@pytest.mark.parametrize('run_state', ['not_run', 'may_have_run', 'ran'])
 @pytest.mark.parametrize('code', errors.all_error_codes())
-def test_every_error_has_its_status_and_fields(code):
-    """Guards against a code whose HTTP answer lacks a field."""
+def test_every_error_has_its_status_and_fields(code, run_state):
+    """Guards against a code whose HTTP answer lacks a field.
+
+    A status that promises "not run" is sent with that run state only.
+    """
     kind = errors.get_error_by_code(code)
-    error = kind('x', run_state='ran', retry_after_ms=1_001)
+    error = kind('x', run_state=run_state, retry_after_ms=1_001)
     response = delivery.error_response(error, 'r1')
     body = json.loads(response.body)
-    assert response.status == kind.status
+    is_untrue = run_state != 'not_run' and kind.status in {408, 421, 429, 503}
+    assert response.status == (502 if is_untrue else kind.status)
     assert response.headers['Retry-After'] == '2'
-    assert body['code'] == code and body['run_state'] == 'ran'
+    assert body['code'] == code and body['run_state'] == run_state
     assert kind.remedy in body['message'] and body['request_id'] == 'r1'
 
 
@@ -93,6 +105,30 @@
         assert fakecorekit.failure_kinds(core.seen) == ['refused']
 
 
+async def test_refusal_after_a_run_has_no_status_of_not_run():
+    """Guards against 503 for a request whose target may have run it."""
+    async with fakecorekit.running_host() as (core, http, _):
+
+        def refuse(event):
+            return [
+                actions.RefuseRequest(
+                    event.request.request_id,
+                    'retries_exhausted',
+                    'may_have_run',
+                    1_500,
+                )
+            ]
+
+        core.RequestReceived = refuse
+        for stream in (True, False):
+            body = fakecorekit.request_body(stream=stream)
+            async with http.post('/v1/requests', json=body) as response:
+                answer = await response.json()
+            assert response.status == 502
+            assert answer['code'] == 'retries_exhausted'
+            assert answer['run_state'] == 'may_have_run'
+
+
 async def test_admin_gets_author_and_wall_time():
     """Guards against an audit entry without time or author."""
     async with fakecorekit.running_host() as (_, http, _process):
