Tell a caller whose resume is refused that the request may have run

Callers of a host that runs alone saw: `not_run` in the refusal of a resume by a host that had too many requests open, or whose deadline or offset it did not accept, though the request may run at the host that it was sent to.

Cause: the core knows a resumed request as one that may have run; the checks before it, in the caller server and in OpenAnswers.open, did not.

Fix: the resume handler gives each refusal the run state `may_have_run`; by it, 503 becomes 502.

Evidence: 3 new cases in tests/test_callerserver.py failed before and pass now.

--- a/bergamotstream/callerserver.py
+++ b/bergamotstream/callerserver.py
@@ -101,6 +101,14 @@
         return await self._deliver(request, parsed, answer, 0)
 
     async def _resume(self, request: web.Request) -> web.StreamResponse:
+        try:
+            return await self._resume_by_id(request)
+        except errors.ServiceError as error:
+            # The request was sent before, here or to another host.
+            error.run_state = 'may_have_run'
+            raise
+
+    async def _resume_by_id(self, request: web.Request) -> web.StreamResponse:
         offset = _parse_offset(request.query.get('offset', ''))
         parsed = await self._parse(request, request.match_info['id'])
         answer = self._find_open_answer(parsed)
--- a/tests/test_callerserver.py
+++ b/tests/test_callerserver.py
@@ -129,6 +129,26 @@
             assert answer['run_state'] == 'may_have_run'
 
 
+@pytest.mark.parametrize(
+    ('offset', 'change', 'code', 'status'),
+    [
+        (0, {}, 'overloaded', 502),
+        (0, {'deadline_ms': 0}, 'deadline_passed', 504),
+        ('x', {}, 'invalid_request', 400),
+    ],
+)
+async def test_refused_resume_may_have_run(offset, change, code, status):
+    """Guards against "not run" for a request that ran at another host."""
+    limits = settings_module.Limits(open_requests=0)
+    async with fakecorekit.running_host(limits=limits) as (_, http, _process):
+        body = fakecorekit.request_body(**change)
+        path = f'/v1/requests/r1/resume?offset={offset}'
+        async with http.post(path, json=body) as response:
+            answer = await response.json()
+    assert (response.status, answer['code']) == (status, code)
+    assert answer['run_state'] == 'may_have_run'
+
+
 async def test_admin_gets_author_and_wall_time():
     """Guards against an audit entry without time or author."""
     async with fakecorekit.running_host() as (_, http, _process):
