Answer 502 for an operator's command that may have changed something

Operators saw: 503 `kv_unavailable` for a command whose outcome is unknown; only the body said that the change may be in force.

Cause: the status of the answer came from the code alone.

Evidence: 1 of the 2 new cases in tests/test_callerserver.py failed before (`may_have_run`); both pass now.

--- a/bergamotstream/queries.py
+++ b/bergamotstream/queries.py
@@ -74,7 +74,7 @@
                 'body': dict(answer.body),
                 'retry_after_ms': answer.body.get('retry_after_ms', 0),
             },
-            status=_http_status(answer.code),
+            status=_http_status(answer),
         )
 
     async def _query_core(
@@ -106,5 +106,8 @@
     return command, dict(arguments)
 
 
-def _http_status(code: str) -> int:
-    return errors.get_error_by_code(code).status if code else HTTP_OK
+def _http_status(answer: actions.AnswerAdmin) -> int:
+    if not answer.code:
+        return HTTP_OK
+    kind = errors.get_error_by_code(answer.code)
+    return errors.get_http_status(kind, answer.body.get('run_state', 'not_run'))
--- a/tests/test_callerserver.py
+++ b/tests/test_callerserver.py
@@ -149,6 +149,26 @@
     assert answer['run_state'] == 'may_have_run'
 
 
+@pytest.mark.parametrize(
+    ('run_state', 'status'), [('not_run', 503), ('may_have_run', 502)]
+)
+async def test_status_of_a_command_follows_its_run_state(run_state, status):
+    """Guards against 503 for a change that may be in force."""
+    async with fakecorekit.running_host() as (core, http, _):
+
+        def fail(event):
+            return [
+                actions.AnswerAdmin(
+                    event.query_id, 'kv_unavailable', {'run_state': run_state}
+                )
+            ]
+
+        core.AdminAsked = fail
+        async with http.post('/admin', json={'command': 'x'}) as response:
+            answer = await response.json()
+    assert (response.status, answer['code']) == (status, 'kv_unavailable')
+
+
 async def test_admin_gets_author_and_wall_time():
     """Guards against an audit entry without time or author."""
     async with fakecorekit.running_host() as (_, http, _process):
