Let targets of the soak answer runs with statuses that promise "not run"

A target of plain requests answers 0.03 of its runs with 408, 421, 429 or 503 and states nothing. The check that a request which has run is not answered with such a status now holds for lookups and streams as well as for orders.

The detail of a 502 in place of a refusal has that of the refusal.

--- a/bergamotstream/errors.py
+++ b/bergamotstream/errors.py
@@ -48,14 +48,17 @@
 
     @property
     def http_status(self) -> int:
-        """Return the status of the response by which a caller learns of it."""
+        """Return the status of the response that reports this error."""
         return get_http_status(type(self), self.run_state)
 
 
 def get_http_status(
     kind: type[ServiceError], run_state: records.RunState
 ) -> int:
-    """Return the status of an error kind, 502 for an untrue ``not_run``."""
+    """Return the status of an error kind.
+
+    It is 502 where the own one would promise "not run" with another run state.
+    """
     if run_state != 'not_run' and kind.status in NOT_RUN_STATUSES:
         return BAD_GATEWAY
     return kind.status
--- a/bergamotstream/forwarding/ingress.py
+++ b/bergamotstream/forwarding/ingress.py
@@ -598,7 +598,8 @@
             error.run_state = 'may_have_run'
         if error.http_status != error.status:
             error = errors.TargetFailed(
-                f'{error.code} after a try', run_state=error.run_state
+                f'after a try: {error.code} {error.detail}',
+                run_state=error.run_state,
             )
         self._outcomes.record_end(state, error.code, error.detail)
         return calleranswer.error_answer(error, state.job.request.attempt_id)
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -49,6 +49,10 @@
 # good order inside an event.
 UNFRAMED_SHARE = 0.2
 CUT_SHARE = 0.05
+# Runs of plain targets that are answered as if they were none.
+UNTRUE_SHARE = 0.03
+UNTRUE_STATUSES = ('408 Late', '421 Other', '429 Busy', '503 Full')
+NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 FRAMING = {True: 'Transfer-Encoding: chunked\r\n', False: ''}
 # Each target names a limit for a part of the faults' time. The operators' bound
 # holds from CONTACT_S after the first time, and while no fault excuses a host.
@@ -256,8 +260,9 @@
         path = request.request_line.split()[1]
         if not path.startswith('/chat/'):
             await asyncio.sleep(self._soak.rng.uniform(0.005, 0.06))
+            status = self._draw_status(attempt_id)
             body = attempt_id.encode()
-            writer.write(kit.answer(request, body, extra=limit))
+            writer.write(kit.answer(request, body, status, limit))
             return
         first = int(request.headers.get('Last-Event-Id') or 0) + 1
         last = int(path.rpartition('/')[2])
@@ -282,6 +287,13 @@
         else:
             writer.close()
 
+    def _draw_status(self, attempt_id):
+        """Return how a run is answered; it may be told not to have run."""
+        chance = random.Random(f'status {attempt_id} {self.name}')
+        if chance.random() < UNTRUE_SHARE:
+            return chance.choice(UNTRUE_STATUSES)
+        return '200 OK'
+
     def _is_stating(self, now_s):
         if self.name not in LEAVING_TARGETS + ASKING_TARGETS:
             return False
@@ -705,7 +717,7 @@
     once = attempt.path.startswith('/order/')
     if once and runs > 1:
         yield 'runs twice'
-    if once and runs and attempt.status in {408, 421, 429, 503}:
+    if runs and attempt.status in NOT_RUN_STATUSES:
         yield 'said not to have run'
     # A route that was added last is unknown until the change is in force.
     if attempt.status in {401, 403, 404} and attempt.path != GROWN_PATH:
