Do not believe an engine's "not run" after it has sent tokens

Callers of a host that runs alone could see: 503 with `not_run` for a request whose engine had sent tokens and then an error event with `not_run`. The claim of a call with a key was given up, so that the key could run again.

Cause: the client passed the statement on as `refused`, and the core took back that the request may have run, whatever the attempt had brought.

Fix: such an attempt is lost, as after a broken stream: it is resumed, or the request may have run. A refusal before the first token is still believed.

Evidence: 1 of the 2 new cases of tests/test_engineclients.py failed before (the one after a token); both pass now. No run has shown it with real engines.

--- a/bergamotstream/engines/__init__.py
+++ b/bergamotstream/engines/__init__.py
@@ -89,10 +89,14 @@
     async def run(self, attempt: Attempt) -> None:
         """Run an attempt to its end and emit the event that ends it."""
         dispatch = attempt.dispatch
+        offset = attempt.sink.offset
         try:
             finished = await self.perform(attempt)
         except Exception as fault:
             kind = await self._classify(fault, dispatch)
+            if kind == 'refused' and attempt.sink.offset > offset:
+                # An attempt that has brought tokens has run.
+                kind = 'lost'
             logs.write(
                 'attempt_failed',
                 {
--- a/tests/test_engineclients.py
+++ b/tests/test_engineclients.py
@@ -106,6 +106,8 @@
 )
 TOKEN = b'event: chunk\ndata: {"offset": 0, "text": "x "}\n\n'
 CHUNK = b'%x\r\n%s\r\n' % (len(TOKEN), TOKEN)
+REFUSAL = b'event: error\ndata: {"code": "busy", "not_run": true}\n\n'
+REFUSAL_CHUNK = b'%x\r\n%s\r\n' % (len(REFUSAL), REFUSAL)
 
 
 async def test_unreachable_target_is_refused_and_resume_finds_it_dead():
@@ -124,6 +126,8 @@
         (HEAD, 'lost'),
         (HEAD + CHUNK, 'lost'),
         (HEAD + CHUNK + b'0\r\n\r\n', 'lost'),
+        (HEAD + REFUSAL_CHUNK + b'0\r\n\r\n', 'refused'),
+        (HEAD + CHUNK + REFUSAL_CHUNK + b'0\r\n\r\n', 'lost'),
         (HEAD + b'7\r\ndata: [\r\n0\r\n\r\n', 'lost'),
         (b'HTTP/1.1 500 X\r\nContent-Length: 2\r\n\r\n{}', 'rejected'),
         (
