Answer probes of the soak's targets as before

The target counted its statement as told, and a host takes none from a 421 that may come from another target.

Probes get 200 again, and a target that makes a statement draws no 421.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -51,7 +51,8 @@
 CUT_SHARE = 0.05
 # Runs of plain targets that are answered as if they were none.
 UNTRUE_SHARE = 0.03
-UNTRUE_STATUSES = ('408 Late', '421 Other', '429 Busy', '503 Full')
+MISDIRECTED = '421 Other'
+UNTRUE_STATUSES = ('408 Late', MISDIRECTED, '429 Busy', '503 Full')
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 FRAMING = {True: 'Transfer-Encoding: chunked\r\n', False: ''}
 # Each target names a limit for a part of the faults' time. The operators' bound
@@ -241,7 +242,7 @@
         expected = request.headers.get('Bergamotstream-Expect-Instance')
         if expected != self.name:
             instance = f'Bergamotstream-Instance-Id: {self.name}\r\n'
-            writer.write(kit.answer(request, b'', '421 Other', instance))
+            writer.write(kit.answer(request, b'', MISDIRECTED, instance))
             return
         self._soak.check_drain(self, attempt_id, now_s)
         self._soak.runs_by_attempt[attempt_id] += 1
@@ -260,7 +261,7 @@
         path = request.request_line.split()[1]
         if not path.startswith('/chat/'):
             await asyncio.sleep(self._soak.rng.uniform(0.005, 0.06))
-            status = self._draw_status(attempt_id)
+            status = self._draw_status(attempt_id, limit)
             body = attempt_id.encode()
             writer.write(kit.answer(request, body, status, limit))
             return
@@ -287,12 +288,19 @@
         else:
             writer.close()
 
-    def _draw_status(self, attempt_id):
-        """Return how a run is answered; it may be told not to have run."""
+    def _draw_status(self, attempt_id, statements):
+        """Return how a run is answered; it may be told not to have run.
+
+        Probes have no id. Hosts take no statements from a 421, which may come
+        from another target.
+        """
         chance = random.Random(f'status {attempt_id} {self.name}')
-        if chance.random() < UNTRUE_SHARE:
-            return chance.choice(UNTRUE_STATUSES)
-        return '200 OK'
+        if not attempt_id or chance.random() >= UNTRUE_SHARE:
+            return '200 OK'
+        status = chance.choice(UNTRUE_STATUSES)
+        if statements and status == MISDIRECTED:
+            return UNTRUE_STATUSES[-1]
+        return status
 
     def _is_stating(self, now_s):
         if self.name not in LEAVING_TARGETS + ASKING_TARGETS:
