--- a/tests/test_unstatedrefusals.py
+++ b/tests/test_unstatedrefusals.py
@@ -30,12 +30,10 @@
 
 
 @contextlib.asynccontextmanager
-async def running_targets(respond, document=None):
+async def running_targets(respond):
     """Yield a system and two targets of each service."""
     async with contextlib.AsyncExitStack() as stack:
-        system = await stack.enter_async_context(
-            kit.running_system(document=document)
-        )
+        system = await stack.enter_async_context(kit.running_system())
         targets = []
         for service in ('plain', 'model') * 2:
             target = await stack.enter_async_context(kit.raw_target(respond))
